--- /dev/null
+++ b/connection/platform/platform.go
@@ -0,0 +1,94 @@
+package platform
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Offset is the position of a record in a stream. The first record of a
+// stream has offset 1.
+type Offset uint64
+
+// Record is one entry of a stream.
+type Record struct {
+	Offset Offset    `json:"offset"`
+	At     time.Time `json:"at"` // when the log took it, by the log's clock
+	Data   []byte    `json:"data"`
+}
+
+// Page is a run of records of a stream.
+type Page struct {
+	First   Offset   `json:"first"` // oldest offset that has not expired
+	End     Offset   `json:"end"`   // offset that the next append will get
+	Records []Record `json:"records"`
+}
+
+// Names of the streams that the fleet uses. The ledger's shards append their
+// number.
+const (
+	StreamConfig = "config"
+	StreamLedger = "ledger-"
+)
+
+// Log is the platform's append-only log.
+type Log interface {
+	// Append adds records in one append and returns the offset of the first.
+	// Records of one call get consecutive offsets. On an error use
+	// MayHaveAppended to learn whether it can have taken effect.
+	Append(ctx context.Context, stream string, records [][]byte) (Offset, error)
+
+	// Read returns up to limit records from offset from on. It waits up to
+	// wait for a record if there is none. It returns ErrExpired, with a valid
+	// Page.First, if from has expired.
+	Read(ctx context.Context, stream string, from Offset, limit int, wait time.Duration) (Page, error)
+}
+
+// ErrExpired is returned by Log.Read for an offset whose record has expired.
+var ErrExpired = errors.New("log records at this offset have expired")
+
+// AppendError is an append that did not return an offset.
+type AppendError struct {
+	Applied bool // whether the records may be in the stream
+	Cause   error
+}
+
+// Error implements error.
+func (e *AppendError) Error() string {
+	if e.Applied {
+		return "append may have taken effect: " + e.Cause.Error()
+	}
+	return "append refused: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *AppendError) Unwrap() error {
+	return e.Cause
+}
+
+// MayHaveAppended reports whether an append that returned err can have taken
+// effect.
+func MayHaveAppended(err error) bool {
+	var appendErr *AppendError
+	if errors.As(err, &appendErr) {
+		return appendErr.Applied
+	}
+	return err != nil
+}
+
+// ListedHost is an entry of the platform's lagging list of hosts.
+type ListedHost struct {
+	Name    string         `json:"name"`
+	Peer    netip.AddrPort `json:"peer"`
+	Caller  netip.AddrPort `json:"caller"`
+	Zone    string         `json:"zone"`
+	Region  string         `json:"region"`
+	Leaving bool           `json:"leaving"`
+}
+
+// HostList is the platform's list of live and leaving hosts.
+type HostList interface {
+	Hosts(ctx context.Context) ([]ListedHost, error)
+}
--- /dev/null
+++ b/process/member/view.go
@@ -0,0 +1,105 @@
+package member
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Member is one router process. A restarted process has a new Boot.
+type Member struct {
+	Name    string         // host name in the platform's list
+	Boot    uint64         // unique per process start
+	Peer    netip.AddrPort // address for other routers
+	Caller  netip.AddrPort // address for callers
+	Zone    string         // availability zone
+	Region  string
+	Leaving bool // still serves, but takes no new duties
+}
+
+// ViewID identifies the set of members in a view.
+type ViewID uint64
+
+// View is an immutable set of live routers of one region. Two routers with
+// the same ID have the same members and so agree on every owner.
+type View struct {
+	ID      ViewID
+	Members []Member // sorted by name
+}
+
+// NewView returns the view of members. Leaving members are left out, as a view
+// decides who holds duties.
+func NewView(members []Member) *View {
+	kept := make([]Member, 0, len(members))
+	for _, m := range members {
+		if !m.Leaving {
+			kept = append(kept, m)
+		}
+	}
+	slices.SortFunc(kept, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	return &View{ID: viewID(kept), Members: kept}
+}
+
+func viewID(members []Member) ViewID {
+	digest := xxhash.New()
+	var boot [8]byte
+	for _, m := range members {
+		_, _ = digest.WriteString(m.Name)
+		binary.LittleEndian.PutUint64(boot[:], m.Boot)
+		_, _ = digest.Write(boot[:])
+	}
+	return ViewID(digest.Sum64())
+}
+
+// Index returns the position of the member called name, or -1.
+func (v *View) Index(name string) int {
+	i, found := slices.BinarySearchFunc(v.Members, name, func(m Member, n string) int {
+		return strings.Compare(m.Name, n)
+	})
+	if !found {
+		return -1
+	}
+	return i
+}
+
+// Duty is a kind of work that one member holds at a time.
+type Duty string
+
+// The duties that are spread over the members of a view.
+const (
+	DutyAdmission Duty = "admission" // key: endpoint name
+	DutyModelMean Duty = "mean"      // key: model or service name
+	DutyChatHome  Duty = "chat"      // key: workspace and chat
+	DutyLedger    Duty = "ledger"    // key: shard
+	DutySuspect   Duty = "suspect"   // key: request fingerprint
+	DutyOrders    Duty = "orders"    // key: endpoint name
+)
+
+// Owner returns the member that holds duty for key by rendezvous hashing. It
+// returns false if the view has no members.
+func (v *View) Owner(duty Duty, key string) (Member, bool) {
+	if len(v.Members) == 0 {
+		return Member{}, false
+	}
+	keyHash := xxhash.Sum64String(string(duty) + "/" + key)
+	best, bestScore := 0, uint64(0)
+	for i := range v.Members {
+		score := mix(keyHash ^ xxhash.Sum64String(v.Members[i].Name))
+		if i == 0 || score > bestScore {
+			best, bestScore = i, score
+		}
+	}
+	return v.Members[best], true
+}
+
+// mix spreads the bits of x; it is the finalizer of SplitMix64.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/request/outcome/refusal.go
@@ -0,0 +1,49 @@
+package outcome
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Refusal is the error with which a request ends when no complete answer is
+// given. Run is about the request as a whole, not about its last attempt.
+type Refusal struct {
+	Code       Code
+	Run        Run
+	Detail     string        // what was wrong, for the caller; no secrets
+	RetryAfter time.Duration // when a new try makes sense; 0 if unknown
+	Address    string        // another entry host to use, if any
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	if r.Detail == "" {
+		return fmt.Sprintf("%d %s (%s)", int(r.Code), r.Code, r.Run)
+	}
+	return fmt.Sprintf("%d %s (%s): %s", int(r.Code), r.Code, r.Run, r.Detail)
+}
+
+// NotRun returns a refusal of a request that no endpoint has executed.
+func NotRun(code Code, format string, args ...any) *Refusal {
+	return &Refusal{Code: code, Run: RunNot, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Unknown returns a refusal of a request that may have been executed.
+func Unknown(code Code, format string, args ...any) *Refusal {
+	return &Refusal{Code: code, Run: RunUnknown, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Ran returns a refusal of a request that has been executed but whose answer
+// cannot be given.
+func Ran(code Code, format string, args ...any) *Refusal {
+	return &Refusal{Code: code, Run: RunDone, Detail: fmt.Sprintf(format, args...)}
+}
+
+// AsRefusal finds a Refusal in err's chain.
+func AsRefusal(err error) (*Refusal, bool) {
+	var r *Refusal
+	ok := errors.As(err, &r)
+	return r, ok
+}
