Add peer links, endpoint client, callers' interface and request flow

Cause: the path from caller to endpoint needs its connections and the flow between them. Change: batched gRPC links that end when silent; an endpoint client that says for each attempt whether the request can have run; the callers' HTTP interface with coded refusals; attempts, whole answers, streams with resume and the claimed path for non-idempotent requests.

--- /dev/null
+++ b/connection/caller/doc.go
@@ -0,0 +1,3 @@
+// Package caller is the HTTP interface for callers: chat completions, plain
+// services, the address call and the probes.
+package caller
--- /dev/null
+++ b/connection/caller/fleet.go
@@ -0,0 +1,48 @@
+package caller
+
+import (
+	"context"
+	"time"
+
+	"github.com/stoatmount/stoatmount/request/outcome"
+	"github.com/stoatmount/stoatmount/request/serve"
+	"github.com/stoatmount/stoatmount/version/config"
+)
+
+// Fleet is what the callers' interface needs from the process.
+type Fleet interface {
+	// Snapshot returns the configuration in force, or nil.
+	Snapshot() *config.Snapshot
+	// NextID returns a new request number.
+	NextID() string
+	// Serve takes the request to its outcome.
+	Serve(ctx context.Context, job *serve.Job, sink serve.Sink) *outcome.Refusal
+	// Addresses names entry hosts for a chat, best first.
+	Addresses(workspace, chat string, kind *config.Kind) Addresses
+	// Accepting returns nil if the process takes new work, otherwise the
+	// refusal to answer with.
+	Accepting() *outcome.Refusal
+	// Ready reports whether callers should be sent to this process.
+	Ready() bool
+	// Observe is told what became of each request.
+	Observe(done Done)
+}
+
+// Addresses is the answer to an address call.
+type Addresses struct {
+	Addresses []string `json:"addresses"` // IP number and port, best first
+	TTLMs     int64    `json:"ttl_ms"`    // how long the answer may be kept
+	Version   uint64   `json:"version"`   // configuration version it is based on
+}
+
+// Done describes a request that has ended.
+type Done struct {
+	ID        string
+	Workspace string
+	Kind      string
+	Code      outcome.Code
+	Run       outcome.Run
+	Took      time.Duration
+	InTime    bool
+	Cut       bool // the answer broke off after its head was sent
+}
--- /dev/null
+++ b/connection/caller/header.go
@@ -0,0 +1,22 @@
+package caller
+
+// Headers of callers' requests and of answers.
+const (
+	HeaderWorkspace      = "Stoatmount-Workspace"
+	HeaderKind           = "Stoatmount-Kind"
+	HeaderChat           = "Stoatmount-Chat"
+	HeaderDeadlineMs     = "Stoatmount-Deadline-Ms"
+	HeaderRequest        = "Stoatmount-Request" // request number, in answers
+	HeaderPlace          = "Stoatmount-Place"   // place token, in both
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderRepeated       = "Stoatmount-Repeated" // "true" on a stored answer
+)
+
+// Paths for callers.
+const (
+	PathAddresses = "/v1/addresses"
+	PathChat      = "/v1/chat/completions"
+	PathServices  = "/v1/services/:service/*path"
+	PathHealth    = "/healthz"
+	PathReady     = "/readyz"
+)
--- /dev/null
+++ b/connection/caller/serve.go
@@ -0,0 +1,92 @@
+package caller
+
+import (
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/stoatmount/stoatmount/request/outcome"
+	"github.com/stoatmount/stoatmount/request/serve"
+)
+
+// finish completes a parsed job for its path.
+type finish func(*serve.Job, httprouter.Params, *url.URL) *outcome.Refusal
+
+func (s *Server) chat(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+	s.take(w, r, params, func(job *serve.Job, _ httprouter.Params, _ *url.URL) *outcome.Refusal {
+		return asChat(job)
+	})
+}
+
+func (s *Server) service(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+	s.take(w, r, params, asService)
+}
+
+// take serves one request and reports what became of it.
+func (s *Server) take(w http.ResponseWriter, r *http.Request, params httprouter.Params, finish finish) {
+	received := s.clock.Now()
+	id := s.fleet.NextID()
+	if refusal := s.admit(); refusal != nil {
+		s.refuseUnread(w, r, id, refusal)
+		return
+	}
+	job, refusal := s.job(w, r, id, received)
+	if refusal == nil {
+		refusal = finish(job, params, r.URL)
+	}
+	if refusal != nil {
+		s.refuseUnread(w, r, id, refusal)
+		return
+	}
+	sink := &responseSink{w: w, controller: http.NewResponseController(w), job: job}
+	refusal = s.fleet.Serve(r.Context(), job, sink)
+	s.report(job, sink, refusal)
+	if refusal == nil {
+		return
+	}
+	if sink.started {
+		// A clean end would tell the caller that the answer is whole.
+		panic(http.ErrAbortHandler)
+	}
+	refuse(w, id, refusal)
+}
+
+// admit refuses before anything is read.
+func (s *Server) admit() *outcome.Refusal {
+	if s.open.Load() > int64(s.options.Connections) {
+		refusal := outcome.NotRun(outcome.TooManyConnections, "the limit is %d", s.options.Connections)
+		refusal.RetryAfter = time.Second
+		return refusal
+	}
+	return s.fleet.Accepting()
+}
+
+// refuseUnread refuses a request that has not become a job. The connection is
+// closed if a part of the body was left unread.
+func (s *Server) refuseUnread(w http.ResponseWriter, r *http.Request, id string, refusal *outcome.Refusal) {
+	if r.ContentLength != 0 {
+		w.Header().Set("Connection", "close")
+	}
+	s.log.V(1).Info("request refused", "request", id, "code", int(refusal.Code), "name", refusal.Code.String())
+	s.fleet.Observe(Done{ID: id, Code: refusal.Code, Run: refusal.Run})
+	refuse(w, id, refusal)
+}
+
+func (s *Server) report(job *serve.Job, sink *responseSink, refusal *outcome.Refusal) {
+	now := s.clock.Now()
+	done := Done{
+		ID: job.ID, Workspace: job.Workspace, Kind: job.Kind.Name,
+		Code: outcome.OK, Run: outcome.RunDone,
+		Took: now.Sub(job.Received), InTime: !now.After(job.Deadline),
+	}
+	if refusal != nil {
+		done.Code, done.Run = refusal.Code, refusal.Run
+		done.InTime = false
+		done.Cut = sink.started
+	}
+	s.fleet.Observe(done)
+	s.log.V(1).Info("request ended", "request", job.ID, "workspace", job.Workspace, "kind", job.Kind.Name,
+		"code", int(done.Code), "name", done.Code.String(), "run", done.Run.String(), "ms", done.Took.Milliseconds())
+}
--- /dev/null
+++ b/connection/caller/server.go
@@ -0,0 +1,142 @@
+package caller
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	"github.com/julienschmidt/httprouter"
+	"github.com/pkg/errors"
+
+	"github.com/stoatmount/stoatmount/request/outcome"
+)
+
+const (
+	// headerTime bounds the arrival of a request's headers.
+	headerTime = 5 * time.Second
+	// idleTime is the time after which an unused connection is closed.
+	idleTime = 2 * time.Minute
+	// hardConnections is the multiple of the limit at which new connections
+	// are closed unread instead of getting a coded answer.
+	hardConnections = 2
+)
+
+// Options are the limits of the callers' interface.
+type Options struct {
+	BodyBytes   int64
+	HeaderBytes int
+	BodyTime    time.Duration
+	Connections int
+	Open        bool // let callers in without keys
+	TLS         *tls.Config
+}
+
+// Server is the callers' interface of one process.
+type Server struct {
+	fleet   Fleet
+	options Options
+	clock   clockwork.Clock
+	log     logr.Logger
+	http    *http.Server
+	open    atomic.Int64 // connections
+}
+
+// NewServer returns a server that is not listening yet.
+func NewServer(fleet Fleet, options Options, clock clockwork.Clock, log logr.Logger) *Server {
+	s := &Server{fleet: fleet, options: options, clock: clock, log: log}
+	s.http = &http.Server{
+		Handler:           s.routes(),
+		ReadHeaderTimeout: headerTime,
+		IdleTimeout:       idleTime,
+		MaxHeaderBytes:    2 * options.HeaderBytes,
+		TLSConfig:         options.TLS,
+		ConnState:         s.countConnection,
+	}
+	return s
+}
+
+// Serve answers callers on listener until Shutdown or Close.
+func (s *Server) Serve(listener net.Listener) error {
+	if s.options.TLS != nil {
+		listener = tls.NewListener(listener, s.options.TLS)
+	}
+	err := s.http.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Shutdown waits for the requests in progress.
+func (s *Server) Shutdown(ctx context.Context) error {
+	return s.http.Shutdown(ctx)
+}
+
+// Close cuts all connections.
+func (s *Server) Close() error {
+	return s.http.Close()
+}
+
+// Connections returns the number of open connections.
+func (s *Server) Connections() int64 {
+	return s.open.Load()
+}
+
+func (s *Server) countConnection(conn net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		if s.open.Add(1) > int64(hardConnections*s.options.Connections) {
+			_ = conn.Close()
+		}
+	case http.StateClosed, http.StateHijacked:
+		s.open.Add(-1)
+	case http.StateActive, http.StateIdle:
+	}
+}
+
+func (s *Server) routes() http.Handler {
+	router := httprouter.New()
+	router.RedirectTrailingSlash = false
+	router.RedirectFixedPath = false
+	router.HandleOPTIONS = false
+	router.GET(PathAddresses, s.addresses)
+	router.POST(PathChat, s.chat)
+	for _, method := range []string{
+		http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut,
+		http.MethodPatch, http.MethodDelete, http.MethodOptions,
+	} {
+		router.Handle(method, PathServices, s.service)
+	}
+	router.GET(PathHealth, s.health)
+	router.GET(PathReady, s.ready)
+	router.NotFound = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		refuse(w, "", outcome.NotRun(outcome.NotFound, "no such path: %.200s", r.URL.Path))
+	})
+	router.MethodNotAllowed = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		refuse(w, "", outcome.NotRun(outcome.MethodNotAllowed, "%.20s is not allowed here", r.Method))
+	})
+	return router
+}
+
+// health answers as long as the process runs.
+func (s *Server) health(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	w.WriteHeader(http.StatusOK)
+}
+
+// ready answers 200 while callers should be sent here.
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	if s.fleet.Ready() {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	refusal := s.fleet.Accepting()
+	if refusal == nil {
+		refusal = outcome.NotRun(outcome.Draining, "")
+	}
+	refuse(w, "", refusal)
+}
--- /dev/null
+++ b/connection/caller/sink.go
@@ -0,0 +1,48 @@
+package caller
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/stoatmount/stoatmount/request/serve"
+)
+
+// writeTime bounds one write to a caller that reads slowly.
+const writeTime = 15 * time.Second
+
+// responseSink writes an answer to a caller.
+type responseSink struct {
+	w          http.ResponseWriter
+	controller *http.ResponseController
+	job        *serve.Job
+	started    bool
+}
+
+// Head implements serve.Sink.
+func (s *responseSink) Head(status int, header http.Header, length int64) error {
+	s.started = true
+	target := s.w.Header()
+	for name, values := range header {
+		target[name] = values
+	}
+	target.Set(HeaderRequest, s.job.ID)
+	if length >= 0 {
+		target.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	s.w.WriteHeader(status)
+	return nil
+}
+
+// Write implements serve.Sink.
+func (s *responseSink) Write(part []byte) error {
+	if err := s.controller.SetWriteDeadline(time.Now().Add(writeTime)); err != nil {
+		return errors.WithStack(err)
+	}
+	if _, err := s.w.Write(part); err != nil {
+		return errors.WithStack(err)
+	}
+	return errors.WithStack(s.controller.Flush())
+}
--- /dev/null
+++ b/connection/endpoint/client.go
@@ -0,0 +1,83 @@
+package endpoint
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	// dialTimeout bounds the set-up of a connection to an endpoint.
+	dialTimeout = time.Second
+	// idleTimeout is the age after which a pooled connection is closed.
+	idleTimeout = 15 * time.Second
+	// idlePerEndpoint is the number of pooled connections per endpoint.
+	idlePerEndpoint = 64
+	// maxHeaderBytes bounds the headers of an answer.
+	maxHeaderBytes = 64 << 10
+	// bufferBytes is the size of the buffers of one connection.
+	bufferBytes = 4 << 10
+)
+
+// Client sends requests to endpoints. It is safe for concurrent use.
+//
+// Two transports are used. Requests that may be repeated share pooled
+// connections. Non-idempotent requests get a connection of their own, so that
+// a pooled connection that has died cannot leave their outcome unknown.
+type Client struct {
+	pooled *http.Transport
+	fresh  *http.Transport
+	scheme string
+}
+
+// NewClient returns a Client. tlsConfig may be nil for plain connections.
+func NewClient(tlsConfig *tls.Config) *Client {
+	pooled := newTransport(tlsConfig)
+	fresh := newTransport(tlsConfig)
+	fresh.DisableKeepAlives = true
+	client := &Client{pooled: pooled, fresh: fresh, scheme: "http"}
+	if tlsConfig != nil {
+		client.scheme = "https"
+	}
+	return client
+}
+
+func newTransport(tlsConfig *tls.Config) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3,
+	}}
+	return &http.Transport{
+		DialContext:            dialer.DialContext,
+		TLSClientConfig:        tlsConfig,
+		TLSHandshakeTimeout:    dialTimeout,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    idlePerEndpoint,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		ReadBufferSize:         bufferBytes,
+		WriteBufferSize:        bufferBytes,
+	}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() {
+	c.pooled.CloseIdleConnections()
+	c.fresh.CloseIdleConnections()
+}
+
+// transport returns the transport for a request. RoundTrip is called on it
+// directly, so that redirects are never followed.
+func (c *Client) transport(once bool) http.RoundTripper {
+	if once {
+		return c.fresh
+	}
+	return c.pooled
+}
+
+// drainContext returns a context for work that must outlive a request, such
+// as cancelling it at the endpoint.
+func drainContext(parent context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.WithoutCancel(parent), dialTimeout)
+}
--- /dev/null
+++ b/connection/endpoint/request.go
@@ -0,0 +1,146 @@
+package endpoint
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/stoatmount/stoatmount/connection/endpoint/protocol"
+	"github.com/stoatmount/stoatmount/request/outcome"
+)
+
+// Request is one attempt at one endpoint.
+type Request struct {
+	ID       string // request number with the attempt, echoed by the endpoint
+	Address  netip.AddrPort
+	Method   string
+	Path     string // path and query
+	Header   http.Header
+	Body     []byte
+	Priority int
+	Left     time.Duration // until the deadline
+	Session  string // chat whose prefix is cached; empty for plain services
+	Once     bool   // non-idempotent: at most one attempt may leave
+
+	FirstByte    time.Duration // longest wait for the head of the answer
+	BetweenBytes time.Duration // longest silence within the answer
+}
+
+// Answer is the head of an endpoint's answer. The caller must close Body.
+type Answer struct {
+	Status int
+	Header http.Header
+	Boot   uint64
+	Length int64 // declared length of the body; -1 if unknown
+	Body   io.ReadCloser
+}
+
+// Do sends the request and returns the head of the answer. The Run of a
+// returned refusal is about this attempt only.
+func (c *Client) Do(ctx context.Context, r *Request) (*Answer, *outcome.Refusal) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	watch := newWatchdog(cancel, r.FirstByte)
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	request, err := r.build(httptrace.WithClientTrace(ctx, trace), c.scheme)
+	if err != nil {
+		cancel(nil)
+		return nil, outcome.NotRun(outcome.BadRequest, "the request cannot be passed on: %v", err)
+	}
+	response, err := c.transport(r.Once).RoundTrip(request)
+	if err != nil {
+		watch.stop()
+		refusal := sendFailure(ctx, err, connected.Load())
+		cancel(nil)
+		return nil, refusal
+	}
+	watch.reset(r.BetweenBytes)
+	body := &watchedBody{ctx: ctx, inner: response.Body, watch: watch, cancel: cancel, between: r.BetweenBytes}
+	if refusal := r.examine(response); refusal != nil {
+		_ = body.Close()
+		return nil, refusal
+	}
+	boot, _ := strconv.ParseUint(response.Header.Get(protocol.HeaderBoot), 10, 64)
+	return &Answer{
+		Status: response.StatusCode,
+		Header: response.Header,
+		Boot:   boot,
+		Length: response.ContentLength,
+		Body:   body,
+	}, nil
+}
+
+// onceBody hides the bytes from net/http, which would otherwise be able to
+// send them a second time by itself.
+type onceBody struct {
+	reader *bytes.Reader
+}
+
+func (b *onceBody) Read(p []byte) (int, error) { return b.reader.Read(p) }
+func (b *onceBody) Close() error               { return nil }
+
+func (r *Request) build(ctx context.Context, scheme string) (*http.Request, error) {
+	target, err := url.Parse(r.Path)
+	if err != nil {
+		return nil, err
+	}
+	target.Scheme = scheme
+	target.Host = r.Address.String()
+	request, err := http.NewRequestWithContext(ctx, r.Method, target.String(), &onceBody{bytes.NewReader(r.Body)})
+	if err != nil {
+		return nil, err
+	}
+	request.ContentLength = int64(len(r.Body))
+	request.Header = r.Header.Clone()
+	if request.Header == nil {
+		request.Header = make(http.Header)
+	}
+	request.Header.Set(protocol.HeaderRequestID, r.ID)
+	request.Header.Set(protocol.HeaderPriority, strconv.Itoa(r.Priority))
+	left := max(r.Left, time.Millisecond)
+	request.Header.Set(protocol.HeaderDeadlineMs, strconv.FormatInt(left.Milliseconds(), 10))
+	if r.Session != "" {
+		request.Header.Set(protocol.HeaderSession, r.Session)
+	}
+	return request, nil
+}
+
+// sendFailure turns a failed round trip into a refusal. Before a connection
+// was had, no byte can have left.
+func sendFailure(ctx context.Context, err error, connected bool) *outcome.Refusal {
+	if !connected {
+		return outcome.NotRun(outcome.EndpointFailed, "no connection to the endpoint")
+	}
+	if errors.Is(context.Cause(ctx), errSilent) {
+		return outcome.Unknown(outcome.EndpointSilent, "no answer in time")
+	}
+	if ctx.Err() != nil {
+		return outcome.Unknown(outcome.CallerGone, "given up while the endpoint had the request")
+	}
+	return outcome.Unknown(outcome.EndpointFailed, "the connection to the endpoint broke: %v", err)
+}
+
+// examine refuses answers that belong to another request and those by which
+// the endpoint says that it has not run the request.
+func (r *Request) examine(response *http.Response) *outcome.Refusal {
+	if echoed := response.Header.Get(protocol.HeaderRequestID); echoed != r.ID {
+		return outcome.Unknown(outcome.AnswerCrossed, "the endpoint answered another request")
+	}
+	if response.Header.Get(protocol.HeaderNotRun) != "true" || response.StatusCode < http.StatusBadRequest {
+		return nil
+	}
+	refusal := outcome.NotRun(outcome.EndpointRefused, "the endpoint refused with status %d", response.StatusCode)
+	if seconds, err := strconv.Atoi(response.Header.Get("Retry-After")); err == nil {
+		refusal.RetryAfter = time.Duration(seconds) * time.Second
+	}
+	return refusal
+}
--- /dev/null
+++ b/connection/peer/server.go
@@ -0,0 +1,77 @@
+package peer
+
+import (
+	"context"
+
+	"github.com/sourcegraph/conc"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/keepalive"
+
+	"github.com/stoatmount/stoatmount/connection/peer/peerpb"
+)
+
+// Server takes the links of other routers.
+type Server struct {
+	peerpb.UnimplementedPeerServer
+	handler Handler
+}
+
+// NewServer returns a gRPC server that hands messages to handler. creds may be
+// nil for connections without TLS.
+func NewServer(handler Handler, traffic *Traffic, creds credentials.TransportCredentials) *grpc.Server {
+	options := []grpc.ServerOption{
+		grpc.StatsHandler(traffic),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingEvery, Timeout: pingTimeout}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
+			MinTime:             pingEvery / 2,
+			PermitWithoutStream: true,
+		}),
+		grpc.ReadBufferSize(bufferBytes),
+		grpc.WriteBufferSize(bufferBytes),
+		grpc.SharedWriteBuffer(true),
+		grpc.MaxRecvMsgSize(maxMessageBytes),
+	}
+	if creds != nil {
+		options = append(options, grpc.Creds(creds))
+	}
+	server := grpc.NewServer(options...)
+	peerpb.RegisterPeerServer(server, &Server{handler: handler})
+	return server
+}
+
+// Link implements the Link method of the Peer service.
+func (s *Server) Link(stream grpc.BidiStreamingServer[peerpb.Batch, peerpb.Batch]) error {
+	ctx, cancel := context.WithCancel(stream.Context())
+	out := newOutbox()
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	wg.Go(func() {
+		_ = out.run(ctx, "", stream.Send)
+	})
+	from := ""
+	for {
+		batch, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		if batch.GetFrom() != "" {
+			from = batch.GetFrom()
+		}
+		for _, message := range batch.GetEnvelopes() {
+			s.handler.Handle(from, message, replyTo(out, message.GetCall()))
+		}
+	}
+}
+
+// replyTo returns the function that answers call, or nil if none is expected.
+func replyTo(out *outbox, call uint64) Reply {
+	if call == 0 {
+		return nil
+	}
+	return func(answer *peerpb.Envelope) {
+		answer.Call = call
+		out.put(answer)
+	}
+}
--- /dev/null
+++ b/request/serve/job.go
@@ -0,0 +1,88 @@
+package serve
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/stoatmount/stoatmount/version/config"
+)
+
+// Job is one request of a caller. It does not change while it is served.
+type Job struct {
+	ID        string // request number, unique in the fleet
+	Workspace string
+	Chat      string // empty if the request belongs to no chat
+	Key       string // Idempotency-Key; empty if none was sent
+	Kind      *config.Kind
+	Snapshot  *config.Snapshot // configuration on which it was taken
+
+	Method string
+	Path   string // path and query at the endpoint
+	Header http.Header
+	Body   []byte
+	Stream bool // the caller wants server-sent events
+
+	Received     time.Time
+	Deadline     time.Time
+	Place        string // place token that the caller sent
+	PromptTokens int    // estimate
+	Fingerprint  uint64 // of workspace, kind and body
+}
+
+// Session names the chat's cached prefix at endpoints. It is empty for a
+// request without a chat.
+func (j *Job) Session() string {
+	if j.Chat == "" {
+		return ""
+	}
+	return j.Workspace + "/" + j.Chat
+}
+
+// ChatKey is what the chat's place is looked up and hashed by. A request
+// without a chat is placed by its own number.
+func (j *Job) ChatKey() string {
+	if session := j.Session(); session != "" {
+		return session
+	}
+	return j.ID
+}
+
+// Repeatable reports whether the request may be sent to endpoints more than
+// once.
+func (j *Job) Repeatable() bool {
+	return !j.Kind.NonIdempotent
+}
+
+// Left returns the time until the deadline.
+func (j *Job) Left(now time.Time) time.Duration {
+	return j.Deadline.Sub(now)
+}
+
+// hopHeaders are about one connection and are not passed on. The caller's
+// credentials stay with the router.
+var hopHeaders = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Proxy-Authenticate",
+	"Proxy-Authorization", "Authorization", "Content-Length", "Host",
+	"Expect",
+}
+
+// ForwardHeader returns the part of a caller's header that endpoints get.
+func ForwardHeader(header http.Header) http.Header {
+	forwarded := make(http.Header, len(header))
+	for name, values := range header {
+		if !strings.HasPrefix(name, "Stoatmount-") {
+			forwarded[name] = values
+		}
+	}
+	for _, named := range header.Values("Connection") {
+		for name := range strings.SplitSeq(named, ",") {
+			forwarded.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		forwarded.Del(name)
+	}
+	return forwarded
+}
