Add the stand-in log and host list with faults by name

Cause: the clients of the platform, the folds and the tests need a log and a lagging host list that can fail, under real and under virtual time. Change: package fault holds named faults; logstore.Memory implements platform.Log with an injected clock, retention, outage, slowness, lost replies and a rate; logstore.Server puts it behind HTTP; hostlist likewise. Conclusion: the tests of both pass with the race detector.

--- /dev/null
+++ b/standin/hostlist/hostlist_test.go
@@ -0,0 +1,60 @@
+package hostlist_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/stoatmount/stoatmount/connection/platform"
+	"github.com/stoatmount/stoatmount/standin/fault"
+	"github.com/stoatmount/stoatmount/standin/hostlist"
+)
+
+var _ platform.HostList = (*hostlist.Memory)(nil)
+
+func TestChangesShowAfterTheLag(t *testing.T) {
+	c := qt.New(t)
+	clock := clockwork.NewFakeClock()
+	m := hostlist.NewMemory(hostlist.Options{Clock: clock, Lag: 2 * time.Second}, platform.ListedHost{Name: "a"})
+	names := func() string {
+		hosts, err := m.Hosts(context.Background())
+		c.Assert(err, qt.IsNil)
+		var all string
+		for _, h := range hosts {
+			all += h.Name
+		}
+		return all
+	}
+	m.Put(platform.ListedHost{Name: "b"})
+	c.Check(names(), qt.Equals, "a")
+	clock.Advance(time.Second)
+	m.Remove("a")
+	clock.Advance(time.Second)
+	c.Check(names(), qt.Equals, "ab")
+	clock.Advance(time.Second)
+	c.Check(names(), qt.Equals, "b")
+}
+
+func TestServerAnswersAndFails(t *testing.T) {
+	c := qt.New(t)
+	s, err := hostlist.Start("", hostlist.Options{}, platform.ListedHost{Name: "a", Leaving: true})
+	c.Assert(err, qt.IsNil)
+	defer s.Close()
+	resp, err := http.Get(s.URL() + hostlist.PathHosts)
+	c.Assert(err, qt.IsNil)
+	var hosts []platform.ListedHost
+	c.Assert(json.NewDecoder(resp.Body).Decode(&hosts), qt.IsNil)
+	c.Check(hosts, qt.HasLen, 1)
+	c.Check(hosts[0].Leaving, qt.IsTrue)
+	c.Check(resp.Body.Close(), qt.IsNil)
+	c.Assert(s.Faults().On(fault.Fault{Name: fault.Outage}), qt.IsNil)
+	resp, err = http.Get(s.URL() + hostlist.PathHosts)
+	c.Assert(err, qt.IsNil)
+	c.Check(resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	c.Check(resp.Body.Close(), qt.IsNil)
+}
--- /dev/null
+++ b/standin/hostlist/memory.go
@@ -0,0 +1,152 @@
+package hostlist
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
+	"github.com/stoatmount/stoatmount/connection/platform"
+	"github.com/stoatmount/stoatmount/standin/fault"
+)
+
+// ErrOutage is returned while the list is out of service.
+var ErrOutage = errors.New("host list is out of service")
+
+// Options describe a list.
+type Options struct {
+	Clock clockwork.Clock // nil: real time
+	Seed  uint64          // of the faults and of the lag's spread
+	// Lag is how long a change takes at least to show.
+	Lag time.Duration
+	// Spread is added to the lag of each call in a random part, so that two
+	// readers can see different lists at the same time.
+	Spread time.Duration
+}
+
+// Memory is a list within the process. It implements platform.HostList. It is
+// safe for concurrent use.
+type Memory struct {
+	options Options
+	clock   clockwork.Clock
+	faults  *fault.Set
+
+	mu       sync.Mutex
+	rng      *rand.Rand
+	versions []version // in the order of their times
+	calls    int
+}
+
+type version struct {
+	since time.Time
+	hosts []platform.ListedHost
+}
+
+// NewMemory returns a list that shows hosts from the start.
+func NewMemory(options Options, hosts ...platform.ListedHost) *Memory {
+	if options.Clock == nil {
+		options.Clock = clockwork.NewRealClock()
+	}
+	return &Memory{
+		options:  options,
+		clock:    options.Clock,
+		faults:   fault.NewSet(options.Clock, options.Seed),
+		rng:      rand.New(rand.NewPCG(options.Seed, 0x686f737473)),
+		versions: []version{{hosts: slices.Clone(hosts)}},
+	}
+}
+
+// Faults returns the list's faults: Outage, Hang and Slow.
+func (m *Memory) Faults() *fault.Set {
+	return m.faults
+}
+
+// Set replaces the true list. Readers see it after the lag.
+func (m *Memory) Set(hosts ...platform.ListedHost) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.setLocked(slices.Clone(hosts))
+}
+
+func (m *Memory) setLocked(hosts []platform.ListedHost) {
+	now := m.clock.Now()
+	m.versions = append(m.versions, version{since: now, hosts: hosts})
+	oldest := now.Add(-m.options.Lag - m.options.Spread)
+	for len(m.versions) > 1 && m.versions[1].since.Before(oldest) {
+		m.versions = m.versions[1:]
+	}
+}
+
+// Put adds host to the true list or replaces the entry of its name.
+func (m *Memory) Put(host platform.ListedHost) {
+	m.change(host.Name, func(hosts []platform.ListedHost) []platform.ListedHost {
+		return append(hosts, host)
+	})
+}
+
+// Remove takes a host off the true list.
+func (m *Memory) Remove(name string) {
+	m.change(name, func(hosts []platform.ListedHost) []platform.ListedHost { return hosts })
+}
+
+func (m *Memory) change(name string, edit func([]platform.ListedHost) []platform.ListedHost) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	others := slices.Clone(m.versions[len(m.versions)-1].hosts)
+	others = slices.DeleteFunc(others, func(h platform.ListedHost) bool { return h.Name == name })
+	m.setLocked(edit(others))
+}
+
+// Calls returns how often the list was asked for.
+func (m *Memory) Calls() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.calls
+}
+
+// Hosts implements platform.HostList.
+func (m *Memory) Hosts(ctx context.Context) ([]platform.ListedHost, error) {
+	m.countCall()
+	if _, down := m.faults.Strike(fault.Outage); down {
+		return nil, ErrOutage
+	}
+	if _, hangs := m.faults.Strike(fault.Hang); hangs {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if slow, isSlow := m.faults.Strike(fault.Slow); isSlow {
+		select {
+		case <-m.clock.After(slow.Delay):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	return m.visible(), nil
+}
+
+func (m *Memory) countCall() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.calls++
+}
+
+// visible returns the newest list that is older than the lag.
+func (m *Memory) visible() []platform.ListedHost {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	lag := m.options.Lag
+	if m.options.Spread > 0 {
+		lag += time.Duration(m.rng.Int64N(int64(m.options.Spread)))
+	}
+	until := m.clock.Now().Add(-lag)
+	for i := len(m.versions) - 1; i > 0; i-- {
+		if !m.versions[i].since.After(until) {
+			return slices.Clone(m.versions[i].hosts)
+		}
+	}
+	return slices.Clone(m.versions[0].hosts)
+}
--- /dev/null
+++ b/standin/internal/listen/doc.go
@@ -0,0 +1,2 @@
+// Package listen runs the HTTP servers of the stand-ins.
+package listen
--- /dev/null
+++ b/standin/internal/listen/server.go
@@ -0,0 +1,88 @@
+package listen
+
+import (
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+)
+
+// Loopback is the address that stand-ins listen on unless another is given.
+const Loopback = "127.0.0.1:0"
+
+// readHeaderTimeout bounds how long a client may take to send its headers.
+const readHeaderTimeout = 30 * time.Second
+
+// Server is an HTTP server that can be stopped hard and started again on the
+// same address.
+type Server struct {
+	handler http.Handler
+	addr    netip.AddrPort
+
+	mu   sync.Mutex
+	http *http.Server // nil while stopped
+	wg   conc.WaitGroup
+}
+
+// Start listens on addr, or on a free loopback port if addr is empty.
+func Start(addr string, handler http.Handler) (*Server, error) {
+	if addr == "" {
+		addr = Loopback
+	}
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, errors.Wrap(err, "stand-in")
+	}
+	s := &Server{handler: handler, addr: listener.Addr().(*net.TCPAddr).AddrPort()}
+	s.serve(listener)
+	return s, nil
+}
+
+func (s *Server) serve(listener net.Listener) {
+	server := &http.Server{Handler: s.handler, ReadHeaderTimeout: readHeaderTimeout}
+	s.mu.Lock()
+	s.http = server
+	s.mu.Unlock()
+	s.wg.Go(func() { _ = server.Serve(listener) })
+}
+
+// Addr returns the address that the server listens on.
+func (s *Server) Addr() netip.AddrPort {
+	return s.addr
+}
+
+// URL returns the base URL of the server.
+func (s *Server) URL() string {
+	return "http://" + s.addr.String()
+}
+
+// Stop closes the listener and cuts all connections.
+func (s *Server) Stop() {
+	s.mu.Lock()
+	server := s.http
+	s.http = nil
+	s.mu.Unlock()
+	if server != nil {
+		_ = server.Close()
+	}
+}
+
+// Restart listens again on the same address after Stop.
+func (s *Server) Restart() error {
+	listener, err := net.Listen("tcp", s.addr.String())
+	if err != nil {
+		return errors.Wrap(err, "stand-in")
+	}
+	s.serve(listener)
+	return nil
+}
+
+// Close stops the server for good.
+func (s *Server) Close() {
+	s.Stop()
+	s.wg.Wait()
+}
--- /dev/null
+++ b/standin/logstore/memory.go
@@ -0,0 +1,261 @@
+package logstore
+
+import (
+	"bytes"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
+
+	"github.com/stoatmount/stoatmount/connection/platform"
+	"github.com/stoatmount/stoatmount/standin/fault"
+)
+
+// Errors that Memory gives as the cause of a failed call.
+var (
+	ErrOutage    = errors.New("log is out of service")
+	ErrRate      = errors.New("log takes no more appends at the moment")
+	ErrLostReply = errors.New("reply from the log was lost")
+)
+
+// Options describe a log.
+type Options struct {
+	Clock clockwork.Clock // nil: real time
+	Seed  uint64          // of the faults
+	// KeepRecords is the number of records that a stream keeps; 0: all.
+	KeepRecords int
+	// KeepFor is the age at which records expire; 0: never.
+	KeepFor time.Duration
+	// AppendsPerSecond is the rate above which appends are refused; 0: none.
+	AppendsPerSecond int
+}
+
+// Memory is a log within the process. It implements platform.Log. It is safe
+// for concurrent use.
+type Memory struct {
+	options Options
+	clock   clockwork.Clock
+	faults  *fault.Set
+	limiter *rate.Limiter
+
+	mu      sync.Mutex
+	streams map[string]*stream
+	record  Record
+	recent  []time.Time // appends of the last second
+}
+
+type stream struct {
+	first   platform.Offset // offset of records[0]
+	records []platform.Record
+	all     []platform.Record // expired ones included
+	grown   chan struct{}     // closed when a record is added
+}
+
+// Record is what really happened at the log.
+type Record struct {
+	Appends int // appends that took effect
+	Records int // records appended
+	Reads   int
+	Refused int // appends refused by outage or rate
+	Lost    int // replies lost after the append took effect
+	Busiest int // most appends within one second
+}
+
+// NewMemory returns an empty log.
+func NewMemory(options Options) *Memory {
+	if options.Clock == nil {
+		options.Clock = clockwork.NewRealClock()
+	}
+	limit := rate.Inf
+	if options.AppendsPerSecond > 0 {
+		limit = rate.Limit(options.AppendsPerSecond)
+	}
+	return &Memory{
+		options: options,
+		clock:   options.Clock,
+		faults:  fault.NewSet(options.Clock, options.Seed),
+		limiter: rate.NewLimiter(limit, max(1, options.AppendsPerSecond)),
+		streams: make(map[string]*stream),
+	}
+}
+
+// Faults returns the log's faults: Outage, Hang, Slow and LostReply.
+func (m *Memory) Faults() *fault.Set {
+	return m.faults
+}
+
+// Append implements platform.Log.
+func (m *Memory) Append(ctx context.Context, name string, records [][]byte) (platform.Offset, error) {
+	if err := m.strike(ctx); err != nil {
+		m.countRefused()
+		return 0, &platform.AppendError{Cause: err}
+	}
+	if !m.limiter.AllowN(m.clock.Now(), 1) {
+		m.countRefused()
+		return 0, &platform.AppendError{Cause: ErrRate}
+	}
+	offset := m.append(name, records)
+	if _, lost := m.faults.Strike(fault.LostReply); lost {
+		m.mu.Lock()
+		m.record.Lost++
+		m.mu.Unlock()
+		return 0, &platform.AppendError{Applied: true, Cause: ErrLostReply}
+	}
+	return offset, nil
+}
+
+// strike applies the faults that strike before a call is handled.
+func (m *Memory) strike(ctx context.Context) error {
+	if _, down := m.faults.Strike(fault.Outage); down {
+		return ErrOutage
+	}
+	if _, hangs := m.faults.Strike(fault.Hang); hangs {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	slow, isSlow := m.faults.Strike(fault.Slow)
+	if !isSlow {
+		return ctx.Err()
+	}
+	select {
+	case <-m.clock.After(slow.Delay):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (m *Memory) countRefused() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.record.Refused++
+}
+
+func (m *Memory) append(name string, records [][]byte) platform.Offset {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	s := m.streamLocked(name)
+	offset := s.end()
+	for i, data := range records {
+		record := platform.Record{Offset: offset + platform.Offset(i), At: now, Data: bytes.Clone(data)}
+		s.records = append(s.records, record)
+		s.all = append(s.all, record)
+	}
+	m.countAppendLocked(now, len(records))
+	m.expireLocked(s, now)
+	close(s.grown)
+	s.grown = make(chan struct{})
+	return offset
+}
+
+func (m *Memory) countAppendLocked(now time.Time, records int) {
+	m.record.Appends++
+	m.record.Records += records
+	m.recent = append(m.recent, now)
+	m.recent = slices.DeleteFunc(m.recent, func(at time.Time) bool { return now.Sub(at) >= time.Second })
+	m.record.Busiest = max(m.record.Busiest, len(m.recent))
+}
+
+func (m *Memory) streamLocked(name string) *stream {
+	s, ok := m.streams[name]
+	if !ok {
+		s = &stream{first: 1, grown: make(chan struct{})}
+		m.streams[name] = s
+	}
+	return s
+}
+
+func (s *stream) end() platform.Offset {
+	return s.first + platform.Offset(len(s.records))
+}
+
+// expireLocked drops the records that the log no longer keeps.
+func (m *Memory) expireLocked(s *stream, now time.Time) {
+	drop := 0
+	if keep := m.options.KeepRecords; keep > 0 && len(s.records) > keep {
+		drop = len(s.records) - keep
+	}
+	if keep := m.options.KeepFor; keep > 0 {
+		for drop < len(s.records) && now.Sub(s.records[drop].At) > keep {
+			drop++
+		}
+	}
+	s.records = s.records[drop:]
+	s.first += platform.Offset(drop)
+}
+
+// Read implements platform.Log.
+func (m *Memory) Read(ctx context.Context, name string, from platform.Offset, limit int, wait time.Duration) (platform.Page, error) {
+	if err := m.strike(ctx); err != nil {
+		return platform.Page{}, err
+	}
+	var timeout <-chan time.Time
+	if wait > 0 {
+		timeout = m.clock.After(wait)
+	}
+	for {
+		page, grown, err := m.read(name, from, limit)
+		if err != nil || len(page.Records) > 0 || timeout == nil {
+			return page, err
+		}
+		select {
+		case <-grown:
+		case <-timeout:
+			return page, nil
+		case <-ctx.Done():
+			return platform.Page{}, ctx.Err()
+		}
+	}
+}
+
+func (m *Memory) read(name string, from platform.Offset, limit int) (platform.Page, <-chan struct{}, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.record.Reads++
+	s := m.streamLocked(name)
+	m.expireLocked(s, m.clock.Now())
+	page := platform.Page{First: s.first, End: s.end()}
+	if from < s.first {
+		return page, nil, platform.ErrExpired
+	}
+	if from < page.End {
+		rest := s.records[from-s.first:]
+		page.Records = slices.Clone(rest[:min(len(rest), max(limit, 0))])
+	}
+	return page, s.grown, nil
+}
+
+// Record returns what really happened so far.
+func (m *Memory) Record() Record {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.record
+}
+
+// All returns every record ever appended to a stream, expired ones included.
+func (m *Memory) All(name string) []platform.Record {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s, ok := m.streams[name]
+	if !ok {
+		return nil
+	}
+	return slices.Clone(s.all)
+}
+
+// Streams returns the names of all streams in order.
+func (m *Memory) Streams() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	names := make([]string, 0, len(m.streams))
+	for name := range m.streams {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/standin/logstore/server.go
@@ -0,0 +1,100 @@
+package logstore
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/pkg/errors"
+
+	"github.com/stoatmount/stoatmount/connection/platform"
+	"github.com/stoatmount/stoatmount/standin/internal/listen"
+)
+
+// Bounds of what the server accepts.
+const (
+	maxAppendBytes = 16 << 20         // of one append's body
+	maxReadRecords = 10000            // of one read
+	maxReadWait    = 60 * time.Second // of one read
+)
+
+// AppendRequest is the body of POST /v1/streams/{stream}/records. Status 429
+// and 503 say that it did not take effect.
+type AppendRequest struct {
+	Records [][]byte `json:"records"`
+}
+
+// AppendResponse is the answer to an append.
+type AppendResponse struct {
+	Offset platform.Offset `json:"offset"`
+}
+
+// Server is a log over HTTP. GET on the path of appends, with the parameters
+// from, limit and wait_ms, answers a platform.Page; its status is 410 if the
+// offset has expired.
+type Server struct {
+	*Memory
+	*listen.Server
+}
+
+// Start starts a log on addr, or on a free loopback port if addr is empty.
+func Start(addr string, options Options) (*Server, error) {
+	s := &Server{Memory: NewMemory(options)}
+	router := httprouter.New()
+	router.POST("/v1/streams/:stream/records", s.handleAppend)
+	router.GET("/v1/streams/:stream/records", s.handleRead)
+	server, err := listen.Start(addr, router)
+	s.Server = server
+	return s, err
+}
+
+func (s *Server) handleAppend(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+	var body AppendRequest
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAppendBytes)).Decode(&body)
+	if err != nil || len(body.Records) == 0 {
+		http.Error(w, "the body must be JSON with at least one record", http.StatusBadRequest)
+		return
+	}
+	offset, err := s.Append(r.Context(), params.ByName("stream"), body.Records)
+	switch {
+	case err == nil:
+		listen.WriteJSON(w, http.StatusOK, AppendResponse{Offset: offset})
+	case platform.MayHaveAppended(err):
+		panic(http.ErrAbortHandler)
+	case errors.Is(err, ErrRate):
+		http.Error(w, err.Error(), http.StatusTooManyRequests)
+	default:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	}
+}
+
+func (s *Server) handleRead(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+	query := r.URL.Query()
+	from, err := strconv.ParseUint(query.Get("from"), 10, 64)
+	if err != nil {
+		http.Error(w, "from must be an offset", http.StatusBadRequest)
+		return
+	}
+	limit := parseWithin(query.Get("limit"), maxReadRecords, maxReadRecords)
+	wait := time.Duration(parseWithin(query.Get("wait_ms"), 0, int(maxReadWait.Milliseconds()))) * time.Millisecond
+	page, err := s.Read(r.Context(), params.ByName("stream"), platform.Offset(from), limit, wait)
+	switch {
+	case err == nil:
+		listen.WriteJSON(w, http.StatusOK, page)
+	case errors.Is(err, platform.ErrExpired):
+		listen.WriteJSON(w, http.StatusGone, page)
+	default:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	}
+}
+
+// parseWithin reads a whole number from 0 to largest, or gives fallback.
+func parseWithin(text string, fallback, largest int) int {
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 0 {
+		return fallback
+	}
+	return min(n, largest)
+}
