Read settings strictly and start stoatctl

Cause: the router needs its settings, and a broken file must be explained whole, with line and remedy, not one error at a time.

Change: version/form decodes TOML into structs and keeps every unknown key and ill-formed value with its line; process/settings.Load adds the checks of addresses, TLS pairs, bounds, key hash and place key. stoatctl starts with 'settings check' and 'codes'; new commands are fields of operate.CLI. Exit status 0 done, 1 refused or failed, 2 wrong usage.

--- /dev/null
+++ b/operate/main.go
@@ -0,0 +1,76 @@
+package operate
+
+import (
+	"fmt"
+
+	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
+)
+
+// Exit statuses of stoatctl.
+const (
+	StatusDone   = 0
+	StatusFailed = 1 // the command was refused or failed
+	StatusUsage  = 2 // the command line was wrong
+)
+
+const description = `Operates a fleet of stoatmount routers.
+
+Examples:
+
+  stoatctl settings check /etc/stoatmount.toml
+  stoatctl codes --json`
+
+// errReported ends a command that has already said why it failed.
+var errReported = errors.New("reported")
+
+// exitStatus is panicked with by kong after it has printed its help.
+type exitStatus int
+
+// Main runs the command line args and returns the exit status.
+func Main(args []string, env *Env) (status int) {
+	defer func() {
+		if value := recover(); value != nil {
+			exit, ok := value.(exitStatus)
+			if !ok {
+				panic(value)
+			}
+			status = int(exit)
+		}
+	}()
+	parser, err := newParser(env)
+	if err != nil {
+		return fail(env, StatusFailed, err)
+	}
+	command, err := parser.Parse(args)
+	if err != nil {
+		return usage(env, err)
+	}
+	if err := command.Run(env); err != nil {
+		return fail(env, StatusFailed, err)
+	}
+	return StatusDone
+}
+
+func newParser(env *Env) (*kong.Kong, error) {
+	return kong.New(&CLI{},
+		kong.Name("stoatctl"),
+		kong.Description(description),
+		kong.Writers(env.Out, env.Err),
+		kong.Exit(func(code int) { panic(exitStatus(code)) }),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true, NoExpandSubcommands: true}),
+		kong.ShortUsageOnError(),
+	)
+}
+
+func usage(env *Env, err error) int {
+	_, _ = fmt.Fprintf(env.Err, "stoatctl: %v\nTry \"stoatctl --help\".\n", err)
+	return StatusUsage
+}
+
+func fail(env *Env, status int, err error) int {
+	if !errors.Is(err, errReported) {
+		_, _ = fmt.Fprintf(env.Err, "stoatctl: %v\n", err)
+	}
+	return status
+}
--- /dev/null
+++ b/operate/settings.go
@@ -0,0 +1,76 @@
+package operate
+
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	"github.com/stoatmount/stoatmount/process/settings"
+	"github.com/stoatmount/stoatmount/version/form"
+)
+
+// SettingsCmd is `stoatctl settings`.
+type SettingsCmd struct {
+	Check SettingsCheckCmd `cmd:"" help:"Say what is wrong in a settings file, all at once."`
+}
+
+// SettingsCheckCmd is `stoatctl settings check`.
+type SettingsCheckCmd struct {
+	JSON
+	File string `arg:"" help:"Settings file of a router, in TOML."`
+}
+
+// Run checks the file.
+func (c *SettingsCheckCmd) Run(env *Env) error {
+	_, err := settings.Load(c.File)
+	return reportProblems(env, c.File, err, c.JSON.JSON)
+}
+
+// checkResult is the JSON of the check commands.
+type checkResult struct {
+	File     string        `json:"file"`
+	Valid    bool          `json:"valid"`
+	Problems form.Problems `json:"problems"`
+}
+
+// reportProblems writes what err says about file. It returns an error if there
+// is anything wrong.
+func reportProblems(env *Env, file string, err error, asJSON bool) error {
+	var problems form.Problems
+	if err != nil && !errors.As(err, &problems) {
+		return err
+	}
+	if asJSON {
+		return writeCheck(env, checkResult{File: file, Valid: len(problems) == 0, Problems: problems})
+	}
+	if len(problems) == 0 {
+		env.printf("%s: %s\n", file, env.paint(green, "nothing wrong"))
+		return nil
+	}
+	printProblems(env, problems)
+	return errReported
+}
+
+func writeCheck(env *Env, result checkResult) error {
+	if result.Problems == nil {
+		result.Problems = form.Problems{}
+	}
+	if err := env.writeJSON(result); err != nil {
+		return err
+	}
+	if !result.Valid {
+		return errReported
+	}
+	return nil
+}
+
+func printProblems(env *Env, problems form.Problems) {
+	for _, p := range problems {
+		place := p.File
+		if p.Line > 0 {
+			place = fmt.Sprintf("%s:%d", p.File, p.Line)
+		}
+		env.printf("%s: %s: %s\n    %s\n", place, env.paint(bold, p.Key), env.paint(red, p.Text), p.Remedy)
+	}
+	env.printf("%d wrong\n", len(problems))
+}
--- /dev/null
+++ b/version/form/source.go
@@ -0,0 +1,107 @@
+package form
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// Source knows on which line of a file each key stands.
+type Source struct {
+	File  string
+	lines map[string]int
+}
+
+// NewSource returns a Source that knows no lines, for values that were not
+// read from a file.
+func NewSource(file string) *Source {
+	return &Source{File: file, lines: make(map[string]int)}
+}
+
+// Line returns the line of key, for example "endpoints[2].zone". For a key
+// that the file does not have it is the line of the closest table around it,
+// or 0.
+func (s *Source) Line(key string) int {
+	for key != "" {
+		if line, ok := s.lines[key]; ok {
+			return line
+		}
+		key = parent(key)
+	}
+	return 0
+}
+
+// Has reports whether the file has key.
+func (s *Source) Has(key string) bool {
+	_, ok := s.lines[key]
+	return ok
+}
+
+// Problem returns a Problem at key.
+func (s *Source) Problem(key, remedy, format string, args ...any) Problem {
+	return Problem{
+		File:   s.File,
+		Line:   s.Line(key),
+		Key:    key,
+		Text:   fmt.Sprintf(format, args...),
+		Remedy: remedy,
+	}
+}
+
+// parent returns the key of the table around key.
+func parent(key string) string {
+	return key[:max(strings.LastIndexAny(key, ".["), 0)]
+}
+
+// scan walks the expressions of data and notes the line of each key.
+func scan(file string, data []byte) *Source {
+	s := NewSource(file)
+	var parser unstable.Parser
+	parser.Reset(data)
+	counts := make(map[string]int)
+	prefix := ""
+	for parser.NextExpression() {
+		node := parser.Expression()
+		switch node.Kind {
+		case unstable.Table:
+			prefix = s.note(&parser, node, "", counts)
+		case unstable.ArrayTable:
+			plain := s.note(&parser, node, "", counts)
+			prefix = fmt.Sprintf("%s[%d]", plain, counts[plain])
+			s.lines[prefix] = s.lines[plain]
+			counts[plain]++
+		case unstable.KeyValue:
+			s.note(&parser, node, prefix, counts)
+		default:
+		}
+	}
+	return s
+}
+
+// note records the line of node's key under prefix and returns the key.
+func (s *Source) note(parser *unstable.Parser, node *unstable.Node, prefix string, counts map[string]int) string {
+	key := prefix
+	for parts := node.Key(); parts.Next(); {
+		part := parts.Node()
+		key = join(withIndex(key, counts), string(part.Data))
+		s.lines[key] = parser.Shape(part.Raw).Start.Line
+	}
+	return key
+}
+
+// withIndex returns key with the index of its last element if key is an array
+// of tables.
+func withIndex(key string, counts map[string]int) string {
+	if count := counts[key]; count > 0 {
+		return fmt.Sprintf("%s[%d]", key, count-1)
+	}
+	return key
+}
+
+func join(prefix, name string) string {
+	if prefix == "" {
+		return name
+	}
+	return prefix + "." + name
+}
