--- /dev/null
+++ b/process/credentials/doc.go
@@ -0,0 +1,2 @@
+// Package credentials loads certificates and keys that the settings name.
+package credentials
--- /dev/null
+++ b/process/pool/doc.go
@@ -0,0 +1,3 @@
+// Package pool runs background work of a process on a bounded number of
+// workers.
+package pool
