--- /dev/null
+++ b/connection/operator/api/doc.go
@@ -0,0 +1,3 @@
+// Package api holds the messages between operators and routers, in JSON over
+// HTTP. Server and client share it.
+package api
--- /dev/null
+++ b/connection/operator/client/doc.go
@@ -0,0 +1,2 @@
+// Package client calls the operators' address of a router.
+package client
--- /dev/null
+++ b/process/burn/burn_test.go
@@ -0,0 +1,163 @@
+package burn
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/stoatmount/stoatmount/process/member"
+	"github.com/stoatmount/stoatmount/request/outcome"
+)
+
+var start = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+
+func total(records []Record) Counts {
+	var sum Counts
+	for _, record := range records {
+		for _, kind := range record.Kinds {
+			sum = sum.Add(kind.Total)
+		}
+	}
+	return sum
+}
+
+func minutes(records []Record) Counts {
+	var sum Counts
+	for _, record := range records {
+		for _, kind := range record.Kinds {
+			for _, minute := range kind.Minutes {
+				sum = sum.Add(minute.Counts)
+			}
+		}
+	}
+	return sum
+}
+
+// Whatever records reach the keepers, in whatever order and however often:
+// the union counts every request up to the last record that arrived once.
+func TestUnionNeitherLosesNorDoubles(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		recorder := NewRecorder("entry-1", 7, "a", start)
+		now, sent := start, start
+		keepers := []*Keeper{NewKeeper(), NewKeeper()}
+		var counted, reached uint64
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "seconds")) * time.Second)
+			recorder.Count(now, rapid.SampledFrom([]string{"x", "y"}).Draw(t, "kind"), Result(rapid.IntRange(0, int(resultCount)-1).Draw(t, "result")))
+			counted++
+			if !rapid.Bool().Draw(t, "send") {
+				continue
+			}
+			record := recorder.Record(now, sent)
+			arrived := false
+			for _, keeper := range keepers {
+				for range rapid.IntRange(0, 2).Draw(t, "copies") {
+					keeper.Keep(now, record)
+					arrived = true
+				}
+			}
+			if arrived {
+				reached, sent = counted, now
+			}
+		}
+		first, _ := keepers[0].Records(now)
+		second, _ := keepers[1].Records(now)
+		union := Union(second, first, first)
+		if got := total(union).Requests(); got != reached {
+			t.Fatalf("total %d, want %d", got, reached)
+		}
+		if got := minutes(union).Requests(); got != reached {
+			t.Fatalf("sum of minutes %d, want %d", got, reached)
+		}
+		if got := total(Union(first, second, []Record{recorder.Record(now, start)})).Requests(); got != counted {
+			t.Fatalf("with the live record %d, want %d", got, counted)
+		}
+	})
+}
+
+func TestRestartedRouterIsAnotherProcess(t *testing.T) {
+	c := qt.New(t)
+	keeper := NewKeeper()
+	for boot := range uint64(3) {
+		recorder := NewRecorder("entry-1", boot, "a", start)
+		recorder.Count(start, "x", InTime)
+		recorder.End()
+		keeper.Keep(start, recorder.Record(start, start))
+	}
+	records, _ := keeper.Records(start)
+	c.Check(len(records), qt.Equals, 3)
+	c.Check(records[0].Final, qt.IsTrue)
+	c.Check(total(records), qt.Equals, Counts{InTime: 3})
+}
+
+func TestKeeperIsBoundedAndSaysWhatItDropped(t *testing.T) {
+	c := qt.New(t)
+	keeper := NewKeeper()
+	for i := range keptRecords + 5 {
+		keeper.Keep(start, Record{Host: fmt.Sprint(i), At: start.Add(time.Duration(i) * time.Second)})
+	}
+	records, dropped := keeper.Records(start)
+	c.Check(len(records), qt.Equals, keptRecords)
+	c.Check(records[0].Host, qt.Equals, "5")
+	c.Check(dropped, qt.Equals, 5)
+	records, _ = keeper.Records(start.Add(2 * keptAfter))
+	c.Check(len(records), qt.Equals, 0)
+}
+
+func TestKeepersAreOthersAndStable(t *testing.T) {
+	c := qt.New(t)
+	var members []member.Member
+	for i := range 7 {
+		members = append(members, member.Member{Name: fmt.Sprintf("entry-%d", i)})
+	}
+	view := member.NewView(members)
+	for _, m := range members {
+		keepers := KeepersOf(view, m.Name)
+		c.Assert(len(keepers), qt.Equals, Keepers)
+		c.Check(keepers[0].Name == keepers[1].Name || keepers[0].Name == m.Name || keepers[1].Name == m.Name, qt.IsFalse)
+		without := member.NewView(slices.DeleteFunc(slices.Clone(members), func(o member.Member) bool { return o.Name == m.Name }))
+		c.Check(slices.Equal(KeepersOf(without, m.Name), keepers), qt.IsTrue)
+	}
+	c.Check(len(KeepersOf(member.NewView(members[:1]), "entry-0")), qt.Equals, 0)
+}
+
+func TestClassify(t *testing.T) {
+	c := qt.New(t)
+	tests := []struct {
+		code    outcome.Code
+		run     outcome.Run
+		inTime  bool
+		want    Result
+		counted bool
+	}{
+		{outcome.OK, outcome.RunDone, true, InTime, true},
+		{outcome.OK, outcome.RunDone, false, Late, true},
+		{outcome.Overloaded, outcome.RunNot, false, NotRun, true},
+		{outcome.EndpointSilent, outcome.RunUnknown, false, Unknown, true},
+		{outcome.AnswerTruncated, outcome.RunDone, false, Failed, true},
+		{outcome.BadKind, outcome.RunNot, false, 0, false},
+		{outcome.CallerGone, outcome.RunUnknown, false, 0, false},
+		{outcome.KeyInProgress, outcome.RunUnknown, false, 0, false},
+	}
+	for _, test := range tests {
+		result, counted := Classify(test.code, test.run, test.inTime)
+		c.Check(counted, qt.Equals, test.counted, qt.Commentf("%v", test.code))
+		c.Check(result, qt.Equals, test.want, qt.Commentf("%v", test.code))
+	}
+}
+
+func TestLatencyFigures(t *testing.T) {
+	c := qt.New(t)
+	recorder := NewRecorder("entry-1", 1, "a", start)
+	for i := range 100 {
+		recorder.Latency("x", time.Duration(i)*time.Millisecond, time.Hour)
+	}
+	figures := recorder.Figures()["x"]
+	c.Check(figures.FirstByteMs.Count, qt.Equals, int64(100))
+	c.Check(figures.FirstByteMs.P50 >= 48 && figures.FirstByteMs.P50 <= 51, qt.IsTrue)
+	c.Check(recorder.Var().String(), qt.Contains, `"requests":0`)
+}
--- /dev/null
+++ b/process/burn/record.go
@@ -0,0 +1,182 @@
+package burn
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/stoatmount/stoatmount/request/outcome"
+)
+
+// Counts is what became of requests. A request is in exactly one count.
+type Counts struct {
+	InTime  uint64 `json:"in_time"` // served once, whole and within the deadline
+	Late    uint64 `json:"late"`    // served, but after the deadline
+	NotRun  uint64 `json:"not_run"` // refused and not run
+	Failed  uint64 `json:"failed"`  // ran, but no whole answer was given
+	Unknown uint64 `json:"unknown"` // may have run
+}
+
+// Requests returns the number of requests.
+func (c Counts) Requests() uint64 {
+	return c.InTime + c.Late + c.NotRun + c.Failed + c.Unknown
+}
+
+// Bad returns the number of requests not served once and in time.
+func (c Counts) Bad() uint64 {
+	return c.Requests() - c.InTime
+}
+
+// Add returns the sum of c and other.
+func (c Counts) Add(other Counts) Counts {
+	return Counts{
+		InTime:  c.InTime + other.InTime,
+		Late:    c.Late + other.Late,
+		NotRun:  c.NotRun + other.NotRun,
+		Failed:  c.Failed + other.Failed,
+		Unknown: c.Unknown + other.Unknown,
+	}
+}
+
+// larger returns the larger of each count.
+func (c Counts) larger(other Counts) Counts {
+	return Counts{
+		InTime:  max(c.InTime, other.InTime),
+		Late:    max(c.Late, other.Late),
+		NotRun:  max(c.NotRun, other.NotRun),
+		Failed:  max(c.Failed, other.Failed),
+		Unknown: max(c.Unknown, other.Unknown),
+	}
+}
+
+// Result is what became of one request.
+type Result int
+
+// The values of Result.
+const (
+	InTime Result = iota
+	Late
+	NotRun
+	Failed
+	Unknown
+	resultCount
+)
+
+// Classify returns what a request that ended with code counts as. It returns
+// false for requests that do not count: those that were the caller's fault,
+// and repeats of a key, whose first request counts.
+func Classify(code outcome.Code, run outcome.Run, inTime bool) (Result, bool) {
+	const firstCodeOfLoad = 2000
+	switch code {
+	case outcome.OK:
+		if inTime {
+			return InTime, true
+		}
+		return Late, true
+	case outcome.KeyInProgress, outcome.KeyTooOld, outcome.KeyReused, outcome.AnswerNotHeld:
+		return 0, false
+	default:
+	}
+	if code < firstCodeOfLoad {
+		return 0, false
+	}
+	switch run {
+	case outcome.RunNot:
+		return NotRun, true
+	case outcome.RunDone:
+		return Failed, true
+	default:
+		return Unknown, true
+	}
+}
+
+// counts returns the counts of one request.
+func (r Result) counts() Counts {
+	var each [resultCount]uint64
+	each[r] = 1
+	return Counts{InTime: each[InTime], Late: each[Late], NotRun: each[NotRun], Failed: each[Failed], Unknown: each[Unknown]}
+}
+
+// Record is the counters of one router process.
+type Record struct {
+	Host    string    `json:"host"`
+	Boot    uint64    `json:"boot"`
+	Zone    string    `json:"zone"`
+	Started time.Time `json:"started"`
+	At      time.Time `json:"at"` // when the process gave these figures
+	// Final says that the process ended in an orderly way after these figures.
+	Final bool         `json:"final"`
+	Kinds []KindRecord `json:"kinds"` // sorted by kind
+}
+
+// KindRecord is the counters of one kind.
+type KindRecord struct {
+	Kind  string `json:"kind"`
+	Total Counts `json:"total"` // since the process started
+	// Minutes are the minutes of the last six hours that had requests, oldest
+	// first.
+	Minutes []Minute `json:"minutes,omitempty"`
+}
+
+// Minute is the counters of one minute.
+type Minute struct {
+	Unix   int64  `json:"unix"` // minutes since 1970
+	Counts Counts `json:"counts"`
+}
+
+// MinuteOf returns the minute that t is in.
+func MinuteOf(t time.Time) int64 {
+	return t.Unix() / 60
+}
+
+// Merge returns what a and b, two records of one process, say together.
+func Merge(a, b Record) Record {
+	if b.At.After(a.At) {
+		a, b = b, a
+	}
+	merged := a
+	merged.Final = a.Final || b.Final
+	merged.Kinds = mergeKinds(a.Kinds, b.Kinds)
+	return merged
+}
+
+func mergeKinds(a, b []KindRecord) []KindRecord {
+	merged := make([]KindRecord, 0, max(len(a), len(b)))
+	merged = append(merged, a...)
+	for _, kind := range b {
+		i, found := slices.BinarySearchFunc(merged, kind.Kind, compareKind)
+		if !found {
+			merged = slices.Insert(merged, i, kind)
+			continue
+		}
+		merged[i] = KindRecord{
+			Kind:    kind.Kind,
+			Total:   merged[i].Total.larger(kind.Total),
+			Minutes: mergeMinutes(merged[i].Minutes, kind.Minutes),
+		}
+	}
+	return merged
+}
+
+func compareKind(k KindRecord, name string) int {
+	return strings.Compare(k.Kind, name)
+}
+
+// mergeMinutes merges two sorted lists.
+func mergeMinutes(a, b []Minute) []Minute {
+	merged := make([]Minute, 0, len(a)+len(b))
+	for len(a) > 0 && len(b) > 0 {
+		switch cmp.Compare(a[0].Unix, b[0].Unix) {
+		case -1:
+			merged, a = append(merged, a[0]), a[1:]
+		case 1:
+			merged, b = append(merged, b[0]), b[1:]
+		default:
+			merged = append(merged, Minute{Unix: a[0].Unix, Counts: a[0].Counts.larger(b[0].Counts)})
+			a, b = a[1:], b[1:]
+		}
+	}
+	merged = append(merged, a...)
+	return append(merged, b...)
+}
--- /dev/null
+++ b/process/burn/recorder.go
@@ -0,0 +1,184 @@
+package burn
+
+import (
+	"expvar"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Bounds of the counters.
+const (
+	// keptMinutes covers the longest window of the report and the minute that
+	// is not over yet.
+	keptMinutes = 6*60 + 1
+	// maxLatencyMs is the largest latency in a histogram; longer ones count as
+	// this.
+	maxLatencyMs = 30 * 60 * 1000
+	// latencyDigits is the number of significant digits in a histogram.
+	latencyDigits = 2
+)
+
+// Recorder counts the requests of this process. It is safe for concurrent
+// use.
+type Recorder struct {
+	mu     sync.Mutex
+	record Record // without kinds
+	kinds  map[string]*kindCounters
+	final  bool
+}
+
+type kindCounters struct {
+	total     Counts
+	minutes   [keptMinutes]Minute // by minute modulo keptMinutes
+	firstByte *hdrhistogram.Histogram
+	whole     *hdrhistogram.Histogram
+}
+
+// NewRecorder returns the Recorder of the process boot on host in zone.
+func NewRecorder(host string, boot uint64, zone string, started time.Time) *Recorder {
+	return &Recorder{
+		record: Record{Host: host, Boot: boot, Zone: zone, Started: started},
+		kinds:  make(map[string]*kindCounters),
+	}
+}
+
+// Count counts a request of kind that ended now.
+func (r *Recorder) Count(now time.Time, kind string, result Result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	k := r.kind(kind)
+	k.total = k.total.Add(result.counts())
+	minute := MinuteOf(now)
+	slot := &k.minutes[minute%keptMinutes]
+	if slot.Unix != minute {
+		*slot = Minute{Unix: minute}
+	}
+	slot.Counts = slot.Counts.Add(result.counts())
+}
+
+// Latency notes how long after its arrival the first byte and the end of an
+// answer of kind left.
+func (r *Recorder) Latency(kind string, firstByte, whole time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	k := r.kind(kind)
+	// The values lie within the histogram's range, so that no error can occur.
+	_ = k.firstByte.RecordValue(latencyMs(firstByte))
+	_ = k.whole.RecordValue(latencyMs(whole))
+}
+
+func latencyMs(d time.Duration) int64 {
+	return min(max(d.Milliseconds(), 0), maxLatencyMs)
+}
+
+func (r *Recorder) kind(name string) *kindCounters {
+	k := r.kinds[name]
+	if k == nil {
+		k = &kindCounters{
+			firstByte: hdrhistogram.New(1, maxLatencyMs, latencyDigits),
+			whole:     hdrhistogram.New(1, maxLatencyMs, latencyDigits),
+		}
+		r.kinds[name] = k
+	}
+	return k
+}
+
+// End marks the records from now on as the last of an orderly end.
+func (r *Recorder) End() {
+	r.mu.Lock()
+	r.final = true
+	r.mu.Unlock()
+}
+
+// Record returns the counters, with the minutes that lie within the last six
+// hours and not before since.
+func (r *Recorder) Record(now, since time.Time) Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	record := r.record
+	record.At, record.Final = now, r.final
+	oldest := max(MinuteOf(since), MinuteOf(now)-keptMinutes+1)
+	for _, name := range r.names() {
+		k := r.kinds[name]
+		record.Kinds = append(record.Kinds, KindRecord{
+			Kind: name, Total: k.total, Minutes: k.since(oldest),
+		})
+	}
+	return record
+}
+
+func (r *Recorder) names() []string {
+	names := make([]string, 0, len(r.kinds))
+	for name := range r.kinds {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// since returns the minutes from oldest on that had requests, oldest first.
+func (k *kindCounters) since(oldest int64) []Minute {
+	var minutes []Minute
+	for _, minute := range k.minutes {
+		if minute.Unix >= oldest && minute.Counts.Requests() > 0 {
+			minutes = append(minutes, minute)
+		}
+	}
+	slices.SortFunc(minutes, func(a, b Minute) int { return int(a.Unix - b.Unix) })
+	return minutes
+}
+
+// KindFigures is one kind in the metrics.
+type KindFigures struct {
+	Requests    uint64  `json:"requests"`
+	Counts      Counts  `json:"counts"`
+	FirstByteMs Latency `json:"first_byte_ms"`
+	WholeMs     Latency `json:"whole_ms"`
+}
+
+// Latency is a summary of a histogram, in milliseconds.
+type Latency struct {
+	Count int64 `json:"count"`
+	P50   int64 `json:"p50"`
+	P95   int64 `json:"p95"`
+	P99   int64 `json:"p99"`
+	Max   int64 `json:"max"`
+}
+
+func summary(h *hdrhistogram.Histogram) Latency {
+	return Latency{
+		Count: h.TotalCount(),
+		P50:   h.ValueAtQuantile(50),
+		P95:   h.ValueAtQuantile(95),
+		P99:   h.ValueAtQuantile(99),
+		Max:   h.Max(),
+	}
+}
+
+// Figures returns the metrics by kind.
+func (r *Recorder) Figures() map[string]KindFigures {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	figures := make(map[string]KindFigures, len(r.kinds))
+	for name, k := range r.kinds {
+		figures[name] = KindFigures{
+			Requests:    k.total.Requests(),
+			Counts:      k.total,
+			FirstByteMs: summary(k.firstByte),
+			WholeMs:     summary(k.whole),
+		}
+	}
+	return figures
+}
+
+// VarName is the name of Var among the process's metrics.
+const VarName = "stoatmount.kinds"
+
+// Var returns the metrics by kind as an expvar variable. It is not published,
+// since tests run several routers in one process.
+func (r *Recorder) Var() expvar.Var {
+	return expvar.Func(func() any { return r.Figures() })
+}
--- /dev/null
+++ b/version/plan/impact.go
@@ -0,0 +1,245 @@
+package plan
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/stoatmount/stoatmount/version/config"
+)
+
+// Effect is what becomes of a kind of request.
+type Effect string
+
+// The effects on a kind, from none to the worst.
+const (
+	EffectNone  Effect = "none"  // capacity for all of today's load is left
+	EffectWaits Effect = "waits" // some of it would wait or be refused
+	EffectStops Effect = "stops" // nothing is left that could serve it
+)
+
+// Impact is what a change of a target would leave.
+type Impact struct {
+	Target config.Target `json:"target"`
+	Groups []GroupImpact `json:"groups"` // those that the target belongs to
+	Kinds  []KindImpact  `json:"kinds"`  // those that suffer
+	// HostsBefore and HostsAfter count the entry hosts in service.
+	HostsBefore int `json:"hosts_before"`
+	HostsAfter  int `json:"hosts_after"`
+	// InProgress is the number of requests that would be left to end there.
+	InProgress int `json:"in_progress"`
+	// Breaks says that some kind that may not wait would suffer, or that no
+	// entry host would be left.
+	Breaks bool `json:"breaks"`
+}
+
+// GroupImpact is the change to one model or service, in requests at a time.
+type GroupImpact struct {
+	Group           string `json:"group"`
+	EndpointsBefore int    `json:"endpoints_before"`
+	EndpointsAfter  int    `json:"endpoints_after"`
+	BearsBefore     int    `json:"bears_before"`
+	BearsAfter      int    `json:"bears_after"`
+	Load            int    `json:"load"` // in progress and waiting now
+}
+
+// KindImpact is the effect on one kind.
+type KindImpact struct {
+	Kind    string `json:"kind"`
+	Effect  Effect `json:"effect"`
+	CanWait bool   `json:"can_wait"`
+	Load    int    `json:"load"`
+	// Displaced is how much of the load has no room left.
+	Displaced int `json:"displaced"`
+}
+
+// OutOfService returns the impact of taking target out of service, given
+// the loads of now.
+func OutOfService(snapshot *config.Snapshot, loads Loads, target config.Target) Impact {
+	p := newPlanner(snapshot, loads, target)
+	p.hosts()
+	for _, group := range p.affectedGroups() {
+		p.group(group)
+	}
+	p.impact.Breaks = p.breaks()
+	return p.impact
+}
+
+// BackInService returns the impact of bringing target back: the Before and
+// After of OutOfService the other way round. Endpoints that come back may be
+// in a cold start, so they count with what they bear cold.
+func BackInService(snapshot *config.Snapshot, loads Loads, target config.Target) Impact {
+	state := snapshot.State
+	state.Out = slices.DeleteFunc(slices.Clone(state.Out), func(m config.OutMark) bool { return m.Target == target })
+	cold := loads
+	cold.Endpoints = slices.Clone(loads.Endpoints)
+	for i := range cold.Endpoints {
+		if snapshot.EndpointOut(cold.Endpoints[i].Name) {
+			cold.Endpoints[i].Cold = true
+		}
+	}
+	impact := OutOfService(config.NewSnapshot(state), cold, target)
+	for i := range impact.Groups {
+		g := &impact.Groups[i]
+		g.EndpointsBefore, g.EndpointsAfter = g.EndpointsAfter, g.EndpointsBefore
+		g.BearsBefore, g.BearsAfter = g.BearsAfter, g.BearsBefore
+	}
+	impact.HostsBefore, impact.HostsAfter = impact.HostsAfter, impact.HostsBefore
+	impact.Kinds, impact.Breaks = nil, false
+	return impact
+}
+
+type planner struct {
+	snapshot  *config.Snapshot
+	loads     Loads
+	target    config.Target
+	endpoints map[string]EndpointLoad
+	kinds     map[string]int
+	impact    Impact
+}
+
+func newPlanner(snapshot *config.Snapshot, loads Loads, target config.Target) *planner {
+	p := &planner{
+		snapshot:  snapshot,
+		loads:     loads,
+		target:    target,
+		endpoints: make(map[string]EndpointLoad, len(loads.Endpoints)),
+		kinds:     make(map[string]int, len(loads.Kinds)),
+		impact:    Impact{Target: target},
+	}
+	for _, load := range loads.Endpoints {
+		p.endpoints[load.Name] = load
+	}
+	for _, load := range loads.Kinds {
+		p.kinds[load.Kind] = load.Count
+	}
+	return p
+}
+
+// covers reports whether the target includes the endpoint.
+func (p *planner) covers(e *config.Endpoint) bool {
+	switch p.target.Scope {
+	case config.ScopeZone:
+		return e.Zone == p.target.Name
+	case config.ScopeEndpoint:
+		return e.Name == p.target.Name
+	default:
+		return false
+	}
+}
+
+func (p *planner) hosts() {
+	for _, host := range p.loads.Hosts {
+		if p.snapshot.HostOut(host.Name, host.Zone) {
+			continue
+		}
+		p.impact.HostsBefore++
+		switch {
+		case p.target.Scope == config.ScopeZone && host.Zone == p.target.Name,
+			p.target.Scope == config.ScopeHost && host.Name == p.target.Name:
+			p.impact.InProgress += host.InProgress
+		default:
+			p.impact.HostsAfter++
+		}
+	}
+	if p.target.Scope == config.ScopeZone {
+		// The zone's work is counted at its endpoints.
+		p.impact.InProgress = 0
+	}
+}
+
+// affectedGroups returns the groups with an endpoint that the target covers,
+// in the order of the configuration.
+func (p *planner) affectedGroups() []string {
+	var groups []string
+	for i := range p.snapshot.Config.Endpoints {
+		e := &p.snapshot.Config.Endpoints[i]
+		if p.covers(e) && !slices.Contains(groups, e.Group()) {
+			groups = append(groups, e.Group())
+		}
+	}
+	return groups
+}
+
+func (p *planner) group(name string) {
+	g := GroupImpact{Group: name}
+	for _, i := range p.snapshot.GroupEndpoints(name) {
+		p.endpoint(&g, i)
+	}
+	p.impact.Groups = append(p.impact.Groups, g)
+	p.suffering(g)
+}
+
+func (p *planner) endpoint(g *GroupImpact, index int) {
+	e := &p.snapshot.Config.Endpoints[index]
+	load, known := p.endpoints[e.Name]
+	g.Load += load.InProgress + load.Waiting
+	if p.covers(e) {
+		p.impact.InProgress += load.InProgress
+	}
+	if p.snapshot.IndexOut(index) || known && !load.Usable {
+		return
+	}
+	bears := e.Bears
+	if load.Cold {
+		bears = min(bears, e.ColdBears)
+	}
+	g.EndpointsBefore++
+	g.BearsBefore += bears
+	if !p.covers(e) {
+		g.EndpointsAfter++
+		g.BearsAfter += bears
+	}
+}
+
+// suffering adds the kinds of group g that would suffer. Work that can wait
+// gives way first, then the kinds of least worth.
+func (p *planner) suffering(g GroupImpact) {
+	shortfall := g.Load - g.BearsAfter
+	for _, kind := range p.givingWay(g.Group) {
+		load := p.kinds[kind.Name]
+		displaced := min(load, max(shortfall, 0))
+		shortfall -= displaced
+		effect := EffectNone
+		switch {
+		case g.EndpointsAfter == 0:
+			effect, displaced = EffectStops, load
+		case displaced > 0:
+			effect = EffectWaits
+		}
+		if effect != EffectNone {
+			p.impact.Kinds = append(p.impact.Kinds, KindImpact{
+				Kind: kind.Name, Effect: effect, CanWait: kind.CanWait, Load: load, Displaced: displaced,
+			})
+		}
+	}
+}
+
+// givingWay returns the kinds of a group, those that give way first at the
+// front.
+func (p *planner) givingWay(group string) []*config.Kind {
+	var kinds []*config.Kind
+	for i := range p.snapshot.Config.Kinds {
+		if kind := &p.snapshot.Config.Kinds[i]; kind.Group() == group {
+			kinds = append(kinds, kind)
+		}
+	}
+	slices.SortStableFunc(kinds, func(a, b *config.Kind) int {
+		if a.CanWait != b.CanWait {
+			if a.CanWait {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.Worth, b.Worth)
+	})
+	return kinds
+}
+
+func (p *planner) breaks() bool {
+	if p.impact.HostsBefore > 0 && p.impact.HostsAfter == 0 {
+		return true
+	}
+	return slices.ContainsFunc(p.impact.Kinds, func(k KindImpact) bool {
+		return k.Effect == EffectStops || !k.CanWait
+	})
+}
