Add the decisions of the request path in thin form

Cause: the request path needs the choice of endpoint, the wait queue, the retry budget, the circuit breakers, the caller's place token and the chat directory behind fixed interfaces before it can be wired.

All are pure: now and the random source are passed in.

--- /dev/null
+++ b/process/directory/directory.go
@@ -0,0 +1,172 @@
+package directory
+
+import (
+	"sync"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+	"github.com/pkg/errors"
+
+	"github.com/stoatmount/stoatmount/request/place"
+)
+
+// Entry is where a chat's prefix is cached.
+type Entry struct {
+	Endpoint string
+	Boot     uint64 // 0 if not known
+	Tokens   int
+	At       time.Time // when this was learned
+	// Confidence is the estimated probability that the prefix is still there.
+	Confidence float64
+}
+
+// minConfidence is the confidence below which an entry is forgotten.
+const minConfidence = 0.1
+
+// record is an Entry as stored: the endpoint as a pointer that all its chats
+// share, and the state of the endpoint's events when the entry was confirmed.
+type record struct {
+	endpoint *endpointState
+	boot     uint64
+	lost     uint64 // endpointState.lost when confirmed
+	atMs     int64  // Unix time
+	tokens   int32
+}
+
+// endpointState is what is known of one endpoint's cache events.
+type endpointState struct {
+	name  string
+	boot  uint64
+	next  uint64 // sequence number expected next
+	lost  uint64 // events lost to gaps, in total
+	chats int    // entries in the table
+}
+
+// Directory is a bounded table of chats. It is safe for concurrent use.
+type Directory struct {
+	mu        sync.Mutex
+	chats     *simplelru.LRU[place.Chat, record]
+	endpoints map[string]*endpointState
+}
+
+// New returns an empty Directory for at most capacity chats.
+func New(capacity int) (*Directory, error) {
+	d := &Directory{endpoints: make(map[string]*endpointState)}
+	onEvict := func(_ place.Chat, r record) { r.endpoint.chats-- }
+	chats, err := simplelru.NewLRU(capacity, onEvict)
+	if err != nil {
+		return nil, errors.Wrap(err, "directory")
+	}
+	d.chats = chats
+	return d, nil
+}
+
+// Len returns the number of chats in the table.
+func (d *Directory) Len() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.chats.Len()
+}
+
+// Put records that chat's prefix of tokens tokens is cached at endpoint. 0
+// tokens mean that endpoint no longer holds it.
+func (d *Directory) Put(now time.Time, chat place.Chat, endpoint string, boot uint64, tokens int) {
+	if chat == 0 || endpoint == "" {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.put(now, chat, d.state(endpoint), boot, tokens)
+}
+
+func (d *Directory) put(now time.Time, chat place.Chat, e *endpointState, boot uint64, tokens int) {
+	old, found := d.chats.Peek(chat)
+	if tokens <= 0 {
+		if found && old.endpoint == e {
+			d.chats.Remove(chat)
+		}
+		return
+	}
+	if found {
+		old.endpoint.chats--
+	}
+	e.chats++
+	d.chats.Add(chat, record{
+		endpoint: e,
+		boot:     boot,
+		lost:     e.lost,
+		atMs:     now.UnixMilli(),
+		tokens:   int32(min(tokens, 1<<30)),
+	})
+}
+
+// Get returns where chat's prefix is cached.
+func (d *Directory) Get(chat place.Chat) (Entry, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r, found := d.chats.Get(chat)
+	if !found {
+		return Entry{}, false
+	}
+	confidence := r.confidence()
+	if confidence < minConfidence {
+		d.chats.Remove(chat)
+		return Entry{}, false
+	}
+	return Entry{
+		Endpoint:   r.endpoint.name,
+		Boot:       r.boot,
+		Tokens:     int(r.tokens),
+		At:         time.UnixMilli(r.atMs),
+		Confidence: confidence,
+	}, true
+}
+
+// Forget removes chat.
+func (d *Directory) Forget(chat place.Chat) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.chats.Remove(chat)
+}
+
+// Restarted tells that endpoint now has boot number boot. Prefixes cached
+// under another boot number are gone.
+func (d *Directory) Restarted(endpoint string, boot uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.state(endpoint).restart(boot)
+}
+
+// state returns the state of the endpoint called name.
+func (d *Directory) state(name string) *endpointState {
+	e, ok := d.endpoints[name]
+	if !ok {
+		e = &endpointState{name: name}
+		d.endpoints[name] = e
+	}
+	return e
+}
+
+func (e *endpointState) restart(boot uint64) {
+	if boot == 0 || boot == e.boot {
+		return
+	}
+	e.boot = boot
+	e.next = 0
+}
+
+// confidence returns how likely the prefix is still cached. A changed boot
+// number empties the cache. Of the events in a gap about half are evictions,
+// and each hits one of the chats that the endpoint is known to hold.
+func (r *record) confidence() float64 {
+	e := r.endpoint
+	if e.boot != 0 && r.boot != 0 && e.boot != r.boot {
+		return 0
+	}
+	lost := float64(e.lost - r.lost)
+	if lost == 0 {
+		return 1
+	}
+	held := float64(max(e.chats, 1))
+	return held / (held + lost/2)
+}
--- /dev/null
+++ b/request/choose/choose.go
@@ -0,0 +1,228 @@
+package choose
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/stoatmount/stoatmount/request/outcome"
+	"github.com/stoatmount/stoatmount/request/place"
+	"github.com/stoatmount/stoatmount/version/config"
+)
+
+// Chooser chooses endpoints under one configuration version. It is safe for
+// concurrent use.
+type Chooser struct {
+	snapshot *config.Snapshot
+	hints    []*hint // by index in Config.Endpoints
+	byName   map[string]int
+	groups   map[string]*group
+}
+
+// group lists the endpoints of a model or service that are not out.
+type group struct {
+	index []int    // in Config.Endpoints
+	hash  []uint64 // of the endpoints' names
+}
+
+// New returns the Chooser of snapshot.
+func New(snapshot *config.Snapshot, hints *Hints) *Chooser {
+	endpoints := snapshot.Config.Endpoints
+	c := &Chooser{
+		snapshot: snapshot,
+		hints:    make([]*hint, len(endpoints)),
+		byName:   make(map[string]int, len(endpoints)),
+		groups:   make(map[string]*group),
+	}
+	for i := range endpoints {
+		c.hints[i] = hints.of(endpoints[i].Name)
+		c.byName[endpoints[i].Name] = i
+		c.addToGroup(&endpoints[i], i)
+	}
+	return c
+}
+
+func (c *Chooser) addToGroup(e *config.Endpoint, index int) {
+	g, ok := c.groups[e.Group()]
+	if !ok {
+		g = &group{}
+		c.groups[e.Group()] = g
+	}
+	if c.snapshot.IndexOut(index) {
+		return
+	}
+	g.index = append(g.index, index)
+	g.hash = append(g.hash, xxhash.Sum64String(e.Name))
+}
+
+// rendezvousChoices is how many endpoints by rendezvous hashing are weighed.
+// Overflow goes to the same few endpoints each time, so that it finds caches.
+const rendezvousChoices = 4
+
+// noEndpointRetry is when a request without usable endpoint should come back.
+const noEndpointRetry = time.Second
+
+// ranked are the best endpoints of a group by rendezvous hashing.
+type ranked struct {
+	index [rendezvousChoices]int
+	score [rendezvousChoices]uint64
+	n     int
+}
+
+func (r *ranked) full() bool {
+	return r.n == rendezvousChoices
+}
+
+// insert adds an endpoint whose score is above the least, or any if there is
+// still room.
+func (r *ranked) insert(index int, score uint64) {
+	if !r.full() {
+		r.n++
+	}
+	k := r.n - 1
+	for ; k > 0 && score > r.score[k-1]; k-- {
+		r.index[k], r.score[k] = r.index[k-1], r.score[k-1]
+	}
+	r.index[k], r.score[k] = index, score
+}
+
+// mix spreads the bits of x; it is the finalizer of SplitMix64.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// rank hashes key over the usable endpoints of the group called name. Whether
+// an endpoint is usable is read only of those that would be among the best.
+func (c *Chooser) rank(now time.Time, name string, key uint64, tried []string) ranked {
+	var best ranked
+	g := c.groups[name]
+	if g == nil {
+		return best
+	}
+	key = mix(key)
+	nowNanos := now.UnixNano()
+	for k, hash := range g.hash {
+		score := mix(key ^ hash)
+		if best.full() && score <= best.score[rendezvousChoices-1] {
+			continue
+		}
+		if i := g.index[k]; c.open(nowNanos, i, tried) {
+			best.insert(i, score)
+		}
+	}
+	return best
+}
+
+// open reports whether endpoint i may get new work and was not tried yet.
+func (c *Chooser) open(nowNanos int64, i int, tried []string) bool {
+	if !c.hints[i].usable(nowNanos) {
+		return false
+	}
+	return len(tried) == 0 || !slices.Contains(tried, c.snapshot.Config.Endpoints[i].Name)
+}
+
+// Default returns the endpoint to which chat belongs by rendezvous hashing
+// alone. The directory need not be told of chats that are there.
+func (c *Chooser) Default(now time.Time, group string, chat place.Chat) string {
+	best := c.rank(now, group, uint64(chat), nil)
+	if best.n == 0 {
+		return ""
+	}
+	return c.snapshot.Config.Endpoints[best.index[0]].Name
+}
+
+// Choose returns the endpoints that the request should try.
+func (c *Chooser) Choose(now time.Time, in *Input) Plan {
+	var plan Plan
+	key := uint64(in.Chat)
+	if key == 0 {
+		key = in.Spread
+	}
+	group := in.Kind.Group()
+	best := c.rank(now, group, key, in.Tried)
+	if best.n == 0 {
+		c.refuse(&plan, group)
+		return plan
+	}
+	w := c.weigher(in)
+	for i := range in.Known {
+		c.addKnown(now, &plan, &w, in, &in.Known[i])
+	}
+	for k := range best.n {
+		c.addRanked(now, &plan, &w, in, best.index[k], k)
+	}
+	c.addLeastLoad(now, &plan, &w, in, group, key)
+	plan.sort()
+	plan.dropLate(in)
+	return plan
+}
+
+// refuse says why no endpoint of the group called name is usable.
+func (c *Chooser) refuse(plan *Plan, name string) {
+	plan.Code = outcome.NoEndpoint
+	plan.RetryAfter = noEndpointRetry
+	if g := c.groups[name]; g != nil && len(g.index) > 0 {
+		plan.Code = outcome.BreakerOpen
+	}
+}
+
+// dropLate removes candidates whose answer would come too late. If none is
+// left the request can no longer be served in time.
+func (p *Plan) dropLate(in *Input) {
+	kept := 0
+	for i := range p.n {
+		if in.Age+p.list[i].Expected < in.Deadline {
+			p.list[kept] = p.list[i]
+			kept++
+		}
+	}
+	if kept == 0 && p.n > 0 {
+		p.Code = outcome.DeadlineTooShort
+		p.RetryAfter = p.list[0].Expected
+	}
+	p.n = kept
+}
+
+// addKnown adds the endpoint that known names, if it is usable.
+func (c *Chooser) addKnown(now time.Time, plan *Plan, w *weigher, in *Input, known *Known) {
+	i, ok := c.byName[known.Endpoint]
+	if !ok || c.snapshot.IndexOut(i) || !c.open(now.UnixNano(), i, in.Tried) {
+		return
+	}
+	e := &c.snapshot.Config.Endpoints[i]
+	if e.Group() != in.Kind.Group() || plan.has(e) {
+		return
+	}
+	s := c.hints[i].read(now)
+	if known.Boot != 0 && s.load.Boot != 0 && known.Boot != s.load.Boot {
+		return // it restarted since and its cache is empty
+	}
+	cached := min(known.Tokens, in.Prompt)
+	confidence := known.Confidence
+	if confidence == 0 {
+		confidence = 1
+	}
+	w.hold(i, cached, confidence)
+	plan.add(w.weigh(e, &s, known.Reason, int(float64(cached)*confidence)))
+}
+
+func (c *Chooser) addRanked(now time.Time, plan *Plan, w *weigher, in *Input, index, rank int) {
+	e := &c.snapshot.Config.Endpoints[index]
+	if plan.has(e) {
+		return
+	}
+	reason := ReasonOverflow
+	if rank == 0 {
+		reason = ReasonRendezvous
+	}
+	s := c.hints[index].read(now)
+	candidate := w.weigh(e, &s, reason, 0)
+	candidate.score -= float64(rank) * w.rankPenalty
+	w.tryMove(c, &candidate, &s)
+	plan.add(candidate)
+}
--- /dev/null
+++ b/request/choose/choose_test.go
@@ -0,0 +1,171 @@
+package choose
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/stoatmount/stoatmount/request/outcome"
+	"github.com/stoatmount/stoatmount/request/place"
+	"github.com/stoatmount/stoatmount/version/config"
+)
+
+var testNow = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+
+func testState(endpoints int) config.State {
+	var state config.State
+	state.Config.Models = []config.Model{{Name: "adapt", PrefillPerSecond: 5000}}
+	state.Config.Kinds = []config.Kind{{
+		Name: "live", Model: "adapt", Worth: 10,
+		FullUntil: config.Duration(5 * time.Second), Deadline: config.Duration(20 * time.Second),
+	}}
+	for i := range endpoints {
+		state.Config.Endpoints = append(state.Config.Endpoints, config.Endpoint{
+			Name:    fmt.Sprintf("adapt-%d", i),
+			Address: netip.MustParseAddrPort("10.0.0.1:80"),
+			Zone:    fmt.Sprintf("zone-%d", i%3),
+			Model:   "adapt", Bears: 8,
+		})
+	}
+	return state
+}
+
+func testInput(state *config.State, chat place.Chat) *Input {
+	return &Input{
+		Chat: chat, Kind: &state.Config.Kinds[0],
+		Deadline: 20 * time.Second, Prompt: 5000, Serve: time.Second,
+	}
+}
+
+func TestRoutersWithoutStateAgree(t *testing.T) {
+	c := qt.New(t)
+	state := testState(9)
+	a := New(config.NewSnapshot(state), NewHints())
+	b := New(config.NewSnapshot(state), NewHints())
+	spread := make(map[string]int)
+	for chat := range place.Chat(900) {
+		pa := a.Choose(testNow, testInput(&state, chat+1))
+		pb := b.Choose(testNow.Add(time.Hour), testInput(&state, chat+1))
+		first := pa.Candidates()[0].Endpoint.Name
+		c.Assert(pb.Candidates()[0].Endpoint.Name, qt.Equals, first)
+		c.Assert(a.Default(testNow, "adapt", chat+1), qt.Equals, first)
+		spread[first]++
+	}
+	for name, n := range spread {
+		c.Check(n > 60 && n < 140, qt.IsTrue, qt.Commentf("%s has %d of 900", name, n))
+	}
+}
+
+func TestHolderIsWaitedForOnlyWhileItPays(t *testing.T) {
+	c := qt.New(t)
+	state := testState(9)
+	hints := NewHints()
+	chooser := New(config.NewSnapshot(state), hints)
+	in := testInput(&state, 1)
+	in.Known = []Known{{Endpoint: "adapt-4", Boot: 3, Tokens: 4900, Reason: ReasonToken}}
+	hints.Held("adapt-4", 2*time.Second)
+
+	hints.Learn(testNow, "adapt-4", Load{Permits: 8, Cap: 8, Boot: 3})
+	plan := chooser.Choose(testNow, in)
+	c.Check(plan.Candidates()[0].Endpoint.Name, qt.Equals, "adapt-4")
+	c.Check(plan.Candidates()[0].Reason, qt.Equals, ReasonToken)
+
+	hints.Learn(testNow, "adapt-4", Load{Permits: 8, Cap: 8, Queue: 40, Boot: 3})
+	plan = chooser.Choose(testNow, in)
+	c.Check(plan.Candidates()[0].Endpoint.Name, qt.Not(qt.Equals), "adapt-4")
+
+	hints.Learn(testNow, "adapt-4", Load{Permits: 1, Cap: 8, Boot: 4})
+	plan = chooser.Choose(testNow, in)
+	for _, candidate := range plan.Candidates() {
+		c.Check(candidate.Cached, qt.Equals, 0, qt.Commentf("the cache went with the restart"))
+	}
+}
+
+func TestCacheIsMovedWhenHolderIsFull(t *testing.T) {
+	c := qt.New(t)
+	state := testState(9)
+	state.Config.Models[0].MovePerSecond = 100_000
+	hints := NewHints()
+	chooser := New(config.NewSnapshot(state), hints)
+	in := testInput(&state, 1)
+	in.Known = []Known{{Endpoint: "adapt-4", Tokens: 4900, Reason: ReasonDirectory}}
+	hints.Learn(testNow, "adapt-4", Load{Permits: 8, Cap: 8, Queue: 40})
+	plan := chooser.Choose(testNow, in)
+	c.Check(plan.Candidates()[0].MoveFrom, qt.Equals, "adapt-4")
+}
+
+func TestNothingGoesToUnusableEndpoints(t *testing.T) {
+	c := qt.New(t)
+	state := testState(9)
+	state.Out = []config.OutMark{{Target: config.Target{Scope: config.ScopeZone, Name: "zone-0"}}}
+	hints := NewHints()
+	hints.SetLeaving("adapt-1", true)
+	hints.Block("adapt-2", testNow.Add(time.Second))
+	chooser := New(config.NewSnapshot(state), hints)
+	banned := map[string]bool{"adapt-0": true, "adapt-3": true, "adapt-6": true, "adapt-1": true, "adapt-2": true}
+	for chat := range place.Chat(200) {
+		in := testInput(&state, chat+1)
+		in.Known = []Known{{Endpoint: "adapt-0", Tokens: 5000}, {Endpoint: "adapt-1", Tokens: 5000}, {Endpoint: "adapt-2", Tokens: 5000}}
+		plan := chooser.Choose(testNow, in)
+		c.Assert(len(plan.Candidates()) > 0, qt.IsTrue)
+		for _, candidate := range plan.Candidates() {
+			c.Assert(banned[candidate.Endpoint.Name], qt.IsFalse)
+		}
+	}
+	for i := range 9 {
+		hints.SetLeaving(fmt.Sprintf("adapt-%d", i), true)
+	}
+	plan := chooser.Choose(testNow, testInput(&state, 1))
+	c.Check(plan.Code, qt.Equals, outcome.BreakerOpen)
+}
+
+func TestTooLateIsRefused(t *testing.T) {
+	c := qt.New(t)
+	state := testState(3)
+	in := testInput(&state, 1)
+	in.Age = 19 * time.Second
+	chooser := New(config.NewSnapshot(state), NewHints())
+	plan := chooser.Choose(testNow, in)
+	c.Check(plan.Code, qt.Equals, outcome.DeadlineTooShort)
+	c.Check(plan.Candidates(), qt.HasLen, 0)
+}
+
+func TestMovesTakeTheLikeliestFirst(t *testing.T) {
+	c := qt.New(t)
+	state := testState(4)
+	state.Config.Models[0].MovePerSecond = 1000
+	chooser := New(config.NewSnapshot(state), NewHints())
+	held := []HeldChat{
+		{Chat: 1, Tokens: 400, Idle: time.Hour},
+		{Chat: 2, Tokens: 400, Idle: time.Minute},
+		{Chat: 3, Tokens: 900, Idle: time.Minute},
+	}
+	moves := chooser.Moves(testNow, &state.Config.Endpoints[1], held, 1300)
+	c.Assert(moves, qt.HasLen, 2)
+	c.Check(moves[0].Chat, qt.Equals, place.Chat(3))
+	c.Check(moves[1].Chat, qt.Equals, place.Chat(2))
+	c.Check(moves[0].To, qt.Not(qt.Equals), "adapt-1")
+}
+
+func BenchmarkChoose640(b *testing.B) {
+	state := testState(640)
+	hints := NewHints()
+	chooser := New(config.NewSnapshot(state), hints)
+	for i := range 640 {
+		hints.Learn(testNow, fmt.Sprintf("adapt-%d", i), Load{Permits: i % 9, Cap: 8})
+	}
+	known := []Known{{Endpoint: "adapt-4", Tokens: 4900, Reason: ReasonToken}, {Endpoint: "adapt-400", Tokens: 4800, Reason: ReasonDirectory}}
+	in := testInput(&state, 1)
+	in.Known = known
+	b.ReportAllocs()
+	for b.Loop() {
+		in.Chat++
+		plan := chooser.Choose(testNow, in)
+		if plan.n == 0 {
+			b.Fatal("no candidate")
+		}
+	}
+}
--- /dev/null
+++ b/request/choose/plan.go
@@ -0,0 +1,113 @@
+package choose
+
+import (
+	"time"
+
+	"github.com/stoatmount/stoatmount/request/outcome"
+	"github.com/stoatmount/stoatmount/request/place"
+	"github.com/stoatmount/stoatmount/version/config"
+)
+
+// Reason says why an endpoint is a candidate.
+type Reason uint8
+
+// The reasons, in the order in which sources of a chat's place are trusted.
+const (
+	ReasonToken      Reason = iota + 1 // the caller's token names it
+	ReasonDirectory                    // the directory of the chat's home names it
+	ReasonEvents                       // cache events named it
+	ReasonRendezvous                   // first by rendezvous hashing
+	ReasonOverflow                     // a later choice by rendezvous hashing
+	ReasonLeastLoad                    // the least loaded of the group by hints
+)
+
+var reasonNames = [...]string{"none", "token", "directory", "events", "rendezvous", "overflow", "least_load"}
+
+// String returns the stable identifier of r in logs and metrics.
+func (r Reason) String() string {
+	if int(r) >= len(reasonNames) {
+		return reasonNames[0]
+	}
+	return reasonNames[r]
+}
+
+// Known is a place at which the chat's prefix may be cached.
+type Known struct {
+	Endpoint   string
+	Boot       uint64  // 0 if not known
+	Tokens     int     // cached length
+	Confidence float64 // probability that it is still there; 0 counts as 1
+	Reason     Reason
+}
+
+// Input is a request as the choice sees it.
+type Input struct {
+	Chat     place.Chat // 0 if the request belongs to no chat
+	Spread   uint64     // takes the place of Chat in hashing if Chat is 0
+	Kind     *config.Kind
+	Age      time.Duration // since the caller sent the request
+	Deadline time.Duration // age at which the answer is worth nothing
+	Prompt   int           // estimated prompt tokens
+	Serve    time.Duration // expected time at an endpoint after prefill
+	Known    []Known       // where the prefix may be cached
+	Tried    []string      // endpoints that are not to be tried again
+}
+
+// Candidate is an endpoint to try.
+type Candidate struct {
+	Endpoint *config.Endpoint
+	Reason   Reason
+	Cached   int           // expected cached tokens of the prompt
+	Wait     time.Duration // longest wait in the owner's queue that is worth it
+	Expected time.Duration // expected time until the answer is complete
+	MoveFrom string        // endpoint from which the cache is moved first, or ""
+
+	cost  time.Duration // endpoint time that is spent on prefill or move
+	score float64
+}
+
+// MaxCandidates is the largest number of candidates of a Plan.
+const MaxCandidates = 8
+
+// Plan lists the endpoints to try, best first.
+type Plan struct {
+	list [MaxCandidates]Candidate
+	n    int
+
+	// Code says why there is no candidate: NoEndpoint, BreakerOpen,
+	// DeadlineTooShort. It is OK otherwise.
+	Code outcome.Code
+	// RetryAfter is when a new try makes sense if there is no candidate.
+	RetryAfter time.Duration
+}
+
+// Candidates returns the endpoints to try, best first.
+func (p *Plan) Candidates() []Candidate {
+	return p.list[:p.n]
+}
+
+func (p *Plan) add(c Candidate) {
+	if p.n < MaxCandidates {
+		p.list[p.n] = c
+		p.n++
+	}
+}
+
+func (p *Plan) has(e *config.Endpoint) bool {
+	for i := range p.n {
+		if p.list[i].Endpoint == e {
+			return true
+		}
+	}
+	return false
+}
+
+// sort orders the candidates by score, larger first. Insertion sort keeps
+// equal ones in order and allocates nothing.
+func (p *Plan) sort() {
+	for i := 1; i < p.n; i++ {
+		for k := i; k > 0 && p.list[k].score > p.list[k-1].score; k-- {
+			p.list[k], p.list[k-1] = p.list[k-1], p.list[k]
+		}
+	}
+}
--- /dev/null
+++ b/request/place/token.go
@@ -0,0 +1,142 @@
+package place
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"hash"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Place is where a chat's prefix was cached when a token was issued.
+type Place struct {
+	Endpoint string
+	Boot     uint64 // boot number of the endpoint
+	Tokens   int    // length of the cached prefix
+	Issued   time.Time
+}
+
+const (
+	// MinKeyBytes is the least length of a signing key.
+	MinKeyBytes = 32
+	// MaxTokenBytes is the largest length of a token in text form.
+	MaxTokenBytes = 256
+
+	tokenVersion     = 1
+	macBytes         = 16
+	maxEndpointBytes = 128
+	maxTokens        = 1 << 30
+	// clockSkew is how far ahead of now a token may have been issued.
+	clockSkew = time.Minute
+)
+
+// Signer signs and opens tokens. It is safe for concurrent use.
+type Signer struct {
+	lifetime time.Duration
+	pools    []*sync.Pool // one per key; the first signs
+}
+
+// NewSigner returns a Signer whose tokens are valid for lifetime. Tokens are
+// signed with key; those signed with one of the older keys are still opened,
+// so that a key can be replaced host by host.
+func NewSigner(lifetime time.Duration, key []byte, older ...[]byte) (*Signer, error) {
+	s := &Signer{lifetime: lifetime}
+	for _, k := range append([][]byte{key}, older...) {
+		if len(k) < MinKeyBytes {
+			return nil, errors.Errorf("place key has %d bytes; at least %d are needed", len(k), MinKeyBytes)
+		}
+		k = append([]byte(nil), k...)
+		s.pools = append(s.pools, &sync.Pool{New: func() any { return hmac.New(sha256.New, k) }})
+	}
+	return s, nil
+}
+
+// Sign returns the token that tells p for chat. It returns "" if there is
+// nothing worth telling.
+func (s *Signer) Sign(chat Chat, p Place) string {
+	if chat == 0 || p.Endpoint == "" || len(p.Endpoint) > maxEndpointBytes || p.Tokens <= 0 {
+		return ""
+	}
+	buf := make([]byte, 0, MaxTokenBytes)
+	buf = append(buf, tokenVersion)
+	buf = binary.BigEndian.AppendUint64(buf, p.Boot)
+	buf = binary.AppendUvarint(buf, uint64(min(p.Tokens, maxTokens)))
+	buf = binary.AppendUvarint(buf, uint64(max(p.Issued.Unix(), 0)))
+	buf = append(buf, p.Endpoint...)
+	buf = s.appendMAC(0, buf, chat, buf)
+	return base64.RawURLEncoding.EncodeToString(buf)
+}
+
+// Open returns the place that token tells for chat. It returns false for a
+// token that is not to be trusted.
+func (s *Signer) Open(now time.Time, chat Chat, token string) (Place, bool) {
+	if chat == 0 || token == "" || len(token) > MaxTokenBytes {
+		return Place{}, false
+	}
+	var raw [MaxTokenBytes]byte
+	n, err := base64.RawURLEncoding.Decode(raw[:], []byte(token))
+	if err != nil || n <= macBytes {
+		return Place{}, false
+	}
+	payload, mac := raw[:n-macBytes], raw[n-macBytes:n]
+	if !s.verify(chat, payload, mac) {
+		return Place{}, false
+	}
+	p, ok := decode(payload)
+	if !ok || now.Sub(p.Issued) > s.lifetime || p.Issued.Sub(now) > clockSkew {
+		return Place{}, false
+	}
+	return p, true
+}
+
+func (s *Signer) verify(chat Chat, payload, mac []byte) bool {
+	for i := range s.pools {
+		var want [macBytes]byte
+		if hmac.Equal(s.appendMAC(i, want[:0], chat, payload), mac) {
+			return true
+		}
+	}
+	return false
+}
+
+// appendMAC appends the code of chat and payload under key i to dst.
+func (s *Signer) appendMAC(i int, dst []byte, chat Chat, payload []byte) []byte {
+	mac := s.pools[i].Get().(hash.Hash)
+	defer s.pools[i].Put(mac)
+	mac.Reset()
+	var chatBytes [8]byte
+	binary.BigEndian.PutUint64(chatBytes[:], uint64(chat))
+	_, _ = mac.Write(chatBytes[:])
+	_, _ = mac.Write(payload)
+	var sum [sha256.Size]byte
+	return append(dst, mac.Sum(sum[:0])[:macBytes]...)
+}
+
+func decode(payload []byte) (Place, bool) {
+	if len(payload) < 9 || payload[0] != tokenVersion {
+		return Place{}, false
+	}
+	p := Place{Boot: binary.BigEndian.Uint64(payload[1:9])}
+	rest := payload[9:]
+	tokens, n := binary.Uvarint(rest)
+	if n <= 0 || tokens > maxTokens {
+		return Place{}, false
+	}
+	rest = rest[n:]
+	issued, n := binary.Uvarint(rest)
+	if n <= 0 || issued > 1<<40 {
+		return Place{}, false
+	}
+	rest = rest[n:]
+	if len(rest) == 0 || len(rest) > maxEndpointBytes {
+		return Place{}, false
+	}
+	p.Tokens = int(tokens)
+	p.Issued = time.Unix(int64(issued), 0)
+	p.Endpoint = string(rest)
+	return p, true
+}
--- /dev/null
+++ b/request/queue/queue.go
@@ -0,0 +1,188 @@
+package queue
+
+import (
+	"time"
+
+	"github.com/stoatmount/stoatmount/request/outcome"
+)
+
+const (
+	// DefaultBound is the number of requests that may wait for one endpoint.
+	DefaultBound = 256
+
+	// idleLoss is the part of a kind's worth per deadline that counts as lost
+	// per second while its worth does not fall yet.
+	idleLoss = 0.05
+	// minSeconds guards divisions by a deadline.
+	minSeconds = 0.001
+	// minHorizon and maxHorizon bound how far ahead losses are compared.
+	minHorizon = time.Second
+	maxHorizon = 30 * time.Second
+	// agedAfter is the wait after which work that can wait gains a share.
+	agedAfter = 30 * time.Second
+	// agedShare is the part of all permits that aged work gets under shortage.
+	agedShare = 0.05
+	// defaultHold is the assumed time that a permit is held.
+	defaultHold = 2 * time.Second
+	// holdWeight is the weight of the newest hold in the moving average.
+	holdWeight = 0.1
+)
+
+// Queue holds the requests that wait for one endpoint.
+type Queue struct {
+	bound  int
+	items  []Item // in order of arrival
+	spaces spaces
+	hold   time.Duration // moving average of the time a permit is held
+	credit float64       // permits that aged work may take, see agedShare
+}
+
+// New returns an empty Queue for at most bound requests.
+func New(bound int) *Queue {
+	return &Queue{bound: bound, spaces: newSpaces(), hold: defaultHold}
+}
+
+// Len returns the number of waiting requests.
+func (q *Queue) Len() int {
+	return len(q.items)
+}
+
+// Push adds item, for which limit permits exist in total. It returns what has
+// to be refused because of it: the item itself if it can't be in time or is
+// worth least, or another one.
+func (q *Queue) Push(now time.Time, item Item, limit int) (Refused, bool) {
+	item.queued = now
+	if code, after := q.refusal(now, &item, limit); code != outcome.OK {
+		return Refused{Item: item, Code: code, RetryAfter: after}, true
+	}
+	q.items = append(q.items, item)
+	q.spaces.enqueued(item.Workspace, item.share())
+	if len(q.items) <= q.bound {
+		return Refused{}, false
+	}
+	worst := q.worst(now)
+	evicted := q.take(worst)
+	return Refused{Item: evicted, Code: q.shedCode(&evicted), RetryAfter: q.drain(limit)}, true
+}
+
+// refusal returns why item can't wait here, or OK.
+func (q *Queue) refusal(now time.Time, item *Item, limit int) (outcome.Code, time.Duration) {
+	if item.late(now) {
+		return outcome.DeadlineTooShort, 0
+	}
+	if limit <= 0 || len(q.items) == 0 {
+		return outcome.OK, 0
+	}
+	start := now.Add(q.slots(q.ahead(now, item), limit))
+	if item.late(start) {
+		return outcome.DeadlineTooShort, q.drain(limit)
+	}
+	if !item.GiveUp.IsZero() && start.After(item.GiveUp) {
+		return outcome.EndpointAtCap, q.drain(limit)
+	}
+	return outcome.OK, 0
+}
+
+// ahead returns how many waiting requests would go before item.
+func (q *Queue) ahead(now time.Time, item *Item) int {
+	horizon := q.horizon(1)
+	own := q.score(now, item, horizon)
+	n := 0
+	for i := range q.items {
+		if q.score(now, &q.items[i], horizon) >= own {
+			n++
+		}
+	}
+	return n
+}
+
+// slots returns the expected time until n permits are given back.
+func (q *Queue) slots(n, limit int) time.Duration {
+	return q.hold * time.Duration(n) / time.Duration(max(limit, 1))
+}
+
+// drain returns the expected time until the waiting requests are gone.
+func (q *Queue) drain(limit int) time.Duration {
+	return q.slots(len(q.items)+1, limit)
+}
+
+func (q *Queue) horizon(limit int) time.Duration {
+	return min(max(q.slots(len(q.items), max(limit, 1)), minHorizon), maxHorizon)
+}
+
+// Pop returns the request that gets the next permit. running is the number of
+// permits held and limit the number allowed. It returns false if nobody waits
+// or the free permits are kept for workspaces within their share.
+func (q *Queue) Pop(now time.Time, running, limit int) (Item, bool) {
+	if running >= limit || len(q.items) == 0 {
+		return Item{}, false
+	}
+	best := q.best(now, running, limit)
+	if best < 0 {
+		return Item{}, false
+	}
+	item := q.take(best)
+	q.spaces.started(item.Workspace)
+	q.count(now, &item)
+	return item, true
+}
+
+// count keeps the account of the share of aged work.
+func (q *Queue) count(now time.Time, item *Item) {
+	if item.Kind.CanWait {
+		q.credit = max(q.credit-1, 0)
+		return
+	}
+	q.credit = min(q.credit+agedShare, 1)
+}
+
+// Done tells that a permit of workspace was given back after hold.
+func (q *Queue) Done(workspace string, hold time.Duration) {
+	q.spaces.done(workspace)
+	q.hold += time.Duration(holdWeight * float64(hold-q.hold))
+}
+
+// Expire removes the requests that can no longer be in time or whose entry no
+// longer wants to wait here.
+func (q *Queue) Expire(now time.Time, limit int) []Refused {
+	var refused []Refused
+	for i := 0; i < len(q.items); {
+		code := q.items[i].expired(now)
+		if code == outcome.OK {
+			i++
+			continue
+		}
+		refused = append(refused, Refused{Item: q.take(i), Code: code, RetryAfter: q.drain(limit)})
+	}
+	return refused
+}
+
+func (i *Item) expired(now time.Time) outcome.Code {
+	switch {
+	case i.late(now):
+		return outcome.DeadlineTooShort
+	case !i.GiveUp.IsZero() && !now.Before(i.GiveUp):
+		return outcome.EndpointAtCap
+	default:
+		return outcome.OK
+	}
+}
+
+// Remove takes the request id out, for example because its caller is gone.
+func (q *Queue) Remove(id uint64) bool {
+	for i := range q.items {
+		if q.items[i].ID == id {
+			q.take(i)
+			return true
+		}
+	}
+	return false
+}
+
+// take removes item i and keeps the order of the others.
+func (q *Queue) take(i int) Item {
+	item := q.items[i]
+	q.items = append(q.items[:i], q.items[i+1:]...)
+	q.spaces.left(item.Workspace)
+	return item
+}
--- /dev/null
+++ b/request/queue/spaces.go
@@ -0,0 +1,143 @@
+package queue
+
+import "math"
+
+const (
+	// maxLead and maxLag bound, in permits, how far a workspace's account may
+	// run before or behind the others'. An idle workspace gains no more than
+	// maxLag.
+	maxLead = 20
+	maxLag  = 4
+)
+
+// space is the account of one workspace.
+type space struct {
+	share   float64
+	waiting int
+	running int
+	served  float64 // permits got, per share: the virtual time of the workspace
+}
+
+// spaces are the accounts of the workspaces at one endpoint, by the rules of
+// start-time fair queueing.
+type spaces struct {
+	byName map[string]*space
+	total  float64 // sum of the shares of workspaces that wait or run
+	clock  float64 // virtual time: permits given per share in use
+}
+
+func newSpaces() spaces {
+	return spaces{byName: make(map[string]*space)}
+}
+
+func (s *spaces) enqueued(name string, share float64) {
+	w, ok := s.byName[name]
+	if !ok {
+		w = &space{share: share}
+		s.byName[name] = w
+	}
+	if w.idle() {
+		w.share = share
+		s.total += share
+		w.served = max(w.served, s.clock-maxLag/share)
+	}
+	w.waiting++
+}
+
+func (w *space) idle() bool {
+	return w.waiting == 0 && w.running == 0
+}
+
+// left tells that a request of the workspace left the queue.
+func (s *spaces) left(name string) {
+	w := s.byName[name]
+	w.waiting--
+	s.settle(name, w)
+}
+
+// started tells that a request of the workspace got a permit. It follows left.
+func (s *spaces) started(name string) {
+	w := s.byName[name]
+	if w == nil {
+		return
+	}
+	if w.idle() {
+		s.total += w.share
+	}
+	w.running++
+	w.served = min(w.served+1/w.share, s.clock+maxLead/w.share)
+	s.clock += 1 / max(s.total, w.share)
+}
+
+// done tells that a permit of the workspace was given back.
+func (s *spaces) done(name string) {
+	w := s.byName[name]
+	if w == nil || w.running == 0 {
+		return
+	}
+	w.running--
+	s.settle(name, w)
+}
+
+// settle takes an idle workspace out of the sum of shares. Its account is kept
+// while it is ahead of the others, and forgotten afterwards.
+func (s *spaces) settle(name string, w *space) {
+	if !w.idle() {
+		return
+	}
+	s.total = max(s.total-w.share, 0)
+	if len(s.byName) > maxAccounts {
+		s.forgetIdle()
+	}
+}
+
+// maxAccounts bounds the accounts that are kept of idle workspaces.
+const maxAccounts = 512
+
+func (s *spaces) forgetIdle() {
+	for name, w := range s.byName {
+		if w.idle() && w.served <= s.clock {
+			delete(s.byName, name)
+		}
+	}
+}
+
+// weight is 1 for a workspace at its share, larger for one that got less and
+// much smaller for one that got more.
+func (s *spaces) weight(name string) float64 {
+	w := s.byName[name]
+	if w == nil {
+		return 1
+	}
+	lag := (s.clock - w.served) * w.share
+	return math.Exp2(min(max(lag, -maxLead), maxLag))
+}
+
+// overShare reports whether the workspace runs more than its share.
+func (s *spaces) overShare(name string) bool {
+	w := s.byName[name]
+	return w != nil && w.served > s.clock
+}
+
+// reserve is the number of free permits that are kept for workspaces within
+// their share while one is over its share.
+const reserve = 1
+
+// mayStart reports whether item may take one of limit permits of which running
+// are held. The last ones are kept for workspaces within their share, and so
+// is room for other work before work that can wait.
+func (s *spaces) mayStart(item *Item, running, limit int) bool {
+	free := limit - running
+	if free > reserve || limit <= minLimitToReserve {
+		return true
+	}
+	w := s.byName[item.Workspace]
+	if w == nil || w.running == 0 {
+		return true
+	}
+	fair := float64(limit) * w.share / max(s.total, w.share)
+	return float64(w.running) < math.Ceil(fair)
+}
+
+// minLimitToReserve is the limit up to which no permit is kept back.
+const minLimitToReserve = 2
--- /dev/null
+++ b/request/retry/decide.go
@@ -0,0 +1,65 @@
+package retry
+
+import (
+	"time"
+
+	"github.com/stoatmount/stoatmount/request/outcome"
+	"github.com/stoatmount/stoatmount/version/config"
+)
+
+const (
+	// MaxAttempts is the largest number of attempts of one request, hedges
+	// included. It keeps one body from failing many endpoints.
+	MaxAttempts = 3
+	// hedgeAfter is the part of Kind.FirstByte after which an attempt without
+	// a first byte is hedged.
+	hedgeAfter = 0.5
+	// minHedge is the least age of an attempt that is hedged.
+	minHedge = 100 * time.Millisecond
+)
+
+// Attempts is what was tried for a request so far.
+type Attempts struct {
+	Kind     *config.Kind
+	Run      outcome.Run   // over all attempts so far
+	Made     int           // attempts that were dispatched
+	Streamed bool          // the caller has got a part of the answer
+	Left     time.Duration // time left until the deadline
+	Serve    time.Duration // least time that another attempt needs
+	Verdict  outcome.Code  // RequestConvicted if the request is known to crash endpoints
+}
+
+// Again returns OK if the request may be sent to an endpoint once more after a
+// failed attempt, otherwise why not. A non-idempotent request is sent again
+// only if no endpoint can have executed it.
+func (a *Attempts) Again() outcome.Code {
+	switch {
+	case a.Verdict != outcome.OK:
+		return a.Verdict
+	case a.Kind.NonIdempotent && a.Run != outcome.RunNot:
+		return outcome.ResultLost
+	case a.Streamed:
+		return outcome.AnswerTruncated
+	case a.Left < a.Serve:
+		return outcome.DeadlineTooShort
+	case a.Made >= MaxAttempts:
+		return outcome.EndpointFailed
+	default:
+		return outcome.OK
+	}
+}
+
+// HedgeAfter returns the time without a first byte after which a second
+// attempt may be sent beside the first. It returns false if the request must
+// not be hedged: it is non-idempotent, can wait, or has streamed.
+func (a *Attempts) HedgeAfter() (time.Duration, bool) {
+	if a.Kind.NonIdempotent || a.Kind.CanWait || a.Streamed || a.Made >= MaxAttempts {
+		return 0, false
+	}
+	after := time.Duration(hedgeAfter * float64(a.Kind.FirstByte.Std()))
+	after = max(after, minHedge)
+	if a.Left-after < a.Serve {
+		return 0, false
+	}
+	return after, true
+}
--- /dev/null
+++ b/request/retry/retry_test.go
@@ -0,0 +1,66 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/stoatmount/stoatmount/request/outcome"
+	"github.com/stoatmount/stoatmount/version/config"
+)
+
+func TestRetriesStayAShareOfWhatIsServed(t *testing.T) {
+	c := qt.New(t)
+	b := NewBudget(0.1)
+	taken := 0
+	for i := range 10_000 {
+		b.Served([]string{"a", "b", "c"}[i%3])
+		if b.Take([]string{"b", "c", "a"}[i%3]) == outcome.OK {
+			taken++
+		}
+	}
+	c.Check(taken <= 1000+routerBurst, qt.IsTrue, qt.Commentf("%d", taken))
+	c.Check(taken >= 900, qt.IsTrue, qt.Commentf("%d", taken))
+}
+
+func TestOneEndpointCannotUseTheWholeBudget(t *testing.T) {
+	c := qt.New(t)
+	b := NewBudget(0.1)
+	taken := 0
+	for range 100 {
+		if b.Take("a") == outcome.OK {
+			taken++
+		}
+	}
+	c.Check(taken, qt.Equals, endpointBurst)
+	c.Check(b.Take("b"), qt.Equals, outcome.OK)
+}
+
+func TestNonIdempotentIsNeverSentTwice(t *testing.T) {
+	c := qt.New(t)
+	booking := &config.Kind{NonIdempotent: true, FirstByte: config.Duration(time.Second)}
+	for _, run := range []outcome.Run{outcome.RunUnknown, outcome.RunDone} {
+		a := Attempts{Kind: booking, Run: run, Made: 1, Left: time.Minute}
+		c.Check(a.Again(), qt.Equals, outcome.ResultLost)
+	}
+	a := Attempts{Kind: booking, Run: outcome.RunNot, Made: 1, Left: time.Minute}
+	c.Check(a.Again(), qt.Equals, outcome.OK)
+	_, ok := a.HedgeAfter()
+	c.Check(ok, qt.IsFalse)
+}
+
+func TestAgainStops(t *testing.T) {
+	c := qt.New(t)
+	chat := &config.Kind{FirstByte: config.Duration(2 * time.Second)}
+	a := Attempts{Kind: chat, Made: 1, Left: time.Minute, Serve: time.Second}
+	after, ok := a.HedgeAfter()
+	c.Check(ok, qt.IsTrue)
+	c.Check(after, qt.Equals, time.Second)
+	a.Made = MaxAttempts
+	c.Check(a.Again(), qt.Equals, outcome.EndpointFailed)
+	a.Verdict = outcome.RequestConvicted
+	c.Check(a.Again(), qt.Equals, outcome.RequestConvicted)
+	a = Attempts{Kind: chat, Made: 1, Left: time.Second / 2, Serve: time.Second}
+	c.Check(a.Again(), qt.Equals, outcome.DeadlineTooShort)
+}
