--- /dev/null
+++ b/connection/platform/logclient.go
@@ -0,0 +1,127 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// LogClient reaches the append-only log over HTTP. It is safe for concurrent
+// use.
+type LogClient struct {
+	*service
+}
+
+// NewLogClient returns a client of the log service at o.Address.
+func NewLogClient(o ClientOptions) *LogClient {
+	return &LogClient{service: newService(o)}
+}
+
+// AppendBody is the body of an append.
+type AppendBody struct {
+	Records [][]byte `json:"records"`
+}
+
+// AppendReply is the answer to an append.
+type AppendReply struct {
+	Offset Offset `json:"offset"`
+}
+
+// maxPageBytes bounds a page of records.
+const maxPageBytes = 64 << 20
+
+// Append implements Log. The request is sent at most once: it carries no
+// header that lets the transport repeat it, and its body cannot be rewound.
+func (c *LogClient) Append(ctx context.Context, stream string, records [][]byte) (Offset, error) {
+	body, err := json.Marshal(AppendBody{Records: records})
+	if err != nil {
+		return 0, &AppendError{Cause: errors.WithStack(err)}
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	var sent atomic.Bool
+	trace := &httptrace.ClientTrace{WroteHeaderField: func(string, []string) { sent.Store(true) }}
+	target := c.base + "/v1/streams/" + url.PathEscape(stream) + "/records"
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, target, io.NopCloser(bytes.NewReader(body)))
+	if err != nil {
+		return 0, &AppendError{Cause: errors.WithStack(err)}
+	}
+	req.ContentLength = int64(len(body))
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return 0, &AppendError{Applied: sent.Load(), Cause: errors.Wrap(err, "append to "+stream)}
+	}
+	defer discard(resp.Body)
+	return appendReply(resp, stream)
+}
+
+func appendReply(resp *http.Response, stream string) (Offset, error) {
+	if resp.StatusCode != http.StatusOK {
+		refused := resp.StatusCode >= http.StatusBadRequest && resp.StatusCode < http.StatusInternalServerError
+		cause := errors.Errorf("append to %s: status %d", stream, resp.StatusCode)
+		return 0, &AppendError{Applied: !refused, Cause: cause}
+	}
+	var reply AppendReply
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxPageBytes)).Decode(&reply); err != nil {
+		return 0, &AppendError{Applied: true, Cause: errors.Wrap(err, "append to "+stream)}
+	}
+	if reply.Offset == 0 {
+		return 0, &AppendError{Applied: true, Cause: errors.Errorf("append to %s: answer without offset", stream)}
+	}
+	return reply.Offset, nil
+}
+
+// Read implements Log.
+func (c *LogClient) Read(ctx context.Context, stream string, from Offset, limit int, wait time.Duration) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout+wait)
+	defer cancel()
+	query := url.Values{}
+	query.Set("from", strconv.FormatUint(uint64(from), 10))
+	query.Set("limit", strconv.Itoa(limit))
+	query.Set("wait_ms", strconv.FormatInt(wait.Milliseconds(), 10))
+	target := c.base + "/v1/streams/" + url.PathEscape(stream) + "/records?" + query.Encode()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return Page{}, errors.WithStack(err)
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return Page{}, errors.Wrap(err, "read "+stream)
+	}
+	defer discard(resp.Body)
+	return readReply(resp, stream)
+}
+
+func readReply(resp *http.Response, stream string) (Page, error) {
+	expired := resp.StatusCode == http.StatusGone
+	if resp.StatusCode != http.StatusOK && !expired {
+		return Page{}, errors.Errorf("read %s: status %d", stream, resp.StatusCode)
+	}
+	var page Page
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxPageBytes)).Decode(&page); err != nil {
+		return Page{}, errors.Wrap(err, "read "+stream)
+	}
+	if expired {
+		return page, ErrExpired
+	}
+	return page, nil
+}
+
+// discardBytes is how much of an unread answer is read so that its connection
+// can be used again.
+const discardBytes = 4 << 10
+
+func discard(body io.ReadCloser) {
+	_, _ = io.CopyN(io.Discard, body, discardBytes)
+	_ = body.Close()
+}
--- /dev/null
+++ b/process/configlog/fold.go
@@ -0,0 +1,271 @@
+package configlog
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"github.com/stoatmount/stoatmount/connection/platform"
+	"github.com/stoatmount/stoatmount/request/outcome"
+	"github.com/stoatmount/stoatmount/version/config"
+)
+
+// rememberedChanges is the number of judged changes that a Fold keeps, to
+// recognise repeats and for the history.
+const rememberedChanges = 512
+
+// ErrNewerFormat is returned by Fold.Apply for a record of a newer format than
+// this process knows.
+var ErrNewerFormat = errors.New("config record has a newer format than this process knows")
+
+// ErrGap is returned by Fold.Apply for a record that does not follow the last
+// one.
+var ErrGap = errors.New("config records are missing")
+
+// Fold is the state that the records of the config stream lead to. It is a
+// pure function of the records and not safe for concurrent use.
+type Fold struct {
+	next         platform.Offset
+	state        config.State
+	entries      []Entry        // oldest first, at most rememberedChanges
+	index        map[string]int // entry by id, counted from the first ever
+	dropped      int            // entries dropped from the front
+	floorOffset  platform.Offset
+	floorVersion config.Version
+
+	sinceCheckpoint int // records after the last checkpoint
+}
+
+// NewFold returns the fold of a stream that begins at offset 1.
+func NewFold() *Fold {
+	return &Fold{next: 1, index: make(map[string]int)}
+}
+
+// FoldFrom returns the fold that c was taken of.
+func FoldFrom(c Checkpoint) *Fold {
+	f := NewFold()
+	f.next = c.Next
+	f.state = c.State
+	f.floorOffset = c.FloorOffset
+	f.floorVersion = c.FloorVersion
+	for _, e := range c.Entries {
+		f.remember(e)
+	}
+	return f
+}
+
+// Checkpoint returns the state of f. It shares memory that f never changes.
+func (f *Fold) Checkpoint() Checkpoint {
+	return Checkpoint{
+		Next:         f.next,
+		State:        f.state,
+		Entries:      slices.Clone(f.entries),
+		FloorOffset:  f.floorOffset,
+		FloorVersion: f.floorVersion,
+	}
+}
+
+// Next returns the offset of the first record that has not been applied.
+func (f *Fold) Next() platform.Offset { return f.next }
+
+// State returns the configuration in force.
+func (f *Fold) State() config.State { return f.state }
+
+// SinceCheckpoint returns the number of records applied after the last
+// checkpoint.
+func (f *Fold) SinceCheckpoint() int { return f.sinceCheckpoint }
+
+// History returns the remembered changes, oldest first.
+func (f *Fold) History() []Entry { return slices.Clone(f.entries) }
+
+// Verdict returns how the change with id was judged.
+func (f *Fold) Verdict(id string) (Entry, bool) {
+	at, ok := f.index[id]
+	if !ok {
+		return Entry{}, false
+	}
+	return f.entries[at-f.dropped], true
+}
+
+// Apply applies the next record. Records that have been applied are ignored.
+// It reports whether the configuration in force changed.
+func (f *Fold) Apply(r platform.Record) (bool, error) {
+	if r.Offset < f.next {
+		return false, nil
+	}
+	if r.Offset > f.next {
+		return false, errors.Wrapf(ErrGap, "have %d, got %d", f.next, r.Offset)
+	}
+	rec, ok := decode(r.Data)
+	if ok && rec.Format > formatVersion {
+		return false, errors.Wrapf(ErrNewerFormat, "offset %d, format %d", r.Offset, rec.Format)
+	}
+	f.next++
+	f.sinceCheckpoint++
+	if !ok {
+		return false, nil
+	}
+	if rec.Checkpoint != nil {
+		f.sinceCheckpoint = 0
+	}
+	if rec.Change == nil {
+		return false, nil
+	}
+	return f.judge(r, *rec.Change), nil
+}
+
+// decode reads one record. A record that cannot be read has no effect on any
+// router.
+func decode(data []byte) (record, bool) {
+	var rec record
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	if err := decoder.Decode(&rec); err != nil {
+		return record{}, false
+	}
+	return rec, rec.Format > 0
+}
+
+// judge decides on c and reports whether the configuration changed.
+func (f *Fold) judge(r platform.Record, c Change) bool {
+	if _, repeat := f.index[c.ID]; repeat || c.ID == "" {
+		return false
+	}
+	verdict, next := f.decide(r, c)
+	changed := verdict.Accepted && verdict.Version != f.state.Version
+	if changed {
+		f.state = next
+	}
+	f.remember(Entry{
+		ID: c.ID, Offset: r.Offset, Base: c.Base, Author: c.Author, Reason: c.Reason,
+		At: r.At, Op: c.Op, Target: c.Target, Verdict: verdict,
+	})
+	return changed
+}
+
+// remember adds e to the history and drops the oldest entry if there are too
+// many.
+func (f *Fold) remember(e Entry) {
+	f.entries = append(f.entries, e)
+	f.index[e.ID] = f.dropped + len(f.entries) - 1
+	if len(f.entries) <= rememberedChanges {
+		return
+	}
+	oldest := f.entries[0]
+	delete(f.index, oldest.ID)
+	f.floorOffset = max(f.floorOffset, oldest.Offset)
+	if oldest.Verdict.Accepted {
+		f.floorVersion = max(f.floorVersion, oldest.Verdict.Version)
+	}
+	f.entries = slices.Clone(f.entries[1:])
+	f.dropped++
+}
+
+func (f *Fold) reject(code outcome.Code, format string, args ...any) (Verdict, config.State) {
+	v := Verdict{Version: f.state.Version, Code: code, Detail: fmt.Sprintf(format, args...)}
+	return v, f.state
+}
+
+// decide judges c against the state in force. It returns the state after it.
+func (f *Fold) decide(r platform.Record, c Change) (Verdict, config.State) {
+	if c.Seen <= f.floorOffset {
+		return f.reject(outcome.VersionConflict, "the change was made before offset %d and arrived too late", f.floorOffset)
+	}
+	if c.Base > f.state.Version {
+		return f.reject(outcome.VersionConflict, "version %d is not known; version %d is in force", c.Base, f.state.Version)
+	}
+	switch {
+	case c.Op == OpPush && c.Config != nil:
+		return f.decidePush(r, c)
+	case (c.Op == OpOut || c.Op == OpIn) && c.Target != nil:
+		return f.decideMark(r, c)
+	default:
+		return f.reject(outcome.BadRequest, "operation %q is unknown or incomplete", c.Op)
+	}
+}
+
+func (f *Fold) decidePush(r platform.Record, c Change) (Verdict, config.State) {
+	if c.Base != f.state.Version {
+		return f.reject(outcome.VersionConflict, "made on version %d; version %d is in force", c.Base, f.state.Version)
+	}
+	problems := config.Validate(*c.Config)
+	if fixed, ok := f.shardsChanged(c); ok {
+		problems = append(problems, fixed)
+	}
+	if len(problems) > 0 {
+		v, state := f.reject(outcome.ConfigInvalid, "%s", problems[0])
+		v.Problems = problems
+		return v, state
+	}
+	next := config.State{Version: config.Version(r.Offset), Config: *c.Config, Out: f.state.Out}
+	return Verdict{Accepted: true, Version: next.Version}, next
+}
+
+// shardsChanged reports a push that changes the number of ledger shards. It
+// would move keys to other streams, where their claims are not known.
+func (f *Fold) shardsChanged(c Change) (config.Problem, bool) {
+	have, want := f.state.Config.Limits.LedgerShards, c.Config.Limits.LedgerShards
+	if f.state.Version == 0 || have == want || have == 0 {
+		return config.Problem{}, false
+	}
+	return config.Problem{
+		Place:  "limits.ledger_shards",
+		Text:   fmt.Sprintf("the number cannot change from %d to %d", have, want),
+		Remedy: "keep the number; it is fixed by the first configuration",
+	}, true
+}
+
+func (f *Fold) decideMark(r platform.Record, c Change) (Verdict, config.State) {
+	target := *c.Target
+	if !f.known(target) {
+		return f.reject(outcome.UnknownName, "there is no %s %q", target.Scope, target.Name)
+	}
+	if f.state.IsOut(target) == (c.Op == OpOut) {
+		return Verdict{Accepted: true, Version: f.state.Version, Detail: "already so"}, f.state
+	}
+	if at, changed := f.changedAfter(target, c.Base); changed {
+		return f.reject(outcome.VersionConflict, "%s %q was changed in version %d, after version %d", target.Scope, target.Name, at, c.Base)
+	}
+	next := config.State{Version: config.Version(r.Offset), Config: f.state.Config}
+	if c.Op == OpOut {
+		mark := config.OutMark{Target: target, Since: r.At, By: c.Author}
+		next.Out = append(slices.Clone(f.state.Out), mark)
+	} else {
+		isTarget := func(m config.OutMark) bool { return m.Target == target }
+		next.Out = slices.DeleteFunc(slices.Clone(f.state.Out), isTarget)
+	}
+	return Verdict{Accepted: true, Version: next.Version}, next
+}
+
+// known reports whether target can be taken out or brought back. Hosts are not
+// part of the configuration, so any host name is known.
+func (f *Fold) known(target config.Target) bool {
+	if f.state.IsOut(target) {
+		return true
+	}
+	c := &f.state.Config
+	switch target.Scope {
+	case config.ScopeZone:
+		return slices.ContainsFunc(c.Zones, func(z config.Zone) bool { return z.Name == target.Name })
+	case config.ScopeEndpoint:
+		return slices.ContainsFunc(c.Endpoints, func(e config.Endpoint) bool { return e.Name == target.Name })
+	case config.ScopeHost:
+		return target.Name != ""
+	}
+	return false
+}
+
+// changedAfter returns the version after base in which target was taken out or
+// brought back. It assumes such a change if it cannot know.
+func (f *Fold) changedAfter(target config.Target, base config.Version) (config.Version, bool) {
+	for i := len(f.entries) - 1; i >= 0; i-- {
+		e := &f.entries[i]
+		moved := e.Verdict.Accepted && e.Verdict.Version == config.Version(e.Offset)
+		if moved && e.Verdict.Version > base && e.Target != nil && *e.Target == target {
+			return e.Verdict.Version, true
+		}
+	}
+	return f.floorVersion, base < f.floorVersion
+}
