--- a/connection/operator/server_test.go
+++ b/connection/operator/server_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -207,15 +208,15 @@
 	gone.Close()
 	_, err := connect(c, key, gone.URL, web.URL).Push(t.Context(), api.Push{})
 	c.Check(err, qt.IsNil)
-	asked := 0
+	var asked atomic.Int32
 	cutting := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
-		asked++
+		asked.Add(1)
 		panic(http.ErrAbortHandler)
 	}))
 	defer cutting.Close()
 	_, err = connect(c, key, cutting.URL, web.URL).Push(t.Context(), api.Push{Base: 1})
 	c.Check(err, qt.IsNotNil)
-	c.Check(asked, qt.Equals, 1)
+	c.Check(asked.Load(), qt.Equals, int32(1))
 	c.Check(controller.state.Version, qt.Equals, config.Version(1))
 	_, err = connect(c, key, gone.URL).Status(t.Context())
 	var unreachable *client.UnreachableError
--- a/version/form/source.go
+++ b/version/form/source.go
@@ -72,7 +72,8 @@
 			s.lines[prefix] = s.lines[plain]
 			counts[plain]++
 		case unstable.KeyValue:
-			s.note(&parser, node, prefix, counts)
+			key := s.note(&parser, node, prefix, counts)
+			s.noteValue(&parser, node.Value(), key)
 		default:
 		}
 	}
@@ -90,6 +91,31 @@
 	return key
 }
 
+// noteValue records the lines of the keys inside value, which stands at key.
+func (s *Source) noteValue(parser *unstable.Parser, value *unstable.Node, key string) {
+	switch value.Kind {
+	case unstable.Array:
+		i := 0
+		for elements := value.Children(); elements.Next(); {
+			element := elements.Node()
+			if element.Kind != unstable.Comment {
+				s.noteValue(parser, element, fmt.Sprintf("%s[%d]", key, i))
+				i++
+			}
+		}
+	case unstable.InlineTable:
+		for pairs := value.Children(); pairs.Next(); {
+			pair := pairs.Node()
+			inner := s.note(parser, pair, key, nil)
+			s.noteValue(parser, pair.Value(), inner)
+			if _, known := s.lines[key]; !known {
+				s.lines[key] = s.lines[inner]
+			}
+		}
+	default:
+	}
+}
+
 // withIndex returns key with the index of its last element if key is an array
 // of tables.
 func withIndex(key string, counts map[string]int) string {
