Add the stand-in engine and plain service

Cause: routers, tests and measurements need endpoints that batch, cache, turn cold and fail as real ones do, and that keep their own truth about what ran. Change: standin/engine with batching, prefix cache, cold starts, priorities, resume, cancel, cache moves and events, lagged load and orders; standin/service counts executions by key. Both take faults by name.

--- /dev/null
+++ b/standin/engine/chat.go
@@ -0,0 +1,114 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/stoatmount/stoatmount/connection/endpoint/protocol"
+	"github.com/stoatmount/stoatmount/standin/fault"
+)
+
+// maxBodyBytes bounds the body of a chat completion.
+const maxBodyBytes = 16 << 20
+
+func (e *Engine) handleChat(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var request protocol.ChatRequest
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&request)
+	if err != nil || len(request.Messages) == 0 {
+		e.refuse(w, &refusal{http.StatusBadRequest, "the body must be JSON with messages"})
+		return
+	}
+	if slow, ok := e.faults.Strike(fault.Slow); ok && !e.sleep(r, slow.Delay) {
+		return
+	}
+	if _, ok := e.faults.Strike(fault.TurnCold); ok {
+		e.TurnCold()
+	}
+	if _, ok := e.faults.Strike(fault.Refuse); ok {
+		e.refuse(w, &refusal{http.StatusServiceUnavailable, "refused"})
+		return
+	}
+	header := r.Header
+	priority, _ := strconv.Atoi(header.Get(protocol.HeaderPriority))
+	s := newSequence(header.Get(protocol.HeaderRequestID), header.Get(protocol.HeaderSession), priority, &request)
+	if refused := e.submit(s); refused != nil {
+		e.refuse(w, refused)
+		return
+	}
+	defer e.detach(s)
+	e.answer(w, r, s, request.Stream)
+}
+
+// refuse answers a request that was not run.
+func (e *Engine) refuse(w http.ResponseWriter, refused *refusal) {
+	w.Header().Set(protocol.HeaderNotRun, "true")
+	http.Error(w, refused.text, refused.status)
+}
+
+// answer sends the answer of a request that was taken in.
+func (e *Engine) answer(w http.ResponseWriter, r *http.Request, s *sequence, stream bool) {
+	if _, ok := e.faults.Strike(fault.LostReply); ok {
+		e.awaitEnd(r, s)
+		panic(http.ErrAbortHandler)
+	}
+	a := &answerWriter{engine: e, w: w, r: r, sequence: s, id: s.id}
+	if _, ok := e.faults.Strike(fault.Crossed); ok {
+		a.cross()
+	}
+	if stream {
+		a.stream(0)
+		return
+	}
+	a.whole()
+}
+
+// awaitEnd waits until s is no longer in progress.
+func (e *Engine) awaitEnd(r *http.Request, s *sequence) progress {
+	for {
+		p := e.look(s, 0)
+		if p.state != queued && p.state != running {
+			return p
+		}
+		select {
+		case <-p.changed:
+		case <-r.Context().Done():
+			panic(http.ErrAbortHandler)
+		case <-e.closed:
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+func (e *Engine) handleResume(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+	offset, err := strconv.Atoi(r.URL.Query().Get("offset"))
+	if err != nil || offset < 0 {
+		http.Error(w, "offset must be the number of the next token", http.StatusBadRequest)
+		return
+	}
+	s, ok := e.attach(params.ByName("id"))
+	if !ok {
+		http.Error(w, "no such request", http.StatusNotFound)
+		return
+	}
+	defer e.detach(s)
+	a := &answerWriter{engine: e, w: w, r: r, sequence: s, id: s.id}
+	a.stream(offset)
+}
+
+func (e *Engine) handleCancel(w http.ResponseWriter, _ *http.Request, params httprouter.Params) {
+	e.mu.Lock()
+	s, ok := e.sequences[params.ByName("id")]
+	if ok {
+		e.cancelLocked(s)
+	}
+	e.mu.Unlock()
+	if !ok {
+		http.Error(w, "no such request", http.StatusNotFound)
+		return
+	}
+	e.signal()
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/standin/engine/engine.go
@@ -0,0 +1,222 @@
+package engine
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/julienschmidt/httprouter"
+	"github.com/sourcegraph/conc"
+
+	"github.com/stoatmount/stoatmount/connection/endpoint/protocol"
+	"github.com/stoatmount/stoatmount/standin/fault"
+	"github.com/stoatmount/stoatmount/standin/internal/listen"
+)
+
+// Engine is a running engine. It is safe for concurrent use.
+type Engine struct {
+	*listen.Server
+	options Options
+	clock   clockwork.Clock
+	faults  *fault.Set
+	// lifetime ends with Close; closed is its Done channel.
+	lifetime context.Context
+	end      context.CancelFunc
+	closed   <-chan struct{}
+	wake     chan struct{} // has room for one signal to the loop
+	wg       conc.WaitGroup
+
+	mu        sync.Mutex
+	boot      uint64
+	down      bool
+	leaving   bool
+	serving   serving
+	arrivals  uint64
+	queue     []*sequence // by priority, then arrival
+	batch     []*sequence // running, in order of admission
+	sequences map[string]*sequence
+	kept      []*sequence // finished, oldest first
+	cache     *prefixCache
+	events    eventLog
+	warmth    warmth
+	completed uint64 // since boot
+	firstMs   float64
+	history   []sample
+	record    record
+}
+
+// Start starts an engine on addr, or on a free loopback port if addr is empty.
+func Start(addr string, options Options) (*Engine, error) {
+	options = options.withDefaults()
+	now := options.Clock.Now()
+	lifetime, end := context.WithCancel(context.Background())
+	e := &Engine{
+		options:   options,
+		clock:     options.Clock,
+		faults:    fault.NewSet(options.Clock, options.Seed),
+		lifetime:  lifetime,
+		end:       end,
+		closed:    lifetime.Done(),
+		wake:      make(chan struct{}, 1),
+		boot:      uint64(now.UnixNano()),
+		serving:   newServing(options),
+		sequences: make(map[string]*sequence),
+		cache:     newPrefixCache(options.CacheTokens),
+		events:    eventLog{next: 1},
+		warmth:    newWarmth(options, now),
+	}
+	e.sampleLocked()
+	server, err := listen.Start(addr, e.routes())
+	if err != nil {
+		end()
+		return nil, err
+	}
+	e.Server = server
+	e.wg.Go(e.loop)
+	return e, nil
+}
+
+func (e *Engine) routes() *httprouter.Router {
+	router := httprouter.New()
+	router.POST(protocol.PathChat, e.handleChat)
+	router.GET(protocol.PathRequests+":id/stream", e.handleResume)
+	router.DELETE(protocol.PathRequests+":id", e.handleCancel)
+	router.GET(protocol.PathLoad, e.handleLoad)
+	router.GET(protocol.PathCacheEvents, e.handleCacheEvents)
+	router.POST(protocol.PathCacheExport, e.handleExport)
+	router.POST(protocol.PathCacheImport, e.handleImport)
+	router.POST(protocol.PathOrders, e.handleOrder)
+	return router
+}
+
+// Close stops the engine for good.
+func (e *Engine) Close() {
+	e.mu.Lock()
+	e.down = true
+	e.mu.Unlock()
+	e.end()
+	e.Stop()
+	e.wg.Wait()
+	e.Server.Close()
+}
+
+// Faults returns the engine's faults.
+func (e *Engine) Faults() *fault.Set {
+	return e.faults
+}
+
+// Leave makes the engine say that it leaves and refuse new work as not run.
+func (e *Engine) Leave() { e.setLeaving(true) }
+
+// Return ends what Leave began.
+func (e *Engine) Return() { e.setLeaving(false) }
+
+func (e *Engine) setLeaving(leaving bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = leaving
+	e.record.leftAt = e.clock.Now()
+	e.sampleLocked()
+}
+
+// TurnCold empties the cache and lowers the true capacity without notice: the
+// boot number stays and no cache event is published.
+func (e *Engine) TurnCold() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.turnColdLocked(false)
+}
+
+func (e *Engine) turnColdLocked(announced bool) {
+	e.warmth.reset(e.clock.Now(), announced)
+	e.cache = newPrefixCache(e.options.CacheTokens)
+}
+
+// Crash drops all requests and connections. The engine starts again, cold and
+// with a new boot number, after Options.RestartAfter.
+func (e *Engine) Crash(reason string) {
+	e.mu.Lock()
+	if e.down {
+		e.mu.Unlock()
+		return
+	}
+	e.down = true
+	e.record.addCrash(reason, e.clock.Now(), e.batch)
+	e.loseAllLocked()
+	e.mu.Unlock()
+	e.Stop()
+	e.wg.Go(e.restart)
+}
+
+func (e *Engine) loseAllLocked() {
+	for _, s := range slices.Concat(e.batch, e.queue) {
+		s.state = lost
+		s.notify()
+	}
+	e.batch, e.queue, e.kept = nil, nil, nil
+	clear(e.sequences)
+}
+
+func (e *Engine) restart() {
+	select {
+	case <-e.clock.After(e.options.RestartAfter):
+	case <-e.closed:
+		return
+	}
+	e.mu.Lock()
+	e.rebootLocked()
+	e.mu.Unlock()
+	_ = e.Restart()
+}
+
+// rebootLocked gives the engine a new boot number and makes it cold.
+func (e *Engine) rebootLocked() {
+	e.boot++
+	e.down = false
+	e.completed = 0
+	e.events = eventLog{next: 1}
+	e.turnColdLocked(true)
+	e.history = nil
+	e.sampleLocked()
+}
+
+// Boot returns the present boot number.
+func (e *Engine) Boot() uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.boot
+}
+
+// signal wakes the loop.
+func (e *Engine) signal() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+// loop steps the batch until the engine is closed.
+func (e *Engine) loop() {
+	for {
+		wait, stepping := e.plan()
+		var timer <-chan time.Time
+		var wake <-chan struct{}
+		if wait >= 0 {
+			timer = e.clock.After(wait)
+		}
+		if !stepping {
+			wake = e.wake
+		}
+		select {
+		case <-timer:
+		case <-wake:
+		case <-e.closed:
+			return
+		}
+		if stepping {
+			e.step()
+		}
+	}
+}
--- /dev/null
+++ b/standin/engine/load.go
@@ -0,0 +1,70 @@
+package engine
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/stoatmount/stoatmount/connection/endpoint/protocol"
+	"github.com/stoatmount/stoatmount/standin/fault"
+	"github.com/stoatmount/stoatmount/standin/internal/listen"
+)
+
+// sample is a load report as it was at a time.
+type sample struct {
+	at     time.Time
+	report protocol.LoadReport
+}
+
+// sampleLocked keeps the present load for reports that lag.
+func (e *Engine) sampleLocked() {
+	now := e.clock.Now()
+	report := protocol.LoadReport{
+		Boot:        e.boot,
+		Running:     len(e.batch),
+		Queued:      len(e.queue),
+		Completed:   e.completed,
+		FirstToken:  e.firstMs,
+		CacheTokens: e.options.CacheTokens,
+		CacheUsed:   e.cache.used,
+		Leaving:     e.leaving,
+		Model:       e.serving.model,
+		Version:     e.serving.version,
+		Adapter:     e.serving.adapter,
+		Role:        e.serving.role,
+		Fence:       e.serving.fence,
+		Loading:     e.serving.loading,
+	}
+	e.history = append(e.history, sample{at: now, report: report})
+	oldest := now.Add(-e.options.LoadLag)
+	for len(e.history) > 1 && !e.history[1].at.After(oldest) {
+		e.history = e.history[1:]
+	}
+}
+
+// Load returns the load report as the engine gives it now.
+func (e *Engine) Load() protocol.LoadReport {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.clock.Now()
+	until := now.Add(-e.options.LoadLag)
+	found := e.history[0]
+	for _, s := range e.history[1:] {
+		if s.at.After(until) {
+			break
+		}
+		found = s
+	}
+	age := min(e.options.LoadLag, now.Sub(e.history[0].at))
+	found.report.AgeMs = age.Milliseconds()
+	return found.report
+}
+
+func (e *Engine) handleLoad(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	if _, down := e.faults.Strike(fault.LoadOutage); down {
+		http.Error(w, "no load report", http.StatusServiceUnavailable)
+		return
+	}
+	listen.WriteJSON(w, http.StatusOK, e.Load())
+}
--- /dev/null
+++ b/standin/engine/moves.go
@@ -0,0 +1,145 @@
+package engine
+
+import (
+	"bufio"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/stoatmount/stoatmount/connection/endpoint/protocol"
+	"github.com/stoatmount/stoatmount/standin/internal/listen"
+)
+
+// maxEvents is the number of cache events that are kept; older ones are lost.
+const maxEvents = 4096
+
+// exportBytesPerToken is the size of an exported token. Real caches are larger.
+const exportBytesPerToken = 16
+
+// eventLog holds the latest cache events.
+type eventLog struct {
+	next   uint64 // sequence number of the next event
+	events []timedEvent
+}
+
+type timedEvent struct {
+	at    time.Time
+	event protocol.CacheEvent
+}
+
+// add numbers an event and keeps it, unless it is lost.
+func (l *eventLog) add(now time.Time, session string, tokens int, gap bool) {
+	event := protocol.CacheEvent{Seq: l.next, Session: session, Tokens: tokens}
+	l.next++
+	if gap {
+		return
+	}
+	l.events = append(l.events, timedEvent{at: now, event: event})
+	if len(l.events) > maxEvents {
+		l.events = l.events[1:]
+	}
+}
+
+// from returns the events from a sequence number on that are as old as until.
+func (l *eventLog) from(seq uint64, until time.Time) (events []protocol.CacheEvent, next uint64) {
+	events = []protocol.CacheEvent{}
+	next = l.next
+	for _, e := range l.events {
+		if e.at.After(until) {
+			next = e.event.Seq
+			break
+		}
+		if e.event.Seq >= seq {
+			events = append(events, e.event)
+		}
+	}
+	return events, max(next, seq)
+}
+
+func (e *Engine) handleCacheEvents(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	from, err := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		http.Error(w, "from must be a sequence number", http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	page := protocol.CacheEvents{Boot: e.boot}
+	page.Events, page.Next = e.events.from(from, e.clock.Now().Add(-e.options.EventLag))
+	e.mu.Unlock()
+	listen.WriteJSON(w, http.StatusOK, page)
+}
+
+// exportHead is the first line of an exported cache.
+type exportHead struct {
+	Session string `json:"session"`
+	Model   string `json:"model"`
+	Version string `json:"version"`
+	Tokens  int    `json:"tokens"`
+}
+
+func (e *Engine) handleExport(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var move protocol.CacheMove
+	if err := json.NewDecoder(r.Body).Decode(&move); err != nil {
+		http.Error(w, "the body must name a session", http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	head := exportHead{
+		Session: move.Session, Model: e.serving.model, Version: e.serving.version,
+		Tokens: e.cache.get(move.Session),
+	}
+	e.mu.Unlock()
+	if head.Tokens == 0 {
+		http.Error(w, "the session is not cached", http.StatusNotFound)
+		return
+	}
+	if !e.sleep(r, perSecond(head.Tokens, e.options.MovePerSecond)) {
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	_ = json.NewEncoder(w).Encode(head)
+	_, _ = w.Write(make([]byte, head.Tokens*exportBytesPerToken))
+}
+
+func (e *Engine) handleImport(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	body := bufio.NewReader(r.Body)
+	line, err := body.ReadBytes('\n')
+	var head exportHead
+	if err != nil || json.Unmarshal(line, &head) != nil || head.Tokens <= 0 {
+		http.Error(w, "the body must be an exported cache", http.StatusBadRequest)
+		return
+	}
+	n, err := body.Discard(head.Tokens * exportBytesPerToken)
+	if err != nil {
+		http.Error(w, "the exported cache ends after "+strconv.Itoa(n)+" bytes", http.StatusBadRequest)
+		return
+	}
+	if !e.sleep(r, perSecond(head.Tokens, e.options.MovePerSecond)) {
+		return
+	}
+	e.importCache(w, &head)
+}
+
+func (e *Engine) importCache(w http.ResponseWriter, head *exportHead) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if head.Model != e.serving.model || head.Version != e.serving.version {
+		http.Error(w, "the exported cache is of another model or version", http.StatusConflict)
+		return
+	}
+	e.storeLocked(head.Session, head.Tokens)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// Cached returns the number of tokens that are cached for a session.
+func (e *Engine) Cached(session string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if element, ok := e.cache.entries[session]; ok {
+		return element.Value.(cacheEntry).tokens
+	}
+	return 0
+}
--- /dev/null
+++ b/standin/engine/text.go
@@ -0,0 +1,65 @@
+package engine
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/stoatmount/stoatmount/connection/endpoint/protocol"
+)
+
+// DefaultMaxTokens is the length of an answer whose request names none.
+const DefaultMaxTokens = 16
+
+// PoisonMarker in a message's content crashes the engine that computes it.
+const PoisonMarker = "[[crash-endpoint]]"
+
+// bytesPerToken is the length of text that counts as one prompt token.
+const bytesPerToken = 4
+
+// Expected returns the text that an engine answers to messages.
+func Expected(messages []protocol.Message, maxTokens int) string {
+	return strings.Join(answerTokens(messages, maxTokens), "")
+}
+
+// answerTokens returns the tokens of the answer to messages.
+func answerTokens(messages []protocol.Message, maxTokens int) []string {
+	if maxTokens <= 0 {
+		maxTokens = DefaultMaxTokens
+	}
+	digest := xxhash.New()
+	for i := range messages {
+		_, _ = fmt.Fprintf(digest, "%q %q;", messages[i].Role, messages[i].Content)
+	}
+	state := digest.Sum64()
+	tokens := make([]string, maxTokens)
+	for i := range tokens {
+		state = state*6364136223846793005 + 1442695040888963407
+		tokens[i] = fmt.Sprintf("%06x ", state>>40)
+	}
+	return tokens
+}
+
+// PromptTokens returns the number of tokens that messages count as.
+func PromptTokens(messages []protocol.Message) int {
+	total := 0
+	for i := range messages {
+		total += messageTokens(len(messages[i].Content))
+	}
+	return total
+}
+
+func messageTokens(bytes int) int {
+	return 1 + (bytes+bytesPerToken-1)/bytesPerToken
+}
+
+// isPoison reports whether messages crash the engine.
+func isPoison(messages []protocol.Message) bool {
+	for i := range messages {
+		if strings.Contains(messages[i].Content, PoisonMarker) {
+			return true
+		}
+	}
+	return false
+}
--- a/standin/internal/listen/server.go
+++ b/standin/internal/listen/server.go
@@ -23,9 +23,10 @@
 	handler http.Handler
 	addr    netip.AddrPort
 
-	mu   sync.Mutex
-	http *http.Server // nil while stopped
-	wg   conc.WaitGroup
+	mu     sync.Mutex
+	http   *http.Server // nil while stopped
+	closed bool
+	wg     conc.WaitGroup
 }
 
 // Start listens on addr, or on a free loopback port if addr is empty.
@@ -43,10 +44,14 @@
 }
 
 func (s *Server) serve(listener net.Listener) {
-	server := &http.Server{Handler: s.handler, ReadHeaderTimeout: readHeaderTimeout}
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		_ = listener.Close()
+		return
+	}
+	server := &http.Server{Handler: s.handler, ReadHeaderTimeout: readHeaderTimeout}
 	s.http = server
-	s.mu.Unlock()
 	s.wg.Go(func() { _ = server.Serve(listener) })
 }
 
@@ -60,18 +65,22 @@
 	return "http://" + s.addr.String()
 }
 
-// Stop closes the listener and cuts all connections.
-func (s *Server) Stop() {
+// Stop closes the listener and cuts all connections. It reports whether the
+// server was running.
+func (s *Server) Stop() bool {
 	s.mu.Lock()
 	server := s.http
 	s.http = nil
 	s.mu.Unlock()
-	if server != nil {
-		_ = server.Close()
+	if server == nil {
+		return false
 	}
+	_ = server.Close()
+	return true
 }
 
-// Restart listens again on the same address after Stop.
+// Restart listens again on the same address after Stop. It does nothing after
+// Close.
 func (s *Server) Restart() error {
 	listener, err := net.Listen("tcp", s.addr.String())
 	if err != nil {
@@ -83,6 +92,9 @@
 
 // Close stops the server for good.
 func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
 	s.Stop()
 	s.wg.Wait()
 }
--- /dev/null
+++ b/standin/service/record.go
@@ -0,0 +1,97 @@
+package service
+
+import (
+	"slices"
+	"time"
+)
+
+// Execution is one execution of a request.
+type Execution struct {
+	Number    uint64 // from 1, in the order of execution
+	RequestID string
+	Key       string // Idempotency-Key, if any
+	Path      string
+	Body      string
+	At        time.Time
+	Running   int // requests in progress, this one included
+}
+
+// Record is what really happened at the service.
+type Record struct {
+	Executions int
+	Refused    int // requests refused as not run
+	Crashes    int
+	// Repeated is the number of keys that were executed more than once.
+	Repeated int
+	// WorstRunning is the largest number of requests in progress.
+	WorstRunning int
+	// WorstOverrun is the largest excess over Options.Bears.
+	WorstOverrun int
+}
+
+type record struct {
+	executions   []Execution
+	byKey        map[string]int
+	byRequest    map[string]int
+	refused      int
+	crashes      int
+	worstRunning int
+	worstOverrun int
+}
+
+func newRecord() record {
+	return record{byKey: make(map[string]int), byRequest: make(map[string]int)}
+}
+
+func (r *record) add(e Execution, bears int) {
+	r.executions = append(r.executions, e)
+	if e.Key != "" {
+		r.byKey[e.Key]++
+	}
+	r.byRequest[e.RequestID]++
+	r.worstRunning = max(r.worstRunning, e.Running)
+	if bears > 0 {
+		r.worstOverrun = max(r.worstOverrun, e.Running-bears)
+	}
+}
+
+// Record returns what really happened so far.
+func (s *Service) Record() Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	repeated := 0
+	for _, n := range s.record.byKey {
+		if n > 1 {
+			repeated++
+		}
+	}
+	return Record{
+		Executions:   len(s.record.executions),
+		Refused:      s.record.refused,
+		Crashes:      s.record.crashes,
+		Repeated:     repeated,
+		WorstRunning: s.record.worstRunning,
+		WorstOverrun: s.record.worstOverrun,
+	}
+}
+
+// Executions returns all executions in their order.
+func (s *Service) Executions() []Execution {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.record.executions)
+}
+
+// ByKey returns how often a key was executed.
+func (s *Service) ByKey(key string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.record.byKey[key]
+}
+
+// ByRequest returns how often a request number was executed.
+func (s *Service) ByRequest(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.record.byRequest[id]
+}
--- /dev/null
+++ b/standin/service/service.go
@@ -0,0 +1,278 @@
+package service
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/julienschmidt/httprouter"
+	"github.com/sourcegraph/conc"
+
+	"github.com/stoatmount/stoatmount/connection/endpoint/protocol"
+	"github.com/stoatmount/stoatmount/standin/fault"
+	"github.com/stoatmount/stoatmount/standin/internal/listen"
+)
+
+// HeaderKey carries the caller's key of a non-idempotent request.
+const HeaderKey = "Idempotency-Key"
+
+// maxBodyBytes bounds the body that the service reads.
+const maxBodyBytes = 16 << 20
+
+// Options describe a service.
+type Options struct {
+	Clock clockwork.Clock // nil: real time
+	Seed  uint64          // of the faults
+	// Bears is the number of requests in progress that it bears; 0: any.
+	Bears int
+	// Work is the time that one request takes.
+	Work time.Duration
+	// RestartAfter is how long it stays down after a crash.
+	RestartAfter time.Duration
+}
+
+// Answer is the body of an answer.
+type Answer struct {
+	RequestID string `json:"request_id"`
+	Key       string `json:"key"`
+	Method    string `json:"method"`
+	Path      string `json:"path"`
+	Body      string `json:"body"` // the body that was sent
+	Execution uint64 `json:"execution"`
+}
+
+// Service is a running service. It is safe for concurrent use.
+type Service struct {
+	*listen.Server
+	options Options
+	clock   clockwork.Clock
+	faults  *fault.Set
+	boot    atomic.Uint64
+	closed  chan struct{}
+	wg      conc.WaitGroup
+
+	mu      sync.Mutex
+	running int
+	leaving bool
+	done    uint64 // executions completed since boot
+	record  record
+}
+
+// Start starts a service on addr, or on a free loopback port if addr is empty.
+func Start(addr string, options Options) (*Service, error) {
+	if options.Clock == nil {
+		options.Clock = clockwork.NewRealClock()
+	}
+	s := &Service{
+		options: options,
+		clock:   options.Clock,
+		faults:  fault.NewSet(options.Clock, options.Seed),
+		closed:  make(chan struct{}),
+		record:  newRecord(),
+	}
+	s.boot.Store(uint64(s.clock.Now().UnixNano()))
+	router := httprouter.New()
+	router.GET(protocol.PathLoad, s.handleLoad)
+	router.NotFound = http.HandlerFunc(s.handleRequest)
+	router.HandleMethodNotAllowed = false
+	server, err := listen.Start(addr, router)
+	s.Server = server
+	return s, err
+}
+
+// Close stops the service for good.
+func (s *Service) Close() {
+	close(s.closed)
+	s.Stop()
+	s.wg.Wait()
+	s.Server.Close()
+}
+
+// Faults returns the service's faults.
+func (s *Service) Faults() *fault.Set {
+	return s.faults
+}
+
+// Leave makes the service refuse new work as not run and say that it leaves;
+// Return undoes it.
+func (s *Service) Leave() { s.setLeaving(true) }
+
+// Return ends what Leave began.
+func (s *Service) Return() { s.setLeaving(false) }
+
+func (s *Service) setLeaving(leaving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = leaving
+}
+
+// Crash cuts all connections and restarts the service after RestartAfter.
+func (s *Service) Crash() {
+	if !s.Stop() {
+		return
+	}
+	s.mu.Lock()
+	s.record.crashes++
+	s.done = 0
+	s.mu.Unlock()
+	s.wg.Go(func() {
+		select {
+		case <-s.clock.After(s.options.RestartAfter):
+		case <-s.closed:
+			return
+		}
+		s.boot.Add(1)
+		_ = s.Restart()
+	})
+}
+
+func (s *Service) handleLoad(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	if _, down := s.faults.Strike(fault.LoadOutage); down {
+		http.Error(w, "no load report", http.StatusServiceUnavailable)
+		return
+	}
+	s.mu.Lock()
+	report := protocol.LoadReport{Boot: s.boot.Load(), Running: s.running, Completed: s.done, Leaving: s.leaving}
+	s.mu.Unlock()
+	listen.WriteJSON(w, http.StatusOK, report)
+}
+
+// handleRequest executes any request. Faults strike in the order of its steps.
+func (s *Service) handleRequest(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		s.refuse(w, http.StatusBadRequest)
+		return
+	}
+	if slow, ok := s.faults.Strike(fault.Slow); ok && !s.sleep(r, slow.Delay) {
+		return
+	}
+	if _, ok := s.faults.Strike(fault.Refuse); ok || s.isLeaving() {
+		s.refuse(w, http.StatusServiceUnavailable)
+		return
+	}
+	answer := s.execute(r, body)
+	if !s.work(r) {
+		return
+	}
+	s.reply(w, r, answer)
+}
+
+func (s *Service) isLeaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving
+}
+
+func (s *Service) refuse(w http.ResponseWriter, status int) {
+	s.mu.Lock()
+	s.record.refused++
+	s.mu.Unlock()
+	w.Header().Set(protocol.HeaderNotRun, "true")
+	http.Error(w, "refused", status)
+}
+
+// execute records the execution. From here on the request has run.
+func (s *Service) execute(r *http.Request, body []byte) Answer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running++
+	execution := Execution{
+		Number:    uint64(len(s.record.executions)) + 1,
+		RequestID: r.Header.Get(protocol.HeaderRequestID),
+		Key:       r.Header.Get(HeaderKey),
+		Path:      r.URL.Path,
+		Body:      string(body),
+		At:        s.clock.Now(),
+		Running:   s.running,
+	}
+	s.record.add(execution, s.options.Bears)
+	return Answer{
+		RequestID: execution.RequestID, Key: execution.Key, Method: r.Method,
+		Path: execution.Path, Body: execution.Body, Execution: execution.Number,
+	}
+}
+
+// work takes the time of the request. The request goes on and counts as
+// completed when its caller has gone; work then reports false.
+func (s *Service) work(r *http.Request) bool {
+	defer s.finish()
+	return s.sleep(r, s.options.Work)
+}
+
+func (s *Service) finish() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+	s.done++
+}
+
+// sleep waits for d. It reports false if the connection or the service ended.
+func (s *Service) sleep(r *http.Request, d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	select {
+	case <-s.clock.After(d):
+		return true
+	case <-r.Context().Done():
+		return false
+	case <-s.closed:
+		return false
+	}
+}
+
+// hold keeps the connection open and silent until either end closes it.
+func (s *Service) hold(r *http.Request) {
+	select {
+	case <-r.Context().Done():
+	case <-s.closed:
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// reply answers an executed request, subject to the faults of answers.
+func (s *Service) reply(w http.ResponseWriter, r *http.Request, answer Answer) {
+	if _, ok := s.faults.Strike(fault.Crash); ok {
+		s.Crash()
+		panic(http.ErrAbortHandler)
+	}
+	if _, ok := s.faults.Strike(fault.LostReply); ok {
+		panic(http.ErrAbortHandler)
+	}
+	if _, ok := s.faults.Strike(fault.Silence); ok {
+		s.hold(r)
+	}
+	if late, ok := s.faults.Strike(fault.Late); ok && !s.sleep(r, late.Delay) {
+		return
+	}
+	if _, ok := s.faults.Strike(fault.Crossed); ok {
+		answer.RequestID = "crossed-" + answer.RequestID
+		answer.Key = "crossed-" + answer.Key
+	}
+	s.write(w, answer)
+}
+
+func (s *Service) write(w http.ResponseWriter, answer Answer) {
+	data, err := json.Marshal(answer)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(protocol.HeaderRequestID, answer.RequestID)
+	listen.SetBoot(w, s.boot.Load())
+	listen.SetLength(w, len(data))
+	if _, ok := s.faults.Strike(fault.Truncate); ok {
+		_, _ = w.Write(data[:len(data)/2])
+		return
+	}
+	if _, ok := s.faults.Strike(fault.Cut); ok {
+		_, _ = w.Write(data[:len(data)/2])
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(data)
+}
