Derive the configuration from a questionnaire

Cause: a new team should name its services, kinds and workers in its own terms and get a whole configuration from them.

Change: version/answers holds the form (template with comments, checks in the form's own terms, all at once, with line and remedy), Generate with a reason for each derived value, and Diff by names. examples/ has the filled-in forms of both deployments: 3 zones with 9 and 3 workers, 4 zones with 12 and 4.

--- /dev/null
+++ b/version/answers/answers_test.go
@@ -0,0 +1,174 @@
+package answers
+
+import (
+	"errors"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/stoatmount/stoatmount/version/config"
+	"github.com/stoatmount/stoatmount/version/form"
+)
+
+func example(c *qt.C, name string) Answers {
+	a, err := Load(filepath.Join("..", "..", "examples", name, "answers.toml"))
+	c.Assert(err, qt.IsNil)
+	return a
+}
+
+func TestExamplesGiveValidConfigurations(t *testing.T) {
+	c := qt.New(t)
+	sizes := map[string][]int{"voces-unidas": {3, 9, 3}, "sismolab": {4, 12, 4}}
+	for name, want := range sizes {
+		generated, reasons := Generate(example(c, name))
+		c.Check(config.Validate(generated), qt.HasLen, 0)
+		snapshot := config.NewSnapshot(config.State{Config: generated})
+		c.Check(generated.Zones, qt.HasLen, want[0])
+		c.Check(snapshot.GroupEndpoints(generated.Models[0].Name), qt.HasLen, want[1])
+		c.Check(snapshot.GroupEndpoints(generated.Services[0].Name), qt.HasLen, want[2])
+		c.Check(generated.Workspaces, qt.HasLen, 10)
+		for _, reason := range reasons {
+			c.Check(reason.Why, qt.Not(qt.Equals), "")
+		}
+	}
+}
+
+// Every value of the configuration is either an answer or has a reason.
+func TestEveryValueIsAnsweredOrExplained(t *testing.T) {
+	c := qt.New(t)
+	a := example(c, "voces-unidas")
+	generated, reasons := Generate(a)
+	explained := make(map[string]bool)
+	for _, reason := range reasons {
+		explained[reason.Key] = true
+	}
+	answered := []string{
+		"name", "region", "version", "adapter", "prefill_per_second", "move_per_second", "address", "zone", "model",
+		"service", "role", "bears", "cold_bears", "cache_tokens", "checks_fence", "non_idempotent", "key_required", "any_key",
+		"can_wait", "full_until", "objective", "key_hash", "load_lag", "weight_loads_per_minute",
+	}
+	for _, e := range flatten(generated) {
+		_, field, _ := cutLast(e.key)
+		ok := explained[e.key]
+		for _, name := range answered {
+			ok = ok || field == name
+		}
+		c.Check(ok, qt.IsTrue, qt.Commentf("%s", e.key))
+	}
+	c.Check(explained["endpoints.booking-1.cold_bears"], qt.IsTrue)
+	c.Check(explained["endpoints.adapt-1.cold_bears"], qt.IsFalse)
+}
+
+func TestTemplateHasEveryAnswerAndSaysWhatIsMissing(t *testing.T) {
+	c := qt.New(t)
+	for _, key := range tomlKeys(reflect.TypeFor[Answers]()) {
+		c.Check(strings.Contains(New(), key), qt.IsTrue, qt.Commentf("%s", key))
+	}
+	_, err := Parse("new.toml", []byte(New()))
+	var problems form.Problems
+	c.Assert(errors.As(err, &problems), qt.IsTrue)
+	for _, p := range problems {
+		c.Check(p.Text, qt.Not(qt.Equals), "unknown key")
+		c.Check(p.Line > 0, qt.IsTrue, qt.Commentf("%v", p))
+		c.Check(p.Remedy, qt.Not(qt.Equals), "")
+	}
+	c.Check(len(problems) > 20, qt.IsTrue)
+}
+
+func tomlKeys(t reflect.Type) []string {
+	var keys []string
+	for field := range t.Fields() {
+		keys = append(keys, field.Tag.Get("toml")+" =")
+		inner := field.Type
+		if inner.Kind() == reflect.Slice {
+			keys[len(keys)-1] = "[[" + field.Tag.Get("toml") + "]]"
+			inner = inner.Elem()
+		}
+		if inner.Kind() == reflect.Struct && strings.HasSuffix(inner.PkgPath(), "version/answers") {
+			if field.Type.Kind() == reflect.Struct {
+				keys[len(keys)-1] = "[" + field.Tag.Get("toml") + "]"
+			}
+			keys = append(keys, tomlKeys(inner)...)
+		}
+	}
+	return keys
+}
+
+func TestContradictionsAreFoundAllAtOnce(t *testing.T) {
+	c := qt.New(t)
+	a := example(c, "sismolab")
+	a.WeighsMost = "speed"
+	a.Zones[1].Name = a.Zones[0].Name
+	a.Workers[0].Zone = "ate "
+	a.Workers[1].Address = a.Workers[2].Address
+	a.Workers[3].ColdAtOnce = 100
+	a.Workers[4].CacheTokens = 0
+	a.Kinds[0].FullUntil = a.Kinds[0].WorthlessAfter
+	a.Kinds[1].Promise = 1
+	a.Kinds[2].Application = "booking"
+	a.Kinds[2].Worth = 0
+	a.Kinds[3].Keys = ""
+	a.Kinds[4].Keys = KeysAlways
+	a.Workspaces[1].KeySHA256 = strings.ToUpper(a.Workspaces[0].KeySHA256)
+	a.Workspaces[2].KeySHA256 = "abc"
+	a.Platform.HarmfulPerSecond = 0
+	got := make(map[string]bool)
+	for _, p := range Check(a) {
+		got[p.Key] = true
+	}
+	for _, key := range []string{
+		"weighs_most", "zones[1].name", "workers[0].zone", "workers[1].zone", "workers[2].address", "workers[3].cold_at_once",
+		"workers[4].cache_tokens", "kinds[0].full_until", "kinds[1].promise", "kinds[2].application", "kinds[2].worth",
+		"kinds[3].keys", "kinds[4].keys", "workspaces[1].key_sha256", "workspaces[2].key_sha256", "platform.harmful_per_second",
+	} {
+		c.Check(got[key], qt.IsTrue, qt.Commentf("%s", key))
+	}
+}
+
+func TestFirstByteLeavesTimeForAnotherTry(t *testing.T) {
+	c := qt.New(t)
+	a := example(c, "sismolab")
+	a.Kinds[2].WorthlessAfter = config.Duration(3 * time.Second)
+	a.Kinds[2].FullUntil = config.Duration(time.Second)
+	a.Kinds[3].UsualFirstAnswer = config.Duration(4 * time.Second)
+	generated, _ := Generate(a)
+	c.Check(generated.Kinds[2].FirstByte.Std(), qt.Equals, 1500*time.Millisecond)
+	c.Check(generated.Kinds[3].FirstByte, qt.Equals, generated.Kinds[3].Deadline)
+	c.Check(generated.Kinds[0].FirstByte.Std(), qt.Equals, 1950*time.Millisecond)
+}
+
+func TestDiffTellsElementsByName(t *testing.T) {
+	c := qt.New(t)
+	a := example(c, "voces-unidas")
+	old, _ := Generate(a)
+	a.Workers[0].AtOnce = 16
+	a.Workers = append(a.Workers[:1], a.Workers[2:]...)
+	a.Zones = append(a.Zones, Zone{Name: "xela-d", Region: "altiplano"})
+	updated, _ := Generate(a)
+	c.Check(Diff(old, old), qt.HasLen, 0)
+	c.Check(Summary(Diff(old, updated)), qt.DeepEquals, []Change{
+		{"endpoints.adapt-1.bears", "8", "16"},
+		{"endpoints.adapt-1.warm_after", "16", "32"},
+		{"endpoints.adapt-2", "adapt-2", ""},
+		{"zones.xela-d", "", "xela-d"},
+	})
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(New()))
+	f.Add([]byte("workers = [{name = 1}, 2]\n[kinds]\n"))
+	f.Add([]byte("[[kinds]]\nname = \"a\"\n[[kinds.name]]\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		a, err := Parse("fuzz.toml", data)
+		if err != nil {
+			return
+		}
+		if generated, _ := Generate(a); len(config.Validate(generated)) > 0 {
+			t.Fatalf("answers without problems give an invalid configuration: %v", config.Validate(generated))
+		}
+	})
+}
--- a/version/answers/check.go
+++ b/version/answers/check.go
@@ -7,13 +7,26 @@
 	"regexp"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/stoatmount/stoatmount/version/config"
 	"github.com/stoatmount/stoatmount/version/form"
 )
 
-// keyHashBytes is the length of a SHA-256.
-const keyHashBytes = 32
+// Bounds of answers.
+const (
+	// keyHashBytes is the length of a SHA-256.
+	keyHashBytes = 32
+	// mostAtOnce bounds what one worker bears.
+	mostAtOnce = 1 << 16
+	// shortestWorth and longestWorth bound worthless_after.
+	shortestWorth = 10 * time.Millisecond
+	longestWorth  = 7 * 24 * time.Hour
+	// longestGap bounds usual_gap.
+	longestGap = time.Minute
+	// mostHarmful is more than the ledger takes in a second.
+	mostHarmful = 1000
+)
 
 // namePattern is the form of names: they stand in URLs, logs and metrics.
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
@@ -113,6 +126,7 @@
 }
 
 func (c *checker) application(key string, app Application) {
+	c.require(app.UsualGap >= 0 && app.UsualGap.Std() <= longestGap, key+".usual_gap", "write a time of at most 1m", "%v is no time between two parts of an answer", app.UsualGap.Std())
 	switch app.Sort {
 	case SortModel:
 		c.require(app.Version != "", key+".version", "name the weights that its workers are to load", "is missing")
@@ -155,6 +169,7 @@
 
 func (c *checker) worker(key string, w *Worker) {
 	c.require(w.AtOnce > 0, key+".at_once", "write how many requests it bears at a time when warm", "is missing or not above 0")
+	c.require(w.AtOnce <= mostAtOnce, key+".at_once", "write at most 65536", "%d is more than one worker can have", w.AtOnce)
 	c.require(w.ColdAtOnce >= 0, key+".cold_at_once", "leave it out if it is not known", "is negative")
 	c.require(w.ColdAtOnce <= max(w.AtOnce, 0), key+".cold_at_once", "write at most at_once", "%d is more than at_once = %d, what it bears warm", w.ColdAtOnce, w.AtOnce)
 	if app := c.answers.application(w.Application); app != nil && app.Sort == SortModel {
@@ -195,6 +210,10 @@
 		c.require(k.FullUntil < k.WorthlessAfter, key+".full_until", "make it shorter than worthless_after",
 			"%v is not shorter than worthless_after = %v", k.FullUntil.Std(), k.WorthlessAfter.Std())
 	}
+	if k.WorthlessAfter > 0 {
+		c.require(k.WorthlessAfter.Std() >= shortestWorth && k.WorthlessAfter.Std() <= longestWorth, key+".worthless_after",
+			"write a time from 10ms to 168h", "%v is out of range", k.WorthlessAfter.Std())
+	}
 	if k.UsualFirstAnswer > 0 && k.WorthlessAfter > 0 {
 		c.require(k.UsualFirstAnswer < k.WorthlessAfter, key+".worthless_after", "allow more time than a worker usually takes to begin",
 			"%v is no longer than usual_first_answer = %v", k.WorthlessAfter.Std(), k.UsualFirstAnswer.Std())
@@ -228,6 +247,8 @@
 	p := c.answers.Platform
 	c.positive("platform.load_report_lag", p.LoadReportLag, "500ms")
 	c.positive("platform.repeats_within", p.RepeatsWithin, "10m")
+	c.require(p.RepeatsWithin.Std() <= maxLedgerWindow, "platform.repeats_within", "write at most 24h: repeats cannot be told from new requests for longer", "%v is too long", p.RepeatsWithin.Std())
+	c.require(p.HarmfulPerSecond <= mostHarmful, "platform.harmful_per_second", "write at most 1000, what the platform's log can take", "%d is too many", p.HarmfulPerSecond)
 	c.require(p.HarmfulPerSecond >= 0, "platform.harmful_per_second", "write 0 if there are none", "is negative")
 	c.require(p.WeightLoadsPerMinute > 0, "platform.weight_loads_per_minute", "write how many loads a minute the weight store serves", "is missing or not above 0")
 }
--- /dev/null
+++ b/version/answers/diff.go
@@ -0,0 +1,116 @@
+package answers
+
+import (
+	"encoding"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+
+	"github.com/stoatmount/stoatmount/version/config"
+)
+
+// Change is one difference between two configurations.
+type Change struct {
+	Key string `json:"key"` // for example "endpoints.adapt-3.bears"
+	Old string `json:"old"` // empty if it was added
+	New string `json:"new"` // empty if it was removed
+}
+
+// entry is one value of a configuration.
+type entry struct {
+	key   string
+	value string
+}
+
+// Diff returns how updated differs from old: what was changed and removed in
+// the order of old, then what was added in the order of updated. Elements of
+// lists are told apart by their names.
+func Diff(old, updated config.Config) []Change {
+	before, after := flatten(old), flatten(updated)
+	newValues := index(after)
+	oldValues := index(before)
+	var changes []Change
+	for _, e := range before {
+		if value := newValues[e.key]; value != e.value {
+			changes = append(changes, Change{Key: e.key, Old: e.value, New: value})
+		}
+	}
+	for _, e := range after {
+		if _, known := oldValues[e.key]; !known {
+			changes = append(changes, Change{Key: e.key, New: e.value})
+		}
+	}
+	return changes
+}
+
+func index(entries []entry) map[string]string {
+	values := make(map[string]string, len(entries))
+	for _, e := range entries {
+		values[e.key] = e.value
+	}
+	return values
+}
+
+func flatten(c config.Config) []entry {
+	var entries []entry
+	walk("", reflect.ValueOf(c), func(key, value string) {
+		entries = append(entries, entry{key, value})
+	})
+	return entries
+}
+
+// walk calls visit for each value in v.
+func walk(key string, v reflect.Value, visit func(key, value string)) {
+	if text, ok := v.Interface().(encoding.TextMarshaler); ok {
+		// The types in a Config marshal without errors.
+		written, _ := text.MarshalText()
+		visit(key, string(written))
+		return
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		for i := range v.NumField() {
+			name, _, _ := strings.Cut(v.Type().Field(i).Tag.Get("toml"), ",")
+			walk(strings.TrimPrefix(key+"."+name, "."), v.Field(i), visit)
+		}
+	case reflect.Slice:
+		for i := range v.Len() {
+			element := v.Index(i)
+			walk(key+"."+element.FieldByName("Name").String(), element, visit)
+		}
+	default:
+		visit(key, fmt.Sprint(v.Interface()))
+	}
+}
+
+// Summary returns the changes with the values of added and removed elements
+// of lists left out: one line tells that the element came or went.
+func Summary(changes []Change) []Change {
+	var short []Change
+	for _, change := range changes {
+		element, field, _ := cutLast(change.Key)
+		if field != "name" {
+			if slices.ContainsFunc(short, func(c Change) bool { return c.Key == element }) || named(changes, element) {
+				continue
+			}
+			short = append(short, change)
+			continue
+		}
+		short = append(short, Change{Key: element, Old: change.Old, New: change.New})
+	}
+	return short
+}
+
+// named reports whether the element itself was added or removed.
+func named(changes []Change, element string) bool {
+	return slices.ContainsFunc(changes, func(c Change) bool { return c.Key == element+".name" })
+}
+
+func cutLast(key string) (before, after string, found bool) {
+	i := strings.LastIndex(key, ".")
+	if i < 0 {
+		return "", key, false
+	}
+	return key[:i], key[i+1:], true
+}
--- /dev/null
+++ b/version/answers/generate.go
@@ -0,0 +1,267 @@
+package answers
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"time"
+
+	"github.com/stoatmount/stoatmount/version/config"
+)
+
+// Values that the derivation uses.
+const (
+	// meanMultiple bounds an endpoint's load against the mean of its group.
+	meanMultiple = 1.25
+	// coldShare is what an endpoint bears cold if the answers do not say.
+	coldShare = 0.25
+	// warmBatches is the number of full batches after which an endpoint is warm.
+	warmBatches = 2
+	// firstAnswerRoom is how many times the usual wait for an answer a silent
+	// endpoint gets.
+	firstAnswerRoom = 5
+	// firstByteLeast and betweenBytesLeast allow for a pause of the network.
+	firstByteLeast    = time.Second
+	betweenBytesLeast = time.Second
+	// gapRoom is how many times the usual gap an answer may be silent.
+	gapRoom = 25
+	// largeShare is the weight of a large workspace beside a small one's 1.
+	largeShare = 4
+	// crashLimit is the number of endpoints that one request may crash.
+	crashLimit = 2
+	// appendsPerShard is the number of group commits of a ledger shard in a
+	// second, and claimsPerAppend the claims that go well into one.
+	appendsPerShard = 12
+	claimsPerAppend = 8
+	maxShards       = 16
+	// maxLedgerWindow bounds how long repeats are recognised.
+	maxLedgerWindow = 24 * time.Hour
+)
+
+// Reason says why a value of the configuration was derived as it is.
+type Reason struct {
+	Key   string `json:"key"` // for example "kinds.booth-booking.first_byte"
+	Value string `json:"value"`
+	Why   string `json:"why"`
+}
+
+// Generate derives the whole configuration from answers that Check has found
+// nothing wrong with. Every value that is not an answer itself has a Reason.
+func Generate(a Answers) (config.Config, []Reason) {
+	g := &generator{answers: &a}
+	g.names()
+	g.endpoints()
+	g.kinds()
+	g.workspaces()
+	g.limits()
+	return g.config, g.reasons
+}
+
+type generator struct {
+	answers *Answers
+	config  config.Config
+	reasons []Reason
+}
+
+// because notes the reason of a derived value.
+func (g *generator) because(key string, value any, why string, args ...any) {
+	text := fmt.Sprint(value)
+	if d, ok := value.(config.Duration); ok {
+		text = d.Std().String()
+	}
+	g.reasons = append(g.reasons, Reason{Key: key, Value: text, Why: fmt.Sprintf(why, args...)})
+}
+
+func (g *generator) names() {
+	for _, zone := range g.answers.Zones {
+		g.config.Zones = append(g.config.Zones, config.Zone(zone))
+	}
+	for _, app := range g.answers.Applications {
+		if app.Sort == SortService {
+			g.config.Services = append(g.config.Services, config.Service{Name: app.Name})
+			continue
+		}
+		g.config.Models = append(g.config.Models, config.Model{
+			Name:             app.Name,
+			Version:          app.Version,
+			Adapter:          app.Adapter,
+			PrefillPerSecond: app.PromptTokensPerSecond,
+			MovePerSecond:    app.MovedTokensPerSecond,
+		})
+	}
+}
+
+func (g *generator) endpoints() {
+	for i := range g.answers.Workers {
+		w := &g.answers.Workers[i]
+		e := config.Endpoint{
+			Name:        w.Name,
+			Address:     w.Address,
+			Zone:        w.Zone,
+			Role:        w.Role,
+			Bears:       w.AtOnce,
+			CacheTokens: w.CacheTokens,
+			ChecksFence: w.RefusesOldOrders,
+		}
+		if g.answers.application(w.Application).Sort == SortModel {
+			e.Model = w.Application
+		} else {
+			e.Service = w.Application
+		}
+		g.cold(&e, w.ColdAtOnce)
+		g.config.Endpoints = append(g.config.Endpoints, e)
+	}
+}
+
+// cold derives what the endpoint bears right after a start.
+func (g *generator) cold(e *config.Endpoint, answered int) {
+	key := "endpoints." + e.Name
+	e.ColdBears = answered
+	if answered == 0 {
+		e.ColdBears = max(1, int(float64(e.Bears)*coldShare))
+		g.because(key+".cold_bears", e.ColdBears, "a quarter of at_once, at least 1, as cold_at_once is not answered")
+	}
+	e.WarmAfter = warmBatches * e.Bears
+	g.because(key+".warm_after", e.WarmAfter, "%d times at_once: after as many full batches its caches are filled", warmBatches)
+}
+
+func (g *generator) kinds() {
+	for i := range g.answers.Kinds {
+		answered := &g.answers.Kinds[i]
+		k := config.Kind{
+			Name:          answered.Name,
+			NonIdempotent: answered.HarmIfTwice,
+			CanWait:       answered.CanWait,
+			Worth:         answered.Worth,
+			FullUntil:     answered.FullUntil,
+			Deadline:      answered.WorthlessAfter,
+			Objective:     answered.Promise,
+		}
+		app := g.answers.application(answered.Application)
+		if app.Sort == SortModel {
+			k.Model = app.Name
+		} else {
+			k.Service = app.Name
+		}
+		g.worth(&k)
+		g.keys(&k, answered.Keys)
+		g.firstByte(&k, answered)
+		g.betweenBytes(&k, answered, app)
+		g.config.Kinds = append(g.config.Kinds, k)
+	}
+}
+
+func (g *generator) worth(k *config.Kind) {
+	key := "kinds." + k.Name
+	value := fmt.Sprintf("%v up to %v, then falling to 0 at %v", k.Worth, k.FullUntil.Std(), k.Deadline.Std())
+	g.because(key+".worth", value, "full_until and worthless_after; between them an answer loses its worth evenly")
+	g.because(key+".deadline", k.Deadline, "worthless_after: a later answer is of no use, so the request is given up")
+}
+
+func (g *generator) keys(k *config.Kind, keys Keys) {
+	key := "kinds." + k.Name
+	if !k.NonIdempotent {
+		return
+	}
+	k.KeyRequired = keys != KeysSometimes
+	k.AnyKey = keys == KeysAnyForm
+	if k.KeyRequired {
+		g.because(key+".key_required", true, "a second run would do harm and callers send a key: without one a repeat could not be told from a new request")
+	} else {
+		g.because(key+".key_required", false, "callers do not always send a key; without one, at most once holds for each send, not for repeats by the caller")
+	}
+	if k.AnyKey {
+		g.because(key+".any_key", true, "keys are of the callers' own form and do not tell their age: at most once holds for limits.ledger_window")
+	}
+}
+
+// firstByte derives how long an endpoint may be silent at first. A retry must
+// still be in time, unless the kind cannot be retried.
+func (g *generator) firstByte(k *config.Kind, answered *Kind) {
+	wait := max(firstAnswerRoom*answered.UsualFirstAnswer.Std(), firstByteLeast)
+	why := fmt.Sprintf("%d times usual_first_answer, at least %v", firstAnswerRoom, firstByteLeast)
+	limit, reason := k.Deadline.Std()/2, "half of worthless_after, so that a second endpoint can still be in time"
+	if k.NonIdempotent {
+		limit, reason = k.Deadline.Std(), "worthless_after, as a second run is not allowed"
+	}
+	if wait > limit {
+		wait, why = limit, reason
+	}
+	k.FirstByte = config.Duration(wait)
+	g.because("kinds."+k.Name+".first_byte", k.FirstByte, "%s", why)
+}
+
+func (g *generator) betweenBytes(k *config.Kind, answered *Kind, app *Application) {
+	wait, from := gapRoom*app.UsualGap.Std(), "usual_gap of the application"
+	if app.UsualGap == 0 {
+		wait, from = gapRoom*answered.UsualFirstAnswer.Std(), "usual_first_answer, as the application has no usual_gap"
+	}
+	why := fmt.Sprintf("%d times %s, at least %v", gapRoom, from, betweenBytesLeast)
+	wait = max(wait, betweenBytesLeast)
+	if wait > k.FirstByte.Std() && k.FirstByte.Std() >= betweenBytesLeast {
+		wait, why = k.FirstByte.Std(), "first_byte: an answer that has begun may not be silent for longer"
+	}
+	if wait > k.Deadline.Std() {
+		wait, why = k.Deadline.Std(), "worthless_after, which is shorter than the least silence"
+	}
+	k.BetweenBytes = config.Duration(wait)
+	g.because("kinds."+k.Name+".between_bytes", k.BetweenBytes, "%s", why)
+}
+
+func (g *generator) workspaces() {
+	for _, answered := range g.answers.Workspaces {
+		w := config.Workspace{Name: answered.Name, KeyHash: strings.ToLower(answered.KeySHA256), Share: 1}
+		why := "size is small"
+		if answered.Size == SizeLarge {
+			w.Share = largeShare
+			why = fmt.Sprintf("size is large: under shortage it gets %d times the turns of a small workspace, not all of them", largeShare)
+		}
+		g.because("workspaces."+w.Name+".share", w.Share, "%s", why)
+		g.config.Workspaces = append(g.config.Workspaces, w)
+	}
+}
+
+func (g *generator) limits() {
+	p, l := g.answers.Platform, &g.config.Limits
+	l.LoadLag = p.LoadReportLag
+	l.WeightLoadsPerMinute = p.WeightLoadsPerMinute
+	l.MeanMultiple = meanMultiple
+	g.because("limits.mean_multiple", l.MeanMultiple, "no worker gets more than a quarter above the mean of its application, which leaves room for a chat to return to its worker")
+	l.CrashLimit = crashLimit
+	g.because("limits.crash_limit", l.CrashLimit, "the first crash may have another cause, the second convicts")
+	g.ledger()
+	g.byWeight()
+}
+
+func (g *generator) ledger() {
+	p, l := g.answers.Platform, &g.config.Limits
+	longest := time.Duration(0)
+	for _, k := range g.config.Kinds {
+		if k.NonIdempotent {
+			longest = max(longest, k.Deadline.Std())
+		}
+	}
+	window := min(p.RepeatsWithin.Std()+longest, maxLedgerWindow)
+	l.LedgerWindow = config.Duration(window)
+	g.because("limits.ledger_window", l.LedgerWindow, "repeats_within and the longest worthless_after of the kinds that do harm if run twice, at most %v", maxLedgerWindow)
+	perShard := appendsPerShard * claimsPerAppend
+	// A request that runs takes two records: the claim and the result.
+	records := 2 * p.HarmfulPerSecond
+	l.LedgerShards = min(max(1, int(math.Ceil(float64(records)/float64(perShard)))), maxShards)
+	g.because("limits.ledger_shards", l.LedgerShards, "%d records a second (a claim and a result for each of harmful_per_second), %d group commits a second and shard with up to %d records, at most %d shards",
+		records, appendsPerShard, claimsPerAppend, maxShards)
+}
+
+// byWeight derives what depends on what the organisation weighs most.
+func (g *generator) byWeight() {
+	l := &g.config.Limits
+	l.RetryShare, l.AddressTTL = 0.1, config.Duration(5*time.Second)
+	why := fmt.Sprintf("weighs_most is %q", g.answers.WeighsMost)
+	retryWhy, ttlWhy := "one retry for ten requests served, so that retries do not add to an overload", "callers ask seldom and find their chat's entry host again"
+	if g.answers.WeighsMost == WeighsZoneChanges {
+		l.RetryShare, l.AddressTTL = 0.2, config.Duration(2*time.Second)
+		retryWhy, ttlWhy = "requests that a zone change hits may be sent again", "callers leave the entry hosts of a zone within seconds"
+	}
+	g.because("limits.retry_share", l.RetryShare, "%s: %s", why, retryWhy)
+	g.because("limits.address_ttl", l.AddressTTL, "%s: %s", why, ttlWhy)
+}
