Add the table of requests that crash endpoints

Cause: a body that crashes each endpoint that runs it, sent again through other routers, takes down one endpoint per try, and its batch mates with it.

Change: package process/suspect.

Ruled out: convicting by the number of losses alone.

--- /dev/null
+++ b/process/suspect/suspect_test.go
@@ -0,0 +1,137 @@
+package suspect
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/stoatmount/stoatmount/connection/peer/peerpb"
+)
+
+var testNow = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+
+const limit = 3
+
+func newTable(c *qt.C) *Table {
+	t, err := New(100, limit)
+	c.Assert(err, qt.IsNil)
+	t.SetPower(testNow, true)
+	return t
+}
+
+func ask(t *Table, now time.Time, f Fingerprint, endpoint string) *peerpb.SuspectReply {
+	return t.Handle(now, &peerpb.Suspect{Fingerprint: uint64(f), Endpoint: endpoint}).Reply
+}
+
+func crash(f Fingerprint, endpoint string, boot uint64, alone bool) *peerpb.Suspect {
+	return &peerpb.Suspect{Fingerprint: uint64(f), Endpoint: endpoint, Boot: boot, Crashed: true, Alone: alone}
+}
+
+func clear(f Fingerprint, endpoint string, alone bool) *peerpb.Suspect {
+	return &peerpb.Suspect{Fingerprint: uint64(f), Endpoint: endpoint, Cleared: true, Alone: alone}
+}
+
+func TestCopiesShareOneEndpointUntilKnown(t *testing.T) {
+	c := qt.New(t)
+	table := newTable(c)
+	c.Check(ask(table, testNow, 7, "a").Endpoint, qt.Equals, "a")
+	c.Check(ask(table, testNow, 7, "b").Endpoint, qt.Equals, "a")
+	for range cleanRuns {
+		table.Handle(testNow, clear(7, "a", false))
+	}
+	c.Check(ask(table, testNow, 7, "b").Endpoint, qt.Equals, "")
+}
+
+func TestGuiltyIsConvictedAndInnocentCleared(t *testing.T) {
+	c := qt.New(t)
+	table := newTable(c)
+	running := NewRunning()
+	running.Start(1, 7, "a", 5, false)
+	running.Start(2, 8, "a", 5, false)
+	running.Start(3, 9, "a", 6, false)
+	lost := running.Lost("a", 5)
+	c.Assert(lost, qt.HasLen, 2)
+	for _, m := range lost {
+		result := table.Handle(testNow, m)
+		c.Check(Verdict(result.Reply.Verdict), qt.Equals, Suspected)
+		c.Check(result.Spread, qt.Equals, SpreadNextHome)
+	}
+	c.Check(running.End(1, "a", false), qt.IsNil)
+
+	c.Check(ask(table, testNow, 7, "b").Endpoint, qt.Equals, "b")
+	c.Check(ask(table, testNow, 7, "c").WaitMs > 0, qt.IsTrue, qt.Commentf("one at a time"))
+	c.Check(ask(table, testNow, 8, "c").Endpoint, qt.Equals, "c")
+	result := table.Handle(testNow, clear(8, "c", true))
+	c.Check(Verdict(result.Reply.Verdict), qt.Equals, None)
+	result = table.Handle(testNow, crash(7, "b", 1, true))
+	c.Check(Verdict(result.Reply.Verdict), qt.Equals, Convicted)
+	c.Check(result.Spread, qt.Equals, SpreadAll)
+
+	other := newTable(c)
+	other.Learn(testNow, result.Notice)
+	c.Check(other.Verdict(testNow, 7), qt.Equals, Convicted)
+	c.Check(other.Verdict(testNow, 8), qt.Equals, None)
+}
+
+func TestConvictionEndsInOneLastTrial(t *testing.T) {
+	c := qt.New(t)
+	table := newTable(c)
+	table.Handle(testNow, crash(7, "a", 1, false))
+	table.Handle(testNow, crash(7, "b", 1, true))
+	c.Check(Verdict(ask(table, testNow, 7, "c").Verdict), qt.Equals, Convicted)
+	later := testNow.Add(convictFor)
+	reply := ask(table, later, 7, "c")
+	c.Check(Verdict(reply.Verdict), qt.Equals, Suspected)
+	c.Check(reply.Endpoint, qt.Equals, "c")
+	table.Handle(later, crash(7, "c", 1, true))
+	for range 100 {
+		later = later.Add(convictForLong)
+		c.Assert(Verdict(ask(table, later, 7, "d").Verdict), qt.Equals, Convicted)
+	}
+}
+
+func TestHomeWithoutPowerRunsNoSuspect(t *testing.T) {
+	c := qt.New(t)
+	table := newTable(c)
+	table.Handle(testNow, crash(7, "a", 1, false))
+	table.SetPower(testNow, false)
+	c.Check(ask(table, testNow, 7, "b").WaitMs > 0, qt.IsTrue)
+	table.SetPower(testNow.Add(time.Second), true)
+	c.Check(ask(table, testNow, 7, "b").WaitMs > 0, qt.IsTrue)
+	c.Check(ask(table, testNow.Add(time.Second), 7, "b").WaitMs, qt.Equals, uint32(0))
+}
+
+func TestFloodOfBodiesDoesNotHideAConviction(t *testing.T) {
+	c := qt.New(t)
+	table := newTable(c)
+	table.Handle(testNow, crash(7, "a", 1, true))
+	for f := range Fingerprint(1000) {
+		ask(table, testNow, f+100, "a")
+	}
+	c.Check(table.Verdict(testNow, 7), qt.Equals, Convicted)
+}
+
+func TestLostZoneDoesNotConvictAPopularBody(t *testing.T) {
+	c := qt.New(t)
+	table := newTable(c)
+	for range cleanRuns {
+		ask(table, testNow, 7, "a")
+		table.Handle(testNow, clear(7, "a", false))
+	}
+	for _, endpoint := range []string{"a", "b", "c", "d"} {
+		result := table.Handle(testNow, crash(7, endpoint, 1, false))
+		c.Check(Verdict(result.Reply.Verdict), qt.Equals, Suspected)
+	}
+	c.Check(ask(table, testNow, 7, "e").Endpoint, qt.Equals, "e")
+	result := table.Handle(testNow, clear(7, "e", true))
+	c.Check(Verdict(result.Reply.Verdict), qt.Equals, None)
+}
+
+func TestFingerprintSeparatesItsParts(t *testing.T) {
+	c := qt.New(t)
+	a := Of("ab", "c", "", []byte("x"))
+	c.Check(Of("a", "bc", "", []byte("x")), qt.Not(qt.Equals), a)
+	c.Check(Of("ab", "c", "x", nil), qt.Not(qt.Equals), a)
+	c.Check(Of("ab", "c", "", []byte("x")), qt.Equals, a)
+}
