Compare a chat's place with a default that ignores zones out

Cause: the directory is told of a chat only when its place differs from the default. A default over the usable endpoints changes when a zone goes out or returns, so that the chats moved by a zone out were not recorded and would be looked for at the wrong endpoint once the zone was back.

Change: Chooser.Default hashes over all endpoints of the group, out or not.

--- a/request/choose/choose.go
+++ b/request/choose/choose.go
@@ -20,12 +20,23 @@
 	groups   map[string]*group
 }
 
-// group lists the endpoints of a model or service that are not out.
+// group lists the endpoints of a model or service.
 type group struct {
+	live list // not out
+	all  list
+}
+
+// list is a set of endpoints.
+type list struct {
 	index []int    // in Config.Endpoints
 	hash  []uint64 // of the endpoints' names
 }
 
+func (l *list) add(index int, hash uint64) {
+	l.index = append(l.index, index)
+	l.hash = append(l.hash, hash)
+}
+
 // New returns the Chooser of snapshot.
 func New(snapshot *config.Snapshot, hints *Hints) *Chooser {
 	endpoints := snapshot.Config.Endpoints
@@ -49,11 +60,11 @@
 		g = &group{}
 		c.groups[e.Group()] = g
 	}
-	if c.snapshot.IndexOut(index) {
-		return
+	hash := xxhash.Sum64String(e.Name)
+	g.all.add(index, hash)
+	if !c.snapshot.IndexOut(index) {
+		g.live.add(index, hash)
 	}
-	g.index = append(g.index, index)
-	g.hash = append(g.hash, xxhash.Sum64String(e.Name))
 }
 
 // rendezvousChoices is how many endpoints by rendezvous hashing are weighed.
@@ -106,12 +117,12 @@
 	}
 	key = mix(key)
 	nowNanos := now.UnixNano()
-	for k, hash := range g.hash {
+	for k, hash := range g.live.hash {
 		score := mix(key ^ hash)
 		if best.full() && score <= best.score[rendezvousChoices-1] {
 			continue
 		}
-		if i := g.index[k]; c.open(nowNanos, i, tried) {
+		if i := g.live.index[k]; c.open(nowNanos, i, tried) {
 			best.insert(i, score)
 		}
 	}
@@ -127,13 +138,21 @@
 }
 
 // Default returns the endpoint to which chat belongs by rendezvous hashing
-// alone. The directory need not be told of chats that are there.
-func (c *Chooser) Default(now time.Time, group string, chat place.Chat) string {
-	best := c.rank(now, group, uint64(chat), nil)
-	if best.n == 0 {
+// over all endpoints of the group called name, also those that are out. The
+// directory need not be told of chats that are there.
+func (c *Chooser) Default(name string, chat place.Chat) string {
+	g := c.groups[name]
+	if g == nil {
 		return ""
 	}
-	return c.snapshot.Config.Endpoints[best.index[0]].Name
+	key := mix(uint64(chat))
+	best, bestScore := 0, uint64(0)
+	for k, hash := range g.all.hash {
+		if score := mix(key ^ hash); k == 0 || score > bestScore {
+			best, bestScore = g.all.index[k], score
+		}
+	}
+	return c.snapshot.Config.Endpoints[best].Name
 }
 
 // Choose returns the endpoints that the request should try.
@@ -166,7 +185,7 @@
 func (c *Chooser) refuse(plan *Plan, name string) {
 	plan.Code = outcome.NoEndpoint
 	plan.RetryAfter = noEndpointRetry
-	if g := c.groups[name]; g != nil && len(g.index) > 0 {
+	if g := c.groups[name]; g != nil && len(g.live.index) > 0 {
 		plan.Code = outcome.BreakerOpen
 	}
 }
--- a/request/choose/choose_test.go
+++ b/request/choose/choose_test.go
@@ -51,7 +51,7 @@
 		pb := b.Choose(testNow.Add(time.Hour), testInput(&state, chat+1))
 		first := pa.Candidates()[0].Endpoint.Name
 		c.Assert(pb.Candidates()[0].Endpoint.Name, qt.Equals, first)
-		c.Assert(a.Default(testNow, "adapt", chat+1), qt.Equals, first)
+		c.Assert(a.Default("adapt", chat+1), qt.Equals, first)
 		spread[first]++
 	}
 	for name, n := range spread {
