--- a/connection/platform/logclient.go
+++ b/connection/platform/logclient.go
@@ -67,7 +67,7 @@
 
 func appendReply(resp *http.Response, stream string) (Offset, error) {
 	if resp.StatusCode != http.StatusOK {
-		refused := resp.StatusCode >= http.StatusBadRequest && resp.StatusCode < http.StatusInternalServerError
+		refused := resp.StatusCode/100 == 4 || resp.StatusCode == http.StatusServiceUnavailable
 		cause := errors.Errorf("append to %s: status %d", stream, resp.StatusCode)
 		return 0, &AppendError{Applied: !refused, Cause: cause}
 	}
