--- /dev/null
+++ b/standin/relay/relay_test.go
@@ -0,0 +1,97 @@
+package relay_test
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/stoatmount/stoatmount/standin/relay"
+)
+
+// startEcho starts a server that sends back what it gets.
+func startEcho(c *qt.C) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.Copy(conn, conn)
+				_ = conn.Close()
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func start(c *qt.C) *relay.Relay {
+	r, err := relay.Start(startEcho(c))
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(r.Close)
+	return r
+}
+
+func dial(c *qt.C, r *relay.Relay) net.Conn {
+	conn, err := net.Dial("tcp", r.Addr().String())
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+// echo sends text and returns what comes back.
+func echo(c *qt.C, conn net.Conn, text string) string {
+	_, err := conn.Write([]byte(text))
+	c.Assert(err, qt.IsNil)
+	got := make([]byte, len(text))
+	_, err = io.ReadFull(conn, got)
+	c.Assert(err, qt.IsNil)
+	return string(got)
+}
+
+func TestBlackholeSilencesOpenConnectionsOnly(t *testing.T) {
+	c := qt.New(t)
+	r := start(c)
+	old := dial(c, r)
+	c.Assert(echo(c, old, "one"), qt.Equals, "one")
+	r.Blackhole()
+	_, err := old.Write([]byte("two"))
+	c.Assert(err, qt.IsNil)
+	c.Check(echo(c, dial(c, r), "three"), qt.Equals, "three")
+	c.Assert(old.SetReadDeadline(time.Now().Add(50*time.Millisecond)), qt.IsNil)
+	_, err = old.Read(make([]byte, 1))
+	c.Check(isTimeout(err), qt.IsTrue, qt.Commentf("%v", err))
+	c.Check(r.Record(), qt.Equals, relay.Record{Accepted: 2, Open: 2})
+}
+
+func isTimeout(err error) bool {
+	netErr, ok := err.(net.Error)
+	return ok && netErr.Timeout()
+}
+
+func TestCutEndsConnections(t *testing.T) {
+	c := qt.New(t)
+	r := start(c)
+	conn := dial(c, r)
+	c.Assert(echo(c, conn, "one"), qt.Equals, "one")
+	r.Cut()
+	_, err := conn.Read(make([]byte, 1))
+	c.Check(err, qt.IsNotNil)
+	c.Check(isTimeout(err), qt.IsFalse)
+}
+
+func TestDelayHoldsBytesBack(t *testing.T) {
+	c := qt.New(t)
+	r := start(c)
+	r.SetDelay(20 * time.Millisecond)
+	conn := dial(c, r)
+	sent := time.Now()
+	c.Assert(echo(c, conn, "one"), qt.Equals, "one")
+	c.Check(time.Since(sent) >= 40*time.Millisecond, qt.IsTrue)
+}
