Add membership by gossiped ages and promised views

Cause: the routers need one list of live members that all agree on, and owners need to know how many routers are bound to them. Change: member.Table gossips, per stance (view and earlier view), the age at which each member was last heard. Shares counts live promises so that rival owners never count the same router. lab/virtual runs many tables under a virtual clock. Conclusion: fleets of 1, 2, 7 and 50 agree after start, a death and a return.

--- /dev/null
+++ b/lab/virtual/fleet.go
@@ -0,0 +1,262 @@
+package virtual
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/stoatmount/stoatmount/connection/peer/peerpb"
+	"github.com/stoatmount/stoatmount/process/member"
+)
+
+// Epoch is the time at which every virtual run starts.
+var Epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// FrameBytes is what a message costs beside its protobuf form: the gRPC
+// prefix, the HTTP/2 frame header, and TCP and IP headers.
+const FrameBytes = 5 + 9 + 52
+
+// listEvery is how often a router reads the platform's list.
+const listEvery = time.Second
+
+// Router is one process.
+type Router struct {
+	Table  *member.Table
+	Member member.Member
+	Up     bool
+	Paused bool
+	inbox  []event // what arrived during the pause
+
+	SentBytes, GotBytes, Sent int64
+}
+
+// Fleet holds routers, their links and the clock.
+type Fleet struct {
+	Now     time.Time
+	Routers []*Router
+	Rng     *rand.Rand
+	Delay   time.Duration // one way
+	// Blocked tells whether messages from one router to another are lost.
+	Blocked func(from, to *Router) bool
+	// List tells which hosts the platform's list shows; nil: none is read.
+	List func() []member.Member
+	// OnTick is called after each tick of a router.
+	OnTick func(r *Router)
+
+	cfg    member.Config
+	byName map[string]*Router
+	events events
+	order  int64
+	boots  uint64
+}
+
+type event struct {
+	at    time.Time
+	order int64
+	to    *Router
+	table *member.Table // process that the event is for
+	from  *Router       // nil: a tick
+	msg   *peerpb.Gossip
+	run   func()
+}
+
+// New returns a fleet of n routers that start within one tick.
+func New(n int, cfg member.Config, seed uint64) *Fleet {
+	f := &Fleet{
+		Now:    Epoch,
+		Rng:    rand.New(rand.NewPCG(seed, 1)),
+		Delay:  time.Millisecond,
+		cfg:    cfg,
+		byName: make(map[string]*Router),
+	}
+	f.List = f.listUp
+	for i := range n {
+		f.Add(fmt.Sprintf("host-%03d", i))
+	}
+	return f
+}
+
+// listUp shows all hosts that are up.
+func (f *Fleet) listUp() []member.Member {
+	out := make([]member.Member, 0, len(f.Routers))
+	for _, r := range f.Routers {
+		if r.Up {
+			out = append(out, r.Member)
+		}
+	}
+	return out
+}
+
+// Add starts a router on a new host.
+func (f *Fleet) Add(name string) *Router {
+	r := &Router{Member: member.Member{Name: name, Zone: "a", Region: "r"}}
+	number := uint16(len(f.byName) + 1)
+	address := netip.AddrFrom4([4]byte{10, 0, byte(number >> 8), byte(number)})
+	r.Member.Peer = netip.AddrPortFrom(address, 7001)
+	r.Member.Caller = netip.AddrPortFrom(address, 7000)
+	f.Routers = append(f.Routers, r)
+	f.byName[name] = r
+	f.Start(r)
+	return r
+}
+
+// Start starts a new process on r's host.
+func (f *Fleet) Start(r *Router) {
+	f.boots++
+	r.Member.Boot = f.boots<<20 + f.Rng.Uint64N(1<<20)
+	r.Up, r.Paused = true, false
+	r.inbox = nil
+	r.Table = member.New(r.Member, f.cfg, rand.New(rand.NewPCG(r.Member.Boot, 2)))
+	phase := time.Duration(f.Rng.Int64N(int64(f.cfg.Tick)))
+	f.push(event{at: f.Now.Add(phase), to: r, table: r.Table})
+	f.readList(r, r.Table)
+}
+
+// readList lets a process read the list now and again after a while.
+func (f *Fleet) readList(r *Router, table *member.Table) {
+	if r.Table != table || !r.Up {
+		return
+	}
+	if f.List != nil && !r.Paused {
+		if list := f.List(); list != nil {
+			r.Table.SetListed(f.Now, list)
+		}
+	}
+	f.After(listEvery, func() { f.readList(r, table) })
+}
+
+// Kill ends the process of r without notice.
+func (f *Fleet) Kill(r *Router) {
+	r.Up = false
+}
+
+// Pause stops the process of r; its messages wait.
+func (f *Fleet) Pause(r *Router) {
+	r.Paused = true
+}
+
+// Resume lets the process of r go on with the messages that waited.
+func (f *Fleet) Resume(r *Router) {
+	r.Paused = false
+	for _, e := range r.inbox {
+		e.at = f.Now
+		f.push(e)
+	}
+	r.inbox = nil
+}
+
+// Find returns the router called name.
+func (f *Fleet) Find(name string) *Router {
+	return f.byName[name]
+}
+
+// After runs fn once d has passed.
+func (f *Fleet) After(d time.Duration, fn func()) {
+	f.push(event{at: f.Now.Add(d), run: fn})
+}
+
+func (f *Fleet) push(e event) {
+	f.order++
+	e.order = f.order
+	heap.Push(&f.events, e)
+}
+
+// Run advances the clock by d.
+func (f *Fleet) Run(d time.Duration) {
+	end := f.Now.Add(d)
+	for len(f.events) > 0 && !f.events[0].at.After(end) {
+		e := heap.Pop(&f.events).(event)
+		f.Now = e.at
+		f.handle(e)
+	}
+	f.Now = end
+}
+
+func (f *Fleet) handle(e event) {
+	switch {
+	case e.run != nil:
+		e.run()
+	case e.to.Table != e.table || !e.to.Up:
+	case e.to.Paused:
+		e.to.inbox = append(e.to.inbox, e)
+	case e.from == nil:
+		f.tick(e.to)
+	default:
+		e.to.GotBytes += size(e.msg)
+		f.send(e.to, e.to.Table.Receive(f.Now, e.from.Member.Name, e.msg))
+	}
+}
+
+func (f *Fleet) tick(r *Router) {
+	f.send(r, r.Table.Tick(f.Now))
+	f.push(event{at: f.Now.Add(f.cfg.Tick), to: r, table: r.Table})
+	if f.OnTick != nil {
+		f.OnTick(r)
+	}
+}
+
+func (f *Fleet) send(from *Router, out []member.Outgoing) {
+	for _, o := range out {
+		from.Sent++
+		from.SentBytes += size(o.Message)
+		to := f.byName[o.To.Name]
+		if to == nil || !to.Up || (f.Blocked != nil && f.Blocked(from, to)) {
+			continue
+		}
+		jitter := time.Duration(f.Rng.Int64N(int64(f.Delay)))
+		f.push(event{at: f.Now.Add(f.Delay + jitter), to: to, table: to.Table, from: from, msg: o.Message})
+	}
+}
+
+func size(m *peerpb.Gossip) int64 {
+	return int64(proto.Size(m) + FrameBytes)
+}
+
+// Views returns the number of different views that live routers are on, and
+// whether all of these views hold just the live routers.
+func (f *Fleet) Views() (different int, right bool) {
+	seen := make(map[member.ViewID]bool)
+	right = true
+	up := 0
+	for _, r := range f.Routers {
+		if r.Up && !r.Member.Leaving {
+			up++
+		}
+	}
+	for _, r := range f.Routers {
+		if !r.Up || r.Paused {
+			continue
+		}
+		v := r.Table.View()
+		if v == nil {
+			right = false
+			continue
+		}
+		seen[v.ID] = true
+		right = right && len(v.Members) == up
+	}
+	return len(seen), right && len(seen) == 1
+}
+
+// events is a heap of events in order of time.
+type events []event
+
+func (h events) Len() int { return len(h) }
+func (h events) Less(i, j int) bool {
+	if h[i].at.Equal(h[j].at) {
+		return h[i].order < h[j].order
+	}
+	return h[i].at.Before(h[j].at)
+}
+func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *events) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *events) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/process/member/receive.go
@@ -0,0 +1,232 @@
+package member
+
+import (
+	"time"
+
+	"github.com/stoatmount/stoatmount/connection/peer/peerpb"
+)
+
+// clockDrift is the largest drift between two routers' clocks, as a share.
+const clockDrift = 1e-3
+
+// Receive takes a message from the router called from and returns the replies.
+func (t *Table) Receive(now time.Time, from string, m *peerpb.Gossip) []Outgoing {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.begin(now)
+	if from == t.self.Name {
+		return nil
+	}
+	lacking := t.learnViews(now, m)
+	p := t.peers[from]
+	if p == nil {
+		p = t.add(Member{Name: from, Region: t.self.Region})
+	}
+	at := p.sentAt(now, t.base, m)
+	t.mergeMembers(now, at, m)
+	t.heard(now, p, m.Boot, at, Stance{View: ViewID(m.View), Prev: ViewID(m.Prev)})
+	lacking = t.mergeAges(now, at, m) || lacking
+	t.news.read(at, m)
+	t.shares = nil
+	return t.replies(now, p, m, lacking)
+}
+
+// learnViews takes in the views that m describes and reports whether one of
+// them could not be built.
+func (t *Table) learnViews(now time.Time, m *peerpb.Gossip) bool {
+	lacking := false
+	for _, delta := range m.Deltas {
+		if !t.known.learn(now, delta) {
+			lacking = lacking || delta.View == m.View
+			continue
+		}
+		for _, state := range delta.Added {
+			t.introduce(state)
+		}
+	}
+	return lacking
+}
+
+// introduce enters a member that only a view mentions so far.
+func (t *Table) introduce(state *peerpb.MemberState) {
+	if state.Name == t.self.Name || state.Region != t.self.Region {
+		return
+	}
+	p := t.peers[state.Name]
+	if p == nil {
+		p = t.add(memberOf(state))
+	}
+	if p.Boot == 0 {
+		p.Boot = state.Boot
+	}
+	if !p.Peer.IsValid() {
+		p.Peer = parseAddress(state.Peer)
+		p.Caller = parseAddress(state.Caller)
+		p.Zone = state.Zone
+	}
+}
+
+// sentAt estimates when m was sent. The sender's uptime shows how much longer
+// than the quickest message m took; a message that waited while this router
+// was paused is not taken for a new one.
+func (p *peer) sentAt(now, base time.Time, m *peerpb.Gossip) time.Time {
+	offset := now.Sub(base) - time.Duration(m.UptimeMs)*time.Millisecond
+	if p.clockBoot != m.Boot {
+		p.clockBoot = m.Boot
+		p.clockOffset = offset
+		p.clockAt = now
+		return now
+	}
+	drift := time.Duration(float64(now.Sub(p.clockAt)) * clockDrift)
+	p.clockOffset = min(offset, p.clockOffset+drift)
+	p.clockAt = now
+	return now.Add(p.clockOffset - offset)
+}
+
+// heard notes that the process boot of p sent a message at the given time in
+// the given stance. It reports whether that was news.
+func (t *Table) heard(now time.Time, p *peer, boot uint64, at time.Time, stance Stance) bool {
+	if at.After(now) {
+		at = now
+	}
+	if !at.After(p.heard) {
+		return false
+	}
+	if p.Boot != boot {
+		if p.Boot != 0 && !p.heard.IsZero() {
+			t.noteFlap(p, at)
+			p.steadySince = at
+			p.incarnation = 0
+			p.Leaving = false
+		}
+		p.Boot = boot
+	}
+	if p.heard.IsZero() {
+		p.steadySince = at
+	} else if at.Sub(p.heard) > t.cfg.DeadAfter {
+		t.noteFlap(p, at)
+		p.steadySince = at
+	}
+	p.heard = at
+	p.stance = stance
+	p.knownUntil = at.Add(t.cfg.ForgetAfter)
+	return true
+}
+
+func (t *Table) noteFlap(p *peer, at time.Time) {
+	p.flaps = p.recentFlaps(at) + 1
+	p.flapAt = at
+}
+
+// recentFlaps forgets one death per flapMemory.
+func (p *peer) recentFlaps(at time.Time) int {
+	return max(0, p.flaps-int(at.Sub(p.flapAt)/flapMemory))
+}
+
+func (t *Table) mergeMembers(now, at time.Time, m *peerpb.Gossip) {
+	for _, state := range m.Members {
+		if state.Region != t.self.Region {
+			continue
+		}
+		if state.Name == t.self.Name {
+			t.mergeSelf(state)
+			continue
+		}
+		t.mergeMember(now, at, state)
+	}
+}
+
+// mergeSelf lets a router learn that the list marks it as leaving.
+func (t *Table) mergeSelf(state *peerpb.MemberState) {
+	if state.Boot != t.self.Boot || !state.Leaving || t.self.Leaving {
+		return
+	}
+	if state.Incarnation >= t.incarnation {
+		t.self.Leaving = true
+		t.incarnation = state.Incarnation + 1
+	}
+}
+
+func (t *Table) mergeMember(now, at time.Time, state *peerpb.MemberState) {
+	p := t.peers[state.Name]
+	if p == nil {
+		p = t.add(Member{Name: state.Name, Region: state.Region})
+	}
+	sent := at.Add(-time.Duration(state.AgeMs) * time.Millisecond)
+	known := p.Boot == state.Boot
+	if !known && !sent.After(p.heard) {
+		return
+	}
+	t.heard(now, p, state.Boot, sent, Stance{View: ViewID(state.View), Prev: ViewID(state.Prev)})
+	if p.Boot != state.Boot {
+		return
+	}
+	t.mergeAttributes(p, state)
+}
+
+// mergeAttributes takes the entry with the higher incarnation; between equals,
+// the one that leaves.
+func (t *Table) mergeAttributes(p *peer, state *peerpb.MemberState) {
+	if state.Incarnation < p.incarnation {
+		return
+	}
+	if state.Incarnation > p.incarnation {
+		p.Leaving = state.Leaving
+	}
+	p.Leaving = p.Leaving || state.Leaving
+	p.incarnation = state.Incarnation
+	p.Zone = state.Zone
+	if a := parseAddress(state.Peer); a.IsValid() {
+		p.Peer = a
+	}
+	if a := parseAddress(state.Caller); a.IsValid() {
+		p.Caller = a
+	}
+}
+
+// mergeAges takes in the vectors of m and reports whether one was of an
+// unknown view.
+func (t *Table) mergeAges(now, at time.Time, m *peerpb.Gossip) bool {
+	lacking := m.View != 0 && t.known.get(ViewID(m.View)) == nil
+	for _, vector := range m.Ages {
+		v := t.known.get(ViewID(vector.View))
+		if v == nil || len(v.Members) != len(vector.Ages) {
+			lacking = true
+			continue
+		}
+		t.mergeVector(now, at, v, vector)
+	}
+	return lacking
+}
+
+func (t *Table) mergeVector(now, at time.Time, v *View, vector *peerpb.ViewAges) {
+	unit := t.cfg.ageUnit()
+	stance := Stance{View: v.ID, Prev: ViewID(vector.Prev)}
+	for i, age := range vector.Ages {
+		m := &v.Members[i]
+		if age == notInStance || m.Name == t.self.Name {
+			continue
+		}
+		p := t.peers[m.Name]
+		if p == nil {
+			p = t.add(*m)
+		}
+		t.heard(now, p, m.Boot, at.Add(-time.Duration(age)*unit), stance)
+	}
+}
+
+func (t *Table) replies(now time.Time, p *peer, m *peerpb.Gossip, lacking bool) []Outgoing {
+	if m.IsReply && !m.WantMembers {
+		return nil
+	}
+	if !p.Peer.IsValid() {
+		return nil
+	}
+	reply := t.message(now)
+	reply.IsReply = true
+	reply.WantMembers = lacking && !m.IsReply
+	if m.WantMembers {
+		t.fill(now, reply)
+	}
+	return []Outgoing{{To: p.Member, Message: reply}}
+}
--- /dev/null
+++ b/process/member/table_test.go
@@ -0,0 +1,50 @@
+package member_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/stoatmount/stoatmount/lab/virtual"
+	"github.com/stoatmount/stoatmount/process/member"
+)
+
+// settle runs f until all live routers are on one right view, and returns how
+// long that took; it fails the test after limit.
+func settle(c *qt.C, f *virtual.Fleet, limit time.Duration) time.Duration {
+	start := f.Now
+	for f.Now.Sub(start) < limit {
+		f.Run(100 * time.Millisecond)
+		if _, right := f.Views(); right {
+			return f.Now.Sub(start)
+		}
+	}
+	different, _ := f.Views()
+	c.Fatalf("%d views after %v", different, limit)
+	return 0
+}
+
+func TestFleetAgreesAndMovesDutiesOfADeadHost(t *testing.T) {
+	c := qt.New(t)
+	for _, n := range []int{1, 2, 7, 50} {
+		f := virtual.New(n, member.DefaultConfig(), 1)
+		c.Logf("n=%d start %v", n, settle(c, f, 20*time.Second))
+		f.Run(10 * time.Second)
+		if n < 3 {
+			continue
+		}
+		f.Kill(f.Routers[1])
+		c.Logf("n=%d death %v", n, settle(c, f, 20*time.Second))
+		f.Run(5 * time.Second)
+		f.Start(f.Routers[1])
+		c.Logf("n=%d back %v", n, settle(c, f, 30*time.Second))
+		f.Run(10 * time.Second)
+		for _, r := range f.Routers {
+			s := r.Table.Shares(f.Now)
+			c.Assert(s.Known, qt.Equals, n)
+			c.Assert(len(s.Stances), qt.Equals, 1)
+			c.Check(10*s.Stances[0].Count > 9*n, qt.IsTrue, qt.Commentf("n=%d %s counts %d", n, r.Member.Name, s.Stances[0].Count))
+		}
+	}
+}
--- a/process/member/view.go
+++ b/process/member/view.go
@@ -23,11 +23,13 @@
 // ViewID identifies the set of members in a view.
 type ViewID uint64
 
-// View is an immutable set of live routers of one region. Two routers with
-// the same ID have the same members and so agree on every owner.
+// View is an immutable set of live routers of one region, made by NewView. Two
+// routers with the same ID have the same members and so agree on every owner.
 type View struct {
 	ID      ViewID
 	Members []Member // sorted by name
+
+	hashes []uint64 // of the members' names
 }
 
 // NewView returns the view of members. Leaving members are left out, as a view
@@ -40,7 +42,11 @@
 		}
 	}
 	slices.SortFunc(kept, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
-	return &View{ID: viewID(kept), Members: kept}
+	hashes := make([]uint64, len(kept))
+	for i := range kept {
+		hashes[i] = xxhash.Sum64String(kept[i].Name)
+	}
+	return &View{ID: viewID(kept), Members: kept, hashes: hashes}
 }
 
 func viewID(members []Member) ViewID {
@@ -87,7 +93,7 @@
 	keyHash := xxhash.Sum64String(string(duty) + "/" + key)
 	best, bestScore := 0, uint64(0)
 	for i := range v.Members {
-		score := mix(keyHash ^ xxhash.Sum64String(v.Members[i].Name))
+		score := mix(keyHash ^ v.hashes[i])
 		if i == 0 || score > bestScore {
 			best, bestScore = i, score
 		}
