Lengthen promises and death bounds with the size of the view

Cause: with a promise of 2 s, routers of a fleet of 50 counted as few as 40 live promises; gossip takes longer to reach all of a larger fleet. Change: promise and silence bounds grow by one tick per doubling above 8 routers, a pure function of the view, so that giver and counter agree. Figures: age at which members were last heard, 99.9th percentile, before: 7 routers 1.43 s, 50 2.52 s, 330 3.15 s; bound now 2, 3 and 4.5 s.

--- a/process/member/config.go
+++ b/process/member/config.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"math/bits"
 	"time"
 
 	"github.com/stoatmount/stoatmount/process/settings"
@@ -10,9 +11,9 @@
 // same values.
 type Config struct {
 	Tick      time.Duration // between two gossip messages
-	DeadAfter time.Duration // silence after which a member is dead
-	// Promise is how long after its last message on a view a router stays
-	// bound to that view's owners.
+	DeadAfter time.Duration // silence after which a member of a small fleet is dead
+	// Promise is how long after its last message on a small view a router
+	// stays bound to that view's owners.
 	Promise time.Duration
 	// Steady is how long a new member must be heard without a gap before it
 	// enters a view. It doubles with each recent death of the member.
@@ -38,6 +39,7 @@
 	deltaTicks        = 30 // how long the origin of a view is gossiped
 	probeEvery        = 4  // ticks between messages to a member that seems dead
 	maxFlapDoublings  = 5
+	smallFleet        = 8 // routers; larger fleets relay for longer
 )
 
 // flapMemory is how long one death of a member is remembered.
@@ -62,10 +64,28 @@
 	}
 }
 
-// hold is how long after a change of view a router is still bound to the
-// earlier view: the promise and an allowance for delay.
-func (c *Config) hold() time.Duration {
-	return c.Promise + marginTicks*c.Tick
+// relayTime is what news needs, beyond the base times in Config, to reach all
+// of n routers by gossip: one tick for each doubling above smallFleet.
+func (c *Config) relayTime(n int) time.Duration {
+	doublings := bits.Len(uint(n)) - bits.Len(smallFleet)
+	return time.Duration(max(0, doublings)) * c.Tick
+}
+
+// promise is how long a promise to v lasts. It depends on nothing but v, so
+// that those who give it and those who count it agree.
+func (c *Config) promise(v *View) time.Duration {
+	return c.Promise + c.relayTime(len(v.Members))
+}
+
+// hold is how long after leaving v a router is still bound to it: the promise
+// and an allowance for delay.
+func (c *Config) hold(v *View) time.Duration {
+	return c.promise(v) + marginTicks*c.Tick
+}
+
+// deadAfter is the silence after which a member of a fleet of n is dead.
+func (c *Config) deadAfter(n int) time.Duration {
+	return c.DeadAfter + c.relayTime(n)
 }
 
 func (c *Config) ageUnit() time.Duration {
--- a/process/member/gossip.go
+++ b/process/member/gossip.go
@@ -38,7 +38,7 @@
 // started promises nothing, since an earlier process of the same host may
 // still be counted.
 func (t *Table) stance(now time.Time) Stance {
-	if t.view == nil || now.Sub(t.start) < t.cfg.hold() {
+	if t.view == nil || now.Sub(t.start) < t.cfg.hold(t.view) {
 		return Stance{}
 	}
 	return Stance{View: t.view.ID, Prev: t.boundTo(now)}
@@ -46,7 +46,7 @@
 
 // boundTo returns the earlier view that this router is still bound to, or 0.
 func (t *Table) boundTo(now time.Time) ViewID {
-	if t.prev == nil || now.Sub(t.since) >= t.cfg.hold() {
+	if t.prev == nil || now.Sub(t.since) >= t.cfg.hold(t.prev) {
 		return 0
 	}
 	return t.prev.ID
@@ -64,7 +64,7 @@
 	for _, name := range t.names {
 		p := t.peers[name]
 		age := t.encodeAge(now, p.heard)
-		if age == notInStance || now.Sub(p.heard) > t.cfg.DeadAfter {
+		if age == notInStance || now.Sub(p.heard) > t.deadAfter() {
 			continue
 		}
 		stance := t.vectorStance(p)
@@ -121,7 +121,7 @@
 	}
 	for _, name := range t.names {
 		p := t.peers[name]
-		if p.heard.IsZero() || now.Sub(p.heard) > t.cfg.DeadAfter {
+		if p.heard.IsZero() || now.Sub(p.heard) > t.deadAfter() {
 			continue
 		}
 		settled := t.vectorStance(p).View != 0 && t.view != nil && t.view.Has(p.Name, p.Boot)
--- a/process/member/health.go
+++ b/process/member/health.go
@@ -10,7 +10,14 @@
 	if p.heard.IsZero() {
 		return false
 	}
-	return t.silence(p, now) <= t.cfg.DeadAfter
+	return t.silence(p, now) <= t.deadAfter()
+}
+
+func (t *Table) deadAfter() time.Duration {
+	if t.view == nil {
+		return t.cfg.deadAfter(len(t.names) + 1)
+	}
+	return t.cfg.deadAfter(len(t.view.Members))
 }
 
 // silence is how long p has not been heard while this router was awake.
@@ -149,7 +156,7 @@
 // allowed is shorter once others have dropped the member.
 func (t *Table) staysIn(p *peer, now time.Time, votes []*View) bool {
 	silence := t.silence(p, now)
-	if silence <= t.cfg.DeadAfter/2 {
+	if silence <= t.deadAfter()/2 {
 		return true
 	}
 	for _, v := range votes {
@@ -157,13 +164,13 @@
 			return false
 		}
 	}
-	return silence <= t.cfg.DeadAfter
+	return silence <= t.deadAfter()
 }
 
 // mayEnter reports whether p enters the view: it has been heard without a gap
 // for long enough. Half the time suffices once others have taken it in.
 func (t *Table) mayEnter(p *peer, now time.Time, votes []*View) bool {
-	if p.heard.IsZero() || t.silence(p, now) > t.cfg.DeadAfter/2 {
+	if p.heard.IsZero() || t.silence(p, now) > t.deadAfter()/2 {
 		return false
 	}
 	need := t.cfg.Steady
@@ -189,7 +196,7 @@
 	}
 	for _, name := range t.names {
 		p := t.peers[name]
-		if seen[p.stance.View] || t.silence(p, now) > t.cfg.DeadAfter/2 {
+		if seen[p.stance.View] || t.silence(p, now) > t.deadAfter()/2 {
 			continue
 		}
 		seen[p.stance.View] = true
@@ -204,7 +211,7 @@
 func (t *Table) othersAreOn(id ViewID, now time.Time) bool {
 	for _, name := range t.names {
 		p := t.peers[name]
-		if p.stance.View == id && t.silence(p, now) <= t.cfg.DeadAfter {
+		if p.stance.View == id && t.silence(p, now) <= t.deadAfter() {
 			return true
 		}
 	}
--- a/process/member/receive.go
+++ b/process/member/receive.go
@@ -103,7 +103,7 @@
 	}
 	if p.heard.IsZero() {
 		p.steadySince = at
-	} else if at.Sub(p.heard) > t.cfg.DeadAfter {
+	} else if at.Sub(p.heard) > t.deadAfter() {
 		t.noteFlap(p, at)
 		p.steadySince = at
 	}
--- a/process/member/shares.go
+++ b/process/member/shares.go
@@ -80,7 +80,8 @@
 
 // counts reports whether p has a live promise and is known to all by now.
 func (t *Table) counts(p *peer, now time.Time) bool {
-	if p.heard.IsZero() || now.Sub(p.heard) >= t.cfg.Promise {
+	view := t.known.get(p.stance.View)
+	if p.heard.IsZero() || view == nil || now.Sub(p.heard) >= t.cfg.promise(view) {
 		return false
 	}
 	return p.listed && now.Sub(p.listedSince) >= t.cfg.JoinGrace
