--- a/process/member/view.go
+++ b/process/member/view.go
@@ -81,7 +81,7 @@
 	DutyChatHome  Duty = "chat"      // key: workspace and chat
 	DutyLedger    Duty = "ledger"    // key: shard
 	DutySuspect   Duty = "suspect"   // key: request fingerprint
-	DutyOrders    Duty = "orders"    // key: endpoint name
+	DutyOrders    Duty = "orders"    // key: model name
 )
 
 // Owner returns the member that holds duty for key by rendezvous hashing. It
