--- a/process/configlog/follower.go
+++ b/process/configlog/follower.go
@@ -78,6 +78,7 @@
 // force. It is safe for concurrent use.
 type Follower struct {
 	opt     Options
+	started time.Time
 	current atomic.Pointer[config.Snapshot]
 	wake    chan struct{} // a peer has newer records
 
@@ -101,6 +102,7 @@
 	o = o.withDefaults()
 	return &Follower{
 		opt:      o,
+		started:  o.Clock.Now(),
 		wake:     make(chan struct{}, 1),
 		fresh:    NewFreshness(o.Fresh),
 		advanced: make(chan struct{}),
--- a/process/configlog/ingest.go
+++ b/process/configlog/ingest.go
@@ -156,12 +156,13 @@
 }
 
 // Serve answers a peer that asks for the records from offset on. The answer's
-// End says how far this router is, also if nothing else is in it.
+// End says how far this router is, also if nothing else is in it; it is 0 if
+// the router is not Ready.
 func (f *Follower) Serve(from platform.Offset) *peerpb.ConfigPage {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.fold == nil {
-		return &peerpb.ConfigPage{}
+	if !f.readyLocked() {
+		return &peerpb.ConfigPage{} // it may lack accepted records
 	}
 	page := &peerpb.ConfigPage{End: uint64(f.fold.Next())}
 	if from >= f.fold.Next() {
@@ -176,7 +177,7 @@
 	page.First = uint64(from)
 	for _, r := range records {
 		page.Records = append(page.Records, &peerpb.ConfigRecord{
-			Offset: uint64(r.Offset), AtUnixMs: r.At.UnixMilli(), Data: r.Data,
+			Offset: uint64(r.Offset), AtUnixNs: r.At.UnixNano(), Data: r.Data,
 		})
 	}
 	return page
@@ -197,7 +198,7 @@
 	}
 	records := make([]platform.Record, 0, len(page.GetRecords()))
 	for _, r := range page.GetRecords() {
-		at := time.UnixMilli(r.GetAtUnixMs()).UTC()
+		at := time.Unix(0, r.GetAtUnixNs()).UTC()
 		records = append(records, platform.Record{Offset: platform.Offset(r.GetOffset()), At: at, Data: r.GetData()})
 	}
 	return f.apply(records, f.opt.Clock.Now())
--- a/process/configlog/run.go
+++ b/process/configlog/run.go
@@ -30,13 +30,22 @@
 		err := f.Poll(ctx, f.opt.Poll)
 		if err != nil && ctx.Err() == nil {
 			f.opt.Logger.V(1).Info("config stream cannot be read", "error", err.Error())
-			f.PullPeer(ctx)
+			f.pullInstead(ctx)
 			f.pause(ctx, retryAfter)
 		}
 		f.AppendCheckpoint(ctx)
 	}
 }
 
+// pullInstead asks peers while the log cannot be read.
+func (f *Follower) pullInstead(ctx context.Context) {
+	if f.Ready() {
+		f.PullPeer(ctx)
+		return
+	}
+	f.StartFromPeers(ctx)
+}
+
 // RunPeers pulls from peers whenever gossip tells of newer records, until ctx
 // ends. It runs beside Run, which may be waiting for a log that is down.
 func (f *Follower) RunPeers(ctx context.Context) {
--- a/process/configlog/submit.go
+++ b/process/configlog/submit.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/sourcegraph/conc/iter"
-
 	"github.com/stoatmount/stoatmount/connection/platform"
 	"github.com/stoatmount/stoatmount/request/outcome"
 )
@@ -14,11 +12,6 @@
 	// majorityPause is the time between two questions to members that do not
 	// have a change yet.
 	majorityPause = 50 * time.Millisecond
-	// askTimeout bounds one round of questions, so that a silent member does
-	// not hold up the others.
-	askTimeout = 300 * time.Millisecond
-	// askAtOnce is the number of members asked at the same time.
-	askAtOnce = 64
 	// appendPause is the time between two tries to append.
 	appendPause = 200 * time.Millisecond
 )
@@ -29,165 +22,165 @@
 // submitted again. Errors are of type *outcome.Refusal: with LogUnavailable the
 // change is not in the log, with AcceptUnknown it may be in force.
 func (f *Follower) Submit(ctx context.Context, c Change) (Verdict, error) {
+	s, err := f.Begin(c)
+	if err != nil {
+		return Verdict{}, err
+	}
+	for {
+		advanced := f.progress()
+		s.Step(ctx)
+		if s.Over() {
+			return s.verdict, s.err
+		}
+		select {
+		case <-ctx.Done():
+		case <-advanced:
+		case <-f.opt.Clock.After(majorityPause):
+		}
+	}
+}
+
+func (f *Follower) progress() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.advanced
+}
+
+// Submission is a change on its way into force. Step moves it on; it is not
+// safe for concurrent use.
+type Submission struct {
+	follower *Follower
+	change   Change
+	data     []byte
+	giveUp   time.Time // end of the tries to append
+	nextTry  time.Time
+	tried    time.Time // end of the last append that may have taken effect
+	entry    *Entry    // how the change was judged
+	held     map[string]bool
+
+	over    bool
+	verdict Verdict
+	err     error
+}
+
+// Begin prepares c to be submitted.
+func (f *Follower) Begin(c Change) (*Submission, error) {
 	if c.ID == "" {
 		c.ID = NewChangeID()
 	}
-	c.At = f.opt.Clock.Now().UTC()
+	now := f.opt.Clock.Now()
+	c.At = now.UTC()
 	f.mu.Lock()
 	c.Seen = f.nextLocked()
 	known := f.fold != nil && f.halted == nil
 	f.mu.Unlock()
 	if !known {
-		return Verdict{}, outcome.NotRun(outcome.LogUnavailable, "this router has not read the configuration from the log")
+		return nil, outcome.NotRun(outcome.LogUnavailable, "this router has not read the configuration from the log")
 	}
-	entry, err := f.judged(ctx, c)
-	if err != nil || !entry.Verdict.Accepted {
-		return entry.Verdict, err
+	data, err := encodeChange(c)
+	if err != nil {
+		return nil, outcome.NotRun(outcome.BadRequest, "%v", err)
 	}
-	return entry.Verdict, f.awaitMajority(ctx, entry.Offset+1)
+	return &Submission{
+		follower: f, change: c, data: data, giveUp: now.Add(f.opt.Patience),
+		held: map[string]bool{f.opt.Self.Name: true},
+	}, nil
 }
 
-// judged appends c, once or again after reading that it is not there, until
-// the fold has judged it.
-func (f *Follower) judged(ctx context.Context, c Change) (Entry, error) {
-	data, err := encodeChange(c)
-	if err != nil {
-		return Entry{}, outcome.NotRun(outcome.BadRequest, "%v", err)
+// Over reports whether the submission has ended.
+func (s *Submission) Over() bool { return s.over }
+
+// Result returns how the change was judged, and a refusal if that is not known
+// or not yet in force. It is valid once the submission is over.
+func (s *Submission) Result() (Verdict, error) { return s.verdict, s.err }
+
+// Step moves the submission on as far as it goes without waiting.
+func (s *Submission) Step(ctx context.Context) {
+	if s.over {
+		return
 	}
-	giveUp := f.opt.Clock.Now().Add(f.opt.Patience)
-	mayBeIn := false
-	for {
-		if entry, ok := f.verdict(c.ID); ok {
-			return entry, nil
-		}
-		if ctx.Err() != nil || !f.opt.Clock.Now().Before(giveUp) {
-			return Entry{}, f.unjudged(mayBeIn, c.ID)
-		}
-		_, err := f.opt.Log.Append(ctx, platform.StreamConfig, [][]byte{data})
-		tried := f.opt.Clock.Now()
-		switch {
-		case err == nil || platform.MayHaveAppended(err):
-			mayBeIn = true
-			if !f.awaitRead(ctx, c.ID, tried, giveUp) {
-				return Entry{}, f.unjudged(mayBeIn, c.ID)
-			}
-		default:
-			f.pause(ctx, appendPause)
-		}
+	if s.entry == nil && !s.judge(ctx) {
+		return
+	}
+	s.verdict = s.entry.Verdict
+	if !s.verdict.Accepted {
+		s.over = true
+		return
+	}
+	if s.follower.majorityHolds(ctx, s.entry.Offset+1, s.held) {
+		s.over = true
+		return
+	}
+	if s.late(ctx) {
+		s.end(outcome.Unknown(outcome.AcceptUnknown, "version %d is in the log; a majority of the routers has not confirmed it yet", s.verdict.Version))
 	}
 }
 
-func (f *Follower) unjudged(mayBeIn bool, id string) error {
-	if mayBeIn {
-		return outcome.Unknown(outcome.AcceptUnknown, "change %s may be in the log; it cannot be read back", id)
-	}
-	return outcome.NotRun(outcome.LogUnavailable, "the log took no append; the change is not in force")
+func (s *Submission) end(err error) {
+	s.over = true
+	s.err = err
 }
 
-func (f *Follower) verdict(id string) (Entry, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.fold == nil {
-		return Entry{}, false
-	}
-	return f.fold.Verdict(id)
+func (s *Submission) late(ctx context.Context) bool {
+	return ctx.Err() != nil || !s.follower.opt.Clock.Now().Before(s.giveUp)
 }
 
-// awaitRead waits until the change with id was judged or the log's end was
-// read by a read that began after the append at tried. It returns false if
-// neither happens before giveUp.
-func (f *Follower) awaitRead(ctx context.Context, id string, tried, giveUp time.Time) bool {
-	for {
-		f.mu.Lock()
-		advanced := f.advanced
-		read := f.logEnd.After(tried)
-		judged := false
-		if f.fold != nil {
-			_, judged = f.fold.Verdict(id)
-		}
-		f.mu.Unlock()
-		if judged || read {
-			return true
-		}
-		left := giveUp.Sub(f.opt.Clock.Now())
-		if left <= 0 {
-			return false
-		}
-		select {
-		case <-ctx.Done():
-			return false
-		case <-advanced:
-		case <-f.opt.Clock.After(left):
-		}
+// judge reports whether the fold has judged the change. It appends the change,
+// and again only after reading that it is not there.
+func (s *Submission) judge(ctx context.Context) bool {
+	if s.look() {
+		return true
+	}
+	if s.late(ctx) {
+		s.end(s.unjudged())
+		return false
+	}
+	f := s.follower
+	if !s.tried.IsZero() && !f.readSince(s.tried) || f.opt.Clock.Now().Before(s.nextTry) {
+		return false
 	}
+	if s.look() {
+		return true
+	}
+	_, err := f.opt.Log.Append(ctx, platform.StreamConfig, [][]byte{s.data})
+	now := f.opt.Clock.Now()
+	if err == nil || platform.MayHaveAppended(err) {
+		s.tried = now
+	}
+	s.nextTry = now.Add(appendPause)
+	return false
 }
 
-// awaitMajority waits until a majority of the known routers of every region
-// has all records before end.
-func (f *Follower) awaitMajority(ctx context.Context, end platform.Offset) error {
-	held := map[string]bool{f.opt.Self.Name: true}
-	for {
-		if f.majorityHolds(ctx, end, held) {
-			return nil
-		}
-		if ctx.Err() != nil {
-			return outcome.Unknown(outcome.AcceptUnknown, "version %d is in the log; a majority of the routers has not confirmed it yet", end-1)
-		}
-		f.pause(ctx, majorityPause)
+// look reports whether the change has been judged.
+func (s *Submission) look() bool {
+	entry, ok := s.follower.judged(s.change.ID)
+	if ok {
+		s.entry = &entry
 	}
+	return ok
 }
 
-// majorityHolds asks the members that are not in held and adds those that hold
-// all records before end.
-func (f *Follower) majorityHolds(ctx context.Context, end platform.Offset, held map[string]bool) bool {
-	members := []Member{f.opt.Self}
-	if f.opt.Peers != nil {
-		members = append(members, f.opt.Peers.Members()...)
+func (s *Submission) unjudged() error {
+	if !s.tried.IsZero() {
+		return outcome.Unknown(outcome.AcceptUnknown, "change %s may be in the log; it cannot be read back", s.change.ID)
 	}
-	f.askMembers(ctx, members, end, held)
-	return Majority(members, held)
+	return outcome.NotRun(outcome.LogUnavailable, "the log took no append; the change is not in force")
 }
 
-// Majority reports whether of every region more than half of the members are
-// in held.
-func Majority(members []Member, held map[string]bool) bool {
-	balance := make(map[string]int)
-	for _, m := range members {
-		if held[m.Name] {
-			balance[m.Region]++
-		} else {
-			balance[m.Region]--
-		}
-	}
-	for _, b := range balance {
-		if b <= 0 {
-			return false
-		}
+// judged returns how the change with id was judged.
+func (f *Follower) judged(id string) (Entry, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.fold == nil {
+		return Entry{}, false
 	}
-	return true
+	return f.fold.Verdict(id)
 }
 
-// askMembers asks all members that are not in held at once.
-func (f *Follower) askMembers(ctx context.Context, members []Member, end platform.Offset, held map[string]bool) {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	var missing []string
-	for _, m := range members {
-		if !held[m.Name] {
-			missing = append(missing, m.Name)
-		}
-	}
-	mapper := iter.Mapper[string, platform.Offset]{MaxGoroutines: askAtOnce}
-	ends := mapper.Map(missing, func(name *string) platform.Offset {
-		page, err := f.opt.Peers.Pull(ctx, *name, end)
-		if err != nil {
-			return 0
-		}
-		return platform.Offset(page.GetEnd())
-	})
-	for i, name := range missing {
-		if ends[i] >= end {
-			held[name] = true
-		}
-	}
+// readSince reports whether the log's end was read by a read that began after
+// t.
+func (f *Follower) readSince(t time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.logEnd.After(t)
 }
--- a/process/ledger/fold.go
+++ b/process/ledger/fold.go
@@ -21,6 +21,7 @@
 	key         Key
 	expires     time.Time // by the log's clock
 	held        bool      // holder is set
+	winner      AttemptID // the last that won
 	holder      AttemptID
 	fingerprint uint64
 	until       time.Time // when the holder must have ended
@@ -64,8 +65,12 @@
 // Event tells what a record did to a claim.
 type Event struct {
 	Claim   bool // the record was a claim
+	Key     Key
 	Attempt AttemptID
 	Result  Result // of the claim
+	// Second says that the claim won although an earlier winner with the same
+	// key was not given up. It never holds unless the fold is broken.
+	Second bool
 }
 
 // Apply applies the record at Next. Earlier ones are ignored, and a gap makes
@@ -85,9 +90,20 @@
 	}
 	if rec.Op != opClaim {
 		f.finish(rec)
-		return Event{Attempt: rec.Attempt}, true
+		return Event{Key: rec.Key, Attempt: rec.Attempt}, true
 	}
-	return Event{Claim: true, Attempt: rec.Attempt, Result: f.claim(rec)}, true
+	event := Event{Claim: true, Key: rec.Key, Attempt: rec.Attempt, Result: f.claim(rec)}
+	event.Second = event.Result.State == Won && f.noteWinner(rec)
+	return event, true
+}
+
+// noteWinner notes the winner of a claim. It reports whether there is another
+// that was not given up.
+func (f *Fold) noteWinner(rec record) bool {
+	e := f.keys[rec.Key]
+	last := e.winner
+	e.winner = rec.Attempt
+	return last != AttemptID{} && last != rec.Attempt && !slices.Contains(e.released, last)
 }
 
 // forget notes that claims before at are not known.
--- a/process/ledger/shard.go
+++ b/process/ledger/shard.go
@@ -11,13 +11,15 @@
 	"github.com/pkg/errors"
 
 	"github.com/stoatmount/stoatmount/connection/platform"
+	"github.com/stoatmount/stoatmount/process/invariant"
 )
 
 // Options says how the ledger works. Zero values stand for the defaults.
 type Options struct {
-	Log    platform.Log
-	Clock  clockwork.Clock
-	Logger logr.Logger
+	Log     platform.Log
+	Clock   clockwork.Clock
+	Checker *invariant.Checker
+	Logger  logr.Logger
 
 	Window      time.Duration // age up to which repeats are recognised
 	FlushEvery  time.Duration // time between two group commits of a shard
@@ -39,6 +41,9 @@
 )
 
 func (o Options) withDefaults() Options {
+	if o.Checker == nil {
+		o.Checker = invariant.New(o.Logger)
+	}
 	setDefault(&o.Window, defaultWindow)
 	setDefault(&o.FlushEvery, defaultFlushEvery)
 	setDefault(&o.Poll, defaultPoll)
--- a/process/ledger/shard_test.go
+++ b/process/ledger/shard_test.go
@@ -36,7 +36,7 @@
 }
 
 func newBench(keep time.Duration) *bench {
-	clock := clockwork.NewFakeClock()
+	clock := clockwork.NewFakeClockAt(time.Unix(1_800_000_000, 0).UTC())
 	log := logstore.NewMemory(logstore.Options{Clock: clock, KeepFor: keep})
 	return &bench{
 		clock: clock, log: log, rand: rand.New(rand.NewPCG(1, 2)),
--- a/process/ledger/tail.go
+++ b/process/ledger/tail.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
 	"github.com/stoatmount/stoatmount/connection/platform"
+	"github.com/stoatmount/stoatmount/process/invariant"
 	"github.com/stoatmount/stoatmount/request/outcome"
 )
 
@@ -201,12 +203,24 @@
 	if !ok || !event.Claim {
 		return
 	}
+	result := event.Result
+	if event.Second {
+		s.fail(event)
+		result = Result{State: Lost}
+	}
 	for _, t := range s.waiters[event.Attempt] {
-		t.settle(event.Result)
+		t.settle(result)
 	}
 	delete(s.waiters, event.Attempt)
 }
 
+// fail reports a second winner for a key.
+func (s *Shard) fail(event Event) {
+	s.opt.Checker.Check(false, invariant.AtMostOnce, func() string {
+		return fmt.Sprintf("%s: attempt %x won key %s, as another had", s.stream, event.Attempt, event.Key)
+	})
+}
+
 // settleSentLocked drops the records that are known to be in the log and
 // appends those again of which the log's end, read at asked, shows that they
 // are not.
