Add the commands for answers and configuration

Cause: operators form, check, derive, push and read the configuration with one tool.

Change: stoatctl answers new|check, config generate|check|push|show|history over the typed client; a push names the version it was made on and shows the difference first.

--- /dev/null
+++ b/operate/answers.go
@@ -0,0 +1,66 @@
+package operate
+
+import (
+	"os"
+
+	"github.com/pkg/errors"
+
+	"github.com/stoatmount/stoatmount/version/answers"
+)
+
+// AnswersCmd is `stoatctl answers`.
+type AnswersCmd struct {
+	New   AnswersNewCmd   `cmd:"" help:"Write an empty questionnaire with comments."`
+	Check AnswersCheckCmd `cmd:"" help:"Say what is missing or contradictory in a questionnaire, all at once."`
+}
+
+// AnswersNewCmd is `stoatctl answers new`.
+type AnswersNewCmd struct {
+	File  string `arg:"" optional:"" help:"File to write; standard output if left out."`
+	Force bool   `help:"Overwrite the file."`
+}
+
+// Run writes the form.
+func (c *AnswersNewCmd) Run(env *Env) error {
+	if c.File == "" {
+		env.printf("%s", answers.New())
+		return nil
+	}
+	if err := writeNew(c.File, []byte(answers.New()), c.Force); err != nil {
+		return err
+	}
+	env.printf("%s: written; fill it in, then run: stoatctl answers check %s\n", c.File, c.File)
+	return nil
+}
+
+// writeNew writes a file that must not exist yet, unless force is set.
+func writeNew(file string, data []byte, force bool) error {
+	flags := os.O_WRONLY | os.O_CREATE | os.O_TRUNC
+	if !force {
+		flags |= os.O_EXCL
+	}
+	f, err := os.OpenFile(file, flags, 0o644)
+	if errors.Is(err, os.ErrExist) {
+		return errors.Errorf("%s exists; use --force to overwrite it", file)
+	}
+	if err != nil {
+		return errors.Wrap(err, "write")
+	}
+	_, err = f.Write(data)
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
+	}
+	return errors.Wrap(err, "write")
+}
+
+// AnswersCheckCmd is `stoatctl answers check`.
+type AnswersCheckCmd struct {
+	JSON
+	File string `arg:"" help:"Filled-in questionnaire, in TOML."`
+}
+
+// Run checks the form.
+func (c *AnswersCheckCmd) Run(env *Env) error {
+	_, err := answers.Load(c.File)
+	return reportProblems(env, c.File, err, c.JSON.JSON)
+}
--- /dev/null
+++ b/operate/config.go
@@ -0,0 +1,244 @@
+package operate
+
+import (
+	"time"
+
+	"github.com/stoatmount/stoatmount/connection/operator/api"
+	"github.com/stoatmount/stoatmount/version/answers"
+	"github.com/stoatmount/stoatmount/version/config"
+)
+
+// ConfigCmd is `stoatctl config`.
+type ConfigCmd struct {
+	Generate ConfigGenerateCmd `cmd:"" help:"Derive the configuration from a questionnaire, with reasons."`
+	Check    ConfigCheckCmd    `cmd:"" help:"Say what is wrong in a configuration or questionnaire, all at once."`
+	Push     ConfigPushCmd     `cmd:"" help:"Put a configuration or questionnaire in force."`
+	Show     ConfigShowCmd     `cmd:"" help:"Show the configuration in force."`
+	History  ConfigHistoryCmd  `cmd:"" help:"Show who changed what, when, and from which version."`
+}
+
+// ConfigGenerateCmd is `stoatctl config generate`.
+type ConfigGenerateCmd struct {
+	JSON
+	Connection
+	File  string `arg:"" help:"Filled-in questionnaire, in TOML."`
+	Out   string `help:"Write the configuration to this file, and the reasons to standard output." placeholder:"FILE"`
+	Force bool   `help:"Overwrite the file."`
+}
+
+// generated is the JSON of `stoatctl config generate`.
+type generated struct {
+	Config  config.Config    `json:"config"`
+	Reasons []answers.Reason `json:"reasons"`
+	InForce *config.Version  `json:"in_force,omitempty"`
+	Changes []answers.Change `json:"changes,omitempty"` // against what is in force
+}
+
+// Run derives the configuration.
+func (c *ConfigGenerateCmd) Run(env *Env) error {
+	loaded, err := loadConfig(c.File)
+	if err != nil {
+		return reportProblems(env, c.File, err, c.JSON.JSON)
+	}
+	result := generated{Config: loaded.config, Reasons: loaded.reasons}
+	if err := c.compare(env, &result); err != nil {
+		return err
+	}
+	text, err := configTOML(result.Config)
+	if err != nil {
+		return err
+	}
+	if c.Out != "" {
+		if err := writeNew(c.Out, text, c.Force); err != nil {
+			return err
+		}
+	}
+	switch {
+	case c.JSON.JSON:
+		return env.writeJSON(result)
+	case c.Out == "":
+		c.writeReasons(env, result.Reasons, "# ")
+		env.printf("\n%s", text)
+	default:
+		c.writeReasons(env, result.Reasons, "")
+		env.printf("%s: written\n", c.Out)
+	}
+	if result.InForce != nil {
+		writeChanges(env, *result.InForce, result.Changes)
+	}
+	return nil
+}
+
+// compare adds the difference to what is in force, if a router was named.
+func (c *ConfigGenerateCmd) compare(env *Env, result *generated) error {
+	if !c.given() {
+		return nil
+	}
+	cl, err := c.client()
+	if err != nil {
+		return err
+	}
+	state, err := cl.Config(env.Context)
+	if err != nil {
+		return err
+	}
+	result.InForce = &state.Version
+	result.Changes = answers.Summary(answers.Diff(state.Config, result.Config))
+	return nil
+}
+
+func (c *ConfigGenerateCmd) writeReasons(env *Env, reasons []answers.Reason, indent string) {
+	rows := &table{env: env}
+	for _, reason := range reasons {
+		rows.add(reason.Key, "=", cell{reason.Value, bold}, cell{reason.Why, dim})
+	}
+	rows.write(indent)
+}
+
+// writeChanges prints the difference to version.
+func writeChanges(env *Env, version config.Version, changes []answers.Change) {
+	if len(changes) == 0 {
+		env.notef("no difference to version %d, which is in force\n", version)
+		return
+	}
+	env.notef("%d differences to version %d, which is in force:\n", len(changes), version)
+	for _, change := range changes {
+		switch {
+		case change.Old == "":
+			env.notef("  + %s %s\n", change.Key, change.New)
+		case change.New == "":
+			env.notef("  - %s %s\n", change.Key, change.Old)
+		default:
+			env.notef("  ~ %s: %s, now %s\n", change.Key, change.Old, change.New)
+		}
+	}
+}
+
+// ConfigCheckCmd is `stoatctl config check`.
+type ConfigCheckCmd struct {
+	JSON
+	File string `arg:"" help:"Configuration or questionnaire, in TOML."`
+}
+
+// Run checks the file.
+func (c *ConfigCheckCmd) Run(env *Env) error {
+	_, err := loadConfig(c.File)
+	return reportProblems(env, c.File, err, c.JSON.JSON)
+}
+
+// ConfigPushCmd is `stoatctl config push`.
+type ConfigPushCmd struct {
+	JSON
+	Connection
+	File string  `arg:"" help:"Configuration or questionnaire, in TOML."`
+	Base *uint64 `help:"Version that the file was made on; it is refused if another is in force. Default: the one in force." placeholder:"VERSION"`
+}
+
+// pushed is the JSON of `stoatctl config push`.
+type pushed struct {
+	Base    config.Version   `json:"base"`
+	Version config.Version   `json:"version"`
+	Changes []answers.Change `json:"changes"`
+	Ms      int64            `json:"ms"` // until it was accepted
+}
+
+// Run pushes the file.
+func (c *ConfigPushCmd) Run(env *Env) error {
+	loaded, err := loadConfig(c.File)
+	if err != nil {
+		return reportProblems(env, c.File, err, c.JSON.JSON)
+	}
+	cl, err := c.client()
+	if err != nil {
+		return err
+	}
+	state, err := cl.Config(env.Context)
+	if err != nil {
+		return err
+	}
+	result := pushed{Base: state.Version, Changes: answers.Summary(answers.Diff(state.Config, loaded.config))}
+	if c.Base != nil {
+		result.Base = config.Version(*c.Base)
+	}
+	if !c.JSON.JSON {
+		writeChanges(env, state.Version, result.Changes)
+	}
+	started := env.Clock.Now()
+	result.Version, err = cl.Push(env.Context, api.Push{Base: result.Base, Config: loaded.config})
+	if err != nil {
+		return err
+	}
+	result.Ms = env.Clock.Since(started).Milliseconds()
+	if c.JSON.JSON {
+		return env.writeJSON(result)
+	}
+	env.printf("%s version %d after %d ms\n", env.paint(green, "accepted:"), result.Version, result.Ms)
+	return nil
+}
+
+// ConfigShowCmd is `stoatctl config show`.
+type ConfigShowCmd struct {
+	JSON
+	Connection
+}
+
+// Run shows the configuration in force.
+func (c *ConfigShowCmd) Run(env *Env) error {
+	cl, err := c.client()
+	if err != nil {
+		return err
+	}
+	state, err := cl.Config(env.Context)
+	if err != nil {
+		return err
+	}
+	if c.JSON.JSON {
+		return env.writeJSON(state)
+	}
+	text, err := configTOML(state.Config)
+	if err != nil {
+		return err
+	}
+	env.printf("# version %d\n", state.Version)
+	for _, mark := range state.Out {
+		env.printf("# out of service: %s %s since %s by %s\n", mark.Target.Scope, mark.Target.Name, mark.Since.UTC().Format(time.RFC3339), mark.By)
+	}
+	env.printf("%s", text)
+	return nil
+}
+
+// ConfigHistoryCmd is `stoatctl config history`.
+type ConfigHistoryCmd struct {
+	JSON
+	Connection
+	Limit int `help:"Largest number of changes to show." default:"20"`
+}
+
+// Run shows the last changes.
+func (c *ConfigHistoryCmd) Run(env *Env) error {
+	cl, err := c.client()
+	if err != nil {
+		return err
+	}
+	history, err := cl.History(env.Context, c.Limit)
+	if err != nil {
+		return err
+	}
+	if c.JSON.JSON {
+		return env.writeJSON(history)
+	}
+	rows := &table{env: env}
+	rows.add(cell{"VERSION", bold}, cell{"FROM", bold}, cell{"AT", bold}, cell{"BY", bold}, cell{"WHAT", bold}, cell{"RESULT", bold})
+	for _, change := range history.Changes {
+		result := cell{"accepted", green}
+		if !change.Accepted {
+			result = cell{"refused: " + change.Reason, red}
+		}
+		rows.add(change.Version, change.Base, change.At.UTC().Format(time.RFC3339), change.By, change.What, result)
+	}
+	rows.write("")
+	if !history.Complete {
+		env.notef("older changes are not shown: they were not asked for or have expired from the log\n")
+	}
+	return nil
+}
--- /dev/null
+++ b/operate/configfile.go
@@ -0,0 +1,75 @@
+package operate
+
+import (
+	"bytes"
+	"os"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pkg/errors"
+
+	"github.com/stoatmount/stoatmount/version/answers"
+	"github.com/stoatmount/stoatmount/version/config"
+	"github.com/stoatmount/stoatmount/version/form"
+)
+
+// loadedConfig is a configuration that was read from a file.
+type loadedConfig struct {
+	config  config.Config
+	reasons []answers.Reason // of derived values, if the file is a questionnaire
+}
+
+// loadConfig reads a configuration, or a questionnaire and derives one. It
+// returns a form.Problems if there is anything wrong with it.
+func loadConfig(file string) (loadedConfig, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return loadedConfig{}, errors.Wrap(err, "read configuration")
+	}
+	if isQuestionnaire(data) {
+		return fromAnswers(file, data)
+	}
+	var loaded loadedConfig
+	_, problems := form.Decode(file, data, &loaded.config)
+	if len(problems) == 0 {
+		problems = configProblems(file, loaded.config)
+	}
+	return loaded, problems.Err()
+}
+
+// isQuestionnaire reports whether data has keys that only a questionnaire has.
+func isQuestionnaire(data []byte) bool {
+	var top struct {
+		Organisation *string `toml:"organisation"`
+		Applications []any   `toml:"applications"`
+	}
+	// What cannot be decoded is reported when the whole file is.
+	_ = toml.Unmarshal(data, &top)
+	return top.Organisation != nil || len(top.Applications) > 0
+}
+
+func fromAnswers(file string, data []byte) (loadedConfig, error) {
+	answered, err := answers.Parse(file, data)
+	if err != nil {
+		return loadedConfig{}, err
+	}
+	var loaded loadedConfig
+	loaded.config, loaded.reasons = answers.Generate(answered)
+	return loaded, configProblems(file, loaded.config).Err()
+}
+
+// configProblems returns what config.Validate finds as problems of file.
+func configProblems(file string, c config.Config) form.Problems {
+	var problems form.Problems
+	for _, p := range config.Validate(c) {
+		problems = append(problems, form.Problem{File: file, Key: p.Place, Text: p.Text, Remedy: p.Remedy})
+	}
+	return problems
+}
+
+// configTOML returns c as TOML.
+func configTOML(c config.Config) ([]byte, error) {
+	var buffer bytes.Buffer
+	encoder := toml.NewEncoder(&buffer)
+	err := encoder.Encode(c)
+	return buffer.Bytes(), errors.Wrap(err, "encode configuration")
+}
--- a/operate/env.go
+++ b/operate/env.go
@@ -1,32 +1,50 @@
 package operate
 
 import (
+	"bufio"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 	"golang.org/x/term"
 )
 
+// pollEvery is the time between two looks at a fleet that changes.
+const pollEvery = 500 * time.Millisecond
+
 // Env is what a command sees of the world outside.
 type Env struct {
+	Context  context.Context
+	Clock    clockwork.Clock
 	In       io.Reader
 	Out      io.Writer
 	Err      io.Writer
-	Terminal bool // Out is a terminal: colours and live lines are welcome
-	Ask      bool // In is a terminal: a person can answer questions
+	Terminal bool          // Out is a terminal: colours and live lines are welcome
+	Ask      bool          // In is a terminal: a person can answer questions
+	Poll     time.Duration // between two looks at a fleet that changes
 }
 
-// Terminal returns the Env of the process.
+// Terminal returns the Env of the process. Its context ends on an interrupt.
 func Terminal() *Env {
+	// The process ends with its command, which frees the signals.
+	ctx, _ := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	return &Env{
+		Context:  ctx,
+		Clock:    clockwork.NewRealClock(),
 		In:       os.Stdin,
 		Out:      os.Stdout,
 		Err:      os.Stderr,
 		Terminal: term.IsTerminal(int(os.Stdout.Fd())) && os.Getenv("NO_COLOR") == "",
 		Ask:      term.IsTerminal(int(os.Stdin.Fd())),
+		Poll:     pollEvery,
 	}
 }
 
@@ -41,6 +59,12 @@
 	_, _ = fmt.Fprintf(e.Out, format, args...)
 }
 
+// notef writes to standard error, where it does not get into the way of what
+// a script reads.
+func (e *Env) notef(format string, args ...any) {
+	_, _ = fmt.Fprintf(e.Err, format, args...)
+}
+
 // writeJSON writes v as indented JSON.
 func (e *Env) writeJSON(v any) error {
 	encoder := json.NewEncoder(e.Out)
@@ -48,6 +72,24 @@
 	return errors.Wrap(encoder.Encode(v), "write JSON")
 }
 
+// confirm asks a question that is answered with yes or no.
+func (e *Env) confirm(question string) bool {
+	e.notef("%s [y/N] ", question)
+	line, _ := bufio.NewReader(e.In).ReadString('\n')
+	answer := strings.ToLower(strings.TrimSpace(line))
+	return answer == "y" || answer == "yes"
+}
+
+// sleep waits for d or until the command is interrupted.
+func (e *Env) sleep(d time.Duration) error {
+	select {
+	case <-e.Clock.After(d):
+		return nil
+	case <-e.Context.Done():
+		return errors.New("interrupted")
+	}
+}
+
 // Colours of the terminal.
 const (
 	red    = "31"
