Take zones, hosts and endpoints out and show the fleet

Cause: an operator needs to know what is left and who suffers before taking anything out, and to see the work drain after it.

--- a/connection/operator/api/api.go
+++ b/connection/operator/api/api.go
@@ -6,7 +6,6 @@
 	"github.com/stoatmount/stoatmount/process/burn"
 	"github.com/stoatmount/stoatmount/request/outcome"
 	"github.com/stoatmount/stoatmount/version/config"
-	"github.com/stoatmount/stoatmount/version/form"
 	"github.com/stoatmount/stoatmount/version/plan"
 )
 
@@ -106,6 +105,7 @@
 type Push struct {
 	Base   config.Version `json:"base"` // the version that it was made on
 	Config config.Config  `json:"config"`
+	Reason string         `json:"reason,omitempty"` // free text for the history
 }
 
 // Mark asks to take a target out of service or bring it back.
@@ -113,6 +113,7 @@
 	Base   config.Version `json:"base"` // 0: whatever version is in force
 	Target config.Target  `json:"target"`
 	Out    bool           `json:"out"`
+	Reason string         `json:"reason,omitempty"` // free text for the history
 }
 
 // Accepted says that a change is in force.
@@ -140,11 +141,11 @@
 
 // Refusal is the body of an answer that is not 2xx.
 type Refusal struct {
-	Code     outcome.Code  `json:"code"`
-	Name     string        `json:"name"`
-	Text     string        `json:"text"`
-	Detail   string        `json:"detail,omitempty"`
-	Problems form.Problems `json:"problems,omitempty"`
+	Code     outcome.Code     `json:"code"`
+	Name     string           `json:"name"`
+	Text     string           `json:"text"`
+	Detail   string           `json:"detail,omitempty"`
+	Problems []config.Problem `json:"problems,omitempty"`
 }
 
 // Error implements error.
@@ -153,5 +154,8 @@
 	if r.Detail != "" {
 		text += " " + r.Detail
 	}
+	for _, problem := range r.Problems {
+		text += "\n  " + problem.String()
+	}
 	return text
 }
--- /dev/null
+++ b/connection/operator/changes.go
@@ -0,0 +1,124 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/stoatmount/stoatmount/connection/operator/api"
+	"github.com/stoatmount/stoatmount/process/configlog"
+	"github.com/stoatmount/stoatmount/request/outcome"
+	"github.com/stoatmount/stoatmount/version/config"
+)
+
+// Follower is the part of configlog.Follower that Changes needs.
+type Follower interface {
+	Snapshot() *config.Snapshot
+	History() []configlog.Entry
+	Submit(ctx context.Context, c configlog.Change) (configlog.Verdict, error)
+}
+
+// Changes implements the part of Controller that is about the configuration.
+type Changes struct {
+	Follower Follower
+}
+
+// InvalidError is a change that was rejected for faults of its configuration.
+type InvalidError struct {
+	Refusal  *outcome.Refusal
+	Problems []config.Problem
+}
+
+// Error implements error.
+func (e *InvalidError) Error() string {
+	return e.Refusal.Error()
+}
+
+// Unwrap returns the refusal.
+func (e *InvalidError) Unwrap() error {
+	return e.Refusal
+}
+
+// Snapshot implements Controller.
+func (c Changes) Snapshot() *config.Snapshot {
+	return c.Follower.Snapshot()
+}
+
+// History implements Controller.
+func (c Changes) History(_ context.Context, limit int) (api.History, error) {
+	entries := c.Follower.History()
+	history := api.History{Complete: len(entries) <= limit}
+	for i := len(entries) - 1; i >= 0 && len(history.Changes) < limit; i-- {
+		history.Changes = append(history.Changes, change(&entries[i]))
+	}
+	return history, nil
+}
+
+// change returns an entry of the log as an operator sees it.
+func change(e *configlog.Entry) api.Change {
+	what := string(e.Op)
+	switch {
+	case e.Target != nil:
+		what = fmt.Sprintf("%s %s %s", e.Target.Scope, e.Target.Name, e.Op)
+	case e.Op == configlog.OpPush:
+		what = "configuration"
+	}
+	if e.Reason != "" {
+		what += ": " + e.Reason
+	}
+	c := api.Change{
+		Version:  config.Version(e.Offset),
+		Base:     e.Base,
+		At:       e.At,
+		By:       e.Author,
+		What:     what,
+		Accepted: e.Verdict.Accepted,
+	}
+	if !c.Accepted {
+		c.Reason = fmt.Sprintf("%d %s: %s", int(e.Verdict.Code), e.Verdict.Code, e.Verdict.Detail)
+	}
+	return c
+}
+
+// Push implements Controller.
+func (c Changes) Push(ctx context.Context, by string, push api.Push) (config.Version, error) {
+	return c.submit(ctx, configlog.Change{
+		Base:   push.Base,
+		Author: by,
+		Reason: push.Reason,
+		Op:     configlog.OpPush,
+		Config: &push.Config,
+	})
+}
+
+// Mark implements Controller.
+func (c Changes) Mark(ctx context.Context, by string, mark api.Mark) (config.Version, error) {
+	op := configlog.OpIn
+	if mark.Out {
+		op = configlog.OpOut
+	}
+	if snapshot := c.Follower.Snapshot(); mark.Base == 0 && snapshot != nil {
+		mark.Base = snapshot.Version
+	}
+	return c.submit(ctx, configlog.Change{
+		Base:   mark.Base,
+		Author: by,
+		Reason: mark.Reason,
+		Op:     op,
+		Target: &mark.Target,
+	})
+}
+
+func (c Changes) submit(ctx context.Context, change configlog.Change) (config.Version, error) {
+	verdict, err := c.Follower.Submit(ctx, change)
+	if err != nil {
+		return 0, err
+	}
+	if verdict.Accepted {
+		return verdict.Version, nil
+	}
+	refusal := outcome.NotRun(verdict.Code, "%s", verdict.Detail)
+	if len(verdict.Problems) > 0 {
+		return 0, &InvalidError{Refusal: refusal, Problems: verdict.Problems}
+	}
+	return 0, refusal
+}
--- a/connection/operator/server.go
+++ b/connection/operator/server.go
@@ -293,10 +293,15 @@
 		s.log.Error(err, "operator's request failed")
 		refusal = outcome.NotRun(outcome.InternalInvariant, "%v.", err)
 	}
+	var invalid *InvalidError
+	if errors.As(err, &invalid) {
+		refuse(w, refusal, invalid.Problems...)
+		return
+	}
 	refuse(w, refusal)
 }
 
-func refuse(w http.ResponseWriter, refusal *outcome.Refusal) {
+func refuse(w http.ResponseWriter, refusal *outcome.Refusal, problems ...config.Problem) {
 	info := refusal.Code.Info()
 	w.Header().Set("Content-Type", "application/json")
 	if refusal.RetryAfter > 0 {
@@ -304,6 +309,6 @@
 	}
 	w.WriteHeader(info.Status)
 	_ = json.NewEncoder(w).Encode(api.Refusal{
-		Code: refusal.Code, Name: info.Name, Text: info.Text, Detail: refusal.Detail,
+		Code: refusal.Code, Name: info.Name, Text: info.Text, Detail: refusal.Detail, Problems: problems,
 	})
 }
--- a/operate/cli.go
+++ b/operate/cli.go
@@ -2,6 +2,12 @@
 
 // CLI is the tree of commands. A new command is added here as a field.
 type CLI struct {
+	Answers  AnswersCmd  `cmd:"" help:"Write and check the questionnaire that a configuration is derived from."`
+	Config   ConfigCmd   `cmd:"" help:"Derive, check, push and show the configuration."`
+	Zone     ZoneCmd     `cmd:"" help:"Take an availability zone out of service or bring it back."`
+	Host     HostCmd     `cmd:"" help:"Take an entry host out of service or bring it back."`
+	Endpoint EndpointCmd `cmd:"" help:"Take an endpoint out of service or bring it back."`
+	Status   StatusCmd   `cmd:"" help:"Show the fleet at a glance."`
 	Settings SettingsCmd `cmd:"" help:"Check the settings file of a router."`
 	Codes    CodesCmd    `cmd:"" help:"List the numbered result codes."`
 }
--- a/operate/config.go
+++ b/operate/config.go
@@ -1,6 +1,7 @@
 package operate
 
 import (
+	"strings"
 	"time"
 
 	"github.com/stoatmount/stoatmount/connection/operator/api"
@@ -83,18 +84,43 @@
 		return err
 	}
 	result.InForce = &state.Version
+	result.Reasons = append(result.Reasons, keepShards(&result.Config, state)...)
 	result.Changes = answers.Summary(answers.Diff(state.Config, result.Config))
 	return nil
 }
 
+// writeReasons prints the reasons. Elements of a list with the same value for
+// the same reason share a line.
 func (c *ConfigGenerateCmd) writeReasons(env *Env, reasons []answers.Reason, indent string) {
 	rows := &table{env: env}
+	alike := make(map[answers.Reason]int)
 	for _, reason := range reasons {
-		rows.add(reason.Key, "=", cell{reason.Value, bold}, cell{reason.Why, dim})
+		alike[withoutElement(reason)]++
+	}
+	for _, reason := range reasons {
+		same := withoutElement(reason)
+		count := alike[same]
+		if count == 0 {
+			continue
+		}
+		alike[same] = 0
+		key := reason.Key
+		if count > 1 {
+			key += " and " + itoa(count-1) + " like it"
+		}
+		rows.add(key, "=", cell{reason.Value, bold}, cell{reason.Why, dim})
 	}
 	rows.write(indent)
 }
 
+// withoutElement returns reason without the name of the list's element.
+func withoutElement(reason answers.Reason) answers.Reason {
+	list, _, _ := strings.Cut(reason.Key, ".")
+	field := reason.Key[strings.LastIndex(reason.Key, ".")+1:]
+	reason.Key = list + "." + field
+	return reason
+}
+
 // writeChanges prints the difference to version.
 func writeChanges(env *Env, version config.Version, changes []answers.Change) {
 	if len(changes) == 0 {
@@ -130,8 +156,9 @@
 type ConfigPushCmd struct {
 	JSON
 	Connection
-	File string  `arg:"" help:"Configuration or questionnaire, in TOML."`
-	Base *uint64 `help:"Version that the file was made on; it is refused if another is in force. Default: the one in force." placeholder:"VERSION"`
+	File   string  `arg:"" help:"Configuration or questionnaire, in TOML."`
+	Reason string  `help:"Why, for the history." placeholder:"TEXT"`
+	Base   *uint64 `help:"Version that the file was made on; it is refused if another is in force. Default: the one in force." placeholder:"VERSION"`
 }
 
 // pushed is the JSON of `stoatctl config push`.
@@ -156,6 +183,11 @@
 	if err != nil {
 		return err
 	}
+	if len(loaded.reasons) > 0 {
+		for _, reason := range keepShards(&loaded.config, state) {
+			env.notef("%s = %s: %s\n", reason.Key, reason.Value, reason.Why)
+		}
+	}
 	result := pushed{Base: state.Version, Changes: answers.Summary(answers.Diff(state.Config, loaded.config))}
 	if c.Base != nil {
 		result.Base = config.Version(*c.Base)
@@ -164,7 +196,7 @@
 		writeChanges(env, state.Version, result.Changes)
 	}
 	started := env.Clock.Now()
-	result.Version, err = cl.Push(env.Context, api.Push{Base: result.Base, Config: loaded.config})
+	result.Version, err = cl.Push(env.Context, api.Push{Base: result.Base, Config: loaded.config, Reason: c.Reason})
 	if err != nil {
 		return err
 	}
--- a/operate/configfile.go
+++ b/operate/configfile.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"os"
 
 	"github.com/pelletier/go-toml/v2"
@@ -57,6 +58,19 @@
 	return loaded, configProblems(file, loaded.config).Err()
 }
 
+// keepShards keeps the number of ledger shards in force in a configuration
+// that was derived from answers: the number cannot change, as keys would move
+// to other shards, where their claims are not known.
+func keepShards(derived *config.Config, state config.State) []answers.Reason {
+	inForce := state.Config.Limits.LedgerShards
+	if state.Version == 0 || inForce == derived.Limits.LedgerShards {
+		return nil
+	}
+	why := fmt.Sprintf("%d would be derived, but the number in force cannot change", derived.Limits.LedgerShards)
+	derived.Limits.LedgerShards = inForce
+	return []answers.Reason{{Key: "limits.ledger_shards", Value: itoa(inForce), Why: why}}
+}
+
 // configProblems returns what config.Validate finds as problems of file.
 func configProblems(file string, c config.Config) form.Problems {
 	var problems form.Problems
--- a/operate/main.go
+++ b/operate/main.go
@@ -18,8 +18,15 @@
 
 Examples:
 
-  stoatctl settings check /etc/stoatmount.toml
-  stoatctl codes --json`
+  stoatctl answers new answers.toml           write an empty questionnaire
+  stoatctl config generate answers.toml       derive the configuration, with reasons
+  stoatctl config push answers.toml           put it in force
+  stoatctl status                             see the fleet at a glance
+  stoatctl zone out xela-b --reason drill     take a zone out of service
+  stoatctl zone in xela-b                     bring it back
+
+Commands that ask the fleet need a router's address in --router or
+STOATMOUNT_ROUTERS. Exit status: 0 done, 1 refused or failed, 2 wrong usage.`
 
 // errReported ends a command that has already said why it failed.
 var errReported = errors.New("reported")
--- /dev/null
+++ b/operate/outin.go
@@ -0,0 +1,205 @@
+package operate
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/stoatmount/stoatmount/connection/operator/api"
+	"github.com/stoatmount/stoatmount/connection/operator/client"
+	"github.com/stoatmount/stoatmount/version/config"
+	"github.com/stoatmount/stoatmount/version/plan"
+)
+
+// TargetCmd is `stoatctl zone`, `stoatctl host` and `stoatctl endpoint`.
+type TargetCmd struct {
+	Out OutCmd `cmd:"" help:"Take it out of service: say what is left, then watch its work drain."`
+	In  InCmd  `cmd:"" help:"Bring it back into service."`
+}
+
+// ZoneCmd is `stoatctl zone`.
+type ZoneCmd struct{ TargetCmd }
+
+// AfterApply sets the scope of the command.
+func (c *ZoneCmd) AfterApply() error { return c.scope(config.ScopeZone) }
+
+// HostCmd is `stoatctl host`.
+type HostCmd struct{ TargetCmd }
+
+// AfterApply sets the scope of the command.
+func (c *HostCmd) AfterApply() error { return c.scope(config.ScopeHost) }
+
+// EndpointCmd is `stoatctl endpoint`.
+type EndpointCmd struct{ TargetCmd }
+
+// AfterApply sets the scope of the command.
+func (c *EndpointCmd) AfterApply() error { return c.scope(config.ScopeEndpoint) }
+
+func (c *TargetCmd) scope(scope config.Scope) error {
+	c.Out.scope, c.In.scope = scope, scope
+	return nil
+}
+
+// markCmd is what taking out and bringing back have in common.
+type markCmd struct {
+	JSON
+	Connection
+	Name   string `arg:"" help:"Name of the zone, host or endpoint."`
+	Reason string `help:"Why, for the history." placeholder:"TEXT"`
+
+	scope config.Scope
+}
+
+// OutCmd takes a target out of service.
+type OutCmd struct {
+	markCmd
+	Yes   bool          `help:"Go on even if promises would break."`
+	Drain time.Duration `help:"How long to watch the work drain; 0s: not at all." default:"60s"`
+}
+
+// InCmd brings a target back.
+type InCmd struct {
+	markCmd
+}
+
+// marked is the JSON of taking out and bringing back.
+type marked struct {
+	Impact  plan.Impact    `json:"impact"`
+	Version config.Version `json:"version"`
+	Ms      int64          `json:"ms"` // until it was accepted
+	// Left is the work in progress there at the end; -1 if nobody looked.
+	Left    int   `json:"left"`
+	DrainMs int64 `json:"drain_ms"`
+}
+
+func (c *markCmd) mark(out bool) api.Mark {
+	return api.Mark{Target: config.Target{Scope: c.scope, Name: c.Name}, Out: out, Reason: c.Reason}
+}
+
+// Run takes the target out.
+func (c *OutCmd) Run(env *Env) error {
+	cl, err := c.client()
+	if err != nil {
+		return err
+	}
+	mark := c.mark(true)
+	result := marked{Left: -1}
+	if result.Impact, err = cl.Preview(env.Context, mark); err != nil {
+		return err
+	}
+	if !c.JSON.JSON {
+		writeImpact(env, result.Impact, true)
+	}
+	if err := c.allowed(env, result.Impact); err != nil {
+		return err
+	}
+	if err := c.submit(env, cl, mark, &result); err != nil {
+		return err
+	}
+	if c.Drain > 0 {
+		if err := c.watch(env, cl, mark.Target, &result); err != nil {
+			return err
+		}
+	}
+	if c.JSON.JSON {
+		return env.writeJSON(result)
+	}
+	return nil
+}
+
+// allowed asks to go on if promises would break.
+func (c *OutCmd) allowed(env *Env, impact plan.Impact) error {
+	if !impact.Breaks || c.Yes {
+		return nil
+	}
+	if !env.Ask {
+		return errors.Errorf("promises would break if %s %s went out; give --yes to go on", c.scope, c.Name)
+	}
+	if !env.confirm("Promises would break. Go on?") {
+		return errors.New("nothing was changed")
+	}
+	return nil
+}
+
+// Run brings the target back.
+func (c *InCmd) Run(env *Env) error {
+	cl, err := c.client()
+	if err != nil {
+		return err
+	}
+	mark := c.mark(false)
+	result := marked{Left: -1}
+	if result.Impact, err = cl.Preview(env.Context, mark); err != nil {
+		return err
+	}
+	if !c.JSON.JSON {
+		writeImpact(env, result.Impact, false)
+	}
+	if err := c.submit(env, cl, mark, &result); err != nil {
+		return err
+	}
+	if c.JSON.JSON {
+		return env.writeJSON(result)
+	}
+	return nil
+}
+
+func (c *markCmd) submit(env *Env, cl *client.Client, mark api.Mark, result *marked) error {
+	started := env.Clock.Now()
+	version, err := cl.Mark(env.Context, mark)
+	if err != nil {
+		return err
+	}
+	result.Version = version
+	result.Ms = env.Clock.Since(started).Milliseconds()
+	if !c.JSON.JSON {
+		state := "back in service"
+		if mark.Out {
+			state = "out of service"
+		}
+		env.printf("%s %s %s is %s, version %d, after %d ms\n", env.paint(green, "accepted:"), c.scope, c.Name, state, version, result.Ms)
+	}
+	return nil
+}
+
+// writeImpact says what the change leaves.
+func writeImpact(env *Env, impact plan.Impact, out bool) {
+	verb := "back in"
+	if out {
+		verb = "out"
+	}
+	env.printf("%s %s %s would leave:\n", impact.Target.Scope, impact.Target.Name, verb)
+	rows := &table{env: env}
+	rows.add("entry hosts", impact.HostsAfter, "of", impact.HostsBefore, "")
+	for _, group := range impact.Groups {
+		rows.add(group.Group, group.EndpointsAfter, "of", group.EndpointsBefore, "endpoints")
+		colour := green
+		if group.Load > group.BearsAfter {
+			colour = red
+		}
+		rows.add("", cell{itoa(group.BearsAfter), colour}, "of", group.BearsBefore, "requests at a time; now there are "+itoa(group.Load))
+	}
+	rows.write("  ")
+	if !out {
+		return
+	}
+	env.printf("  %d requests are in progress there and would be left to end\n", impact.InProgress)
+	writeSuffering(env, impact)
+}
+
+func writeSuffering(env *Env, impact plan.Impact) {
+	if len(impact.Kinds) == 0 {
+		env.printf("  no kind of request would suffer\n")
+		return
+	}
+	for _, kind := range impact.Kinds {
+		switch {
+		case kind.Effect == plan.EffectStops:
+			env.printf("  %s: %s\n", kind.Kind, env.paint(red, "nothing would be left to serve it"))
+		case kind.CanWait:
+			env.printf("  %s: %s\n", kind.Kind, env.paint(yellow, itoa(kind.Displaced)+" of "+itoa(kind.Load)+" would wait, as it can"))
+		default:
+			env.printf("  %s: %s\n", kind.Kind, env.paint(red, itoa(kind.Displaced)+" of "+itoa(kind.Load)+" would wait or be refused"))
+		}
+	}
+}
--- a/version/answers/answers.go
+++ b/version/answers/answers.go
@@ -104,6 +104,8 @@
 	WorthlessAfter config.Duration `toml:"worthless_after"`
 	// UsualFirstAnswer is how long a warm worker usually takes to begin.
 	UsualFirstAnswer config.Duration `toml:"usual_first_answer"`
+	// LongestPromptTokens is the longest prompt; for kinds of a model only.
+	LongestPromptTokens int `toml:"longest_prompt_tokens"`
 	// Promise is the share to be served once and in time.
 	Promise float64 `toml:"promise"`
 }
--- a/version/answers/check.go
+++ b/version/answers/check.go
@@ -24,6 +24,8 @@
 	longestWorth  = 7 * 24 * time.Hour
 	// longestGap bounds usual_gap.
 	longestGap = time.Minute
+	// mostTokens bounds a prompt.
+	mostTokens = 10_000_000
 	// mostHarmful is more than the ledger takes in a second.
 	mostHarmful = 1000
 )
@@ -187,6 +189,7 @@
 		c.reference(key+".application", k.Application, "application", names(c.answers.Applications, func(a Application) string { return a.Name }))
 		c.kindKeys(key, k)
 		c.kindTimes(key, k)
+		c.kindPrompt(key, k)
 		c.require(k.Worth > 0, key+".worth", "write how much an answer in time is worth beside the other kinds, for example 10", "is missing or not above 0")
 		c.require(k.Promise > 0 && k.Promise < 1, key+".promise", "write a share between 0 and 1, for example 0.999", "%v is no share that can be promised", k.Promise)
 	}
@@ -202,6 +205,18 @@
 	c.require(k.Keys == "", key+".keys", "leave keys out or set harm_if_twice = true", "keys are kept only for kinds that do harm if run twice")
 }
 
+func (c *checker) kindPrompt(key string, k *Kind) {
+	app := c.answers.application(k.Application)
+	if app == nil {
+		return
+	}
+	if app.Sort == SortModel {
+		c.require(k.LongestPromptTokens > 0 && k.LongestPromptTokens <= mostTokens, key+".longest_prompt_tokens", "write the tokens of the longest prompt", "is missing or out of range, but %q is a model", app.Name)
+		return
+	}
+	c.require(k.LongestPromptTokens == 0, key+".longest_prompt_tokens", "leave it out", "a service reads no tokens")
+}
+
 func (c *checker) kindTimes(key string, k *Kind) {
 	c.positive(key+".full_until", k.FullUntil, "2s")
 	c.positive(key+".worthless_after", k.WorthlessAfter, "10s")
--- a/version/answers/generate.go
+++ b/version/answers/generate.go
@@ -33,6 +33,7 @@
 	// second, and claimsPerAppend the claims that go well into one.
 	appendsPerShard = 12
 	claimsPerAppend = 8
+	minShards       = 4
 	maxShards       = 16
 	// maxLedgerWindow bounds how long repeats are recognised.
 	maxLedgerWindow = 24 * time.Hour
@@ -180,6 +181,10 @@
 func (g *generator) firstByte(k *config.Kind, answered *Kind) {
 	wait := max(firstAnswerRoom*answered.UsualFirstAnswer.Std(), firstByteLeast)
 	why := fmt.Sprintf("%d times usual_first_answer, at least %v", firstAnswerRoom, firstByteLeast)
+	if prompts := g.fullBatch(answered); prompts > 0 {
+		wait += prompts
+		why += fmt.Sprintf(", and %v in which a worker reads a full batch of prompts of longest_prompt_tokens", prompts)
+	}
 	limit, reason := k.Deadline.Std()/2, "half of worthless_after, so that a second endpoint can still be in time"
 	if k.NonIdempotent {
 		limit, reason = k.Deadline.Std(), "worthless_after, as a second run is not allowed"
@@ -191,6 +196,25 @@
 	g.because("kinds."+k.Name+".first_byte", k.FirstByte, "%s", why)
 }
 
+// fullBatch returns how long the fullest worker reads when all its requests
+// have the longest prompt and nothing is cached.
+func (g *generator) fullBatch(answered *Kind) time.Duration {
+	app := g.answers.application(answered.Application)
+	if app.Sort != SortModel {
+		return 0
+	}
+	atOnce := 0
+	for i := range g.answers.Workers {
+		if w := &g.answers.Workers[i]; w.Application == app.Name {
+			atOnce = max(atOnce, w.AtOnce)
+		}
+	}
+	seconds := float64(atOnce) * float64(answered.LongestPromptTokens) / float64(app.PromptTokensPerSecond)
+	// Longer waits are cut by the deadline anyway.
+	seconds = min(seconds, longestWorth.Seconds())
+	return time.Duration(seconds * float64(time.Second)).Round(time.Millisecond)
+}
+
 func (g *generator) betweenBytes(k *config.Kind, answered *Kind, app *Application) {
 	wait, from := gapRoom*app.UsualGap.Std(), "usual_gap of the application"
 	if app.UsualGap == 0 {
@@ -247,9 +271,9 @@
 	perShard := appendsPerShard * claimsPerAppend
 	// A request that runs takes two records: the claim and the result.
 	records := 2 * p.HarmfulPerSecond
-	l.LedgerShards = min(max(1, int(math.Ceil(float64(records)/float64(perShard)))), maxShards)
-	g.because("limits.ledger_shards", l.LedgerShards, "%d records a second (a claim and a result for each of harmful_per_second), %d group commits a second and shard with up to %d records, at most %d shards",
-		records, appendsPerShard, claimsPerAppend, maxShards)
+	l.LedgerShards = min(max(minShards, int(math.Ceil(float64(records)/float64(perShard)))), maxShards)
+	g.because("limits.ledger_shards", l.LedgerShards, "%d records a second (a claim and a result for each of harmful_per_second), %d group commits a second and shard with up to %d records; at least %d, as the first configuration fixes the number and a failed appender then holds up only its shard, at most %d",
+		records, appendsPerShard, claimsPerAppend, minShards, maxShards)
 }
 
 // byWeight derives what depends on what the organisation weighs most.
