--- /dev/null
+++ b/process/admission/owner_test.go
@@ -0,0 +1,319 @@
+package admission
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"github.com/stoatmount/stoatmount/connection/endpoint/protocol"
+	"github.com/stoatmount/stoatmount/process/invariant"
+	"github.com/stoatmount/stoatmount/process/member"
+	"github.com/stoatmount/stoatmount/request/outcome"
+	"github.com/stoatmount/stoatmount/version/config"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// fakeMembers lets a test choose how many routers are bound to the owner.
+type fakeMembers struct {
+	self           member.Member
+	counted, known int
+}
+
+func (f *fakeMembers) Shares(time.Time) *member.Shares {
+	s := &member.Shares{Self: f.self, Known: f.known}
+	if f.counted > 0 {
+		view := member.NewView([]member.Member{f.self})
+		s.Stances = []member.StanceCount{{View: view, Count: f.counted}}
+	}
+	return s
+}
+
+type fixture struct {
+	c       *qt.C
+	now     time.Time
+	members *fakeMembers
+	check   *invariant.Checker
+	owner   *Owner
+	calls   uint64
+}
+
+// newFixture has one endpoint "e" of model "m" that bears 8, and 2 when cold.
+func newFixture(t *testing.T, endpoints ...config.Endpoint) *fixture {
+	f := &fixture{c: qt.New(t), now: epoch, check: invariant.New(logr.Discard())}
+	f.members = &fakeMembers{self: member.Member{Name: "a", Boot: 1, Region: "r"}, counted: 7, known: 7}
+	f.owner = NewOwner(DefaultConfig(), f.members, f.check, rand.New(rand.NewPCG(1, 1)))
+	if len(endpoints) == 0 {
+		endpoints = []config.Endpoint{{Name: "e", Model: "m", Bears: 8, ColdBears: 2, WarmAfter: 12}}
+	}
+	f.setConfig(config.State{Config: config.Config{
+		Endpoints: endpoints,
+		Kinds:     []config.Kind{{Name: "k", Model: "m", Worth: 1, Deadline: config.Duration(time.Minute)}},
+		Limits:    config.Limits{MeanMultiple: 1.25},
+	}})
+	return f
+}
+
+func (f *fixture) setConfig(state config.State) {
+	f.owner.SetSnapshot(config.NewSnapshot(state))
+}
+
+// request asks for a permit at endpoint e without waiting.
+func (f *fixture) request(e string, wait time.Duration) []Decision {
+	f.calls++
+	return f.owner.Request(f.now, Request{
+		From: "a", Call: f.calls, Endpoint: e, Workspace: "w", Kind: "k",
+		Sent: f.now, Deadline: f.now.Add(time.Minute), Wait: wait,
+	})
+}
+
+// fill asks for permits until one is denied and returns those granted.
+func (f *fixture) fill(e string) []Decision {
+	var granted []Decision
+	for range 1000 {
+		for _, d := range f.request(e, 0) {
+			if !d.Granted {
+				return granted
+			}
+			granted = append(granted, d)
+		}
+	}
+	f.c.Fatal("no bound")
+	return nil
+}
+
+func (f *fixture) load(e string, r protocol.LoadReport) []Decision {
+	return f.owner.Load(f.now, e, &r, f.now)
+}
+
+// own makes the owner see that it owns e and show all earlier work.
+func (f *fixture) own(e string, r protocol.LoadReport) {
+	f.owner.Watched(f.now)
+	f.now = f.now.Add(DefaultConfig().Settle)
+	f.load(e, r)
+}
+
+func (f *fixture) release(d Decision, completed bool) []Decision {
+	return f.owner.Release(f.now, "a", Release{Endpoint: d.Endpoint, Permit: d.Permit,
+		Result: Result{Dispatched: true, Completed: completed}})
+}
+
+func TestNewOwnerGrantsOnlyAfterALaterReport(t *testing.T) {
+	f := newFixture(t)
+	f.owner.Mean(f.now, "m", 100)
+	f.c.Assert(f.fill("e"), qt.HasLen, 0)
+	f.load("e", protocol.LoadReport{Boot: 1, Completed: 100})
+	f.c.Assert(f.fill("e"), qt.HasLen, 0) // taken too early
+	f.now = f.now.Add(DefaultConfig().Settle)
+	f.load("e", protocol.LoadReport{Boot: 1, Completed: 100, Running: 3, Queued: 1})
+	f.c.Assert(f.fill("e"), qt.HasLen, 4) // four places are taken by others
+	f.c.Assert(f.check.Total(), qt.Equals, int64(0))
+}
+
+func TestCapFollowsTheMean(t *testing.T) {
+	f := newFixture(t)
+	for _, test := range []struct {
+		mean float64
+		want int
+	}{{0, 1}, {0.5, 1}, {0.9, 2}, {1, 2}, {1.6, 2}, {1.7, 3}, {4, 5}, {100, 8}} {
+		f.own("e", protocol.LoadReport{Boot: 1, Completed: 100})
+		f.owner.Mean(f.now, "m", test.mean)
+		granted := f.fill("e")
+		f.c.Check(granted, qt.HasLen, test.want, qt.Commentf("mean %v", test.mean))
+		for _, d := range granted {
+			f.release(d, true)
+		}
+	}
+}
+
+func TestSharesOfRivalsNeverExceedTheCap(t *testing.T) {
+	c := qt.New(t)
+	for known := 1; known <= 12; known++ {
+		for capacity := 0; capacity <= 20; capacity++ {
+			for a := 0; a <= known; a++ {
+				for b := 0; a+b <= known; b++ {
+					rest := known - a - b
+					sum := share(capacity, a, known) + share(capacity, b, known) + share(capacity, rest, known)
+					c.Assert(sum <= capacity, qt.IsTrue, qt.Commentf("%d of %d+%d+%d", capacity, a, b, rest))
+				}
+			}
+		}
+	}
+}
+
+func TestMinorityOwnerGrantsItsShareRoundedDown(t *testing.T) {
+	f := newFixture(t)
+	f.members.counted = 3
+	f.own("e", protocol.LoadReport{Boot: 1, Completed: 100})
+	f.owner.Mean(f.now, "m", 100)
+	f.c.Assert(f.fill("e"), qt.HasLen, 3) // floor(8 * 3/7)
+	f.members.counted = 7
+	f.now = f.now.Add(time.Millisecond)
+	f.c.Assert(f.fill("e"), qt.HasLen, 0) // the others' part needs a later report
+	f.own("e", protocol.LoadReport{Boot: 1, Completed: 100, Running: 5})
+	f.c.Assert(f.fill("e"), qt.HasLen, 3) // two of the five are not ours
+}
+
+func TestLeasesLapseIntoForeignWork(t *testing.T) {
+	f := newFixture(t)
+	f.own("e", protocol.LoadReport{Boot: 1, Completed: 100})
+	f.owner.Mean(f.now, "m", 100)
+	granted := f.fill("e")
+	f.c.Assert(granted, qt.HasLen, 8)
+	f.now = f.now.Add(2 * time.Second)
+	f.c.Assert(f.owner.Renew(f.now, "a", "e", []uint64{granted[0].Permit, granted[1].Permit}), qt.HasLen, 0)
+	f.now = f.now.Add(2 * time.Second)
+	f.owner.Advance(f.now)
+	f.owner.Mean(f.now, "m", 100)
+	status := f.owner.Status(f.now)[0]
+	f.c.Assert([2]int{status.Permits, status.Foreign}, qt.Equals, [2]int{2, 6})
+	f.c.Assert(f.fill("e"), qt.HasLen, 0) // they may still run
+	f.c.Assert(f.owner.Renew(f.now, "a", "e", []uint64{granted[2].Permit}), qt.HasLen, 1)
+	f.now = f.now.Add(time.Second)
+	f.load("e", protocol.LoadReport{Boot: 1, Completed: 104, Running: 4})
+	f.c.Assert(f.fill("e"), qt.HasLen, 4)
+}
+
+func TestOutAndLeavingEndpointsGetNothing(t *testing.T) {
+	f := newFixture(t)
+	f.own("e", protocol.LoadReport{Boot: 1, Completed: 100})
+	f.owner.Mean(f.now, "m", 0.5)
+	f.c.Assert(f.request("e", 0)[0].Granted, qt.IsTrue)
+	f.c.Assert(f.request("e", time.Minute), qt.HasLen, 0) // waits
+	f.load("e", protocol.LoadReport{Boot: 1, Completed: 100, Leaving: true})
+	decisions := f.owner.Advance(f.now)
+	f.c.Assert(decisions, qt.HasLen, 1)
+	f.c.Assert(decisions[0].Code, qt.Equals, outcome.EndpointOut)
+	f.load("e", protocol.LoadReport{Boot: 1, Completed: 100})
+	state := f.owner.snap.State
+	state.Out = []config.OutMark{{Target: config.Target{Scope: config.ScopeEndpoint, Name: "e"}}}
+	f.setConfig(state)
+	f.c.Assert(f.request("e", 0)[0].Code, qt.Equals, outcome.EndpointOut)
+}
+
+func TestBrokenLimitIsSeenByTheInvariants(t *testing.T) {
+	f := newFixture(t)
+	f.own("e", protocol.LoadReport{Boot: 1, Completed: 0})
+	e := f.owner.endpoints["e"]
+	w := waiting{request: Request{From: "a", Endpoint: "e"}, since: f.now}
+	wrong := limit{permits: 100, capacity: 100, coldCap: 100}
+	f.owner.Mean(f.now, "m", 1.6) // cap 2, cold cap 2
+	for range 2 {
+		f.c.Assert(f.owner.grant(f.now, e, wrong, &w).Granted, qt.IsTrue)
+	}
+	f.c.Assert(f.check.Total(), qt.Equals, int64(0))
+	d := f.owner.grant(f.now, e, wrong, &w)
+	f.c.Assert(d.Code, qt.Equals, outcome.InternalInvariant)
+	f.c.Assert(f.check.Count(invariant.PermitsWithinCap), qt.Equals, int64(1))
+	f.c.Assert(f.check.Count(invariant.ColdWithinCap), qt.Equals, int64(1))
+}
+
+func TestColdCapRisesWithCompletedWorkAndFallsBack(t *testing.T) {
+	f := newFixture(t)
+	f.owner.Mean(f.now, "m", 100)
+	f.own("e", protocol.LoadReport{Boot: 1, Completed: 0})
+	held := f.fill("e")
+	f.c.Assert(held, qt.HasLen, 2)
+	for done := 1; done <= 14; done++ {
+		f.release(held[0], true)
+		held = append(held[1:], f.fill("e")...)
+		f.c.Check(len(held), qt.Equals, 2+6*min(done, 12)/12, qt.Commentf("done %d", done))
+	}
+	f.now = f.now.Add(time.Second)
+	f.owner.Mean(f.now, "m", 100)
+	f.load("e", protocol.LoadReport{Boot: 2})
+	f.c.Assert(f.owner.Status(f.now)[0].ColdCap, qt.Equals, 2)
+	f.load("e", protocol.LoadReport{Boot: 2, Completed: 6})
+	f.c.Assert(f.owner.Status(f.now)[0].ColdCap, qt.Equals, 5)
+	f.load("e", protocol.LoadReport{Boot: 2, Completed: 1}) // counters reset
+	f.c.Assert(f.owner.Status(f.now)[0].ColdCap, qt.Equals, 2)
+}
+
+func TestLostReportsAndSlowFirstTokensTurnCold(t *testing.T) {
+	f := newFixture(t)
+	f.own("e", protocol.LoadReport{Boot: 1, Completed: 100})
+	f.now = f.now.Add(DefaultConfig().ReportStale + time.Second)
+	f.owner.Advance(f.now)
+	f.c.Assert(f.owner.Status(f.now)[0].ColdCap, qt.Equals, 2)
+	f.now = f.now.Add(time.Second)
+	f.load("e", protocol.LoadReport{Boot: 1, Completed: 100})
+	f.c.Assert(f.owner.Status(f.now)[0].ColdCap, qt.Equals, 8)
+	for i := range usualSamples + outlierRun {
+		token := 100 * time.Millisecond
+		if i >= usualSamples {
+			token = time.Second
+		}
+		d := f.request("e", 0)[0]
+		f.c.Assert(d.Granted, qt.IsTrue)
+		f.owner.Release(f.now, "a", Release{Endpoint: "e", Permit: d.Permit,
+			Result: Result{Completed: true, FirstToken: token}})
+	}
+	f.c.Assert(f.owner.Status(f.now)[0].ColdCap, qt.Equals, 2)
+}
+
+func TestAloneRequestsShareTheEndpointWithNobody(t *testing.T) {
+	f := newFixture(t)
+	f.own("e", protocol.LoadReport{Boot: 1, Completed: 100})
+	f.owner.Mean(f.now, "m", 100)
+	first := f.request("e", 0)[0]
+	f.c.Assert(first.Granted, qt.IsTrue)
+	alone := Request{From: "a", Call: 99, Endpoint: "e", Workspace: "w", Kind: "k", Sent: f.now,
+		Deadline: f.now.Add(time.Minute), Wait: time.Minute, Alone: true}
+	f.c.Assert(f.owner.Request(f.now, alone), qt.HasLen, 0)
+	f.c.Assert(f.request("e", time.Minute), qt.HasLen, 0)
+	granted := f.release(first, true)
+	f.c.Assert(granted, qt.HasLen, 1)
+	f.c.Assert(granted[0].Call, qt.Equals, uint64(99))
+	granted = f.release(granted[0], true)
+	f.c.Assert(granted, qt.HasLen, 1)
+	f.c.Assert(granted[0].Call, qt.Equals, uint64(2))
+}
+
+func TestMeanCountsUsableEndpointsAndForgetsSilentOwners(t *testing.T) {
+	endpoints := []config.Endpoint{{Name: "e", Model: "m", Bears: 8}, {Name: "f", Model: "m", Bears: 8}}
+	f := newFixture(t, endpoints...)
+	means := NewMeans(DefaultConfig())
+	means.SetSnapshot(f.owner.snap)
+	f.own("e", protocol.LoadReport{Boot: 1})
+	f.own("f", protocol.LoadReport{Boot: 1})
+	f.fill("e")
+	f.fill("f")
+	for _, load := range f.owner.GroupLoads(f.now) {
+		means.Load(f.now, "a", load)
+	}
+	out := means.Advance(f.now)
+	f.c.Assert(out, qt.HasLen, 1)
+	permits := 0
+	for _, s := range f.owner.Status(f.now) {
+		permits += s.Permits
+	}
+	f.c.Assert(fmt.Sprint(out[0].To), qt.Equals, "[a]")
+	f.c.Assert(out[0].Mean.Mean, qt.Equals, float32(permits)/2)
+	f.now = f.now.Add(DefaultConfig().MeanStale + time.Second)
+	f.c.Assert(means.Advance(f.now), qt.HasLen, 0)
+}
+
+func TestHolderRefusesLateAndOutDispatch(t *testing.T) {
+	f := newFixture(t)
+	snap := f.owner.snap
+	h := NewHolder()
+	grant := Decision{Endpoint: "e", Permit: 7, Granted: true, Dispatch: 500 * time.Millisecond, Lease: 3 * time.Second, Waited: time.Second}
+	held := h.Granted(epoch, "b", &grant)
+	at := func(d time.Duration) time.Time { return epoch.Add(d) }
+	f.c.Assert(h.MayDispatch(at(1400*time.Millisecond), held, snap), qt.Equals, outcome.OK)
+	f.c.Assert(h.MayDispatch(at(1500*time.Millisecond), held, snap), qt.Equals, outcome.EndpointAtCap)
+	state := snap.State
+	state.Out = []config.OutMark{{Target: config.Target{Scope: config.ScopeEndpoint, Name: "e"}}}
+	f.c.Assert(h.MayDispatch(at(1400*time.Millisecond), held, config.NewSnapshot(state)), qt.Equals, outcome.EndpointOut)
+	renewals := h.Renewals(at(2 * time.Second))
+	f.c.Assert(renewals, qt.HasLen, 1)
+	f.c.Assert(renewals[0].Renewals[0].Permits, qt.DeepEquals, []uint64{7})
+	release, ok := h.Release(held, Result{Completed: true})
+	f.c.Assert(ok && release.Dispatched, qt.IsTrue)
+	_, ok = h.Release(held, Result{})
+	f.c.Assert(ok, qt.IsFalse)
+}
