Add the load generator that judges answers by itself

Cause: tests, demo and measurements need callers that return to chats, keep addresses, repeat after lost replies, and don't take the routers' word. Change: lab/load with typed verdicts and an audit against the stand-ins' records; the engine counts requests by the caller's own name for them.

--- /dev/null
+++ b/lab/load/answer.go
@@ -0,0 +1,99 @@
+package load
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/stoatmount/stoatmount/connection/endpoint/protocol"
+	"github.com/stoatmount/stoatmount/request/outcome"
+)
+
+// maxAnswerBytes bounds what is read of one answer.
+const maxAnswerBytes = 64 << 20
+
+// errNoEnd means that an answer ended cleanly but without its end mark.
+var errNoEnd = errors.New("the stream ended without its end mark")
+
+// readStream returns the text of a stream of server-sent events. It calls
+// first at the first token. An error means that the answer is not whole.
+func readStream(body io.Reader, first func()) (string, error) {
+	var text strings.Builder
+	lines := bufio.NewReader(io.LimitReader(body, maxAnswerBytes))
+	for tokens := 0; ; {
+		line, err := lines.ReadString('\n')
+		if err == io.EOF {
+			return text.String(), errNoEnd
+		}
+		if err != nil {
+			return text.String(), errors.Wrap(err, "stream")
+		}
+		data, ok := strings.CutPrefix(strings.TrimRight(line, "\r\n"), "data:")
+		if !ok {
+			continue
+		}
+		data = strings.TrimPrefix(data, " ")
+		if data == protocol.StreamEnd {
+			return text.String(), nil
+		}
+		token, err := parseChunk(data)
+		if err != nil {
+			return text.String(), err
+		}
+		if tokens == 0 {
+			first()
+		}
+		tokens++
+		text.WriteString(token)
+	}
+}
+
+func parseChunk(data string) (string, error) {
+	var chunk protocol.Chunk
+	if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+		return "", errors.Wrap(err, "chunk")
+	}
+	if len(chunk.Choices) != 1 {
+		return "", errors.Errorf("chunk has %d choices", len(chunk.Choices))
+	}
+	return chunk.Choices[0].Delta.Content, nil
+}
+
+// readWhole returns the text of an answer without streaming.
+func readWhole(body io.Reader) (string, error) {
+	data, err := io.ReadAll(io.LimitReader(body, maxAnswerBytes))
+	if err != nil {
+		return "", errors.Wrap(err, "answer")
+	}
+	var answer protocol.ChatResponse
+	if err := json.Unmarshal(data, &answer); err != nil {
+		return "", errors.Wrap(err, "answer")
+	}
+	if len(answer.Choices) != 1 {
+		return "", errors.Errorf("answer has %d choices", len(answer.Choices))
+	}
+	return answer.Choices[0].Message.Content, nil
+}
+
+// refused is the body with which the fleet refuses a request.
+type refused struct {
+	Code         outcome.Code `json:"code"`
+	Name         string       `json:"name"`
+	Run          outcome.Run  `json:"run"`
+	RetryAfterMs int64        `json:"retry_after_ms"`
+	Address      string       `json:"address"`
+}
+
+// readRefused reads a refusal. A body that cannot be read says nothing about
+// whether the request ran.
+func readRefused(body io.Reader) (refused, error) {
+	var r refused
+	err := json.NewDecoder(io.LimitReader(body, maxAnswerBytes)).Decode(&r)
+	if err != nil {
+		return refused{}, errors.Wrap(err, "refusal")
+	}
+	return r, nil
+}
--- /dev/null
+++ b/lab/load/caller.go
@@ -0,0 +1,149 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/stoatmount/stoatmount/connection/endpoint/protocol"
+	"github.com/stoatmount/stoatmount/standin/engine"
+)
+
+// pathChat is the path of chat completions.
+const pathChat = "/v1/chat/completions"
+
+// bytesPerToken is the length of text that counts as one prompt token.
+const bytesPerToken = 4
+
+// caller sends one request, or the requests of one chat.
+type caller struct {
+	generator *Generator
+	kind      *Kind
+	number    int
+	workspace Workspace
+	route     *route
+	rng       *rand.Rand
+}
+
+func (c *caller) run(ctx context.Context) {
+	// A request that has been sent is seen through after ctx has ended.
+	through := context.WithoutCancel(ctx)
+	switch {
+	case c.kind.Service != "":
+		c.call(through)
+	case c.kind.Turns == 0:
+		c.complete(through, nil, "", "")
+	default:
+		c.converse(ctx, through)
+	}
+}
+
+// call sends one request to a plain service.
+func (c *caller) call(ctx context.Context) {
+	q := c.newRequest(0)
+	q.path = "/v1/services/" + c.kind.Service + c.kind.Path
+	if c.kind.Keyed {
+		q.key = c.newKey()
+	}
+	q.body = []byte(`{"booking":"` + q.name + `"}`)
+	q.expected = q.key + " " + string(q.body)
+	q.serve(ctx, c.rng)
+}
+
+// newKey returns a UUIDv7 of the present time with random bits of the seed.
+func (c *caller) newKey() string {
+	var id uuid.UUID
+	ms := uint64(c.generator.clock.Now().UnixMilli())
+	for i := range 6 {
+		id[i] = byte(ms >> (40 - 8*i))
+	}
+	high, low := c.rng.Uint64(), c.rng.Uint64()
+	for i := 6; i < 8; i++ {
+		id[i] = byte(high >> (8 * (i - 6)))
+	}
+	for i := range 8 {
+		id[8+i] = byte(low >> (8 * i))
+	}
+	id[6] = id[6]&0x0f | 0x70
+	id[8] = id[8]&0x3f | 0x80
+	return id.String()
+}
+
+// converse sends the turns of a chat with pauses between them. It ends when an
+// answer fails to come or ctx ends.
+func (c *caller) converse(ctx, through context.Context) {
+	chat := fmt.Sprintf("%s-%d", c.kind.Name, c.number)
+	route := &route{generator: c.generator, workspace: c.workspace.Name, chat: chat, kind: c.kind.Name}
+	c.route = route
+	var history []protocol.Message
+	place := ""
+	for turn := range c.kind.Turns {
+		if turn > 0 && !c.generator.sleep(ctx, c.pause()) {
+			return
+		}
+		if c.rng.Float64() < c.kind.ForgetShare {
+			place = ""
+		}
+		var j Judgement
+		history, j = c.complete(through, history, chat, place)
+		if j.Verdict != InTime && j.Verdict != Late {
+			return
+		}
+		history = append(history, protocol.Message{Role: "assistant", Content: j.text})
+		place = j.place
+	}
+}
+
+func (c *caller) pause() time.Duration {
+	spread := c.kind.PauseMax - c.kind.PauseMin
+	if spread <= 0 {
+		return c.kind.PauseMin
+	}
+	return c.kind.PauseMin + time.Duration(c.rng.Int64N(int64(spread)))
+}
+
+// completion is the body of a chat completion.
+type completion struct {
+	Messages  []protocol.Message `json:"messages"`
+	Stream    bool               `json:"stream,omitempty"`
+	MaxTokens int                `json:"max_tokens,omitempty"`
+	User      string             `json:"user"`
+}
+
+// complete sends one chat completion with a new message after history.
+func (c *caller) complete(ctx context.Context, history []protocol.Message, chat, place string) ([]protocol.Message, Judgement) {
+	q := c.newRequest(len(history))
+	q.path = pathChat
+	q.chat, q.place = chat, place
+	q.returning = len(history) > 0
+	q.stream = c.rng.Float64() < c.kind.StreamShare
+	history = append(history, protocol.Message{Role: "user", Content: c.message(q.name)})
+	body, err := json.Marshal(completion{Messages: history, Stream: q.stream, MaxTokens: c.kind.AnswerTokens, User: q.name})
+	if err != nil {
+		return history, Judgement{Verdict: NotRun, Detail: err.Error()}
+	}
+	q.body = body
+	q.expected = engine.Expected(history, c.kind.AnswerTokens)
+	return history, q.serve(ctx, c.rng)
+}
+
+// message returns a message of the kind's length that no other request has.
+func (c *caller) message(name string) string {
+	filler := c.kind.PromptTokens*bytesPerToken - len(name)
+	return name + strings.Repeat(".", max(filler, 0))
+}
+
+func (c *caller) newRequest(turn int) *request {
+	return &request{
+		generator: c.generator,
+		route:     c.route,
+		kind:      c.kind,
+		workspace: c.workspace,
+		name:      fmt.Sprintf("%s-%s-%d-%d", c.workspace.Name, c.kind.Name, c.number, turn),
+	}
+}
--- /dev/null
+++ b/lab/load/judgement.go
@@ -0,0 +1,117 @@
+package load
+
+import (
+	"time"
+
+	"github.com/stoatmount/stoatmount/request/outcome"
+)
+
+// Verdict is what became of a request, as its caller sees it.
+type Verdict string
+
+// The verdicts.
+const (
+	InTime  Verdict = "in_time" // the whole answer, in time
+	Late    Verdict = "late"    // the whole answer, after the deadline
+	NotRun  Verdict = "not_run" // refused, and said not to have run
+	Ran     Verdict = "ran"     // refused, and said to have run
+	Unknown Verdict = "unknown" // no answer, or one that does not say
+	Wrong   Verdict = "wrong"   // ended cleanly with another text
+)
+
+// rank orders verdicts from worst to best for a request that was sent twice.
+func (v Verdict) rank() int {
+	switch v {
+	case InTime:
+		return 5
+	case Late:
+		return 4
+	case Ran:
+		return 3
+	case Unknown:
+		return 2
+	case NotRun:
+		return 1
+	default:
+		return 6 // a wrong answer is never hidden
+	}
+}
+
+// Judgement is the caller's record of one request.
+type Judgement struct {
+	Name    string // the caller's own name for it
+	Kind    string
+	Key     string // Idempotency-Key
+	Verdict Verdict
+	Code    outcome.Code // of the last refusal
+	Detail  string       // of the last try
+	Tries   int
+	// Unsent, Lost and Cut count tries without a connection, without an
+	// answer, and with an answer that broke off.
+	Unsent, Lost, Cut int
+	Double            bool // sent to two entry hosts at the same time
+	Repeated          bool // the answer was a stored one
+	Took              time.Duration
+	FirstToken        time.Duration
+	Prompt, Cached    int // tokens
+	text              string
+	place             string
+}
+
+// better returns the judgement that decides of two for the same request.
+func better(a, b Judgement) Judgement {
+	if b.Verdict.rank() > a.Verdict.rank() {
+		a, b = b, a
+	}
+	a.Unsent += b.Unsent
+	a.Lost += b.Lost
+	a.Cut += b.Cut
+	return a
+}
+
+func (j *Judgement) count(t *try) {
+	j.Tries++
+	switch t.end {
+	case endUnreachable:
+		j.Unsent++
+	case endLost:
+		j.Lost++
+	case endCut:
+		j.Cut++
+	}
+}
+
+// finish fills in the verdict by the last try t.
+func (j *Judgement) finish(q *request, t *try) {
+	j.Name, j.Kind, j.Key = q.name, q.kind.Name, q.key
+	j.Took = q.generator.clock.Since(q.sent)
+	j.Code, j.Detail = t.refusal.Code, t.detail
+	j.Repeated = t.repeated
+	j.FirstToken = t.firstToken
+	j.Prompt, j.Cached = t.prompt, t.cached
+	j.text, j.place = t.text, t.place
+	j.Verdict = j.verdict(q, t)
+}
+
+func (j *Judgement) verdict(q *request, t *try) Verdict {
+	switch {
+	case t.end == endWrong:
+		return Wrong
+	case t.end == endWhole && j.Took <= q.kind.Deadline:
+		return InTime
+	case t.end == endWhole:
+		return Late
+	}
+	// A lost try leaves doubt that only a refusal under the same key removes.
+	if j.Lost+j.Cut > 0 && (t.end != endRefused || q.key == "") {
+		return Unknown
+	}
+	switch t.run() {
+	case outcome.RunNot:
+		return NotRun
+	case outcome.RunDone:
+		return Ran
+	default:
+		return Unknown
+	}
+}
--- /dev/null
+++ b/lab/load/load_test.go
@@ -0,0 +1,281 @@
+package load_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/stoatmount/stoatmount/connection/endpoint/protocol"
+	"github.com/stoatmount/stoatmount/lab/load"
+	"github.com/stoatmount/stoatmount/request/outcome"
+	"github.com/stoatmount/stoatmount/standin/engine"
+	"github.com/stoatmount/stoatmount/standin/service"
+)
+
+// misdeed is what the fake fleet does wrong with a request.
+type misdeed int
+
+const (
+	none          misdeed = iota
+	lostReply             // executes, then cuts the connection
+	lostThenRun           // the same, and executes the repeat as well
+	crossed               // answers with another text
+	truncated             // ends a stream without its end mark
+	cutOff                // breaks the answer off
+	falseNotRun           // executes, then says not run
+	refusedNotRun         // says truly that it was not run
+	late                  // answers after the deadline
+)
+
+// fleet is a fake fleet of one entry host.
+type fleet struct {
+	*httptest.Server
+	misdeed misdeed
+
+	mu       sync.Mutex
+	executed map[string]int
+	asked    int
+	places   []string
+}
+
+func newFleet(c *qt.C, m misdeed) *fleet {
+	f := &fleet{misdeed: m, executed: make(map[string]int)}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/v1/addresses", f.addresses)
+	mux.HandleFunc("/v1/chat/completions", f.chat)
+	mux.HandleFunc("/v1/services/", f.service)
+	f.Server = httptest.NewServer(mux)
+	c.Cleanup(f.Close)
+	return f
+}
+
+func (f *fleet) host() string { return strings.TrimPrefix(f.URL, "http://") }
+
+func (f *fleet) addresses(w http.ResponseWriter, _ *http.Request) {
+	f.mu.Lock()
+	f.asked++
+	f.mu.Unlock()
+	_, _ = fmt.Fprintf(w, `{"addresses":[%q],"ttl_ms":60000}`, f.host())
+}
+
+// execute counts an execution and returns how often the name was sent.
+func (f *fleet) execute(name string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.executed[name]++
+	return f.executed[name]
+}
+
+func (f *fleet) executions(j *load.Judgement) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if j.Key != "" {
+		return f.executed[j.Key]
+	}
+	return f.executed[j.Name]
+}
+
+// early does the misdeeds that come before an answer. It reports whether the
+// request was dealt with.
+func (f *fleet) early(w http.ResponseWriter, name string) bool {
+	switch f.misdeed {
+	case refusedNotRun:
+		refuse(w)
+	case falseNotRun:
+		f.execute(name)
+		refuse(w)
+	case lostReply, lostThenRun:
+		if f.misdeed == lostReply && f.executions(&load.Judgement{Name: name}) > 0 {
+			return false
+		}
+		if f.execute(name) == 1 {
+			panic(http.ErrAbortHandler)
+		}
+		return false
+	case late:
+		time.Sleep(1200 * time.Millisecond)
+		f.execute(name)
+		return false
+	default:
+		f.execute(name)
+		return false
+	}
+	return true
+}
+
+func refuse(w http.ResponseWriter) {
+	w.WriteHeader(http.StatusServiceUnavailable)
+	_, _ = fmt.Fprintf(w, `{"code":%d,"run":"not_run"}`, int(outcome.Overloaded))
+}
+
+func (f *fleet) service(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	key := r.Header.Get("Idempotency-Key")
+	if f.early(w, key) {
+		return
+	}
+	if f.misdeed == crossed {
+		key = "other"
+	}
+	_ = json.NewEncoder(w).Encode(service.Answer{Key: key, Body: string(body)})
+}
+
+func (f *fleet) chat(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		protocol.ChatRequest
+		User string `json:"user"`
+	}
+	_ = json.NewDecoder(r.Body).Decode(&body)
+	f.mu.Lock()
+	f.places = append(f.places, r.Header.Get("Stoatmount-Place"))
+	f.mu.Unlock()
+	if f.early(w, body.User) {
+		return
+	}
+	text := engine.Expected(body.Messages, body.MaxTokens)
+	if f.misdeed == crossed {
+		text = "other " + text
+	}
+	w.Header().Set("Stoatmount-Place", "token")
+	if !body.Stream {
+		_ = json.NewEncoder(w).Encode(protocol.ChatResponse{Choices: []protocol.Choice{{Message: protocol.Message{Content: text}}}})
+		return
+	}
+	f.stream(w, text)
+}
+
+func (f *fleet) stream(w http.ResponseWriter, text string) {
+	for _, part := range []string{text[:3], text[3:]} {
+		data, _ := json.Marshal(protocol.Chunk{Choices: []protocol.ChunkChoice{{Delta: protocol.Message{Content: part}}}})
+		_, _ = fmt.Fprintf(w, "data: %s\n\n", data)
+		if f.misdeed == cutOff {
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+	}
+	if f.misdeed != truncated {
+		_, _ = fmt.Fprintf(w, "data: %s\n\n", protocol.StreamEnd)
+	}
+}
+
+// run sends load to f until count requests of one kind have been judged.
+func run(c *qt.C, f *fleet, kind load.Kind, count int) load.Result {
+	kind.Name, kind.PerSecond, kind.Deadline = "k", 200, time.Second
+	g, err := load.New(load.Options{
+		Seed: 1, Entries: []string{f.host()}, Workspaces: []load.Workspace{{Name: "w"}},
+		Kinds: []load.Kind{kind}, Backoff: time.Millisecond, MaxTries: 3, MaxOpen: count,
+	})
+	c.Assert(err, qt.IsNil)
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan load.Result)
+	go func() { done <- g.Run(ctx) }()
+	limit := time.Now().Add(time.Minute)
+	for result := g.Result(); result.Total().Sent < count; result = g.Result() {
+		c.Assert(time.Now().Before(limit), qt.IsTrue)
+		time.Sleep(time.Millisecond)
+	}
+	stop()
+	return <-done
+}
+
+var (
+	booking  = load.Kind{Service: "booking", Path: "/booths", Keyed: true}
+	streamed = load.Kind{StreamShare: 1, AnswerTokens: 4}
+	plain    = load.Kind{AnswerTokens: 4}
+)
+
+func TestEveryMisdeedIsSeen(t *testing.T) {
+	tests := []struct {
+		name    string
+		kind    load.Kind
+		misdeed misdeed
+		verdict load.Verdict
+		broken  bool // whether the audit finds a broken promise
+	}{
+		{"booking", booking, none, load.InTime, false},
+		{"stream", streamed, none, load.InTime, false},
+		{"plain", plain, none, load.InTime, false},
+		{"booking", booking, crossed, load.Wrong, true},
+		{"stream", streamed, crossed, load.Wrong, true},
+		{"plain", plain, crossed, load.Wrong, true},
+		{"stream", streamed, truncated, load.Wrong, true},
+		{"stream", streamed, cutOff, load.Unknown, false},
+		{"booking", booking, refusedNotRun, load.NotRun, false},
+		{"booking", booking, falseNotRun, load.NotRun, true},
+		{"plain", plain, falseNotRun, load.NotRun, true},
+		{"booking", booking, lostReply, load.InTime, false},
+		{"booking", booking, lostThenRun, load.InTime, true},
+		{"plain", plain, lostThenRun, load.InTime, false},
+		{"plain", plain, late, load.Late, false},
+	}
+	for _, test := range tests {
+		t.Run(fmt.Sprintf("%s-%d", test.name, test.misdeed), func(t *testing.T) {
+			c := qt.New(t)
+			f := newFleet(c, test.misdeed)
+			result := run(c, f, test.kind, 5)
+			for _, j := range result.Judgements {
+				c.Check(j.Verdict, qt.Equals, test.verdict, qt.Commentf("%s", j.Detail))
+			}
+			audit := load.NewAudit(&result, f.executions)
+			c.Check(audit.Broken() > 0, qt.Equals, test.broken, qt.Commentf("%v", audit.Findings))
+		})
+	}
+}
+
+func TestChatsReturnWithTheirPlace(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(c, none)
+	kind := streamed
+	kind.Turns = 3
+	result := run(c, f, kind, 9)
+	c.Check(result.Total().InTime, qt.Equals, result.Total().Sent)
+	returned := 0
+	for _, place := range f.places {
+		if place == "token" {
+			returned++
+		}
+	}
+	c.Check(returned >= 6, qt.IsTrue, qt.Commentf("%d", returned))
+	c.Check(f.asked < result.Total().Sent, qt.IsTrue, qt.Commentf("addresses are kept for their time"))
+}
+
+func TestDoubleSendsAreOneRequest(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(c, none)
+	kind := booking
+	kind.DoubleShare = 1
+	result := run(c, f, kind, 5)
+	audit := load.NewAudit(&result, f.executions)
+	c.Check(audit.MoreThanOnce, qt.Equals, result.Total().Sent)
+	c.Check(result.Total().Tries, qt.Equals, 2*result.Total().Sent)
+}
+
+func TestUnreachableAddressesAreLeftForOthers(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(c, none)
+	dead := httptest.NewServer(http.NotFoundHandler())
+	host := strings.TrimPrefix(dead.URL, "http://")
+	dead.Close()
+	g, err := load.New(load.Options{Entries: []string{host, f.host()}, Workspaces: []load.Workspace{{Name: "w"}}, Kinds: []load.Kind{
+		{Name: "k", Deadline: time.Minute, PerSecond: 100},
+	}})
+	c.Assert(err, qt.IsNil)
+	ctx, stop := context.WithCancel(context.Background())
+	go func() {
+		for g.Result().Kinds[0].Sent < 5 {
+			time.Sleep(time.Millisecond)
+		}
+		stop()
+	}()
+	result := g.Run(ctx)
+	c.Check(result.Total().InTime, qt.Equals, result.Total().Sent)
+}
--- /dev/null
+++ b/lab/load/route.go
@@ -0,0 +1,112 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// addressTimeout bounds one address call.
+const addressTimeout = 3 * time.Second
+
+// maxAddressBytes bounds the answer to an address call.
+const maxAddressBytes = 1 << 20
+
+// addresses is the answer to an address call.
+type addresses struct {
+	Addresses []string `json:"addresses"`
+	TTLMs     int64    `json:"ttl_ms"`
+}
+
+// route keeps the addresses that the fleet named for a caller until their time
+// has run out. It is safe for concurrent use.
+type route struct {
+	generator *Generator
+	workspace string
+	chat      string
+	kind      string
+
+	mu     sync.Mutex
+	hosts  []string
+	expiry time.Time
+}
+
+// address returns the entry host for a try: the best first, then the others.
+func (r *route) address(ctx context.Context, try int) (string, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.generator.clock.Now()
+	if len(r.hosts) == 0 || !now.Before(r.expiry) {
+		if err := r.askLocked(ctx); err != nil {
+			return "", err
+		}
+	}
+	return r.hosts[try%len(r.hosts)], nil
+}
+
+// failed drops a host that could not be reached. The fleet is asked again when
+// none is left.
+func (r *route) failed(host string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.hosts = slices.DeleteFunc(r.hosts, func(other string) bool { return other == host })
+}
+
+// askLocked asks the entry hosts in turn, those that were named last first.
+func (r *route) askLocked(ctx context.Context) error {
+	candidates := append(append([]string(nil), r.hosts...), r.generator.shuffledEntries()...)
+	err := errors.New("no entry host to ask")
+	for _, host := range candidates {
+		var answer addresses
+		answer, err = r.ask(ctx, host)
+		if err == nil {
+			r.hosts = answer.Addresses
+			r.expiry = r.generator.clock.Now().Add(time.Duration(answer.TTLMs) * time.Millisecond)
+			return nil
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return err
+}
+
+func (r *route) ask(ctx context.Context, host string) (addresses, error) {
+	ctx, cancel := context.WithTimeout(ctx, addressTimeout)
+	defer cancel()
+	query := url.Values{"workspace": {r.workspace}, "chat": {r.chat}, "kind": {r.kind}}
+	target := r.generator.options.Scheme + "://" + host + "/v1/addresses?" + query.Encode()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return addresses{}, errors.Wrap(err, "address call")
+	}
+	resp, err := r.generator.options.HTTP.Do(req)
+	if err != nil {
+		return addresses{}, errors.Wrap(err, "address call")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return addresses{}, errors.Errorf("address call: status %d", resp.StatusCode)
+	}
+	return readAddresses(resp.Body)
+}
+
+// readAddresses reads the answer to an address call.
+func readAddresses(body io.Reader) (addresses, error) {
+	var answer addresses
+	err := json.NewDecoder(io.LimitReader(body, maxAddressBytes)).Decode(&answer)
+	if err != nil {
+		return addresses{}, errors.Wrap(err, "address call")
+	}
+	if len(answer.Addresses) == 0 || answer.TTLMs < 0 {
+		return addresses{}, errors.New("address call: no address or no time to keep it")
+	}
+	return answer, nil
+}
--- a/standin/engine/chat.go
+++ b/standin/engine/chat.go
@@ -14,8 +14,15 @@
 // maxBodyBytes bounds the body of a chat completion.
 const maxBodyBytes = 16 << 20
 
+// chatRequest is the body of a chat completion. User is the caller's own name
+// for the request; the record counts by it.
+type chatRequest struct {
+	protocol.ChatRequest
+	User string `json:"user"`
+}
+
 func (e *Engine) handleChat(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	var request protocol.ChatRequest
+	var request chatRequest
 	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&request)
 	if err != nil || len(request.Messages) == 0 {
 		e.refuse(w, &refusal{http.StatusBadRequest, "the body must be JSON with messages"})
@@ -33,7 +40,8 @@
 	}
 	header := r.Header
 	priority, _ := strconv.Atoi(header.Get(protocol.HeaderPriority))
-	s := newSequence(header.Get(protocol.HeaderRequestID), header.Get(protocol.HeaderSession), priority, &request)
+	s := newSequence(header.Get(protocol.HeaderRequestID), header.Get(protocol.HeaderSession), priority, &request.ChatRequest)
+	s.user = request.User
 	if refused := e.submit(s); refused != nil {
 		e.refuse(w, refused)
 		return
--- a/standin/engine/record.go
+++ b/standin/engine/record.go
@@ -32,6 +32,7 @@
 type Arrival struct {
 	ID         string
 	Session    string
+	User       string // caller's own name for the request
 	At         time.Time
 	Boot       uint64
 	InProgress int // this one included
@@ -62,19 +63,22 @@
 	crashes  []Crash
 	orders   []SeenOrder
 	byID     map[string]int
+	byUser   map[string]int
 	leftAt   time.Time
 }
 
 func (r *record) addArrival(s *sequence, now time.Time, boot uint64, inProgress int, w *warmth) {
 	r.Arrivals++
 	r.arrivals = appendBounded(r.arrivals, Arrival{
-		ID: s.id, Session: s.session, At: now, Boot: boot,
+		ID: s.id, Session: s.session, User: s.user, At: now, Boot: boot,
 		InProgress: inProgress, Capacity: w.capacity(),
 	})
 	if r.byID == nil {
 		r.byID = make(map[string]int)
+		r.byUser = make(map[string]int)
 	}
 	r.byID[s.id]++
+	r.byUser[s.user]++
 	r.WorstInProgress = max(r.WorstInProgress, inProgress)
 	r.addOverrun(now, inProgress-w.capacity(), w)
 }
@@ -135,6 +139,14 @@
 	return e.record.byID[id]
 }
 
+// ArrivalsOfUser returns how often a request of the caller's own name was
+// taken in.
+func (e *Engine) ArrivalsOfUser(user string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.record.byUser[user]
+}
+
 // Overruns returns the work that came in above the true capacity.
 func (e *Engine) Overruns() []Overrun {
 	e.mu.Lock()
--- a/standin/engine/sequence.go
+++ b/standin/engine/sequence.go
@@ -23,6 +23,7 @@
 type sequence struct {
 	id         string
 	session    string
+	user       string
 	model      string
 	priority   int
 	arrival    uint64
