Report service-level burn as text, JSON and a page

Cause: the contract counts requests once and in time; operators need to see per kind what was promised and kept, and how fast the budget burns, around zone outages in particular.

Change: operate/burnreport works the report out from the counters of all router processes (5m with 1h, 30m with 6h), with outages from the history, and says what the figures cannot know; stoatctl report burn writes it as text, JSON or one self-contained HTML page with plots.

--- a/connection/operator/api/api.go
+++ b/connection/operator/api/api.go
@@ -91,8 +91,19 @@
 	Records []burn.Record    `json:"records"`
 	Kinds   []Objective      `json:"kinds"`
 	Out     []config.OutMark `json:"out"`
+	// Live are the router processes that are live for the router that was
+	// asked.
+	Live []Process `json:"live"`
 	// Silent are the live routers that did not answer.
 	Silent []string `json:"silent"`
+	// Dropped is the number of records that keepers no longer have.
+	Dropped int `json:"dropped"`
+}
+
+// Process identifies a router process.
+type Process struct {
+	Host string `json:"host"`
+	Boot uint64 `json:"boot"`
 }
 
 // Objective is the service-level objective of a kind.
@@ -130,11 +141,14 @@
 
 // Change is one entry of the history.
 type Change struct {
-	Version  config.Version `json:"version"` // offset of the record in the log
-	Base     config.Version `json:"base"`
-	At       time.Time      `json:"at"`
-	By       string         `json:"by"`
-	What     string         `json:"what"`
+	Version config.Version `json:"version"` // offset of the record in the log
+	Base    config.Version `json:"base"`
+	At      time.Time      `json:"at"`
+	By      string         `json:"by"`
+	What    string         `json:"what"`
+	// Target is what went out or came in; nil for a pushed configuration.
+	Target   *config.Target `json:"target,omitempty"`
+	Out      bool           `json:"out,omitempty"`
 	Accepted bool           `json:"accepted"`
 	Reason   string         `json:"reason,omitempty"` // why it was not accepted
 }
--- a/connection/operator/changes.go
+++ b/connection/operator/changes.go
@@ -71,6 +71,8 @@
 		At:       e.At,
 		By:       e.Author,
 		What:     what,
+		Target:   e.Target,
+		Out:      e.Op == configlog.OpOut,
 		Accepted: e.Verdict.Accepted,
 	}
 	if !c.Accepted {
--- /dev/null
+++ b/operate/burnreport/html.go
@@ -0,0 +1,121 @@
+package burnreport
+
+import (
+	_ "embed"
+	"fmt"
+	"html/template"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+//go:embed page.html
+var pageText string
+
+var page = template.Must(template.New("page").Funcs(template.FuncMap{
+	"counts":   func(k Kind, r Report) template.HTML { return template.HTML(countsPlot(k, r)) },
+	"burnplot": func(k Kind, r Report) template.HTML { return template.HTML(burnPlot(k, r)) },
+	"percent":  percent,
+	"used":     used,
+	"times":    times,
+	"length":   length,
+	"when":     func(t time.Time) string { return t.UTC().Format("2006-01-02 15:04:05 UTC") },
+	"outage":   outageText,
+	"verdict":  VerdictOf,
+	"width":    func(used float64) string { return fmt.Sprintf("%.1f%%", min(used, 1)*100) },
+	"short":    func(n uint64) string { return grouped(n) },
+	"legend":   func() any { return legend() },
+}).Parse(pageText))
+
+// HTML writes the report as one page that needs nothing else.
+func HTML(w io.Writer, r Report) error {
+	return errors.Wrap(page.Execute(w, r), "write page")
+}
+
+// percent writes a share with as many digits as tell it from 1.
+func percent(share float64) string {
+	digits := 2
+	if share > 0.999 && share < 1 {
+		digits = 3
+	}
+	return trimZeros(fmt.Sprintf("%.*f", digits, share*100)) + " %"
+}
+
+// used writes the part of a budget that was used.
+func used(part float64) string {
+	return fmt.Sprintf("%.0f %%", part*100)
+}
+
+func trimZeros(number string) string {
+	return strings.TrimRight(strings.TrimRight(number, "0"), ".")
+}
+
+// times writes a burn.
+func times(burn float64) string {
+	if burn >= 100 {
+		return fmt.Sprintf("%.0f", burn)
+	}
+	return fmt.Sprintf("%.1f", burn)
+}
+
+// length writes a window as people do.
+func length(d time.Duration) string {
+	if d >= time.Hour {
+		return fmt.Sprintf("%g h", d.Hours())
+	}
+	return fmt.Sprintf("%g min", d.Minutes())
+}
+
+// grouped writes n with thin gaps between thousands.
+func grouped(n uint64) string {
+	text := fmt.Sprint(n)
+	for i := len(text) - 3; i > 0; i -= 3 {
+		text = text[:i] + "\u202f" + text[i:]
+	}
+	return text
+}
+
+// legendEntry is one colour of the plots.
+type legendEntry struct {
+	Name   string
+	Colour template.CSS
+}
+
+func legend() []legendEntry {
+	var entries []legendEntry
+	for _, style := range resultStyles {
+		entries = append(entries, legendEntry{style.name, template.CSS(style.colour)})
+	}
+	return entries
+}
+
+// Verdict is how a kind stands.
+type Verdict string
+
+// The values of Verdict.
+const (
+	VerdictQuiet   Verdict = "no requests"
+	VerdictKept    Verdict = "kept"
+	VerdictBurning Verdict = "burning"
+	VerdictMissed  Verdict = "missed"
+)
+
+// VerdictOf returns how k stands: burning if a pair of windows says so, missed
+// if more than the budget was used up since counting began.
+func VerdictOf(k Kind) Verdict {
+	for _, pair := range k.Pairs {
+		if pair.Burning {
+			return VerdictBurning
+		}
+	}
+	switch {
+	case k.Requests == 0:
+		return VerdictQuiet
+	case k.BudgetUsed > 1:
+		return VerdictMissed
+	default:
+		return VerdictKept
+	}
+}
--- /dev/null
+++ b/operate/burnreport/notknown.go
@@ -0,0 +1,43 @@
+package burnreport
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/stoatmount/stoatmount/connection/operator/api"
+	"github.com/stoatmount/stoatmount/process/burn"
+)
+
+// notKnown says what the figures leave out.
+func notKnown(r Report, records []burn.Record, counters api.Burn) []string {
+	notes := []string{
+		fmt.Sprintf("Counting begins at %s, the start of the oldest router process that is known. Hosts keep nothing, so what was counted before is gone.",
+			r.Since.UTC().Format(time.RFC3339)),
+	}
+	if r.Routers.Lost > 0 {
+		notes = append(notes, fmt.Sprintf("%s without a last word. What each counted in up to %v before its end is missing.",
+			processes(r.Routers.Lost), burn.DigestEvery))
+	}
+	if r.Routers.Silent > 0 {
+		notes = append(notes, fmt.Sprintf("These live routers did not answer; their figures are the last that others keep: %s.", strings.Join(counters.Silent, ", ")))
+	}
+	if without := silentWithout(records, counters); len(without) > 0 {
+		notes = append(notes, fmt.Sprintf("Nothing at all is known of what these live routers counted: %s.", strings.Join(without, ", ")))
+	}
+	if counters.Dropped > 0 {
+		notes = append(notes, fmt.Sprintf("%d records of routers that are gone were dropped for age or number.", counters.Dropped))
+	}
+	return append(notes,
+		fmt.Sprintf("A router that was lost together with the %d routers that kept its counts is not in the figures.", burn.Keepers),
+		"Requests that reached no router are not counted, nor are those refused for a fault of the caller.",
+		"Minutes are those of each router's own clock.",
+	)
+}
+
+func processes(n int) string {
+	if n == 1 {
+		return "One router process ended"
+	}
+	return fmt.Sprintf("%d router processes ended", n)
+}
--- /dev/null
+++ b/operate/burnreport/report.go
@@ -0,0 +1,294 @@
+package burnreport
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/stoatmount/stoatmount/connection/operator/api"
+	"github.com/stoatmount/stoatmount/process/burn"
+	"github.com/stoatmount/stoatmount/version/config"
+)
+
+// Bounds of the report.
+const (
+	// span is the time that plots show and the longest window.
+	span = 6 * time.Hour
+	// binMinutes is the width of a bar in the plots, in minutes.
+	binMinutes = 5
+	// bins is the number of bars in the plots.
+	bins = int(span/time.Minute) / binMinutes
+)
+
+// pairs are the windows that alert: burn over both must pass the threshold.
+// The long one shows that it matters, the short one that it goes on.
+var pairs = []Pair{
+	{Name: "fast", Long: time.Hour, Short: 5 * time.Minute, Threshold: 14.4},
+	{Name: "slow", Long: 6 * time.Hour, Short: 30 * time.Minute, Threshold: 6},
+}
+
+// Report is the service-level burn of a fleet.
+type Report struct {
+	At    time.Time `json:"at"`
+	Since time.Time `json:"since"` // from when on requests are counted
+	Kinds []Kind    `json:"kinds"`
+	// Outages are the times that targets were out of service within the plots'
+	// span, oldest first.
+	Outages []Outage `json:"outages"`
+	Routers Routers  `json:"routers"`
+	// NotKnown says in plain words what the figures leave out.
+	NotKnown []string `json:"not_known"`
+}
+
+// Routers counts the router processes that the figures come from.
+type Routers struct {
+	Live   int `json:"live"`   // answered
+	Silent int `json:"silent"` // live, but did not answer
+	Ended  int `json:"ended"`  // gone after a last word: all their counts are in
+	Lost   int `json:"lost"`   // gone without a last word
+}
+
+// Kind is the burn of one kind of request.
+type Kind struct {
+	Kind      string      `json:"kind"`
+	Objective float64     `json:"objective"`
+	Requests  uint64      `json:"requests"`
+	Counts    burn.Counts `json:"counts"`
+	// Share is the share of requests served once and in time; 1 if there were
+	// none.
+	Share float64 `json:"share"`
+	// BudgetUsed is the part of the allowed failures that was used up, since
+	// counting began.
+	BudgetUsed float64  `json:"budget_used"`
+	Pairs      []Pair   `json:"pairs"`
+	Bins       []Bin    `json:"bins"` // oldest first
+	Windows    []Window `json:"windows"`
+}
+
+// Pair is a long and a short window with one threshold.
+type Pair struct {
+	Name      string        `json:"name"`
+	Long      time.Duration `json:"long_ns"`
+	Short     time.Duration `json:"short_ns"`
+	Threshold float64       `json:"threshold"`
+	// Burning says that burn is above the threshold over both windows.
+	Burning bool `json:"burning"`
+}
+
+// Window is the burn over the time before the report. A burn of 1 uses the
+// budget up exactly when it is due, 10 in a tenth of the time.
+type Window struct {
+	Length   time.Duration `json:"length_ns"`
+	Requests uint64        `json:"requests"`
+	Bad      uint64        `json:"bad"`
+	Burn     float64       `json:"burn"`
+	// Covered is false if counting began after the window did.
+	Covered bool `json:"covered"`
+}
+
+// Bin is the counts of one bar of the plots.
+type Bin struct {
+	Start  time.Time   `json:"start"`
+	Counts burn.Counts `json:"counts"`
+	// Burn is the burn over the hour that ends with the bar.
+	Burn float64 `json:"burn"`
+}
+
+// Outage is a time that a target was out of service.
+type Outage struct {
+	Target config.Target `json:"target"`
+	From   time.Time     `json:"from"`
+	To     time.Time     `json:"to"` // zero: still out
+	By     string        `json:"by"`
+}
+
+// New works out the report.
+func New(counters api.Burn, changes []api.Change) Report {
+	records := burn.Union(counters.Records)
+	r := Report{
+		At:      counters.At,
+		Since:   since(records, counters.At),
+		Outages: outages(changes, counters.Out, counters.At),
+	}
+	r.Routers = routers(records, counters)
+	r.NotKnown = notKnown(r, records, counters)
+	for _, name := range kindNames(records, counters.Kinds) {
+		r.Kinds = append(r.Kinds, newKind(name, objective(counters.Kinds, name), records, r))
+	}
+	return r
+}
+
+func since(records []burn.Record, at time.Time) time.Time {
+	first := at
+	for _, record := range records {
+		if record.Started.Before(first) {
+			first = record.Started
+		}
+	}
+	return first
+}
+
+// kindNames returns the configured kinds in their order, then other kinds
+// that were counted.
+func kindNames(records []burn.Record, objectives []api.Objective) []string {
+	var names []string
+	for _, o := range objectives {
+		names = append(names, o.Kind)
+	}
+	configured := len(names)
+	for _, record := range records {
+		for _, kind := range record.Kinds {
+			if !slices.Contains(names, kind.Kind) {
+				names = append(names, kind.Kind)
+			}
+		}
+	}
+	slices.Sort(names[configured:])
+	return names
+}
+
+// objective returns the objective of the kind, or 0 if it has none.
+func objective(objectives []api.Objective, kind string) float64 {
+	for _, o := range objectives {
+		if o.Kind == kind {
+			return o.Objective
+		}
+	}
+	return 0
+}
+
+func newKind(name string, objective float64, records []burn.Record, r Report) Kind {
+	k := Kind{Kind: name, Objective: objective}
+	minutes := make(map[int64]burn.Counts)
+	for _, record := range records {
+		for _, kind := range record.Kinds {
+			if kind.Kind != name {
+				continue
+			}
+			k.Counts = k.Counts.Add(kind.Total)
+			for _, minute := range kind.Minutes {
+				minutes[minute.Unix] = minutes[minute.Unix].Add(minute.Counts)
+			}
+		}
+	}
+	k.Requests = k.Counts.Requests()
+	k.Share = 1
+	if k.Requests > 0 {
+		k.Share = float64(k.Counts.InTime) / float64(k.Requests)
+	}
+	k.BudgetUsed = burnOf(k.Counts, objective)
+	k.windows(minutes, r)
+	k.bins(minutes, r.At)
+	return k
+}
+
+// burnOf returns the share of bad requests over the share that the objective
+// allows.
+func burnOf(counts burn.Counts, objective float64) float64 {
+	if counts.Requests() == 0 || objective <= 0 || objective >= 1 {
+		return 0
+	}
+	bad := float64(counts.Bad()) / float64(counts.Requests())
+	return bad / (1 - objective)
+}
+
+// sum returns the counts of the minutes in (last-n, last].
+func sum(minutes map[int64]burn.Counts, last, n int64) burn.Counts {
+	var total burn.Counts
+	for minute := last - n + 1; minute <= last; minute++ {
+		total = total.Add(minutes[minute])
+	}
+	return total
+}
+
+func (k *Kind) windows(minutes map[int64]burn.Counts, r Report) {
+	burnOver := func(length time.Duration) float64 {
+		counts := sum(minutes, burn.MinuteOf(r.At), int64(length/time.Minute))
+		window := Window{
+			Length:   length,
+			Requests: counts.Requests(),
+			Bad:      counts.Bad(),
+			Burn:     burnOf(counts, k.Objective),
+			Covered:  !r.Since.After(r.At.Add(-length)),
+		}
+		k.Windows = append(k.Windows, window)
+		return window.Burn
+	}
+	for _, pair := range pairs {
+		short, long := burnOver(pair.Short), burnOver(pair.Long)
+		pair.Burning = short > pair.Threshold && long > pair.Threshold
+		k.Pairs = append(k.Pairs, pair)
+	}
+	slices.SortFunc(k.Windows, func(a, b Window) int { return int(a.Length - b.Length) })
+}
+
+func (k *Kind) bins(minutes map[int64]burn.Counts, at time.Time) {
+	const hour = 60
+	last := burn.MinuteOf(at)
+	for i := range bins {
+		end := last - int64(bins-1-i)*binMinutes
+		k.Bins = append(k.Bins, Bin{
+			Start:  time.Unix((end-binMinutes+1)*60, 0).UTC(),
+			Counts: sum(minutes, end, binMinutes),
+			Burn:   burnOf(sum(minutes, end, hour), k.Objective),
+		})
+	}
+}
+
+// outages returns when targets were out within the plots' span, from the
+// history, newest first, and the marks in force.
+func outages(changes []api.Change, marks []config.OutMark, at time.Time) []Outage {
+	var all []Outage
+	open := make(map[config.Target]int)
+	for _, change := range slices.Backward(changes) {
+		if change.Target == nil || !change.Accepted {
+			continue
+		}
+		i, isOut := open[*change.Target]
+		switch {
+		case change.Out && !isOut:
+			open[*change.Target] = len(all)
+			all = append(all, Outage{Target: *change.Target, From: change.At, By: change.By})
+		case !change.Out && isOut:
+			all[i].To = change.At
+			delete(open, *change.Target)
+		}
+	}
+	for _, mark := range marks {
+		if _, known := open[mark.Target]; !known {
+			all = append(all, Outage{Target: mark.Target, From: mark.Since, By: mark.By})
+		}
+	}
+	slices.SortStableFunc(all, func(a, b Outage) int { return a.From.Compare(b.From) })
+	return slices.DeleteFunc(all, func(o Outage) bool { return !o.To.IsZero() && o.To.Before(at.Add(-span)) })
+}
+
+func routers(records []burn.Record, counters api.Burn) Routers {
+	counts := Routers{Silent: len(counters.Silent)}
+	for _, record := range records {
+		switch {
+		case isLive(record, counters.Live):
+			if !slices.Contains(counters.Silent, record.Host) {
+				counts.Live++
+			}
+		case record.Final:
+			counts.Ended++
+		default:
+			counts.Lost++
+		}
+	}
+	return counts
+}
+
+func isLive(record burn.Record, live []api.Process) bool {
+	return slices.Contains(live, api.Process{Host: record.Host, Boot: record.Boot})
+}
+
+// silentWithout returns the silent routers of which no record is kept.
+func silentWithout(records []burn.Record, counters api.Burn) []string {
+	return slices.DeleteFunc(slices.Clone(counters.Silent), func(host string) bool {
+		return slices.ContainsFunc(records, func(r burn.Record) bool {
+			return strings.EqualFold(r.Host, host) && isLive(r, counters.Live)
+		})
+	})
+}
--- a/operate/cli.go
+++ b/operate/cli.go
@@ -7,6 +7,7 @@
 	Zone     ZoneCmd     `cmd:"" help:"Take an availability zone out of service or bring it back."`
 	Host     HostCmd     `cmd:"" help:"Take an entry host out of service or bring it back."`
 	Endpoint EndpointCmd `cmd:"" help:"Take an endpoint out of service or bring it back."`
+	Report   ReportCmd   `cmd:"" help:"Report on service-level burn."`
 	Status   StatusCmd   `cmd:"" help:"Show the fleet at a glance."`
 	Settings SettingsCmd `cmd:"" help:"Check the settings file of a router."`
 	Codes    CodesCmd    `cmd:"" help:"List the numbered result codes."`
