Start the stand-ins of a whole deployment from its configuration

Cause: the demonstration and the tests with real processes need the same set of engines, services and platform stand-ins, and one account of what ran. Change: lab/site, which also sums the stand-ins' records and samples load.

--- /dev/null
+++ b/lab/site/site.go
@@ -0,0 +1,193 @@
+package site
+
+import (
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
+	"github.com/stoatmount/stoatmount/standin/engine"
+	"github.com/stoatmount/stoatmount/standin/fault"
+	"github.com/stoatmount/stoatmount/standin/hostlist"
+	"github.com/stoatmount/stoatmount/standin/logstore"
+	"github.com/stoatmount/stoatmount/standin/service"
+	"github.com/stoatmount/stoatmount/standin/weights"
+	"github.com/stoatmount/stoatmount/version/config"
+)
+
+// Options describe a site. What an endpoint bears and caches comes from the
+// configuration.
+type Options struct {
+	Clock clockwork.Clock // nil: real time
+	Seed  uint64
+
+	Log     logstore.Options
+	Hosts   hostlist.Options
+	Weights weights.Options
+
+	// Engine holds what all engines have in common, and Service the same for
+	// services.
+	Engine  engine.Options
+	Service service.Options
+}
+
+// Site is a running set of stand-ins.
+type Site struct {
+	Log     *logstore.Server
+	Hosts   *hostlist.Server
+	Weights *weights.Server
+	// Config is the configuration with the true addresses of the endpoints.
+	Config    config.Config
+	Endpoints []*Endpoint // in the order of the configuration
+	closers   []func()
+}
+
+// Endpoint is the stand-in of one endpoint: either an engine or a service.
+type Endpoint struct {
+	config.Endpoint
+	Engine  *engine.Engine
+	Service *service.Service
+
+	samples  int
+	inSample int // sum of the requests in progress over all samples
+}
+
+// Start starts the stand-ins of cfg on free loopback ports.
+func Start(cfg config.Config, options Options) (*Site, error) {
+	s := &Site{Config: cfg}
+	err := s.start(options)
+	if err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Site) start(options Options) error {
+	if err := s.startPlatform(options); err != nil {
+		return err
+	}
+	configured := s.Config.Endpoints
+	s.Config.Endpoints = make([]config.Endpoint, len(configured))
+	for i, c := range configured {
+		endpoint, err := s.startEndpoint(c, options, options.Seed+uint64(i))
+		if err != nil {
+			return errors.Wrapf(err, "endpoint %s", c.Name)
+		}
+		s.Endpoints = append(s.Endpoints, endpoint)
+		s.Config.Endpoints[i] = endpoint.Endpoint
+	}
+	return nil
+}
+
+func (s *Site) startPlatform(options Options) error {
+	var err error
+	options.Log.Clock, options.Log.Seed = options.Clock, options.Seed
+	if s.Log, err = logstore.Start("", options.Log); err != nil {
+		return err
+	}
+	s.closers = append(s.closers, s.Log.Close)
+	options.Hosts.Clock, options.Hosts.Seed = options.Clock, options.Seed
+	if s.Hosts, err = hostlist.Start("", options.Hosts); err != nil {
+		return err
+	}
+	s.closers = append(s.closers, s.Hosts.Close)
+	options.Weights.Clock, options.Weights.Seed = options.Clock, options.Seed
+	if s.Weights, err = weights.Start("", options.Weights); err != nil {
+		return err
+	}
+	s.closers = append(s.closers, s.Weights.Close)
+	return nil
+}
+
+func (s *Site) startEndpoint(c config.Endpoint, options Options, seed uint64) (*Endpoint, error) {
+	endpoint := &Endpoint{Endpoint: c}
+	if c.Service != "" {
+		o := options.Service
+		o.Clock, o.Seed, o.Bears = options.Clock, seed, c.Bears
+		started, err := service.Start("", o)
+		if err != nil {
+			return nil, err
+		}
+		s.closers = append(s.closers, started.Close)
+		endpoint.Service, endpoint.Address = started, started.Addr()
+		return endpoint, nil
+	}
+	started, err := engine.Start("", s.engineOptions(&c, options, seed))
+	if err != nil {
+		return nil, err
+	}
+	s.closers = append(s.closers, started.Close)
+	endpoint.Engine, endpoint.Address = started, started.Addr()
+	return endpoint, nil
+}
+
+// engineOptions completes what all engines have in common by what the
+// configuration says of one.
+func (s *Site) engineOptions(c *config.Endpoint, options Options, seed uint64) engine.Options {
+	o := options.Engine
+	o.Clock, o.Seed = options.Clock, seed
+	o.Bears, o.ColdBears, o.WarmAfter = c.Bears, c.ColdBears, c.WarmAfter
+	o.CacheTokens, o.ChecksFence, o.Role = c.CacheTokens, c.ChecksFence, c.Role
+	o.Model = c.Model
+	for _, model := range s.Config.Models {
+		if model.Name == c.Model {
+			o.Version, o.Adapter = model.Version, model.Adapter
+			o.PrefillPerSecond, o.MovePerSecond = model.PrefillPerSecond, model.MovePerSecond
+		}
+	}
+	if o.Weights == nil {
+		o.Weights = weights.Client{URL: s.Weights.URL()}
+	}
+	return o
+}
+
+// Close stops all stand-ins.
+func (s *Site) Close() {
+	for i := len(s.closers) - 1; i >= 0; i-- {
+		s.closers[i]()
+	}
+}
+
+// Endpoint returns the stand-in of this name, or nil.
+func (s *Site) Endpoint(name string) *Endpoint {
+	for _, e := range s.Endpoints {
+		if e.Name == name {
+			return e
+		}
+	}
+	return nil
+}
+
+// Faults returns the faults of the endpoint.
+func (e *Endpoint) Faults() *fault.Set {
+	if e.Service != nil {
+		return e.Service.Faults()
+	}
+	return e.Engine.Faults()
+}
+
+// Crash crashes the endpoint.
+func (e *Endpoint) Crash() {
+	if e.Service != nil {
+		e.Service.Crash()
+		return
+	}
+	e.Engine.Crash("ordered")
+}
+
+// InProgress returns the number of requests in progress at the endpoint.
+func (e *Endpoint) InProgress() int {
+	if e.Service != nil {
+		return e.Service.InProgress()
+	}
+	return e.Engine.InProgress()
+}
+
+// LastWork returns when the endpoint last took work in; zero if never.
+func (e *Endpoint) LastWork() time.Time {
+	if e.Service != nil {
+		return e.Service.LastExecution()
+	}
+	return e.Engine.LastArrival()
+}
--- /dev/null
+++ b/lab/site/truth.go
@@ -0,0 +1,112 @@
+package site
+
+// Truth is what the stand-ins know, summed over all endpoints.
+type Truth struct {
+	Executions       int // requests taken in
+	Refused          int // refused as not run
+	Crashes          int
+	MoreThanOnce     int // keys executed more than once
+	WorstOverrun     int // largest excess of an endpoint over its true capacity
+	WorstColdOverrun int // the same, of a cold engine
+	PromptTokens     int64
+	CachedTokens     int64
+	Appends          int // to the log
+	BusiestAppends   int // most appends within one second
+}
+
+// Truth returns what the stand-ins know.
+func (s *Site) Truth() Truth {
+	log := s.Log.Record()
+	t := Truth{Appends: log.Appends, BusiestAppends: log.Busiest}
+	for _, e := range s.Endpoints {
+		if e.Service != nil {
+			t.addService(e)
+			continue
+		}
+		t.addEngine(e)
+	}
+	t.MoreThanOnce = s.repeatedKeys()
+	return t
+}
+
+func (t *Truth) addService(e *Endpoint) {
+	record := e.Service.Record()
+	t.Executions += record.Executions
+	t.Refused += record.Refused
+	t.Crashes += record.Crashes
+	t.WorstOverrun = max(t.WorstOverrun, record.WorstOverrun)
+}
+
+func (t *Truth) addEngine(e *Endpoint) {
+	record := e.Engine.Record()
+	t.Executions += record.Arrivals
+	t.Refused += record.Refused
+	t.Crashes += record.Crashes
+	t.WorstOverrun = max(t.WorstOverrun, record.WorstOverrun)
+	t.WorstColdOverrun = max(t.WorstColdOverrun, record.WorstColdOverrun)
+	t.PromptTokens += record.PromptTokens
+	t.CachedTokens += record.CachedTokens
+}
+
+// repeatedKeys counts the keys that were executed more than once, at one
+// service or at several.
+func (s *Site) repeatedKeys() int {
+	seen := make(map[string]int)
+	repeated := 0
+	for _, e := range s.Endpoints {
+		if e.Service == nil {
+			continue
+		}
+		for _, execution := range e.Service.Executions() {
+			if execution.Key == "" {
+				continue
+			}
+			seen[execution.Key]++
+			if seen[execution.Key] == 2 {
+				repeated++
+			}
+		}
+	}
+	return repeated
+}
+
+// Executions returns how often a request was executed over all endpoints: by
+// its key if it has one, otherwise by the caller's own name for it.
+func (s *Site) Executions(name, key string) int {
+	n := 0
+	for _, e := range s.Endpoints {
+		switch {
+		case e.Service != nil && key != "":
+			n += e.Service.ByKey(key)
+		case e.Engine != nil && key == "":
+			n += e.Engine.ArrivalsOfUser(name)
+		}
+	}
+	return n
+}
+
+// Sample notes the requests in progress at every endpoint, for LoadSkew.
+func (s *Site) Sample() {
+	for _, e := range s.Endpoints {
+		e.samples++
+		e.inSample += e.InProgress()
+	}
+}
+
+// LoadSkew returns the largest load of an endpoint over the mean load of its
+// group, each taken over all samples; 0 without load.
+func (s *Site) LoadSkew() float64 {
+	sums, counts := make(map[string]int), make(map[string]int)
+	for _, e := range s.Endpoints {
+		sums[e.Group()] += e.inSample
+		counts[e.Group()]++
+	}
+	skew := 0.0
+	for _, e := range s.Endpoints {
+		if sum := sums[e.Group()]; sum > 0 {
+			mean := float64(sum) / float64(counts[e.Group()])
+			skew = max(skew, float64(e.inSample)/mean)
+		}
+	}
+	return skew
+}
--- a/standin/engine/load.go
+++ b/standin/engine/load.go
@@ -68,3 +68,10 @@
 	}
 	listen.WriteJSON(w, http.StatusOK, e.Load())
 }
+
+// InProgress returns the number of requests that are queued or running now.
+func (e *Engine) InProgress() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.batch) + len(e.queue)
+}
--- a/standin/engine/record.go
+++ b/standin/engine/record.go
@@ -167,3 +167,13 @@
 	defer e.mu.Unlock()
 	return e.record.leftAt
 }
+
+// LastArrival returns when a request was last taken in; zero if never.
+func (e *Engine) LastArrival() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if n := len(e.record.arrivals); n > 0 {
+		return e.record.arrivals[n-1].At
+	}
+	return time.Time{}
+}
--- a/standin/service/record.go
+++ b/standin/service/record.go
@@ -95,3 +95,20 @@
 	defer s.mu.Unlock()
 	return s.record.byRequest[id]
 }
+
+// InProgress returns the number of requests that are executed now.
+func (s *Service) InProgress() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running
+}
+
+// LastExecution returns when a request was last executed; zero if never.
+func (s *Service) LastExecution() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n := len(s.record.executions); n > 0 {
+		return s.record.executions[n-1].At
+	}
+	return time.Time{}
+}
