Let stand-ins crash before they execute and never answer

Cause: the fault matrix needs a crash on both sides of the execution and an answer that never begins; a stand-in that was closed while it waited ended its answer cleanly, with an empty body. Change: faults crash-before and no-answer; waits abort the connection; services count by the caller's own name; tests of the parameters of faults. Conclusion: the table tests hold the new faults to their descriptions.

--- a/lab/load/caller.go
+++ b/lab/load/caller.go
@@ -50,7 +50,7 @@
 	if c.kind.Keyed {
 		q.key = c.newKey()
 	}
-	q.body = []byte(`{"booking":"` + q.name + `"}`)
+	q.body = []byte(`{"user":"` + q.name + `"}`)
 	q.expected = q.key + " " + string(q.body)
 	q.serve(ctx, c.rng)
 }
--- a/lab/site/truth.go
+++ b/lab/site/truth.go
@@ -71,15 +71,18 @@
 }
 
 // Executions returns how often a request was executed over all endpoints: by
-// its key if it has one, otherwise by the caller's own name for it.
+// its key if it has one, otherwise by the caller's own name for it. Engines
+// know no keys.
 func (s *Site) Executions(name, key string) int {
 	n := 0
 	for _, e := range s.Endpoints {
 		switch {
-		case e.Service != nil && key != "":
-			n += e.Service.ByKey(key)
-		case e.Engine != nil && key == "":
+		case e.Engine != nil:
 			n += e.Engine.ArrivalsOfUser(name)
+		case key != "":
+			n += e.Service.ByKey(key)
+		default:
+			n += e.Service.ByUser(name)
 		}
 	}
 	return n
--- a/standin/engine/answer.go
+++ b/standin/engine/answer.go
@@ -47,9 +47,8 @@
 
 // late waits if answers are late.
 func (a *answerWriter) late() {
-	late, ok := a.engine.faults.Strike(fault.Late)
-	if ok && !a.engine.sleep(a.r, late.Delay) {
-		panic(http.ErrAbortHandler)
+	if late, ok := a.engine.faults.Strike(fault.Late); ok {
+		a.engine.sleep(a.r, late.Delay)
 	}
 }
 
@@ -206,16 +205,15 @@
 	_, _ = fmt.Fprintf(a.w, "id: %d\ndata: %s\n\n", offset, data)
 }
 
-// sleep waits for d. It reports false if the connection or the engine ended.
-func (e *Engine) sleep(r *http.Request, d time.Duration) bool {
+// sleep waits for d. It aborts the connection if that or the engine ends.
+func (e *Engine) sleep(r *http.Request, d time.Duration) {
 	select {
 	case <-e.clock.After(d):
-		return true
+		return
 	case <-r.Context().Done():
-		return false
 	case <-e.closed:
-		return false
 	}
+	panic(http.ErrAbortHandler)
 }
 
 // hold keeps the connection open and silent until either end closes it.
--- a/standin/engine/chat.go
+++ b/standin/engine/chat.go
@@ -28,14 +28,8 @@
 		e.refuse(w, &refusal{http.StatusBadRequest, "the body must be JSON with messages"})
 		return
 	}
-	if slow, ok := e.faults.Strike(fault.Slow); ok && !e.sleep(r, slow.Delay) {
-		return
-	}
-	if _, ok := e.faults.Strike(fault.TurnCold); ok {
-		e.TurnCold()
-	}
-	if _, ok := e.faults.Strike(fault.Refuse); ok {
-		e.refuse(w, &refusal{http.StatusServiceUnavailable, "refused"})
+	if refused := e.strikeBefore(r); refused != nil {
+		e.refuse(w, refused)
 		return
 	}
 	header := r.Header
@@ -50,6 +44,24 @@
 	e.answer(w, r, s, request.Stream)
 }
 
+// strikeBefore strikes the faults that come before a request is taken in.
+func (e *Engine) strikeBefore(r *http.Request) *refusal {
+	if slow, ok := e.faults.Strike(fault.Slow); ok {
+		e.sleep(r, slow.Delay)
+	}
+	if _, ok := e.faults.Strike(fault.TurnCold); ok {
+		e.TurnCold()
+	}
+	if _, ok := e.faults.Strike(fault.CrashBefore); ok {
+		e.Crash("fault")
+		panic(http.ErrAbortHandler)
+	}
+	if _, ok := e.faults.Strike(fault.Refuse); ok {
+		return &refusal{http.StatusServiceUnavailable, "refused"}
+	}
+	return nil
+}
+
 // refuse answers a request that was not run.
 func (e *Engine) refuse(w http.ResponseWriter, refused *refusal) {
 	w.Header().Set(protocol.HeaderNotRun, "true")
@@ -62,6 +74,9 @@
 		e.awaitEnd(r, s)
 		panic(http.ErrAbortHandler)
 	}
+	if _, ok := e.faults.Strike(fault.NoAnswer); ok {
+		e.hold(r)
+	}
 	a := &answerWriter{engine: e, w: w, r: r, sequence: s, id: s.id}
 	if _, ok := e.faults.Strike(fault.Crossed); ok {
 		a.cross()
--- a/standin/engine/faults_test.go
+++ b/standin/engine/faults_test.go
@@ -51,6 +51,7 @@
 		want     seen
 	}{
 		{fault.Refuse, 0, seen{status: http.StatusServiceUnavailable, cleanEnd: true, notRun: true}},
+		{fault.CrashBefore, 0, seen{}},
 		{fault.LostReply, 1, seen{}},
 		{fault.Crossed, 1, seen{status: ok, whole: true, cleanEnd: true}},
 		{fault.Late, 1, seen{status: ok, own: true, whole: true, cleanEnd: true}},
--- a/standin/engine/moves.go
+++ b/standin/engine/moves.go
@@ -96,9 +96,7 @@
 		http.Error(w, "the session is not cached", http.StatusNotFound)
 		return
 	}
-	if !e.sleep(r, perSecond(head.Tokens, e.options.MovePerSecond)) {
-		return
-	}
+	e.sleep(r, perSecond(head.Tokens, e.options.MovePerSecond))
 	w.Header().Set("Content-Type", "application/octet-stream")
 	_ = json.NewEncoder(w).Encode(head)
 	_, _ = w.Write(make([]byte, head.Tokens*exportBytesPerToken))
@@ -117,9 +115,7 @@
 		http.Error(w, "the exported cache ends after "+strconv.Itoa(n)+" bytes", http.StatusBadRequest)
 		return
 	}
-	if !e.sleep(r, perSecond(head.Tokens, e.options.MovePerSecond)) {
-		return
-	}
+	e.sleep(r, perSecond(head.Tokens, e.options.MovePerSecond))
 	e.importCache(w, &head)
 }
 
--- a/standin/fault/name.go
+++ b/standin/fault/name.go
@@ -5,20 +5,22 @@
 
 // The faults. Info says what each does and where it can be switched on.
 const (
-	Outage     Name = "outage"
-	Hang       Name = "hang"
-	Slow       Name = "slow"
-	LostReply  Name = "lost-reply"
-	Refuse     Name = "refuse"
-	Silence    Name = "silence"
-	Late       Name = "late"
-	Truncate   Name = "truncate"
-	Cut        Name = "cut"
-	Crossed    Name = "crossed"
-	Crash      Name = "crash"
-	TurnCold   Name = "turn-cold"
-	EventGap   Name = "event-gap"
-	LoadOutage Name = "load-outage"
+	Outage      Name = "outage"
+	Hang        Name = "hang"
+	Slow        Name = "slow"
+	LostReply   Name = "lost-reply"
+	Refuse      Name = "refuse"
+	NoAnswer    Name = "no-answer"
+	Silence     Name = "silence"
+	Late        Name = "late"
+	Truncate    Name = "truncate"
+	Cut         Name = "cut"
+	Crossed     Name = "crossed"
+	CrashBefore Name = "crash-before"
+	Crash       Name = "crash"
+	TurnCold    Name = "turn-cold"
+	EventGap    Name = "event-gap"
+	LoadOutage  Name = "load-outage"
 )
 
 // Info describes a fault.
@@ -35,12 +37,14 @@
 	{Slow, "log, hosts, weights, engine, service", "Waits for the delay before the call is handled.", true},
 	{LostReply, "log, service, engine", "Takes full effect, then cuts the connection without an answer.", false},
 	{Refuse, "engine, service", "Refuses with status 503 and X-Not-Run: true.", false},
-	{Silence, "engine, service", "Keeps the connection open and sends nothing more.", false},
+	{NoAnswer, "engine, service", "Executes the request and never answers; the connection stays open.", false},
+	{Silence, "engine, service", "Stops in the middle of the answer; the connection stays open.", false},
 	{Late, "engine, service", "Executes the request at once and answers after the delay.", true},
 	{Truncate, "engine, service", "Ends the answer before it is whole.", false},
 	{Cut, "engine, service", "Cuts the connection in the middle of the answer.", false},
 	{Crossed, "engine, service", "Answers with the request number and text of another request.", false},
-	{Crash, "engine, service", "Drops all connections, then restarts cold with a new boot number.", false},
+	{CrashBefore, "engine, service", "Crashes before the request is executed; restarts cold with a new boot number.", false},
+	{Crash, "engine, service", "Crashes after a service has executed, or in the middle of an engine's answer; restarts cold with a new boot number.", false},
 	{TurnCold, "engine", "Turns cold without notice: the boot number stays.", false},
 	{EventGap, "engine", "Loses a cache event; its sequence number is skipped.", false},
 	{LoadOutage, "engine, service", "Refuses load reports with status 503.", false},
--- a/standin/service/record.go
+++ b/standin/service/record.go
@@ -10,6 +10,7 @@
 	Number    uint64 // from 1, in the order of execution
 	RequestID string
 	Key       string // Idempotency-Key, if any
+	User      string // caller's own name for the request, if the body has one
 	Path      string
 	Body      string
 	At        time.Time
@@ -33,6 +34,7 @@
 	executions   []Execution
 	byKey        map[string]int
 	byRequest    map[string]int
+	byUser       map[string]int
 	refused      int
 	crashes      int
 	worstRunning int
@@ -40,7 +42,7 @@
 }
 
 func newRecord() record {
-	return record{byKey: make(map[string]int), byRequest: make(map[string]int)}
+	return record{byKey: make(map[string]int), byRequest: make(map[string]int), byUser: make(map[string]int)}
 }
 
 func (r *record) add(e Execution, bears int) {
@@ -49,6 +51,9 @@
 		r.byKey[e.Key]++
 	}
 	r.byRequest[e.RequestID]++
+	if e.User != "" {
+		r.byUser[e.User]++
+	}
 	r.worstRunning = max(r.worstRunning, e.Running)
 	if bears > 0 {
 		r.worstOverrun = max(r.worstOverrun, e.Running-bears)
@@ -103,6 +108,13 @@
 	return s.running
 }
 
+// ByUser returns how often a request of the caller's own name was executed.
+func (s *Service) ByUser(user string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.record.byUser[user]
+}
+
 // LastExecution returns when a request was last executed; zero if never.
 func (s *Service) LastExecution() time.Time {
 	s.mu.Lock()
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -148,17 +148,19 @@
 		s.refuse(w, http.StatusBadRequest)
 		return
 	}
-	if slow, ok := s.faults.Strike(fault.Slow); ok && !s.sleep(r, slow.Delay) {
-		return
+	if slow, ok := s.faults.Strike(fault.Slow); ok {
+		s.sleep(r, slow.Delay)
 	}
 	if _, ok := s.faults.Strike(fault.Refuse); ok || s.isLeaving() {
 		s.refuse(w, http.StatusServiceUnavailable)
 		return
 	}
-	answer := s.execute(r, body)
-	if !s.work(r) {
-		return
+	if _, ok := s.faults.Strike(fault.CrashBefore); ok {
+		s.Crash()
+		panic(http.ErrAbortHandler)
 	}
+	answer := s.execute(r, body)
+	s.work(r)
 	s.reply(w, r, answer)
 }
 
@@ -185,6 +187,7 @@
 		Number:    uint64(len(s.record.executions)) + 1,
 		RequestID: r.Header.Get(protocol.HeaderRequestID),
 		Key:       r.Header.Get(HeaderKey),
+		User:      userOf(body),
 		Path:      r.URL.Path,
 		Body:      string(body),
 		At:        s.clock.Now(),
@@ -197,11 +200,20 @@
 	}
 }
 
-// work takes the time of the request. The request goes on and counts as
-// completed when its caller has gone; work then reports false.
-func (s *Service) work(r *http.Request) bool {
+// userOf returns the field user of a JSON body, the caller's own name for the
+// request; empty if there is none.
+func userOf(body []byte) string {
+	var named struct {
+		User string `json:"user"`
+	}
+	_ = json.Unmarshal(body, &named)
+	return named.User
+}
+
+// work takes the time of the request.
+func (s *Service) work(r *http.Request) {
 	defer s.finish()
-	return s.sleep(r, s.options.Work)
+	s.sleep(r, s.options.Work)
 }
 
 func (s *Service) finish() {
@@ -211,19 +223,18 @@
 	s.done++
 }
 
-// sleep waits for d. It reports false if the connection or the service ended.
-func (s *Service) sleep(r *http.Request, d time.Duration) bool {
+// sleep waits for d. It aborts the connection if that or the service ends.
+func (s *Service) sleep(r *http.Request, d time.Duration) {
 	if d <= 0 {
-		return true
+		return
 	}
 	select {
 	case <-s.clock.After(d):
-		return true
+		return
 	case <-r.Context().Done():
-		return false
 	case <-s.closed:
-		return false
 	}
+	panic(http.ErrAbortHandler)
 }
 
 // hold keeps the connection open and silent until either end closes it.
@@ -244,20 +255,20 @@
 	if _, ok := s.faults.Strike(fault.LostReply); ok {
 		panic(http.ErrAbortHandler)
 	}
-	if _, ok := s.faults.Strike(fault.Silence); ok {
+	if _, ok := s.faults.Strike(fault.NoAnswer); ok {
 		s.hold(r)
 	}
-	if late, ok := s.faults.Strike(fault.Late); ok && !s.sleep(r, late.Delay) {
-		return
+	if late, ok := s.faults.Strike(fault.Late); ok {
+		s.sleep(r, late.Delay)
 	}
 	if _, ok := s.faults.Strike(fault.Crossed); ok {
 		answer.RequestID = "crossed-" + answer.RequestID
 		answer.Key = "crossed-" + answer.Key
 	}
-	s.write(w, answer)
+	s.write(w, r, answer)
 }
 
-func (s *Service) write(w http.ResponseWriter, answer Answer) {
+func (s *Service) write(w http.ResponseWriter, r *http.Request, answer Answer) {
 	data, err := json.Marshal(answer)
 	if err != nil {
 		panic(http.ErrAbortHandler)
@@ -266,13 +277,25 @@
 	w.Header().Set(protocol.HeaderRequestID, answer.RequestID)
 	listen.SetBoot(w, s.boot.Load())
 	listen.SetLength(w, len(data))
-	if _, ok := s.faults.Strike(fault.Truncate); ok {
-		_, _ = w.Write(data[:len(data)/2])
+	half := len(data) / 2
+	_, _ = w.Write(data[:half])
+	if s.broken(w, r) {
 		return
 	}
+	_, _ = w.Write(data[half:])
+}
+
+// broken strikes the faults that break an answer off half-way. It reports
+// whether the answer ends early without the connection being cut first.
+func (s *Service) broken(w http.ResponseWriter, r *http.Request) bool {
+	if _, ok := s.faults.Strike(fault.Silence); ok {
+		_ = http.NewResponseController(w).Flush()
+		s.hold(r)
+	}
 	if _, ok := s.faults.Strike(fault.Cut); ok {
-		_, _ = w.Write(data[:len(data)/2])
+		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
-	_, _ = w.Write(data)
+	_, truncated := s.faults.Strike(fault.Truncate)
+	return truncated
 }
--- a/standin/service/service_test.go
+++ b/standin/service/service_test.go
@@ -63,6 +63,7 @@
 		status   int // 0: no answer
 	}{
 		{fault.Refuse, 0, http.StatusServiceUnavailable},
+		{fault.CrashBefore, 0, 0},
 		{fault.LostReply, 1, 0},
 		{fault.Crash, 1, 0},
 		{fault.Truncate, 1, 0},
