Hold the cap through handovers in random histories

Cause: runs over several routers showed a crash in Owner.Advance, work taken for foreign long after a handover, and no notice of an endpoint that did not answer its poll.

--- a/lab/virtual/fleet.go
+++ b/lab/virtual/fleet.go
@@ -46,6 +46,8 @@
 	List func() []member.Member
 	// OnTick is called after each tick of a router.
 	OnTick func(r *Router)
+	// OnStart is called when a process starts.
+	OnStart func(r *Router)
 
 	cfg    member.Config
 	byName map[string]*Router
@@ -114,6 +116,9 @@
 	phase := time.Duration(f.Rng.Int64N(int64(f.cfg.Tick)))
 	f.push(event{at: f.Now.Add(phase), to: r, table: r.Table})
 	f.readList(r, r.Table)
+	if f.OnStart != nil {
+		f.OnStart(r)
+	}
 }
 
 // readList lets a process read the list now and again after a while.
@@ -159,6 +164,25 @@
 	f.push(event{at: f.Now.Add(d), run: fn})
 }
 
+// Do runs fn in the process that r has now, once d has passed. It is dropped if
+// the process is gone by then, and waits while it is paused.
+func (f *Fleet) Do(r *Router, d time.Duration, fn func()) {
+	f.push(event{at: f.Now.Add(d), to: r, table: r.Table, run: fn})
+}
+
+// Send runs fn in the process of to as if a message from from had arrived.
+// Messages on a blocked link are lost.
+func (f *Fleet) Send(from, to *Router, fn func()) {
+	if !to.Up || (f.Blocked != nil && from != to && f.Blocked(from, to)) {
+		return
+	}
+	if from == to {
+		f.Do(to, 0, fn)
+		return
+	}
+	f.Do(to, f.Delay, fn)
+}
+
 func (f *Fleet) push(e event) {
 	f.order++
 	e.order = f.order
@@ -178,11 +202,13 @@
 
 func (f *Fleet) handle(e event) {
 	switch {
-	case e.run != nil:
+	case e.to == nil:
 		e.run()
 	case e.to.Table != e.table || !e.to.Up:
 	case e.to.Paused:
 		e.to.inbox = append(e.to.inbox, e)
+	case e.run != nil:
+		e.run()
 	case e.from == nil:
 		f.tick(e.to)
 	default:
--- a/process/admission/config.go
+++ b/process/admission/config.go
@@ -33,8 +33,8 @@
 func DefaultConfig() Config {
 	return Config{
 		Lease:          3 * time.Second,
-		DispatchWindow: 500 * time.Millisecond,
-		Settle:         700 * time.Millisecond,
+		DispatchWindow: 250 * time.Millisecond,
+		Settle:         350 * time.Millisecond,
 		ReportStale:    5 * time.Second,
 		MeanStale:      5 * time.Second,
 		MeanEvery:      250 * time.Millisecond,
--- a/process/admission/endpoint.go
+++ b/process/admission/endpoint.go
@@ -46,7 +46,8 @@
 	cover     cover
 	owned     []ownedStance // cache of hash decisions
 	foreign   int           // work at the endpoint that no permit stands for, at most
-	foreignAt time.Time     // a report must show the state after this to lower foreign
+	foreignAt time.Time     // foreign covers all work that began before
+	doubt     doubt         // report that may lower foreign once more is known
 	shown     time.Time     // state that the last load report shows
 	warm      warmth
 	lostAt    time.Time // a report must show the state after this to end the doubt
@@ -210,13 +211,24 @@
 	e.leaving = r.Leaving
 	others := max(0, r.Running+r.Queued-e.running(shown.Add(-o.cfg.Settle)))
 	if rebooted {
-		e.foreign = 0
+		e.foreign, e.foreignAt = 0, shown
 	}
-	if e.cover.report(shown.Add(-o.cfg.Settle)) {
-		e.foreign = others
-	} else if !shown.Before(e.foreignAt) {
+	before, grown := e.cover.report(shown.Add(-o.cfg.Settle))
+	switch {
+	case grown:
+		e.foreign = min(others, e.foreign+o.rivals(e, before))
+		e.foreignAt = shown
+	case !shown.Before(e.foreignAt):
 		e.foreign = min(e.foreign, others)
 	}
+	e.noteDoubt(now, shown, others, o.cfg.Settle)
+}
+
+// rivals bounds what other owners can have granted while this one relied on
+// the part covered.
+func (o *Owner) rivals(e *endpoint, covered fraction) int {
+	bears := o.snap.Endpoint(e.name).Bears
+	return bears - share(bears, covered.counted, covered.known)
 }
 
 // running counts the permits whose requests surely were at the endpoint, as
@@ -259,9 +271,21 @@
 	return len(e.permits) == 0 && e.foreign == 0
 }
 
+// adopt enters a permit that another owner granted before this one owned e.
+// Its request is at the endpoint, and if it was there when foreign was last
+// reckoned, it is part of that.
+func (o *Owner) adopt(now time.Time, e *endpoint, from string, id uint64, granted time.Time) {
+	e.permits[id] = &permit{from: from, boot: e.warm.boot, granted: granted, until: now.Add(o.cfg.Lease)}
+	if e.foreign > 0 && granted.Before(e.foreignAt.Add(-o.cfg.Settle)) {
+		e.foreign--
+	}
+}
+
 func (e *endpoint) remove(now time.Time, id uint64, p *permit) {
 	delete(e.permits, id)
-	e.queue.Done(p.workspace, now.Sub(p.granted))
+	if p.workspace != "" { // an adopted permit never was in the queue
+		e.queue.Done(p.workspace, now.Sub(p.granted))
+	}
 }
 
 // drop takes the waiting item id out.
@@ -277,7 +301,7 @@
 
 // idle reports whether nothing is known of e that is worth keeping.
 func (e *endpoint) idle() bool {
-	return len(e.permits) == 0 && len(e.waiting) == 0 && e.cover.now.counted == 0 && e.foreign == 0
+	return len(e.permits) == 0 && len(e.waiting) == 0 && e.cover.now.counted == 0
 }
 
 func (o *Owner) decision(e *endpoint, l limit, r *Request) Decision {
--- /dev/null
+++ b/process/admission/foreign.go
@@ -0,0 +1,49 @@
+package admission
+
+import "time"
+
+// doubtTime is how long a report is kept to be explained by later releases.
+const doubtTime = time.Second
+
+// doubt is a load report that counts requests which may be either foreign or
+// of permits that were granted just before it. Releases tell later when those
+// were dispatched.
+type doubt struct {
+	shown time.Time // state that the report shows
+	at    time.Time // when it came
+	// others is how many requests in the report no known permit stood for.
+	others int
+	young  map[uint64]bool // permits that may have been among them
+}
+
+// noteDoubt keeps a report, if foreign work is in question, until later
+// releases have explained it.
+func (e *endpoint) noteDoubt(now, shown time.Time, others int, settle time.Duration) {
+	if e.foreign == 0 || shown.Before(e.foreignAt) {
+		e.doubt = doubt{}
+		return
+	}
+	if len(e.doubt.young) > 0 && now.Sub(e.doubt.at) < doubtTime {
+		return
+	}
+	e.doubt = doubt{shown: shown, at: now, others: others, young: make(map[uint64]bool)}
+	for id, p := range e.permits {
+		if p.boot == e.warm.boot && p.granted.Before(shown) && !p.granted.Before(shown.Add(-settle)) {
+			e.doubt.young[id] = true
+		}
+	}
+}
+
+// explain lowers foreign if the permit id, which is given back and was used
+// within the given time of its grant, was one of the requests in doubt.
+func (e *endpoint) explain(id uint64, p *permit, dispatchedAfter, arrival time.Duration) {
+	if !e.doubt.young[id] {
+		return
+	}
+	delete(e.doubt.young, id)
+	if e.doubt.shown.Before(e.foreignAt) || p.granted.Add(dispatchedAfter+arrival).After(e.doubt.shown) {
+		return
+	}
+	e.doubt.others--
+	e.foreign = min(e.foreign, max(0, e.doubt.others))
+}
--- a/process/admission/holder.go
+++ b/process/admission/holder.go
@@ -16,7 +16,7 @@
 
 // Held names a permit at the entry that holds it. The zero Held is none.
 type Held struct {
-	Owner    string // host that granted it
+	Owner    string // host that granted it; another may have adopted it
 	Endpoint string
 	Permit   uint64
 }
@@ -31,11 +31,14 @@
 // holding is the state of a held permit.
 type holding struct {
 	boot       uint64    // of the endpoint
+	owner      string    // that the lease is renewed with
+	granted    time.Time // not later than by the owner's clock
 	dispatchBy time.Time // not to be used after
 	leaseEnd   time.Time // by this entry's clock, not later than by the owner's
 	lease      time.Duration
 	renewAt    time.Time
 	dispatched bool
+	sentAfter  time.Duration // from granted to the dispatch
 	lapsed     bool // the owner has taken it back
 }
 
@@ -54,6 +57,8 @@
 	defer h.mu.Unlock()
 	h.permits[held] = &holding{
 		boot:       d.Boot,
+		owner:      owner,
+		granted:    decided,
 		dispatchBy: decided.Add(d.Dispatch),
 		leaseEnd:   decided.Add(d.Lease),
 		lease:      d.Lease,
@@ -79,21 +84,35 @@
 		return outcome.EndpointAtCap // the place is no longer held
 	}
 	p.dispatched = true
+	p.sentAfter = now.Sub(p.granted)
 	return outcome.OK
 }
 
-// Release forgets a permit and returns what to tell its owner. It returns false
-// if the permit is not held, for example when it was released before.
-func (h *Holder) Release(held Held, result Result) (Release, bool) {
+// OwnerRelease is a Release for one owner.
+type OwnerRelease struct {
+	Owner   string
+	Release Release
+}
+
+// Release forgets a permit and returns whom to tell: the owner that granted it
+// and the one that adopted it, if any. It returns nothing if the permit is
+// not held, for example when it was released before.
+func (h *Holder) Release(held Held, result Result) []OwnerRelease {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	p := h.permits[held]
 	if p == nil {
-		return Release{}, false
+		return nil
 	}
 	delete(h.permits, held)
 	result.Dispatched = result.Dispatched || p.dispatched
-	return Release{Endpoint: held.Endpoint, Permit: held.Permit, Result: result}, true
+	result.DispatchedAfter = p.sentAfter
+	release := Release{Endpoint: held.Endpoint, Permit: held.Permit, Result: result}
+	out := []OwnerRelease{{Owner: p.owner, Release: release}}
+	if p.owner != held.Owner {
+		out = append(out, OwnerRelease{Owner: held.Owner, Release: release})
+	}
+	return out
 }
 
 // OwnerRenewals are the renewals for one owner.
@@ -103,54 +122,92 @@
 }
 
 // Renewals returns the renewals that are due, batched per owner: once one
-// permit of an owner is due, all of them are renewed.
-func (h *Holder) Renewals(now time.Time) []OwnerRenewals {
+// permit of an owner is due, all of them are renewed. ownerOf returns the host
+// that owns an endpoint now. Permits of an endpoint that has moved are offered
+// to the new owner, which adopts them.
+func (h *Holder) Renewals(now time.Time, ownerOf func(endpoint string) (string, bool)) []OwnerRenewals {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.move(now, ownerOf)
 	due := make(map[string]bool)
-	for held, p := range h.permits {
+	for _, p := range h.permits {
 		if !now.Before(p.renewAt) {
-			due[held.Owner] = true
+			due[p.owner] = true
 		}
 	}
 	if len(due) == 0 {
 		return nil
 	}
-	batch := make([]Held, 0, len(h.permits))
+	batch := make([]renewal, 0, len(h.permits))
 	for held, p := range h.permits {
-		if due[held.Owner] && !p.lapsed {
-			batch = append(batch, held)
+		if due[p.owner] && !p.lapsed {
+			batch = append(batch, renewal{owner: p.owner, held: held, age: now.Sub(p.granted)})
+			p.renewAt = now.Add(p.lease / renewShare)
 		}
 	}
-	slices.SortFunc(batch, compareHeld)
-	for _, held := range batch {
-		h.permits[held].renewAt = now.Add(h.permits[held].lease / renewShare)
-	}
+	slices.SortFunc(batch, renewal.compare)
 	return renewals(batch)
 }
 
-func compareHeld(a, b Held) int {
+// move passes the permits of endpoints with a new owner on to it.
+func (h *Holder) move(now time.Time, ownerOf func(endpoint string) (string, bool)) {
+	owners := make(map[string]string)
+	for held, p := range h.permits {
+		owner, known := owners[held.Endpoint]
+		if !known {
+			owner, _ = ownerOf(held.Endpoint)
+			owners[held.Endpoint] = owner
+		}
+		if owner != "" && owner != p.owner && p.dispatched {
+			p.owner = owner
+			p.renewAt = now
+			p.lapsed = false
+		}
+	}
+}
+
+// renewal is one permit to be renewed.
+type renewal struct {
+	owner string
+	held  Held
+	age   time.Duration
+}
+
+// compare sorts by owner and endpoint, and permits to be adopted last.
+func (r renewal) compare(s renewal) int {
 	return cmp.Or(
-		cmp.Compare(a.Owner, b.Owner),
-		cmp.Compare(a.Endpoint, b.Endpoint),
-		cmp.Compare(a.Permit, b.Permit),
+		cmp.Compare(r.owner, s.owner),
+		cmp.Compare(r.held.Endpoint, s.held.Endpoint),
+		cmp.Compare(r.adopted(), s.adopted()),
+		cmp.Compare(r.held.Permit, s.held.Permit),
 	)
 }
 
+// adopted is 1 if the owner did not grant the permit itself, and else 0.
+func (r renewal) adopted() int {
+	if r.owner == r.held.Owner {
+		return 0
+	}
+	return 1
+}
+
 // renewals groups sorted permits by owner and endpoint.
-func renewals(batch []Held) []OwnerRenewals {
+func renewals(batch []renewal) []OwnerRenewals {
 	var out []OwnerRenewals
-	for _, held := range batch {
-		if len(out) == 0 || out[len(out)-1].Owner != held.Owner {
-			out = append(out, OwnerRenewals{Owner: held.Owner})
+	for i, r := range batch {
+		newOwner := i == 0 || batch[i-1].owner != r.owner
+		if newOwner {
+			out = append(out, OwnerRenewals{Owner: r.owner})
 		}
 		last := &out[len(out)-1]
-		n := len(last.Renewals)
-		if n == 0 || last.Renewals[n-1].Endpoint != held.Endpoint {
-			last.Renewals = append(last.Renewals, &peerpb.Renew{Endpoint: held.Endpoint})
-			n++
+		if newOwner || batch[i-1].held.Endpoint != r.held.Endpoint || batch[i-1].adopted() != r.adopted() {
+			last.Renewals = append(last.Renewals, &peerpb.Renew{Endpoint: r.held.Endpoint})
+		}
+		renew := last.Renewals[len(last.Renewals)-1]
+		renew.Permits = append(renew.Permits, r.held.Permit)
+		if r.adopted() == 1 {
+			renew.AdoptAgeMs = append(renew.AdoptAgeMs, uint32(r.age.Milliseconds()))
 		}
-		last.Renewals[n-1].Permits = append(last.Renewals[n-1].Permits, held.Permit)
 	}
 	return out
 }
@@ -162,13 +219,13 @@
 	defer h.mu.Unlock()
 	for _, permit := range renewed {
 		p := h.permits[Held{Owner: owner, Endpoint: endpoint, Permit: permit}]
-		if p != nil {
+		if p != nil && p.owner == owner {
 			p.leaseEnd = sentAt.Add(p.lease)
 		}
 	}
 	for _, permit := range lapsed {
 		p := h.permits[Held{Owner: owner, Endpoint: endpoint, Permit: permit}]
-		if p != nil {
+		if p != nil && p.owner == owner {
 			p.lapsed = true
 		}
 	}
--- a/process/admission/limit.go
+++ b/process/admission/limit.go
@@ -71,14 +71,15 @@
 	c.now = f
 }
 
-// report notes a load report that shows all work admitted by others up to
-// the given time. It returns whether a larger part is covered now.
-func (c *cover) report(shown time.Time) bool {
-	grown := false
+// report notes a load report that shows all work admitted by others up to the
+// given time. It returns the part that was covered before and whether a larger
+// part is covered now.
+func (c *cover) report(shown time.Time) (before fraction, grown bool) {
+	before = c.covered
 	for len(c.raises) > 0 && !c.raises[0].at.After(shown) {
 		c.covered = c.raises[0].f
 		c.raises = c.raises[1:]
 		grown = true
 	}
-	return grown
+	return before, grown
 }
--- a/process/admission/mean.go
+++ b/process/admission/mean.go
@@ -51,7 +51,7 @@
 			loads[group] = load
 			groups = append(groups, group)
 		}
-		load.Endpoints = append(load.Endpoints, o.endpointLoad(e, shares))
+		load.Endpoints = append(load.Endpoints, o.endpointLoad(now, e, shares))
 	}
 	var due []*peerpb.GroupLoad
 	for _, group := range groups {
@@ -62,12 +62,14 @@
 	return due
 }
 
-func (o *Owner) endpointLoad(e *endpoint, shares *member.Shares) *peerpb.EndpointLoad {
+// endpointLoad tells of e. An endpoint at which nothing may be granted yet does
+// not lower the mean.
+func (o *Owner) endpointLoad(now time.Time, e *endpoint, shares *member.Shares) *peerpb.EndpointLoad {
 	return &peerpb.EndpointLoad{
 		Endpoint: e.name,
 		Permits:  uint32(len(e.permits)),
 		Waiting:  uint32(len(e.waiting)),
-		Usable:   !e.leaving && !o.snap.EndpointOut(e.name) && e.counted(shares) > 0,
+		Usable:   o.limit(now, e, shares).permits > 0,
 	}
 }
 
--- a/process/admission/message.go
+++ b/process/admission/message.go
@@ -80,6 +80,9 @@
 	FirstToken time.Duration
 	Tokens     int
 	Boot       uint64 // of the endpoint, in its answer; 0 if there was none
+	// DispatchedAfter is the time from the grant to the dispatch, at most.
+	// Holder fills it in.
+	DispatchedAfter time.Duration
 }
 
 // Release gives a permit back.
@@ -94,6 +97,7 @@
 	return Release{Endpoint: m.Endpoint, Permit: m.Permit, Result: Result{
 		Dispatched: m.Dispatched, Completed: m.Completed, Failed: m.Failed,
 		FirstToken: milliseconds(m.FirstTokenMs), Tokens: int(m.Tokens), Boot: m.Boot,
+		DispatchedAfter: milliseconds(m.DispatchMs),
 	}}
 }
 
@@ -102,9 +106,24 @@
 	return &peerpb.Release{
 		Endpoint: r.Endpoint, Permit: r.Permit, Completed: r.Completed, Dispatched: r.Dispatched,
 		Failed: r.Failed, FirstTokenMs: uint32(r.FirstToken.Milliseconds()), Tokens: uint32(r.Tokens), Boot: r.Boot,
+		DispatchMs: uint32((r.DispatchedAfter + time.Millisecond - 1).Milliseconds()),
 	}
 }
 
+// RenewFrom applies a message from the entry host from to o: it renews or, if
+// ages are given, adopts. It returns the permits that have lapsed.
+func (o *Owner) RenewFrom(now time.Time, from string, m *peerpb.Renew) []uint64 {
+	if len(m.AdoptAgeMs) == 0 {
+		return o.Renew(now, from, m.Endpoint, m.Permits)
+	}
+	ages := make([]time.Duration, len(m.AdoptAgeMs))
+	for i, ms := range m.AdoptAgeMs {
+		ages[i] = milliseconds(ms)
+	}
+	o.Adopt(now, from, m.Endpoint, m.Permits, ages)
+	return nil
+}
+
 func milliseconds(ms uint32) time.Duration {
 	return time.Duration(ms) * time.Millisecond
 }
--- a/process/admission/owner.go
+++ b/process/admission/owner.go
@@ -31,6 +31,10 @@
 	loads      map[string]sentLoad // by group
 	nextPermit uint64
 	nextItem   uint64
+
+	owned       []string // cache of ownedNames
+	ownedSnap   *config.Snapshot
+	ownedShares *member.Shares
 }
 
 // mean is the newest mean of a group.
@@ -217,6 +221,9 @@
 		return nil
 	}
 	e.remove(now, r.Permit, p)
+	if r.Dispatched {
+		e.explain(r.Permit, p, r.DispatchedAfter, o.cfg.Settle-o.cfg.DispatchWindow)
+	}
 	if r.Completed {
 		e.warm.completedOne(now, p.granted, p.boot, r.FirstToken)
 	}
@@ -256,6 +263,25 @@
 	return lapsed
 }
 
+// Adopt takes over permits that another owner granted, from an entry that is now
+// bound to this one. ages are the times since the grants. Only permits whose
+// requests have been dispatched may be passed.
+func (o *Owner) Adopt(now time.Time, from, endpointName string, permits []uint64, ages []time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.snap == nil || o.snap.Endpoint(endpointName) == nil || len(ages) != len(permits) {
+		return
+	}
+	e := o.endpoint(endpointName)
+	for i, id := range permits {
+		if p := e.permits[id]; p != nil {
+			p.until = now.Add(o.cfg.Lease)
+			continue
+		}
+		o.adopt(now, e, from, id, now.Add(-ages[i]))
+	}
+}
+
 // Load takes in a load report that was asked for at askedAt and returns the
 // grants that it allows.
 func (o *Owner) Load(now time.Time, endpointName string, r *protocol.LoadReport, askedAt time.Time) []Decision {
@@ -270,6 +296,16 @@
 	return o.serve(now, e, nil)
 }
 
+// Lost notes that the endpoint did not answer when it was asked for its load. It
+// may be restarting and counts as cold until it answers again.
+func (o *Owner) Lost(now time.Time, endpointName string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if e := o.endpoints[endpointName]; e != nil {
+		e.lose(now)
+	}
+}
+
 // Mean takes in the mean of a group.
 func (o *Owner) Mean(now time.Time, group string, value float64) {
 	o.mu.Lock()
@@ -287,16 +323,22 @@
 	}
 	shares := o.members.Shares(now)
 	var out []Decision
+	for _, name := range o.names {
+		out = o.advance(now, o.endpoints[name], shares, out)
+	}
+	o.dropIdle()
+	return out
+}
+
+// dropIdle forgets endpoints that this router has nothing to do with any more.
+func (o *Owner) dropIdle() {
 	o.names = slices.DeleteFunc(o.names, func(name string) bool {
-		e := o.endpoints[name]
-		out = o.advance(now, e, shares, out)
-		if e.idle() {
+		idle := o.endpoints[name].idle()
+		if idle {
 			delete(o.endpoints, name)
-			return true
 		}
-		return false
+		return idle
 	})
-	return out
 }
 
 func (o *Owner) advance(now time.Time, e *endpoint, shares *member.Shares, out []Decision) []Decision {
--- a/process/admission/owner_test.go
+++ b/process/admission/owner_test.go
@@ -301,19 +301,25 @@
 	f := newFixture(t)
 	snap := f.owner.snap
 	h := NewHolder()
-	grant := Decision{Endpoint: "e", Permit: 7, Granted: true, Dispatch: 500 * time.Millisecond, Lease: 3 * time.Second, Waited: time.Second}
+	grant := Decision{Endpoint: "e", Permit: 7, Granted: true, Dispatch: 250 * time.Millisecond, Lease: 3 * time.Second, Waited: time.Second}
 	held := h.Granted(epoch, "b", &grant)
 	at := func(d time.Duration) time.Time { return epoch.Add(d) }
-	f.c.Assert(h.MayDispatch(at(1400*time.Millisecond), held, snap), qt.Equals, outcome.OK)
-	f.c.Assert(h.MayDispatch(at(1500*time.Millisecond), held, snap), qt.Equals, outcome.EndpointAtCap)
+	f.c.Assert(h.MayDispatch(at(1200*time.Millisecond), held, snap), qt.Equals, outcome.OK)
+	f.c.Assert(h.MayDispatch(at(1250*time.Millisecond), held, snap), qt.Equals, outcome.EndpointAtCap)
 	state := snap.State
 	state.Out = []config.OutMark{{Target: config.Target{Scope: config.ScopeEndpoint, Name: "e"}}}
-	f.c.Assert(h.MayDispatch(at(1400*time.Millisecond), held, config.NewSnapshot(state)), qt.Equals, outcome.EndpointOut)
-	renewals := h.Renewals(at(2 * time.Second))
+	f.c.Assert(h.MayDispatch(at(1200*time.Millisecond), held, config.NewSnapshot(state)), qt.Equals, outcome.EndpointOut)
+	owner := "b"
+	ownerOf := func(string) (string, bool) { return owner, true }
+	renewals := h.Renewals(at(2100*time.Millisecond), ownerOf)
 	f.c.Assert(renewals, qt.HasLen, 1)
 	f.c.Assert(renewals[0].Renewals[0].Permits, qt.DeepEquals, []uint64{7})
-	release, ok := h.Release(held, Result{Completed: true})
-	f.c.Assert(ok && release.Dispatched, qt.IsTrue)
-	_, ok = h.Release(held, Result{})
-	f.c.Assert(ok, qt.IsFalse)
+	owner = "c"
+	renewals = h.Renewals(at(2200*time.Millisecond), ownerOf)
+	f.c.Assert(renewals[0].Owner, qt.Equals, "c")
+	f.c.Assert(renewals[0].Renewals[0].AdoptAgeMs, qt.DeepEquals, []uint32{1200})
+	releases := h.Release(held, Result{Completed: true})
+	f.c.Assert(releases, qt.HasLen, 2)
+	f.c.Assert(releases[0].Release.Dispatched, qt.IsTrue)
+	f.c.Assert(h.Release(held, Result{}), qt.HasLen, 0)
 }
--- a/process/admission/status.go
+++ b/process/admission/status.go
@@ -1,6 +1,10 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"github.com/stoatmount/stoatmount/process/member"
+)
 
 // EndpointStatus is what the owner's table shows of one endpoint.
 type EndpointStatus struct {
@@ -37,9 +41,17 @@
 	return out
 }
 
-// Watched returns the endpoints whose load reports this router needs: those
-// that routers are bound to it for, and those with permits or waiting requests.
-// It also enters newly owned endpoints into the table.
+// Usable reports whether this owner may grant permits at the endpoint.
+func (o *Owner) Usable(now time.Time, endpointName string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	e := o.endpoints[endpointName]
+	return o.snap != nil && e != nil && o.limit(now, e, o.members.Shares(now)).permits > 0
+}
+
+// Watched returns the endpoints whose load reports this router needs, sorted:
+// those that routers are bound to it for, and those with permits or waiting
+// requests. It also enters newly owned endpoints into the table.
 func (o *Owner) Watched(now time.Time) []string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -47,16 +59,14 @@
 		return nil
 	}
 	shares := o.members.Shares(now)
+	for _, name := range o.ownedNames(shares) {
+		o.endpoint(name)
+	}
 	var out []string
-	for i := range o.snap.Config.Endpoints {
-		name := o.snap.Config.Endpoints[i].Name
+	for _, name := range o.names {
 		e := o.endpoints[name]
-		if e == nil {
-			probe := endpoint{name: name}
-			if probe.counted(shares) == 0 {
-				continue
-			}
-			e = o.endpoint(name)
+		if o.snap.Endpoint(name) == nil {
+			continue
 		}
 		o.limit(now, e, shares)
 		if !e.idle() {
@@ -65,3 +75,43 @@
 	}
 	return out
 }
+
+// ownedNames returns the endpoints that routers in some stance are bound to
+// this one for. It is computed anew only when the stances or the configuration
+// change, not with every count.
+func (o *Owner) ownedNames(shares *member.Shares) []string {
+	if o.ownedSnap == o.snap && sameStances(o.ownedShares, shares) {
+		return o.owned
+	}
+	o.ownedSnap, o.ownedShares = o.snap, shares
+	o.owned = nil
+	for i := range o.snap.Config.Endpoints {
+		name := o.snap.Config.Endpoints[i].Name
+		if shares.Counted(member.DutyAdmission, name) > 0 {
+			o.owned = append(o.owned, name)
+		}
+	}
+	return o.owned
+}
+
+// sameStances reports whether a and b have the same stances in any order.
+func sameStances(a, b *member.Shares) bool {
+	if a == nil || len(a.Stances) != len(b.Stances) {
+		return false
+	}
+	for i := range b.Stances {
+		if !hasStance(a, &b.Stances[i]) {
+			return false
+		}
+	}
+	return true
+}
+
+func hasStance(s *member.Shares, stance *member.StanceCount) bool {
+	for i := range s.Stances {
+		if s.Stances[i].View == stance.View && s.Stances[i].Prev == stance.Prev {
+			return true
+		}
+	}
+	return false
+}
--- a/process/member/config.go
+++ b/process/member/config.go
@@ -22,7 +22,8 @@
 	// for a view; twice the largest difference between two routers' lists.
 	JoinGrace time.Duration
 	// ForgetAfter is how long a host that left the list, and is no longer
-	// heard, still counts as known.
+	// heard, still counts as known. It must be more than twice the largest lag
+	// of the list.
 	ForgetAfter time.Duration
 	Fanout      int // peers gossiped to per tick
 	StartFanout int // the same while the view is new
@@ -58,7 +59,7 @@
 		Promise:     s.Promise.Std(),
 		Steady:      s.DeadAfter.Std() / 2,
 		JoinGrace:   3 * time.Second,
-		ForgetAfter: time.Minute,
+		ForgetAfter: 10 * time.Second,
 		Fanout:      1,
 		StartFanout: 2,
 	}
--- a/process/member/receive.go
+++ b/process/member/receive.go
@@ -109,6 +109,7 @@
 	}
 	p.heard = at
 	p.stance = stance
+	p.dropped = false
 	p.knownUntil = at.Add(t.cfg.ForgetAfter)
 	return true
 }
--- a/process/member/shares.go
+++ b/process/member/shares.go
@@ -62,8 +62,7 @@
 
 func (t *Table) countShares(now time.Time) *Shares {
 	s := &Shares{Self: t.self, Known: t.knownCount(now)}
-	paused := !t.lastTick.IsZero() && now.Sub(t.lastTick) > pauseTicks*t.cfg.Tick
-	if t.mustHear || paused {
+	if t.mayNotOwn(now) {
 		return s
 	}
 	if !t.selfListed.IsZero() && now.Sub(t.selfListed) >= t.cfg.JoinGrace {
@@ -78,6 +77,17 @@
 	return s
 }
 
+// mayNotOwn reports whether this router must not act as an owner: it was or is
+// just being paused, or it hears no majority and cannot tell by the list either
+// whether others still count it as known.
+func (t *Table) mayNotOwn(now time.Time) bool {
+	paused := !t.lastTick.IsZero() && now.Sub(t.lastTick) > pauseTicks*t.cfg.Tick
+	if t.mustHear || paused {
+		return true
+	}
+	return now.Sub(t.listedAt) > t.cfg.ForgetAfter/2 && t.heardMajority(now) > t.deadAfter()
+}
+
 // counts reports whether p has a live promise and is known to all by now.
 func (t *Table) counts(p *peer, now time.Time) bool {
 	view := t.known.get(p.stance.View)
@@ -113,7 +123,7 @@
 	if p.listed && now.Sub(p.listedSince) >= t.cfg.JoinGrace/2 {
 		return true
 	}
-	if !p.listed && now.Before(p.knownUntil) {
+	if p.wasListed && !p.listed && !p.dropped {
 		return true
 	}
 	return t.view != nil && t.view.Index(p.Name) >= 0
--- a/process/member/table.go
+++ b/process/member/table.go
@@ -34,8 +34,10 @@
 	flapAt      time.Time
 
 	listed      bool
+	wasListed   bool
 	listedSince time.Time
 	knownUntil  time.Time // it counts as known until, once unlisted and silent
+	dropped     bool      // it no longer counts as known
 
 	clockBoot   uint64        // process that clockOffset is for
 	clockOffset time.Duration // smallest difference of our clock and its uptime
@@ -55,6 +57,7 @@
 	self        Member
 	incarnation uint32
 	selfListed  time.Time // listed since; zero: not listed
+	listedAt    time.Time // when the list was last read
 	start       time.Time // first call with a time
 	lastTick    time.Time
 	awake       time.Time // start or end of the last pause
@@ -106,6 +109,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.begin(now)
+	t.listedAt = now
 	present := make(map[string]bool, len(listed))
 	for i := range listed {
 		m := &listed[i]
@@ -150,6 +154,8 @@
 	}
 	if !p.listed {
 		p.listed = true
+		p.wasListed = true
+		p.dropped = false
 		p.listedSince = now
 	}
 	p.Peer, p.Caller, p.Zone = m.Peer, m.Caller, m.Zone
@@ -189,6 +195,7 @@
 	t.ticks++
 	t.fullsLeft = 1
 	t.updateView(now)
+	t.dropUnlisted(now)
 	t.forget(now)
 	t.shares = nil
 	targets := t.targets(now)
@@ -253,11 +260,26 @@
 	return from[:n:n]
 }
 
+// dropUnlisted ends the time for which hosts that left the list count as known.
+// A router that hears no majority keeps them: they may be a majority that the
+// list cannot see.
+func (t *Table) dropUnlisted(now time.Time) {
+	if t.heardMajority(now) > t.deadAfter() {
+		return
+	}
+	for _, name := range t.names {
+		p := t.peers[name]
+		if !p.listed && !now.Before(p.knownUntil) {
+			p.dropped = true
+		}
+	}
+}
+
 // forget drops peers that are neither listed nor heard any more.
 func (t *Table) forget(now time.Time) {
 	t.names = slices.DeleteFunc(t.names, func(name string) bool {
 		p := t.peers[name]
-		gone := !p.listed && !t.isKnown(p, now) && now.Sub(p.heard) > t.cfg.ForgetAfter
+		gone := (p.dropped || !p.wasListed) && !t.isKnown(p, now) && now.Sub(p.heard) > t.cfg.ForgetAfter
 		if gone {
 			delete(t.peers, name)
 		}
