Close stand-ins without a race against their restart

Cause: Close waited on a WaitGroup to which a crashing handler could still add; the race detector found it in TestFaultsAreWhatTheySay of the service. Change: the listening server starts background work under the lock under which it is closed.

--- a/standin/engine/chat.go
+++ b/standin/engine/chat.go
@@ -11,8 +11,11 @@
 	"github.com/stoatmount/stoatmount/standin/fault"
 )
 
-// maxBodyBytes bounds the body of a chat completion.
-const maxBodyBytes = 16 << 20
+// Bounds of a chat completion.
+const (
+	maxBodyBytes     = 16 << 20
+	largestMaxTokens = 1 << 16
+)
 
 // chatRequest is the body of a chat completion. User is the caller's own name
 // for the request; the record counts by it.
@@ -28,6 +31,10 @@
 		e.refuse(w, &refusal{http.StatusBadRequest, "the body must be JSON with messages"})
 		return
 	}
+	if request.MaxTokens > largestMaxTokens {
+		e.refuse(w, &refusal{http.StatusBadRequest, "max_tokens is too large"})
+		return
+	}
 	if refused := e.strikeBefore(r); refused != nil {
 		e.refuse(w, refused)
 		return
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -97,9 +97,8 @@
 	e.down = true
 	e.mu.Unlock()
 	e.end()
-	e.Stop()
-	e.wg.Wait()
 	e.Server.Close()
+	e.wg.Wait()
 }
 
 // Faults returns the engine's faults.
@@ -147,7 +146,7 @@
 	e.loseAllLocked()
 	e.mu.Unlock()
 	e.Stop()
-	e.wg.Go(e.restart)
+	e.Go(e.restart)
 }
 
 func (e *Engine) loseAllLocked() {
--- a/standin/engine/orders.go
+++ b/standin/engine/orders.go
@@ -76,7 +76,7 @@
 	e.serving.loading = true
 	e.sampleLocked()
 	boot := e.boot
-	e.wg.Go(func() { e.load(order, boot) })
+	e.Go(func() { e.load(order, boot) })
 	return http.StatusAccepted
 }
 
--- a/standin/internal/listen/server.go
+++ b/standin/internal/listen/server.go
@@ -90,7 +90,16 @@
 	return nil
 }
 
-// Close stops the server for good.
+// Go runs f, and Close waits for its end. After Close it does nothing.
+func (s *Server) Go(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.closed {
+		s.wg.Go(f)
+	}
+}
+
+// Close stops the server for good and waits for what it runs.
 func (s *Server) Close() {
 	s.mu.Lock()
 	s.closed = true
