--- a/lab/load/caller.go
+++ b/lab/load/caller.go
@@ -14,8 +14,12 @@
 	"github.com/stoatmount/stoatmount/standin/engine"
 )
 
-// pathChat is the path of chat completions.
-const pathChat = "/v1/chat/completions"
+// Paths of the callers' interface.
+const (
+	pathAddresses = "/v1/addresses"
+	pathChat      = "/v1/chat/completions"
+	pathServices  = "/v1/services/" // followed by the service and a path there
+)
 
 // bytesPerToken is the length of text that counts as one prompt token.
 const bytesPerToken = 4
@@ -46,7 +50,7 @@
 // call sends one request to a plain service.
 func (c *caller) call(ctx context.Context) {
 	q := c.newRequest(0)
-	q.path = "/v1/services/" + c.kind.Service + c.kind.Path
+	q.path = pathServices + c.kind.Service + c.kind.Path
 	if c.kind.Keyed {
 		q.key = c.newKey()
 	}
--- a/lab/load/route.go
+++ b/lab/load/route.go
@@ -82,7 +82,7 @@
 	ctx, cancel := context.WithTimeout(ctx, addressTimeout)
 	defer cancel()
 	query := url.Values{"workspace": {r.workspace}, "chat": {r.chat}, "kind": {r.kind}}
-	target := r.generator.options.Scheme + "://" + host + "/v1/addresses?" + query.Encode()
+	target := r.generator.options.Scheme + "://" + host + pathAddresses + "?" + query.Encode()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
 		return addresses{}, errors.Wrap(err, "address call")
