--- a/lab/site/site.go
+++ b/lab/site/site.go
@@ -159,6 +159,17 @@
 	return nil
 }
 
+// InZone returns the stand-ins of a zone's endpoints.
+func (s *Site) InZone(zone string) []*Endpoint {
+	var found []*Endpoint
+	for _, e := range s.Endpoints {
+		if e.Zone == zone {
+			found = append(found, e)
+		}
+	}
+	return found
+}
+
 // Faults returns the faults of the endpoint.
 func (e *Endpoint) Faults() *fault.Set {
 	if e.Service != nil {
--- a/standin/engine/batch.go
+++ b/standin/engine/batch.go
@@ -93,7 +93,8 @@
 	if ready == 0 {
 		return wait, false
 	}
-	return e.options.TokenTime + time.Duration(ready-1)*e.options.TokenTimeEach, true
+	wait = e.options.TokenTime + time.Duration(ready-1)*e.options.TokenTimeEach
+	return e.warmth.stretch(wait), true
 }
 
 func (e *Engine) admitLocked(now time.Time) {
@@ -104,7 +105,8 @@
 		if s.session != "" {
 			s.cached = min(e.cache.get(s.session), s.prompt)
 		}
-		s.readyAt = now.Add(perSecond(s.prompt-s.cached, e.options.PrefillPerSecond))
+		prefill := perSecond(s.prompt-s.cached, e.options.PrefillPerSecond)
+		s.readyAt = now.Add(e.warmth.stretch(prefill))
 		e.batch = append(e.batch, s)
 		e.record.addPrompt(s)
 		e.sampleLocked()
--- a/standin/engine/options.go
+++ b/standin/engine/options.go
@@ -30,6 +30,9 @@
 	ColdBears int
 	// WarmAfter is the number of completed requests after which it is warm.
 	WarmAfter int
+	// ColdSlowdown is how many times as long tokens and prefill take right
+	// after a start; it falls to 1 as the engine warms. 0: 1.
+	ColdSlowdown float64
 	// FallsOverBy is the number of requests in progress above the true
 	// capacity at which the engine crashes; 0: never.
 	FallsOverBy int
@@ -80,5 +83,6 @@
 	if o.ColdBears == 0 || o.ColdBears > o.Bears {
 		o.ColdBears = o.Bears
 	}
+	o.ColdSlowdown = max(o.ColdSlowdown, 1)
 	return o
 }
--- a/standin/engine/warmth.go
+++ b/standin/engine/warmth.go
@@ -6,14 +6,18 @@
 // full value with the work that it completes.
 type warmth struct {
 	cold, full int
-	after      int // completed requests until full
-	done       int // completed since the engine turned cold
+	slowdown   float64 // of a cold engine
+	after      int     // completed requests until full
+	done       int     // completed since the engine turned cold
 	since      time.Time
 	announced  bool // whether the boot number told of it
 }
 
 func newWarmth(options Options, now time.Time) warmth {
-	w := warmth{cold: options.ColdBears, full: options.Bears, after: options.WarmAfter}
+	w := warmth{
+		cold: options.ColdBears, full: options.Bears,
+		slowdown: options.ColdSlowdown, after: options.WarmAfter,
+	}
 	w.reset(now, true)
 	return w
 }
@@ -31,3 +35,12 @@
 	}
 	return w.cold + (w.full-w.cold)*w.done/w.after
 }
+
+// stretch returns how long work takes now that takes d on the warm engine.
+func (w *warmth) stretch(d time.Duration) time.Duration {
+	if w.done >= w.after {
+		return d
+	}
+	left := 1 - float64(w.done)/float64(w.after)
+	return time.Duration(float64(d) * (1 + (w.slowdown-1)*left))
+}
