--- a/operate/codes.go
+++ b/operate/codes.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"text/tabwriter"
+	"strings"
 
 	"github.com/stoatmount/stoatmount/request/outcome"
 )
@@ -10,6 +10,7 @@
 // CodesCmd is `stoatctl codes`.
 type CodesCmd struct {
 	JSON
+	Markdown bool `help:"Write the table of docs/CODES.md."`
 }
 
 // Run lists the codes.
@@ -17,11 +18,26 @@
 	if c.JSON.JSON {
 		return env.writeJSON(codeRows())
 	}
-	table := tabwriter.NewWriter(env.Out, 0, 0, 2, ' ', 0)
+	if c.Markdown {
+		env.printf("%s", codesMarkdown())
+		return nil
+	}
+	rows := &table{env: env}
+	for _, info := range outcome.Codes() {
+		rows.add(int(info.Code), info.Name, info.Status, info.Text)
+	}
+	rows.write("")
+	return nil
+}
+
+// codesMarkdown returns the table of docs/CODES.md.
+func codesMarkdown() string {
+	var text strings.Builder
+	text.WriteString("| code | name | HTTP status | meaning |\n| ---: | --- | ---: | --- |\n")
 	for _, info := range outcome.Codes() {
-		_, _ = fmt.Fprintf(table, "%d\t%s\t%d\t%s\n", int(info.Code), info.Name, info.Status, info.Text)
+		fmt.Fprintf(&text, "| %d | `%s` | %d | %s |\n", int(info.Code), info.Name, info.Status, info.Text)
 	}
-	return table.Flush()
+	return text.String()
 }
 
 // codeRow is one code in JSON.
--- a/operate/config.go
+++ b/operate/config.go
@@ -92,7 +92,6 @@
 // writeReasons prints the reasons. Elements of a list with the same value for
 // the same reason share a line.
 func (c *ConfigGenerateCmd) writeReasons(env *Env, reasons []answers.Reason, indent string) {
-	rows := &table{env: env}
 	alike := make(map[answers.Reason]int)
 	for _, reason := range reasons {
 		alike[withoutElement(reason)]++
@@ -108,9 +107,8 @@
 		if count > 1 {
 			key += " and " + itoa(count-1) + " like it"
 		}
-		rows.add(key, "=", cell{reason.Value, bold}, cell{reason.Why, dim})
+		env.printf("%s%s = %s\n%s    %s\n", indent, key, env.paint(bold, reason.Value), indent, env.paint(dim, reason.Why))
 	}
-	rows.write(indent)
 }
 
 // withoutElement returns reason without the name of the list's element.
