--- a/process/admission/holder.go
+++ b/process/admission/holder.go
@@ -39,7 +39,7 @@
 	renewAt    time.Time
 	dispatched bool
 	sentAfter  time.Duration // from granted to the dispatch
-	lapsed     bool // the owner has taken it back
+	lapsed     bool          // the owner has taken it back
 }
 
 // NewHolder returns an empty table.
