--- a/connection/operator/api/api.go
+++ b/connection/operator/api/api.go
@@ -6,7 +6,6 @@
 	"github.com/stoatmount/stoatmount/process/burn"
 	"github.com/stoatmount/stoatmount/request/outcome"
 	"github.com/stoatmount/stoatmount/version/config"
-	"github.com/stoatmount/stoatmount/version/form"
 	"github.com/stoatmount/stoatmount/version/plan"
 )
 
@@ -92,8 +91,19 @@
 	Records []burn.Record    `json:"records"`
 	Kinds   []Objective      `json:"kinds"`
 	Out     []config.OutMark `json:"out"`
+	// Live are the router processes that are live for the router that was
+	// asked.
+	Live []Process `json:"live"`
 	// Silent are the live routers that did not answer.
 	Silent []string `json:"silent"`
+	// Dropped is the number of records that keepers no longer have.
+	Dropped int `json:"dropped"`
+}
+
+// Process identifies a router process.
+type Process struct {
+	Host string `json:"host"`
+	Boot uint64 `json:"boot"`
 }
 
 // Objective is the service-level objective of a kind.
@@ -106,6 +116,7 @@
 type Push struct {
 	Base   config.Version `json:"base"` // the version that it was made on
 	Config config.Config  `json:"config"`
+	Reason string         `json:"reason,omitempty"` // free text for the history
 }
 
 // Mark asks to take a target out of service or bring it back.
@@ -113,6 +124,7 @@
 	Base   config.Version `json:"base"` // 0: whatever version is in force
 	Target config.Target  `json:"target"`
 	Out    bool           `json:"out"`
+	Reason string         `json:"reason,omitempty"` // free text for the history
 }
 
 // Accepted says that a change is in force.
@@ -129,22 +141,25 @@
 
 // Change is one entry of the history.
 type Change struct {
-	Version  config.Version `json:"version"` // offset of the record in the log
-	Base     config.Version `json:"base"`
-	At       time.Time      `json:"at"`
-	By       string         `json:"by"`
-	What     string         `json:"what"`
+	Version config.Version `json:"version"` // offset of the record in the log
+	Base    config.Version `json:"base"`
+	At      time.Time      `json:"at"`
+	By      string         `json:"by"`
+	What    string         `json:"what"`
+	// Target is what went out or came in; nil for a pushed configuration.
+	Target   *config.Target `json:"target,omitempty"`
+	Out      bool           `json:"out,omitempty"`
 	Accepted bool           `json:"accepted"`
 	Reason   string         `json:"reason,omitempty"` // why it was not accepted
 }
 
 // Refusal is the body of an answer that is not 2xx.
 type Refusal struct {
-	Code     outcome.Code  `json:"code"`
-	Name     string        `json:"name"`
-	Text     string        `json:"text"`
-	Detail   string        `json:"detail,omitempty"`
-	Problems form.Problems `json:"problems,omitempty"`
+	Code     outcome.Code     `json:"code"`
+	Name     string           `json:"name"`
+	Text     string           `json:"text"`
+	Detail   string           `json:"detail,omitempty"`
+	Problems []config.Problem `json:"problems,omitempty"`
 }
 
 // Error implements error.
@@ -153,5 +168,8 @@
 	if r.Detail != "" {
 		text += " " + r.Detail
 	}
+	for _, problem := range r.Problems {
+		text += "\n  " + problem.String()
+	}
 	return text
 }
