Work out the capacity at the size to design for

Change: lab/capacity measures membership, ownership, admission, directory, ledger, configuration, orders and counters at several sizes, fits lines, and writes the tables of docs/CAPACITY.md; stoatctl capacity [--measure]. A test holds the page to docs/measurements.

Figures of the entry are missing.

--- /dev/null
+++ b/lab/capacity/probelog.go
@@ -0,0 +1,266 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/stoatmount/stoatmount/connection/endpoint/protocol"
+	"github.com/stoatmount/stoatmount/connection/peer/peerpb"
+	"github.com/stoatmount/stoatmount/connection/platform"
+	"github.com/stoatmount/stoatmount/lab/virtual"
+	"github.com/stoatmount/stoatmount/process/admission"
+	"github.com/stoatmount/stoatmount/process/configlog"
+	"github.com/stoatmount/stoatmount/process/invariant"
+	"github.com/stoatmount/stoatmount/process/ledger"
+	"github.com/stoatmount/stoatmount/process/member"
+	"github.com/stoatmount/stoatmount/process/orders"
+	"github.com/stoatmount/stoatmount/request/outcome"
+	"github.com/stoatmount/stoatmount/standin/logstore"
+	"github.com/stoatmount/stoatmount/version/config"
+)
+
+// wireSize returns the size of a message between routers, framing included.
+func wireSize(message proto.Message) int {
+	return proto.Size(message) + virtual.FrameBytes
+}
+
+// fixedShares is the membership of a router that all routers are bound to.
+type fixedShares struct{ view *member.View }
+
+// Shares implements admission.Membership.
+func (f fixedShares) Shares(time.Time) *member.Shares {
+	n := len(f.view.Members)
+	return &member.Shares{
+		Self:    f.view.Members[0],
+		Known:   n,
+		Stances: []member.StanceCount{{View: f.view, Count: n}},
+	}
+}
+
+// measureAdmission measures the admission owner.
+func measureAdmission() Measurement {
+	m := newMeasurement("admission")
+	routers := []int{7, 30, 100, 200, 330}
+	m.add("processor_per_permit", "µs", "routers", routers, permitTime)
+	m.add("processor_per_watch", "µs", "routers", routers, func(n int) float64 {
+		owner, now := newOwner(n, 2*n)
+		const looks = 20
+		used := processorTime(func() {
+			for range looks {
+				owner.Watched(now)
+			}
+		})
+		return used.Seconds() / looks * 1e6
+	})
+	m.add("message_bytes_per_permit", "B", "permits", []int{1}, func(int) float64 { return permitBytes() })
+	return m
+}
+
+// newOwner returns the admission owner of one router among n, before
+// endpoints.
+func newOwner(n, endpoints int) (*admission.Owner, time.Time) {
+	now := virtual.Epoch
+	view := viewOf(n)
+	random := rand.New(rand.NewPCG(seed, 3))
+	owner := admission.NewOwner(admission.DefaultConfig(), fixedShares{view}, invariant.New(logr.Discard()), random)
+	owner.SetSnapshot(config.NewSnapshot(config.State{Version: 1, Config: configOf(endpoints)}))
+	watched := owner.Watched(now)
+	now = now.Add(admission.DefaultConfig().Settle)
+	for _, name := range watched {
+		owner.Load(now, name, &protocol.LoadReport{Boot: 1, Completed: 1000}, now)
+	}
+	return owner, now
+}
+
+// permitTime returns the processor time of one permit, from the request to its
+// release.
+func permitTime(n int) float64 {
+	owner, now := newOwner(n, 2*n)
+	watched := owner.Watched(now)
+	snapshot := config.NewSnapshot(config.State{Config: configOf(2 * n)})
+	const permits = 2000
+	granted := 0
+	used := processorTime(func() {
+		for i := range permits {
+			name := watched[i%len(watched)]
+			kind := "kind-0-0"
+			for _, k := range snapshot.Config.Kinds {
+				if k.Model == snapshot.Endpoint(name).Model {
+					kind = k.Name
+					break
+				}
+			}
+			for _, d := range owner.Request(now, admission.Request{From: "host-001", Call: uint64(i), Endpoint: name, Kind: kind, Sent: now, Deadline: now.Add(time.Minute)}) {
+				if d.Granted {
+					granted++
+					owner.Release(now, "host-001", admission.Release{Endpoint: name, Permit: d.Permit, Result: admission.Result{Dispatched: true, Completed: true}})
+				}
+			}
+		}
+	})
+	if granted == 0 {
+		return 0
+	}
+	return used.Seconds() / float64(granted) * 1e6
+}
+
+// permitBytes returns the bytes of a request for a permit, its reply and its
+// release, when each goes in a message of its own.
+func permitBytes() float64 {
+	request := &peerpb.Batch{Envelopes: []*peerpb.Envelope{{Call: 100_000, Body: &peerpb.Envelope_PermitRequest{PermitRequest: &peerpb.PermitRequest{
+		Endpoint: "endpoint-123", Workspace: "workspace-123", Kind: "live-script-adaptation", DeadlineMs: 40_000, WaitMs: 2000, View: 1 << 60, Fingerprint: 1 << 60, AgeMs: 12, ConfigVersion: 100_000,
+	}}}}}
+	reply := &peerpb.Batch{Envelopes: []*peerpb.Envelope{{Call: 100_000, Body: &peerpb.Envelope_PermitReply{PermitReply: &peerpb.PermitReply{
+		Granted: true, Permit: 1 << 60, DispatchMs: 500, LeaseMs: 3000, Load: 5, Cap: 8, Boot: 1 << 60,
+	}}}}}
+	release := &peerpb.Batch{Envelopes: []*peerpb.Envelope{{Body: &peerpb.Envelope_Release{Release: &peerpb.Release{
+		Endpoint: "endpoint-123", Permit: 1 << 60, Completed: true, Dispatched: true, FirstTokenMs: 390, Tokens: 400, Boot: 1 << 60,
+	}}}}}
+	return float64(wireSize(request) + wireSize(reply) + wireSize(release))
+}
+
+// measureLedger measures the fold of one shard of the ledger.
+func measureLedger() Measurement {
+	m := newMeasurement("ledger")
+	keys := []int{1_000, 4_000, 16_000}
+	var recordBytes, foldTime []float64
+	m.add("table_bytes", "B", "keys", keys, func(n int) float64 {
+		records := ledgerRecords(n)
+		bytes := 0
+		for _, r := range records {
+			bytes += len(r.Data)
+		}
+		recordBytes = append(recordBytes, float64(bytes)/float64(n))
+		var used time.Duration
+		kept := heapOf(func() any {
+			fold := ledger.NewFold(1, 10*time.Minute, ledger.DefaultAnswerBytes)
+			used = processorTime(func() {
+				for _, r := range records {
+					fold.Apply(r)
+				}
+			})
+			return fold
+		})
+		// Records that were freed in between would count against the fold.
+		runtime.KeepAlive(records)
+		foldTime = append(foldTime, used.Seconds()/float64(n)*1e6)
+		return kept
+	})
+	next := func(values *[]float64) func(int) float64 {
+		return func(int) float64 {
+			value := (*values)[0]
+			*values = (*values)[1:]
+			return value
+		}
+	}
+	m.add("claim_message_bytes", "B", "claims", []int{1}, func(int) float64 { return claimBytes() })
+	m.add("record_bytes_per_key", "B", "keys", keys, next(&recordBytes))
+	m.add("processor_per_key", "µs", "keys", keys, next(&foldTime))
+	return m
+}
+
+// ledgerRecords returns the log's records of n requests that were claimed and
+// finished with an answer of 200 bytes.
+func ledgerRecords(n int) []platform.Record {
+	log := logstore.NewMemory(logstore.Options{})
+	shard := ledger.NewShard(ledger.Options{Log: log, Clock: clockwork.NewRealClock(), Logger: logr.Discard()}, 0)
+	random := rand.New(rand.NewPCG(seed, 4))
+	ctx := context.Background()
+	// The log in memory does not fail.
+	_ = shard.Tail(ctx, 0)
+	for i := range n {
+		id, _ := uuid.NewV7()
+		key, _ := ledger.ParseKey(fmt.Sprintf("workspace-%d", i%230), id.String(), false, 10*time.Minute, time.Now())
+		attempt := ledger.NewAttemptID(random)
+		shard.Ask(ledger.Claim{Key: key, Attempt: attempt, Fingerprint: 7, Holds: 10 * time.Second})
+		shard.Finish(ledger.Finish{Key: key, Attempt: attempt, Run: outcome.RunDone, Answer: &ledger.Answer{Status: 200, ContentType: "application/json", Body: make([]byte, 200)}})
+		if i%200 == 199 || i == n-1 {
+			_, _ = shard.Flush(ctx)
+			_ = shard.Tail(ctx, 0)
+		}
+	}
+	page, _ := log.Read(ctx, ledger.Stream(0), 1, 4*n, 0)
+	return page.Records
+}
+
+// claimBytes returns the bytes of a claim, its reply and its end between the
+// entry and the appender.
+func claimBytes() float64 {
+	key := "workspace-123/" + uuid.NewString()
+	claim := &peerpb.Batch{Envelopes: []*peerpb.Envelope{{Call: 100_000, Body: &peerpb.Envelope_Claim{Claim: &peerpb.Claim{
+		Shard: 3, Key: key, Fingerprint: 1 << 60, AttemptHigh: 1 << 60, AttemptLow: 1 << 60, WaitMs: 2000,
+	}}}}}
+	reply := &peerpb.Batch{Envelopes: []*peerpb.Envelope{{Call: 100_000, Body: &peerpb.Envelope_ClaimReply{ClaimReply: &peerpb.ClaimReply{State: 1}}}}}
+	finish := &peerpb.Batch{Envelopes: []*peerpb.Envelope{{Body: &peerpb.Envelope_Finish{Finish: &peerpb.Finish{
+		Shard: 3, Key: key, AttemptHigh: 1 << 60, AttemptLow: 1 << 60, Run: 2, Status: 200, ContentType: "application/json", Answer: make([]byte, 200),
+	}}}}}
+	return float64(wireSize(claim) + wireSize(reply) + wireSize(finish))
+}
+
+// measureConfiguration measures the follower of the configuration.
+func measureConfiguration() Measurement {
+	m := newMeasurement("configuration")
+	endpoints := []int{12, 80, 320, 640}
+	m.add("record_bytes", "B", "endpoints", endpoints, func(n int) float64 {
+		data, _ := json.Marshal(configOf(n))
+		return float64(len(data))
+	})
+	m.add("mark_bytes", "B", "marks", []int{1}, func(int) float64 {
+		target := config.Target{Scope: config.ScopeZone, Name: "zone-1"}
+		data, _ := json.Marshal(configlog.Change{ID: configlog.NewChangeID(), Base: 100_000, Seen: 100_000, Author: "operator", At: virtual.Epoch, Op: configlog.OpOut, Target: &target})
+		return float64(len(data))
+	})
+	m.add("snapshot_bytes", "B", "endpoints", endpoints, func(n int) float64 {
+		return heapOf(func() any { return config.NewSnapshot(config.State{Config: configOf(n)}) })
+	})
+	m.add("processor_per_push", "µs", "endpoints", endpoints, func(n int) float64 {
+		data, _ := json.Marshal(configOf(n))
+		const pushes = 20
+		used := processorTime(func() {
+			for range pushes {
+				var c config.Config
+				// What Marshal wrote can be read.
+				_ = json.Unmarshal(data, &c)
+				config.Validate(c)
+				config.NewSnapshot(config.State{Config: c})
+			}
+		})
+		return used.Seconds() / pushes * 1e6
+	})
+	return m
+}
+
+// measureOrders measures one round of the reconciler for a model.
+func measureOrders() Measurement {
+	m := newMeasurement("orders")
+	m.add("processor_per_round", "µs", "endpoints of a model", []int{7, 28, 112}, func(n int) float64 {
+		c := configOf(n)
+		for i := range c.Endpoints {
+			c.Endpoints[i].Model = c.Models[0].Name
+		}
+		snapshot := config.NewSnapshot(config.State{Version: 1, Config: c})
+		reconciler := orders.New(c.Models[0].Name)
+		input := orders.Input{Now: virtual.Epoch, Snapshot: snapshot, Fresh: true, HeldSince: virtual.Epoch.Add(-time.Hour), Lease: 5 * time.Second, Reports: make(map[string]orders.Report)}
+		for i := range c.Endpoints {
+			report := protocol.LoadReport{Boot: 1, Model: c.Models[0].Name, Version: "v1"}
+			input.Reports[c.Endpoints[i].Name] = orders.Report{LoadReport: report, At: virtual.Epoch}
+		}
+		const rounds = 500
+		used := processorTime(func() {
+			for range rounds {
+				reconciler.Plan(input)
+			}
+		})
+		return used.Seconds() / rounds * 1e6
+	})
+	return m
+}
--- /dev/null
+++ b/lab/capacity/size.go
@@ -0,0 +1,34 @@
+package capacity
+
+import "time"
+
+// The size that the fleet is designed for.
+const (
+	routers         = 330.0
+	endpoints       = 640.0
+	requestsPerSec  = 2_000.0
+	tokensPerSec    = 870_000.0
+	tokenGapMs      = 42.0
+	chats           = 2_400_000.0
+	models          = 23.0
+	changesPerDay   = 1_700.0
+	failuresPerDay  = 12.0
+	restartsPerDay  = 390.0
+	secondsPerDay   = float64(24 * time.Hour / time.Second)
+	kindsPerModel   = 3.0
+	ledgerShards    = 8.0
+	nonIdempotent   = 0.1 // share of the requests
+	ledgerWindowSec = 600.0
+	// pushShare is the share of the changes that push a whole configuration.
+	pushShare = 0.1
+	// watchesPerSecond is how often an owner looks for what it owns.
+	watchesPerSecond = 4.0
+	digestsPerSecond = 2.0 / 30 // records of counters to two keepers
+)
+
+// What a router may spend on control.
+const (
+	budgetBytes     = 8_000.0      // a second
+	budgetProcessor = 20_000.0     // microseconds a second: 2 % of a core
+	budgetMemory    = 32 * 1 << 20 // bytes
+)
--- /dev/null
+++ b/operate/capacity.go
@@ -0,0 +1,70 @@
+package operate
+
+import (
+	"os"
+
+	"github.com/pkg/errors"
+
+	"github.com/stoatmount/stoatmount/lab/capacity"
+)
+
+// CapacityCmd is `stoatctl capacity`.
+type CapacityCmd struct {
+	Page         string `help:"Page to write anew." default:"docs/CAPACITY.md" placeholder:"FILE"`
+	Measurements string `help:"Folder with the measurements." default:"docs/measurements" placeholder:"DIR"`
+	Measure      bool   `help:"Measure the roles anew first, those that need no running fleet."`
+}
+
+// Help implements kong.HelpProvider.
+func (*CapacityCmd) Help() string {
+	return `Works out what each role needs at the size that the fleet is designed for,
+from the measurements, and writes the tables of the page anew. What stands
+outside of the tables is kept.
+
+Examples:
+
+  stoatctl capacity
+  stoatctl capacity --measure`
+}
+
+// Run writes the page.
+func (c *CapacityCmd) Run(env *Env) error {
+	if c.Measure {
+		if err := c.measure(env); err != nil {
+			return err
+		}
+	}
+	measured, err := capacity.Load(c.Measurements)
+	if err != nil {
+		return err
+	}
+	old, err := os.ReadFile(c.Page)
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		return errors.Wrap(err, "read page")
+	}
+	page, err := capacity.Page(string(old), measured)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(c.Page, []byte(page), 0o644); err != nil {
+		return errors.Wrap(err, "write page")
+	}
+	env.printf("%s: written from %d measurements\n", c.Page, len(measured))
+	return nil
+}
+
+func (c *CapacityCmd) measure(env *Env) error {
+	for _, probe := range capacity.Probes() {
+		measured := probe()
+		if err := measured.Save(c.Measurements); err != nil {
+			return err
+		}
+		env.printf("%s: measured\n", measured.Name)
+		for i := range measured.Series {
+			series := &measured.Series[i]
+			line := series.Fit()
+			env.printf("  %s: %.4g + %.4g x %s, in %s, off by %.0f%%\n", series.Name, line.Fixed, line.Slope, series.Per, series.Unit, line.Off*100)
+		}
+	}
+	return nil
+}
--- a/operate/cli.go
+++ b/operate/cli.go
@@ -9,6 +9,7 @@
 	Endpoint EndpointCmd `cmd:"" help:"Take an endpoint out of service or bring it back."`
 	Report   ReportCmd   `cmd:"" help:"Report on service-level burn."`
 	Status   StatusCmd   `cmd:"" help:"Show the fleet at a glance."`
+	Capacity CapacityCmd `cmd:"" help:"Work out what each role needs at the size to design for."`
 	Settings SettingsCmd `cmd:"" help:"Check the settings file of a router."`
 	Codes    CodesCmd    `cmd:"" help:"List the numbered result codes."`
 }
