--- a/connection/caller/fleet.go
+++ b/connection/caller/fleet.go
@@ -42,6 +42,7 @@
 	Kind      string
 	Code      outcome.Code
 	Run       outcome.Run
+	FirstByte time.Duration // until the head of the answer
 	Took      time.Duration
 	InTime    bool
 	Cut       bool // the answer broke off after its head was sent
--- a/connection/caller/parse.go
+++ b/connection/caller/parse.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/stoatmount/stoatmount/connection/endpoint/protocol"
+	"github.com/stoatmount/stoatmount/process/suspect"
 	"github.com/stoatmount/stoatmount/request/outcome"
 	"github.com/stoatmount/stoatmount/request/serve"
 	"github.com/stoatmount/stoatmount/version/config"
@@ -68,7 +69,7 @@
 		Method: r.Method, Header: serve.ForwardHeader(r.Header), Body: body,
 		Received: received, Deadline: received.Add(deadline),
 		PromptTokens: len(body) / bytesPerToken,
-		Fingerprint:  fingerprint(workspace.Name, kind.Name, r.Method, r.URL.RequestURI(), body),
+		Fingerprint:  suspect.Of(workspace.Name, kind.Name, target(r, kind), body),
 	}
 	if place := r.Header.Get(HeaderPlace); len(place) <= maxPlaceBytes {
 		job.Place = place
@@ -76,6 +77,15 @@
 	return job, nil
 }
 
+// target names what a plain service is asked to do. Chat completions differ in
+// their bodies alone.
+func target(r *http.Request, kind *config.Kind) string {
+	if kind.Model != "" {
+		return ""
+	}
+	return r.Method + " " + r.URL.RequestURI()
+}
+
 // checkHeaderSize counts names and values.
 func (s *Server) checkHeaderSize(r *http.Request) *outcome.Refusal {
 	size := len(r.RequestURI)
--- a/connection/caller/serve.go
+++ b/connection/caller/serve.go
@@ -40,7 +40,7 @@
 		s.refuseUnread(w, r, id, refusal)
 		return
 	}
-	sink := &responseSink{w: w, controller: http.NewResponseController(w), job: job}
+	sink := &responseSink{w: w, controller: http.NewResponseController(w), job: job, clock: s.clock}
 	refusal = s.fleet.Serve(r.Context(), job, sink)
 	s.report(job, sink, refusal)
 	if refusal == nil {
@@ -79,7 +79,7 @@
 	done := Done{
 		ID: job.ID, Workspace: job.Workspace, Kind: job.Kind.Name,
 		Code: outcome.OK, Run: outcome.RunDone,
-		Took: now.Sub(job.Received), InTime: !now.After(job.Deadline),
+		FirstByte: sink.head, Took: now.Sub(job.Received), InTime: !now.After(job.Deadline),
 	}
 	if refusal != nil {
 		done.Code, done.Run = refusal.Code, refusal.Run
--- a/connection/caller/sink.go
+++ b/connection/caller/sink.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
 	"github.com/stoatmount/stoatmount/request/serve"
@@ -18,12 +19,15 @@
 	w          http.ResponseWriter
 	controller *http.ResponseController
 	job        *serve.Job
+	clock      clockwork.Clock
 	started    bool
+	head       time.Duration // from the arrival to the head of the answer
 }
 
 // Head implements serve.Sink.
 func (s *responseSink) Head(status int, header http.Header, length int64) error {
 	s.started = true
+	s.head = s.clock.Since(s.job.Received)
 	target := s.w.Header()
 	for name, values := range header {
 		target[name] = values
--- a/connection/endpoint/client_test.go
+++ b/connection/endpoint/client_test.go
@@ -22,6 +22,7 @@
 func echo(handler http.HandlerFunc) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(protocol.HeaderRequestID, r.Header.Get(protocol.HeaderRequestID))
+		_, _ = io.Copy(io.Discard, r.Body)
 		handler(w, r)
 	})
 }
@@ -85,7 +86,7 @@
 				request.Method = method
 				for want := range int64(2) {
 					answer, refusal := client.Do(context.Background(), request)
-					c.Assert(refusal, qt.IsNil)
+					c.Assert(refusal == nil, qt.IsTrue)
 					c.Assert(answer.Body.Close(), qt.IsNil)
 					c.Assert(requests.Load(), qt.Equals, want+1)
 				}
@@ -116,7 +117,7 @@
 		w.WriteHeader(http.StatusTemporaryRedirect)
 	}))
 	answer, refusal := NewClient(nil).Do(context.Background(), booking(address, "{}"))
-	c.Assert(refusal, qt.IsNil)
+	c.Assert(refusal == nil, qt.IsTrue)
 	c.Assert(answer.Status, qt.Equals, http.StatusTemporaryRedirect)
 	c.Assert(requests.Load(), qt.Equals, int64(1))
 }
@@ -172,7 +173,7 @@
 	request := booking(address, "")
 	request.BetweenBytes = 200 * time.Millisecond
 	answer, refusal := NewClient(nil).Do(context.Background(), request)
-	c.Assert(refusal, qt.IsNil)
+	c.Assert(refusal == nil, qt.IsTrue)
 	var got strings.Builder
 	_, err := io.Copy(&got, answer.Body)
 	c.Check(got.String(), qt.Equals, "start")
--- a/connection/endpoint/query.go
+++ b/connection/endpoint/query.go
@@ -125,7 +125,17 @@
 	}
 	if response.StatusCode >= http.StatusMultipleChoices {
 		_ = response.Body.Close()
-		return nil, errors.Errorf("endpoint answered status %d", response.StatusCode)
+		return nil, errors.WithStack(&StatusError{Status: response.StatusCode})
 	}
 	return response, nil
 }
+
+// StatusError is an answer with a status of 300 or more.
+type StatusError struct {
+	Status int
+}
+
+// Error implements error.
+func (e *StatusError) Error() string {
+	return "endpoint answered status " + strconv.Itoa(e.Status)
+}
--- a/connection/endpoint/request.go
+++ b/connection/endpoint/request.go
@@ -28,8 +28,8 @@
 	Body     []byte
 	Priority int
 	Left     time.Duration // until the deadline
-	Session  string // chat whose prefix is cached; empty for plain services
-	Once     bool   // non-idempotent: at most one attempt may leave
+	Session  string        // chat whose prefix is cached; empty for plain services
+	Once     bool          // non-idempotent: at most one attempt may leave
 
 	FirstByte    time.Duration // longest wait for the head of the answer
 	BetweenBytes time.Duration // longest silence within the answer
--- /dev/null
+++ b/process/node/claims.go
@@ -0,0 +1,147 @@
+package node
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/stoatmount/stoatmount/connection/peer/peerpb"
+	"github.com/stoatmount/stoatmount/process/ledger"
+	"github.com/stoatmount/stoatmount/process/member"
+	"github.com/stoatmount/stoatmount/request/outcome"
+	"github.com/stoatmount/stoatmount/request/serve"
+)
+
+const (
+	// finishTries bounds how often an outcome is sent to the appender.
+	finishTries = 5
+	// finishPause is the pause between these tries.
+	finishPause = 300 * time.Millisecond
+	// finishTime bounds one of them.
+	finishTime = time.Second
+)
+
+// claims implements serve.Claims.
+type claims struct {
+	node *Node
+}
+
+// Claim implements serve.Claims.
+func (c claims) Claim(ctx context.Context, job *serve.Job) (serve.Claim, *serve.Stored, *outcome.Refusal) {
+	n := c.node
+	now := n.clock.Now()
+	limits := &job.Snapshot.Config.Limits
+	key, refusal := ledger.ParseKey(job.Workspace, job.Key, job.Kind.AnyKey, limits.LedgerWindow.Std(), now)
+	if refusal != nil {
+		return nil, nil, refusal
+	}
+	id := ledger.NewAttemptID(n.random())
+	held := &claim{
+		node: n, key: key, shard: key.Shard(limits.LedgerShards),
+		attempt: ledger.NewAttempt(id, job.Deadline),
+	}
+	result := held.ask(ctx, ledger.Claim{
+		Key: key, Attempt: id, Fingerprint: uint64(job.Fingerprint), Holds: job.Left(now),
+	})
+	if held.attempt.Settle(result) {
+		return held, nil, nil
+	}
+	if result.State == ledger.Done && result.Answer != nil {
+		a := result.Answer
+		return nil, &serve.Stored{Status: a.Status, ContentType: a.ContentType, Body: a.Body}, nil
+	}
+	if result.State == ledger.Won {
+		// Won too late: the claim is given back, as it is never dispatched.
+		held.Finish(outcome.RunNot, nil)
+	}
+	refusal = result.Refusal()
+	if refusal == nil {
+		refusal = outcome.NotRun(outcome.ClaimFailed, "the claim came too late")
+	}
+	return nil, nil, refusal
+}
+
+// claim implements serve.Claim.
+type claim struct {
+	node    *Node
+	key     ledger.Key
+	shard   int
+	attempt *ledger.Attempt
+	once    bool // MayDispatch has allowed a dispatch
+}
+
+// appender returns the router that appends for the claim's shard.
+func (c *claim) appender() (member.Member, bool) {
+	return c.node.members.OwnerFor(c.node.clock.Now(), member.DutyLedger, strconv.Itoa(c.shard))
+}
+
+// ask enters the claim. An attempt whose result is not known can never be
+// dispatched.
+func (c *claim) ask(ctx context.Context, entry ledger.Claim) ledger.Result {
+	n := c.node
+	appender, ok := c.appender()
+	if !ok {
+		return ledger.Result{State: ledger.LogDown}
+	}
+	if appender.Name == n.self.Name {
+		return n.ledger.Claim(ctx, c.shard, entry)
+	}
+	wait := entry.Holds
+	if deadline, ok := ctx.Deadline(); ok {
+		wait = min(wait, time.Until(deadline))
+	}
+	message := &peerpb.Envelope{Body: &peerpb.Envelope_Claim{Claim: ledger.ClaimMessage(c.shard, entry, wait-wait/8)}}
+	reply, err := n.links.Call(ctx, appender.Peer, message)
+	if err != nil || reply.GetClaimReply() == nil {
+		return ledger.Result{State: ledger.LogDown}
+	}
+	return ledger.ClaimResult(reply.GetClaimReply())
+}
+
+// MayDispatch implements serve.Claim. Once a dispatch was allowed, a further
+// attempt is allowed as well: the flow makes one only if no endpoint can have
+// run the request.
+func (c *claim) MayDispatch() bool {
+	if c.once {
+		return true
+	}
+	c.once = c.attempt.Dispatch(c.node.clock.Now())
+	return c.once
+}
+
+// Finish implements serve.Claim.
+func (c *claim) Finish(run outcome.Run, stored *serve.Stored) {
+	if !c.once && !c.attempt.GiveUp() {
+		return
+	}
+	finish := ledger.Finish{Key: c.key, Attempt: c.attempt.ID, Run: run}
+	if stored != nil && run == outcome.RunDone {
+		finish.Answer = &ledger.Answer{Status: stored.Status, ContentType: stored.ContentType, Body: stored.Body}
+	}
+	c.node.Background(func() { c.record(finish) })
+}
+
+// record tells the appender the outcome. An outcome that is lost leaves the
+// claim without one, which repeats are told as unknown.
+func (c *claim) record(finish ledger.Finish) {
+	n := c.node
+	for range finishTries {
+		appender, ok := c.appender()
+		if ok && appender.Name == n.self.Name {
+			n.ledger.Finish(c.shard, finish)
+			return
+		}
+		if ok && c.send(appender, finish) {
+			return
+		}
+		<-n.clock.After(finishPause)
+	}
+}
+
+func (c *claim) send(appender member.Member, finish ledger.Finish) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), finishTime)
+	defer cancel()
+	message := &peerpb.Envelope{Body: &peerpb.Envelope_Finish{Finish: ledger.FinishMessage(c.shard, finish)}}
+	_, err := c.node.links.Call(ctx, appender.Peer, message)
+	return err == nil
+}
--- /dev/null
+++ b/process/node/configuration.go
@@ -0,0 +1,77 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/stoatmount/stoatmount/connection/peer/peerpb"
+	"github.com/stoatmount/stoatmount/connection/platform"
+	"github.com/stoatmount/stoatmount/process/configlog"
+	"github.com/stoatmount/stoatmount/process/member"
+	"github.com/stoatmount/stoatmount/request/choose"
+	"github.com/stoatmount/stoatmount/version/config"
+)
+
+// pullTime bounds one question for configuration records.
+const pullTime = 2 * time.Second
+
+// configPeers implements configlog.Peers.
+type configPeers struct {
+	node *Node
+}
+
+// Members implements configlog.Peers.
+func (p configPeers) Members() []configlog.Member {
+	others := p.node.roster.others()
+	members := make([]configlog.Member, 0, len(others))
+	for _, m := range others {
+		members = append(members, configlog.Member{Name: m.Name, Region: m.Region})
+	}
+	return members
+}
+
+// Pull implements configlog.Peers.
+func (p configPeers) Pull(ctx context.Context, name string, from platform.Offset) (*peerpb.ConfigPage, error) {
+	m, ok := p.node.roster.find(name)
+	if !ok {
+		return nil, errors.Errorf("router %s is not known", name)
+	}
+	ctx, cancel := context.WithTimeout(ctx, pullTime)
+	defer cancel()
+	reply, err := p.node.links.Call(ctx, m.Peer, &peerpb.Envelope{Body: &peerpb.Envelope_ConfigPull{
+		ConfigPull: &peerpb.ConfigPull{From: uint64(from)},
+	}})
+	if err != nil {
+		return nil, err
+	}
+	if reply.GetConfigPage() == nil {
+		return nil, errors.Errorf("router %s sent no page", name)
+	}
+	return reply.GetConfigPage(), nil
+}
+
+// applySnapshot puts a configuration in force in all tables.
+func (n *Node) applySnapshot(snapshot *config.Snapshot) {
+	n.owner.SetSnapshot(snapshot)
+	n.means.SetSnapshot(snapshot)
+	n.chooser.Store(choose.New(snapshot, n.hints))
+	n.budget.SetShare(snapshot.Config.Limits.RetryShare)
+	n.suspects.SetLimit(snapshot.Config.Limits.CrashLimit)
+	n.log.Info("configuration in force", "version", uint64(snapshot.Version),
+		"endpoints", len(snapshot.Config.Endpoints), "out", len(snapshot.Out))
+}
+
+// exchangeNews passes what gossip tells of the config stream to the follower
+// and the other way round.
+func (n *Node) exchangeNews(now time.Time) {
+	status := n.follower.Status()
+	n.members.Tell(member.News{Version: uint64(status.Version), End: uint64(status.Next), LogReadAt: status.LogRead})
+	news := n.members.News()
+	heard := configlog.News{End: platform.Offset(news.End), LogRead: news.LogReadAt}
+	if age := n.members.HeardMajority(now); age < n.settings.Member.Fresh.Std() {
+		heard.HeardOthers = now.Add(-age)
+	}
+	n.follower.Hear(heard)
+}
--- /dev/null
+++ b/process/node/endpoints.go
@@ -0,0 +1,216 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/stoatmount/stoatmount/process/member"
+	"github.com/stoatmount/stoatmount/process/orders"
+	"github.com/stoatmount/stoatmount/request/choose"
+	"github.com/stoatmount/stoatmount/request/place"
+	"github.com/stoatmount/stoatmount/request/serve"
+	"github.com/stoatmount/stoatmount/version/config"
+)
+
+const (
+	// pollEvery is the time between two load reports of an owned endpoint.
+	pollEvery = 500 * time.Millisecond
+	// eventsEvery is the time between two questions for cache events.
+	eventsEvery = 2 * time.Second
+	// ordersEvery is the time between two looks at what endpoints should serve.
+	ordersEvery = 2 * time.Second
+	// movesEvery is the time between two batches of cache moves.
+	movesEvery = time.Second
+	// moveTime bounds one move of a chat's cache.
+	moveTime = 2 * time.Second
+	// movesAtOnce bounds the chats that are moved from one endpoint in a batch.
+	movesAtOnce = 16
+)
+
+// pollLoads asks the endpoints that this router owns for their load.
+func (n *Node) pollLoads(_ context.Context, now time.Time) {
+	snapshot := n.follower.Snapshot()
+	if snapshot == nil {
+		return
+	}
+	for _, name := range n.owner.Watched(now) {
+		if target := snapshot.Endpoint(name); target != nil {
+			n.Background(func() { n.pollLoad(target) })
+		}
+	}
+}
+
+func (n *Node) pollLoad(target *config.Endpoint) {
+	ctx, cancel := context.WithTimeout(context.Background(), askTime)
+	defer cancel()
+	asked := n.clock.Now()
+	report, err := n.endpoint.Load(ctx, target.Address)
+	now := n.clock.Now()
+	if err != nil {
+		n.owner.Lost(now, target.Name)
+		return
+	}
+	n.loads.put(now, target.Name, report)
+	n.hints.SetLeaving(target.Name, report.Leaving)
+	n.directory.Restarted(target.Name, report.Boot)
+	n.calls.deliver(n.owner.Load(now, target.Name, &report, asked))
+}
+
+// pollCacheEvents asks the owned endpoints of models for cache events.
+func (n *Node) pollCacheEvents(_ context.Context, now time.Time) {
+	snapshot := n.follower.Snapshot()
+	if snapshot == nil {
+		return
+	}
+	for _, name := range n.owner.Watched(now) {
+		if target := snapshot.Endpoint(name); target != nil && target.Model != "" {
+			n.Background(func() { n.pollEvents(target) })
+		}
+	}
+}
+
+func (n *Node) pollEvents(target *config.Endpoint) {
+	ctx, cancel := context.WithTimeout(context.Background(), askTime)
+	defer cancel()
+	page, err := n.endpoint.CacheEvents(ctx, target.Address, n.directory.Next(target.Name))
+	if err == nil {
+		n.directory.Events(n.clock.Now(), target.Name, page)
+	}
+}
+
+// moveCache moves the chat's cache to the chosen endpoint before the request
+// goes there. If that fails the prefix is computed again.
+func (n *Node) moveCache(ctx context.Context, job *serve.Job, c *choose.Candidate) {
+	from := job.Snapshot.Endpoint(c.MoveFrom)
+	if from == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, moveTime)
+	defer cancel()
+	if err := n.endpoint.MoveCache(ctx, from.Address, c.Endpoint.Address, job.Session()); err != nil {
+		n.figures.movesFailed.Add(1)
+		return
+	}
+	n.figures.moves.Add(1)
+}
+
+// moveChats moves the most valuable chats of endpoints that are leaving or
+// out, at a bounded rate.
+func (n *Node) moveChats(_ context.Context, now time.Time) {
+	snapshot, chooser := n.follower.Snapshot(), n.chooser.Load()
+	if snapshot == nil || chooser == nil {
+		return
+	}
+	for i := range snapshot.Config.Endpoints {
+		e := &snapshot.Config.Endpoints[i]
+		if e.Model == "" || !n.owns(now, member.DutyAdmission, e.Name) {
+			continue
+		}
+		report, ok := n.loads.get(e.Name)
+		if !ok || !report.Leaving && !snapshot.IndexOut(i) {
+			continue
+		}
+		n.moveFrom(now, snapshot, chooser, e)
+	}
+}
+
+func (n *Node) owns(now time.Time, duty member.Duty, key string) bool {
+	owner, ok := n.members.OwnerFor(now, duty, key)
+	return ok && owner.Name == n.self.Name
+}
+
+func (n *Node) moveFrom(now time.Time, snapshot *config.Snapshot, chooser *choose.Chooser, e *config.Endpoint) {
+	held := n.directory.HeldBy(e.Name)
+	chats := make([]choose.HeldChat, 0, len(held))
+	for _, h := range held {
+		chats = append(chats, choose.HeldChat{Chat: h.Chat, Tokens: h.Tokens, Idle: now.Sub(h.At)})
+	}
+	model := snapshot.Model(e.Model)
+	if model == nil {
+		return
+	}
+	budget := int(float64(model.MovePerSecond) * movesEvery.Seconds())
+	moves := chooser.Moves(now, e, chats, budget)
+	for _, move := range moves[:min(len(moves), movesAtOnce)] {
+		to := snapshot.Endpoint(move.To)
+		if to != nil {
+			n.Background(func() { n.moveChat(e, to, move.Chat, move.Tokens) })
+		}
+	}
+}
+
+func (n *Node) moveChat(from, to *config.Endpoint, chat place.Chat, tokens int) {
+	ctx, cancel := context.WithTimeout(context.Background(), moveTime)
+	defer cancel()
+	if err := n.endpoint.MoveCache(ctx, from.Address, to.Address, chat.Session()); err != nil {
+		n.figures.movesFailed.Add(1)
+		return
+	}
+	n.figures.moves.Add(1)
+	n.placeChat(to.Model, chat, to.Name, n.hints.Boot(to.Name), tokens)
+}
+
+// reconcileOrders brings the endpoints of the models that this router holds
+// the duty for to what the configuration wants.
+func (n *Node) reconcileOrders(_ context.Context, now time.Time) {
+	snapshot := n.follower.Snapshot()
+	if snapshot == nil {
+		return
+	}
+	for i := range snapshot.Config.Models {
+		model := snapshot.Config.Models[i].Name
+		since := n.duties.held(now, "orders/"+model, n.owns(now, member.DutyOrders, model))
+		if !since.IsZero() {
+			n.Background(func() { n.reconcileModel(snapshot, model, since) })
+		}
+	}
+}
+
+func (n *Node) reconcileModel(snapshot *config.Snapshot, model string, since time.Time) {
+	reports := make(map[string]orders.Report)
+	for _, i := range snapshot.GroupEndpoints(model) {
+		e := &snapshot.Config.Endpoints[i]
+		if report, ok := n.freshReport(e); ok {
+			reports[e.Name] = report
+		}
+	}
+	commands := n.reconcilers.plan(model, orders.Input{
+		Now: n.clock.Now(), Snapshot: snapshot, Reports: reports,
+		Fresh: n.follower.Fresh(n.clock.Now()), HeldSince: since, Lease: n.settings.Member.Promise.Std() + orders.OrderDeadline,
+	})
+	for _, command := range commands {
+		n.Background(func() { n.sendOrder(model, command) })
+	}
+}
+
+// freshReport returns a load report of e, asking for one if the last is old.
+func (n *Node) freshReport(e *config.Endpoint) (orders.Report, bool) {
+	report, ok := n.loads.get(e.Name)
+	if ok && n.clock.Since(report.At) < ordersEvery {
+		return report, true
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), askTime)
+	defer cancel()
+	fresh, err := n.endpoint.Load(ctx, e.Address)
+	if err != nil {
+		return orders.Report{}, false
+	}
+	n.loads.put(n.clock.Now(), e.Name, fresh)
+	return n.loads.get(e.Name)
+}
+
+func (n *Node) sendOrder(model string, command orders.Command) {
+	now := n.clock.Now()
+	if now.After(command.SendBy) {
+		n.reconcilers.done(model, command.Endpoint, orders.NotSent, now)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), command.AnswerBy.Sub(now))
+	defer cancel()
+	result := orders.Obeyed
+	if err := n.endpoint.Order(ctx, command.Address, command.Order); err != nil {
+		result = orderOutcome(err)
+		n.log.Info("order failed", "endpoint", command.Endpoint, "error", err.Error())
+	}
+	n.reconcilers.done(model, command.Endpoint, result, n.clock.Now())
+}
--- /dev/null
+++ b/process/node/fleet.go
@@ -0,0 +1,179 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/stoatmount/stoatmount/connection/caller"
+	"github.com/stoatmount/stoatmount/process/burn"
+	"github.com/stoatmount/stoatmount/process/member"
+	"github.com/stoatmount/stoatmount/request/choose"
+	"github.com/stoatmount/stoatmount/request/outcome"
+	"github.com/stoatmount/stoatmount/request/place"
+	"github.com/stoatmount/stoatmount/request/serve"
+	"github.com/stoatmount/stoatmount/version/config"
+)
+
+const (
+	// addressesNamed is the number of entry hosts in an address answer.
+	addressesNamed = 5
+	// outGrace is how long a host that was taken out goes on serving callers
+	// that still hold its address.
+	outGrace = 2 * time.Second
+	// retryElsewhere is when a caller should try another entry host.
+	retryElsewhere = time.Millisecond
+)
+
+// Snapshot implements caller.Fleet.
+func (n *Node) Snapshot() *config.Snapshot {
+	return n.follower.Snapshot()
+}
+
+// Serve implements caller.Fleet.
+func (n *Node) Serve(ctx context.Context, job *serve.Job, sink serve.Sink) *outcome.Refusal {
+	n.inProgress.Add(1)
+	n.figures.begin(job.Kind.Name)
+	defer func() {
+		n.inProgress.Add(-1)
+		n.figures.end(job.Kind.Name)
+	}()
+	return n.server.Serve(ctx, job, sink)
+}
+
+// MayRetry implements serve.Fleet.
+func (n *Node) MayRetry(job *serve.Job) bool {
+	return n.budget.Take(job.Kind.Group()) == outcome.OK
+}
+
+// Accepting implements caller.Fleet.
+func (n *Node) Accepting() *outcome.Refusal {
+	now := n.clock.Now()
+	if n.drain.refusing() || n.outFor(now) > outGrace {
+		refusal := outcome.NotRun(outcome.Draining, "")
+		refusal.Address = n.otherAddress(now)
+		refusal.RetryAfter = retryElsewhere
+		return refusal
+	}
+	if n.follower.Snapshot() == nil {
+		return outcome.NotRun(outcome.NoConfig, "no configuration is in force yet")
+	}
+	if !n.follower.Fresh(now) {
+		refusal := outcome.NotRun(outcome.StaleConfig, "neither the log nor a majority of the routers was heard lately")
+		refusal.RetryAfter = time.Second
+		return refusal
+	}
+	return nil
+}
+
+// Ready implements caller.Fleet.
+func (n *Node) Ready() bool {
+	now := n.clock.Now()
+	return !n.drain.leaving() && n.outFor(now) == 0 && n.members.View() != nil && n.Accepting() == nil
+}
+
+// outFor returns how long this host or its zone has been out of service.
+func (n *Node) outFor(now time.Time) time.Duration {
+	snapshot := n.follower.Snapshot()
+	if snapshot == nil || !snapshot.HostOut(n.self.Name, n.self.Zone) {
+		n.duties.held(now, "out", false)
+		return 0
+	}
+	return max(now.Sub(n.duties.held(now, "out", true)), 1)
+}
+
+// Addresses implements caller.Fleet. The admission owner of the endpoint that
+// the chat would go to comes first, as it needs to ask no other router.
+func (n *Node) Addresses(workspace, chat string, kind *config.Kind) caller.Addresses {
+	now := n.clock.Now()
+	snapshot := n.follower.Snapshot()
+	hosts := n.usableHosts(now, snapshot)
+	key := xxhash.Sum64String(workspace + "/" + chat)
+	slices.SortFunc(hosts, func(a, b member.Member) int {
+		return cmp.Compare(hostScore(key, &b), hostScore(key, &a))
+	})
+	if owner, ok := n.ownerOfChat(now, workspace, chat, kind); ok {
+		if i := slices.IndexFunc(hosts, func(m member.Member) bool { return m.Name == owner.Name }); i > 0 {
+			first := hosts[i]
+			copy(hosts[1:i+1], hosts[:i])
+			hosts[0] = first
+		}
+	}
+	named := make([]string, 0, addressesNamed)
+	for _, m := range hosts[:min(len(hosts), addressesNamed)] {
+		named = append(named, m.Caller.String())
+	}
+	return caller.Addresses{
+		Addresses: named,
+		TTLMs:     snapshot.Config.Limits.AddressTTL.Std().Milliseconds(),
+		Version:   uint64(snapshot.Version),
+	}
+}
+
+func hostScore(key uint64, m *member.Member) uint64 {
+	return xxhash.Sum64String(m.Name) * (key | 1)
+}
+
+// ownerOfChat returns the admission owner of the endpoint at which a request
+// of the chat would be served.
+func (n *Node) ownerOfChat(now time.Time, workspace, chat string, kind *config.Kind) (member.Member, bool) {
+	chooser := n.chooser.Load()
+	if chooser == nil || kind == nil || chat == "" {
+		return member.Member{}, false
+	}
+	id := place.ChatOf(workspace, chat)
+	in := &choose.Input{Chat: id, Kind: kind, Deadline: kind.Deadline.Std()}
+	if entry, ok := n.directory.Get(id); ok {
+		in.Known = []choose.Known{{Endpoint: entry.Endpoint, Boot: entry.Boot, Tokens: entry.Tokens, Confidence: entry.Confidence, Reason: choose.ReasonDirectory}}
+	}
+	plan := chooser.Choose(now, in)
+	candidates := plan.Candidates()
+	if len(candidates) == 0 {
+		return member.Member{}, false
+	}
+	return n.members.OwnerFor(now, member.DutyAdmission, candidates[0].Endpoint.Name)
+}
+
+// usableHosts returns the live routers of the region that callers may be sent
+// to.
+func (n *Node) usableHosts(now time.Time, snapshot *config.Snapshot) []member.Member {
+	var usable []member.Member
+	for _, m := range n.members.Live(now) {
+		self := m.Name == n.self.Name
+		if m.Leaving || snapshot.HostOut(m.Name, m.Zone) || self && n.drain.leaving() {
+			continue
+		}
+		usable = append(usable, m)
+	}
+	return usable
+}
+
+// otherAddress names another entry host, or nothing.
+func (n *Node) otherAddress(now time.Time) string {
+	snapshot := n.follower.Snapshot()
+	if snapshot == nil {
+		return ""
+	}
+	for _, m := range n.usableHosts(now, snapshot) {
+		if m.Name != n.self.Name {
+			return m.Caller.String()
+		}
+	}
+	return ""
+}
+
+// Observe implements caller.Fleet.
+func (n *Node) Observe(done caller.Done) {
+	n.figures.count(done.Code)
+	if done.Kind == "" {
+		return
+	}
+	now := n.clock.Now()
+	if result, counts := burn.Classify(done.Code, done.Run, done.InTime); counts {
+		n.recorder.Count(now, done.Kind, result)
+	}
+	n.recorder.Latency(done.Kind, done.FirstByte, done.Took)
+}
--- /dev/null
+++ b/process/node/handle.go
@@ -0,0 +1,135 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/stoatmount/stoatmount/connection/peer"
+	"github.com/stoatmount/stoatmount/connection/peer/peerpb"
+	"github.com/stoatmount/stoatmount/connection/platform"
+	"github.com/stoatmount/stoatmount/process/admission"
+	"github.com/stoatmount/stoatmount/process/burn"
+	"github.com/stoatmount/stoatmount/process/suspect"
+	"github.com/stoatmount/stoatmount/request/place"
+)
+
+// peerWorkTime bounds the work that a message of another router causes.
+const peerWorkTime = 10 * time.Second
+
+// Handle implements peer.Handler.
+func (n *Node) Handle(from string, message *peerpb.Envelope, reply peer.Reply) {
+	now := n.clock.Now()
+	switch body := message.GetBody().(type) {
+	case *peerpb.Envelope_Gossip:
+		n.gossip(n.members.Receive(now, from, body.Gossip))
+	case *peerpb.Envelope_PermitRequest:
+		n.handlePermit(now, from, body.PermitRequest, reply)
+	case *peerpb.Envelope_Release:
+		n.calls.deliver(n.owner.Release(now, from, admission.ReleaseFrom(body.Release)))
+	case *peerpb.Envelope_Renew:
+		n.handleRenew(now, from, body.Renew, reply)
+	case *peerpb.Envelope_GroupLoad:
+		n.means.Load(now, from, body.GroupLoad)
+	case *peerpb.Envelope_GroupMean:
+		n.owner.Mean(now, body.GroupMean.GetGroup(), float64(body.GroupMean.GetMean()))
+	case *peerpb.Envelope_PlaceUpdate:
+		u := body.PlaceUpdate
+		n.directory.Put(now, place.Chat(u.GetChat()), u.GetEndpoint(), u.GetBoot(), int(u.GetTokens()))
+	case *peerpb.Envelope_PlaceQuery:
+		n.handlePlaceQuery(now, body.PlaceQuery, reply)
+	case *peerpb.Envelope_Suspect:
+		n.handleSuspect(now, body.Suspect, reply)
+	default:
+		n.handleState(message, reply)
+	}
+}
+
+// handleState takes the messages about configuration, ledger and status.
+func (n *Node) handleState(message *peerpb.Envelope, reply peer.Reply) {
+	switch body := message.GetBody().(type) {
+	case *peerpb.Envelope_Claim:
+		n.inBackground(func(ctx context.Context) {
+			answer(reply, &peerpb.Envelope{Body: &peerpb.Envelope_ClaimReply{ClaimReply: n.ledger.TakeClaim(ctx, body.Claim)}})
+		})
+	case *peerpb.Envelope_Finish:
+		n.ledger.TakeFinish(body.Finish)
+		answer(reply, ack())
+	case *peerpb.Envelope_ConfigPull:
+		page := n.follower.Serve(platform.Offset(body.ConfigPull.GetFrom()))
+		answer(reply, &peerpb.Envelope{Body: &peerpb.Envelope_ConfigPage{ConfigPage: page}})
+	case *peerpb.Envelope_BurnRecord:
+		n.keeper.Keep(n.clock.Now(), burn.FromWire(body.BurnRecord))
+		answer(reply, ack())
+	case *peerpb.Envelope_StatusQuery:
+		n.inBackground(func(context.Context) {
+			answer(reply, n.statusReply(body.StatusQuery))
+		})
+	}
+}
+
+func ack() *peerpb.Envelope {
+	return &peerpb.Envelope{Body: &peerpb.Envelope_Ack{Ack: &peerpb.Ack{}}}
+}
+
+func answer(reply peer.Reply, message *peerpb.Envelope) {
+	if reply != nil {
+		reply(message)
+	}
+}
+
+// inBackground runs work for another router with a bound on its time.
+func (n *Node) inBackground(work func(context.Context)) {
+	n.Background(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), peerWorkTime)
+		defer cancel()
+		work(ctx)
+	})
+}
+
+// Background implements serve.Fleet. Work that finds no worker is dropped; all
+// that is passed here is either repeated or answered by a timeout.
+func (n *Node) Background(work func()) {
+	if !n.pool.Go(work) {
+		n.figures.dropped.Add(1)
+	}
+}
+
+func (n *Node) handlePermit(now time.Time, from string, m *peerpb.PermitRequest, reply peer.Reply) {
+	if reply == nil {
+		return
+	}
+	call := n.calls.add(permitReply(reply))
+	n.calls.deliver(n.owner.Request(now, admission.RequestFrom(now, from, call, m)))
+}
+
+// handleRenew answers with the permits that have lapsed.
+func (n *Node) handleRenew(now time.Time, from string, m *peerpb.Renew, reply peer.Reply) {
+	lapsed := n.owner.RenewFrom(now, from, m)
+	answer(reply, &peerpb.Envelope{Body: &peerpb.Envelope_Renew{Renew: &peerpb.Renew{Endpoint: m.GetEndpoint(), Permits: lapsed}}})
+}
+
+func (n *Node) handlePlaceQuery(now time.Time, m *peerpb.PlaceQuery, reply peer.Reply) {
+	entry, found := n.directory.Get(place.Chat(m.GetChat()))
+	result := &peerpb.PlaceReply{Found: found}
+	if found {
+		result.Endpoint = entry.Endpoint
+		result.Boot = entry.Boot
+		result.Tokens = uint32(entry.Tokens)
+		result.AgeMs = uint32(now.Sub(entry.At).Milliseconds())
+	}
+	answer(reply, &peerpb.Envelope{Body: &peerpb.Envelope_PlaceReply{PlaceReply: result}})
+}
+
+// handleSuspect answers as home of a fingerprint, or learns what another home
+// spreads.
+func (n *Node) handleSuspect(now time.Time, m *peerpb.Suspect, reply peer.Reply) {
+	if reply == nil && !n.homeOf(now, suspect.Fingerprint(m.GetFingerprint())) {
+		n.suspects.Learn(now, m)
+		return
+	}
+	result := n.suspects.Handle(now, m)
+	n.spread(now, result)
+	if result.Reply != nil {
+		answer(reply, &peerpb.Envelope{Body: &peerpb.Envelope_SuspectReply{SuspectReply: result.Reply}})
+	}
+}
--- /dev/null
+++ b/process/node/places.go
@@ -0,0 +1,98 @@
+package node
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/stoatmount/stoatmount/connection/peer/peerpb"
+	"github.com/stoatmount/stoatmount/process/member"
+	"github.com/stoatmount/stoatmount/request/choose"
+	"github.com/stoatmount/stoatmount/request/place"
+	"github.com/stoatmount/stoatmount/request/serve"
+)
+
+// knownPlaces returns where the chat's prefix may be cached: what the caller's
+// token says, what the directory of the chat's home says, and what this router
+// has seen in cache events.
+func (n *Node) knownPlaces(ctx context.Context, now time.Time, job *serve.Job) []choose.Known {
+	chat := job.ChatID()
+	if chat == 0 || job.Kind.Model == "" {
+		return nil
+	}
+	var known []choose.Known
+	if n.signer != nil && job.Place != "" {
+		if p, ok := n.signer.Open(now, chat, job.Place); ok {
+			known = append(known, choose.Known{Endpoint: p.Endpoint, Boot: p.Boot, Tokens: p.Tokens, Reason: choose.ReasonToken})
+		}
+	}
+	if entry, ok := n.directory.Get(chat); ok {
+		known = append(known, choose.Known{
+			Endpoint: entry.Endpoint, Boot: entry.Boot, Tokens: entry.Tokens, Confidence: entry.Confidence, Reason: choose.ReasonEvents,
+		})
+	}
+	if len(known) > 0 {
+		return known
+	}
+	if found, ok := n.askDirectory(ctx, now, chat); ok {
+		known = append(known, found)
+	}
+	return known
+}
+
+// askDirectory asks the chat's home, if it is another router.
+func (n *Node) askDirectory(ctx context.Context, now time.Time, chat place.Chat) (choose.Known, bool) {
+	home, ok := n.members.OwnerFor(now, member.DutyChatHome, chatKey(chat))
+	if !ok || home.Name == n.self.Name {
+		return choose.Known{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, homeTime)
+	defer cancel()
+	reply, err := n.links.Call(ctx, home.Peer, &peerpb.Envelope{Body: &peerpb.Envelope_PlaceQuery{
+		PlaceQuery: &peerpb.PlaceQuery{Chat: uint64(chat)},
+	}})
+	if err != nil || !reply.GetPlaceReply().GetFound() {
+		return choose.Known{}, false
+	}
+	r := reply.GetPlaceReply()
+	return choose.Known{Endpoint: r.GetEndpoint(), Boot: r.GetBoot(), Tokens: int(r.GetTokens()), Reason: choose.ReasonDirectory}, true
+}
+
+func chatKey(chat place.Chat) string {
+	return strconv.FormatUint(uint64(chat), 16)
+}
+
+// PlaceToken implements serve.Fleet.
+func (n *Node) PlaceToken(job *serve.Job, endpoint string, boot uint64, tokens int) string {
+	if n.signer == nil || job.Chat == "" || job.Kind.Model == "" {
+		return ""
+	}
+	return n.signer.Sign(job.ChatID(), place.Place{Endpoint: endpoint, Boot: boot, Tokens: tokens, Issued: n.clock.Now()})
+}
+
+// Placed implements serve.Fleet.
+func (n *Node) Placed(job *serve.Job, endpoint string, boot uint64, tokens int) {
+	n.placeChat(job.Kind.Group(), job.ChatID(), endpoint, boot, tokens)
+}
+
+// placeChat tells the directory where a chat's prefix is cached now. Chats at
+// their place by rendezvous hashing are found there without the directory;
+// only an entry that says otherwise has to be replaced.
+func (n *Node) placeChat(group string, chat place.Chat, endpoint string, boot uint64, tokens int) {
+	now := n.clock.Now()
+	n.directory.Put(now, chat, endpoint, boot, tokens)
+	home, ok := n.members.OwnerFor(now, member.DutyChatHome, chatKey(chat))
+	chooser := n.chooser.Load()
+	if !ok || chooser == nil || home.Name == n.self.Name {
+		return
+	}
+	if chooser.Default(group, chat) == endpoint && !n.strays.drop(chat) {
+		return
+	}
+	if chooser.Default(group, chat) != endpoint {
+		n.strays.add(chat)
+	}
+	n.links.Send(home.Peer, &peerpb.Envelope{Body: &peerpb.Envelope_PlaceUpdate{PlaceUpdate: &peerpb.PlaceUpdate{
+		Chat: uint64(chat), Endpoint: endpoint, Boot: boot, Tokens: uint32(tokens),
+	}}})
+}
--- /dev/null
+++ b/process/node/provision.go
@@ -0,0 +1,169 @@
+package node
+
+import (
+	"crypto/tls"
+	"net/netip"
+	"time"
+
+	"google.golang.org/grpc/credentials"
+
+	"github.com/stoatmount/stoatmount/connection/caller"
+	"github.com/stoatmount/stoatmount/connection/endpoint"
+	"github.com/stoatmount/stoatmount/connection/operator"
+	"github.com/stoatmount/stoatmount/connection/peer"
+	"github.com/stoatmount/stoatmount/connection/platform"
+	"github.com/stoatmount/stoatmount/process/admission"
+	"github.com/stoatmount/stoatmount/process/breaker"
+	"github.com/stoatmount/stoatmount/process/burn"
+	"github.com/stoatmount/stoatmount/process/configlog"
+	tlsfiles "github.com/stoatmount/stoatmount/process/credentials"
+	"github.com/stoatmount/stoatmount/process/directory"
+	"github.com/stoatmount/stoatmount/process/invariant"
+	"github.com/stoatmount/stoatmount/process/ledger"
+	"github.com/stoatmount/stoatmount/process/member"
+	"github.com/stoatmount/stoatmount/process/pool"
+	"github.com/stoatmount/stoatmount/process/suspect"
+	"github.com/stoatmount/stoatmount/request/choose"
+	"github.com/stoatmount/stoatmount/request/place"
+	"github.com/stoatmount/stoatmount/request/retry"
+	"github.com/stoatmount/stoatmount/request/serve"
+)
+
+const (
+	// directoryChats is the number of chats that a home remembers.
+	directoryChats = 20_000
+	// placeLife is how long a place token is trusted.
+	placeLife = 24 * time.Hour
+	// defaultRetryShare and defaultCrashLimit apply until the first
+	// configuration.
+	defaultRetryShare = 0.1
+	defaultCrashLimit = 3
+	// ledgerWindow is the age up to which repeats are recognised until a
+	// configuration says otherwise.
+	ledgerWindow = 24 * time.Hour
+	// maxWorkers bounds the workers for background tasks.
+	maxWorkers = 64
+)
+
+// provision makes the tables and connections.
+func (n *Node) provision(o Options) error {
+	n.check = invariant.New(n.log)
+	n.self = member.Member{
+		Name:   o.Settings.Host.Name,
+		Boot:   n.random().Uint64() | 1,
+		Peer:   addressOf(n.listen.peer.Addr().String()),
+		Caller: addressOf(n.listen.caller.Addr().String()),
+		Zone:   o.Settings.Host.Zone,
+		Region: o.Settings.Host.Region,
+	}
+	n.pool = pool.New(min(max(o.Settings.Limits.Workers, 1), maxWorkers), n.log)
+	if err := n.provisionTables(); err != nil {
+		return err
+	}
+	if err := n.provisionPeers(); err != nil {
+		return err
+	}
+	n.provisionState()
+	return n.provisionServers()
+}
+
+func addressOf(text string) netip.AddrPort {
+	address, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return netip.AddrPort{}
+	}
+	return address
+}
+
+func (n *Node) provisionTables() error {
+	var err error
+	n.members = member.New(n.self, member.ConfigFrom(n.settings.Member), n.random())
+	n.roster = newRoster(n.self)
+	n.owner = admission.NewOwner(admission.DefaultConfig(), n.members, n.check, n.random())
+	n.means = admission.NewMeans(admission.DefaultConfig())
+	n.holder = admission.NewHolder()
+	n.calls = newCalls()
+	n.hints = choose.NewHints()
+	n.budget = retry.NewBudget(defaultRetryShare)
+	n.breakers = breaker.New(n.random())
+	n.running = suspect.NewRunning()
+	n.durations = newDurations()
+	n.loads = newLoadTable()
+	n.duties = newDuties()
+	n.recorder = burn.NewRecorder(n.self.Name, n.self.Boot, n.self.Zone, n.started)
+	n.keeper = burn.NewKeeper()
+	n.exchange = burn.NewExchange(n.recorder, n.keeper)
+	if n.directory, err = directory.New(directoryChats); err != nil {
+		return err
+	}
+	if n.suspects, err = suspect.New(suspect.DefaultCapacity, defaultCrashLimit); err != nil {
+		return err
+	}
+	key, err := tlsfiles.PlaceKey(n.settings.Access.PlaceKeyFile)
+	if err != nil || key == nil {
+		return err
+	}
+	n.signer, err = place.NewSigner(placeLife, key)
+	return err
+}
+
+func (n *Node) provisionPeers() error {
+	server, client, err := tlsfiles.Peer(n.settings.TLS)
+	if err != nil {
+		return err
+	}
+	n.traffic = &peer.Traffic{}
+	n.links = peer.NewLinks(n.self.Name, n.traffic, transportCredentials(client))
+	n.peers = peer.NewServer(n, n.traffic, transportCredentials(server))
+	n.endpoint = endpoint.NewClient(nil)
+	return nil
+}
+
+func transportCredentials(config *tls.Config) credentials.TransportCredentials {
+	if config == nil {
+		return nil
+	}
+	return credentials.NewTLS(config)
+}
+
+// provisionState makes what is kept in the platform's log.
+func (n *Node) provisionState() {
+	n.logs = platform.NewLogClient(platform.ClientOptions{Address: n.settings.Platform.Log, TLS: n.platformTLS()})
+	n.hosts = platform.NewHostListClient(platform.ClientOptions{Address: n.settings.Platform.Hosts, TLS: n.platformTLS()})
+	n.follower = configlog.NewFollower(configlog.Options{
+		Self:    configlog.Member{Name: n.self.Name, Region: n.self.Region},
+		Log:     n.logs,
+		Peers:   configPeers{n},
+		Clock:   n.clock,
+		Rand:    n.random(),
+		Checker: n.check,
+		Logger:  n.log.WithName("config"),
+		Fresh:   n.settings.Member.Fresh.Std(),
+	})
+	n.ledger = ledger.NewSet(ledger.Options{
+		Log: n.logs, Clock: n.clock, Checker: n.check, Logger: n.log.WithName("ledger"), Window: ledgerWindow,
+	})
+	n.follower.Subscribe(n.applySnapshot)
+}
+
+func (n *Node) platformTLS() *tls.Config {
+	if !n.settings.Platform.TLS {
+		return nil
+	}
+	return &tls.Config{MinVersion: tls.VersionTLS12}
+}
+
+func (n *Node) provisionServers() error {
+	n.server = serve.NewServer(n, claims{n}, n.endpoint, n.clock, n.check, n.log.WithName("serve"))
+	callerTLS, err := tlsfiles.Listener(n.settings.TLS.CallerCert, n.settings.TLS.CallerKey)
+	if err != nil {
+		return err
+	}
+	limits := n.settings.Limits
+	n.callers = caller.NewServer(n, caller.Options{
+		BodyBytes: limits.BodyBytes, HeaderBytes: limits.HeaderBytes, BodyTime: limits.BodyTime.Std(),
+		Connections: limits.Connections, Open: n.settings.Access.OpenOnLoopback, TLS: callerTLS,
+	}, n.clock, n.log.WithName("caller"))
+	n.operator, err = operator.New(n.controller(), n.settings.Access.OperatorKeyHash, n.settings.Access.OpenOnLoopback, n.log.WithName("operator"))
+	return err
+}
--- /dev/null
+++ b/process/node/reconcilers.go
@@ -0,0 +1,51 @@
+package node
+
+import (
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/stoatmount/stoatmount/connection/endpoint"
+	"github.com/stoatmount/stoatmount/process/orders"
+)
+
+// reconcilers holds one reconciler per model. The zero value is usable.
+type reconcilers struct {
+	mu      sync.Mutex
+	byModel map[string]*orders.Reconciler
+}
+
+func (r *reconcilers) plan(model string, in orders.Input) []orders.Command {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.of(model).Plan(in)
+}
+
+func (r *reconcilers) done(model, name string, result orders.Outcome, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.of(model).Done(name, result, now)
+}
+
+// of returns the reconciler of model. r.mu must be held.
+func (r *reconcilers) of(model string) *orders.Reconciler {
+	if r.byModel == nil {
+		r.byModel = make(map[string]*orders.Reconciler)
+	}
+	found, ok := r.byModel[model]
+	if !ok {
+		found = orders.New(model)
+		r.byModel[model] = found
+	}
+	return found
+}
+
+// orderOutcome tells a refusal by the endpoint from a failure to reach it.
+func orderOutcome(err error) orders.Outcome {
+	var status *endpoint.StatusError
+	if errors.As(err, &status) {
+		return orders.Refused
+	}
+	return orders.Failed
+}
--- /dev/null
+++ b/process/node/suspects.go
@@ -0,0 +1,141 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/stoatmount/stoatmount/connection/peer/peerpb"
+	"github.com/stoatmount/stoatmount/process/member"
+	"github.com/stoatmount/stoatmount/process/suspect"
+	"github.com/stoatmount/stoatmount/request/outcome"
+	"github.com/stoatmount/stoatmount/request/serve"
+)
+
+// homeTime bounds a question to the home of a fingerprint or chat.
+const homeTime = 250 * time.Millisecond
+
+// homeOf reports whether this router is the home of f.
+func (n *Node) homeOf(now time.Time, f suspect.Fingerprint) bool {
+	home, ok := n.members.OwnerFor(now, member.DutySuspect, f.Key())
+	return ok && home.Name == n.self.Name
+}
+
+// clear asks the home of the request's fingerprint whether it may run at the
+// endpoint of p. A refusal may bind the next round to another endpoint.
+func (a *acquisition) clear(ctx context.Context, p *permit) *outcome.Refusal {
+	n := a.node
+	verdict := n.suspects.Verdict(n.clock.Now(), a.job.Fingerprint)
+	if verdict == suspect.Convicted {
+		return outcome.NotRun(outcome.RequestConvicted, "the same request has crashed endpoints")
+	}
+	reply := n.askHome(ctx, &peerpb.Suspect{
+		Fingerprint: uint64(a.job.Fingerprint), Endpoint: p.endpoint.Name, Boot: p.boot, Alone: p.alone,
+	})
+	if reply == nil {
+		if verdict == suspect.None {
+			return nil
+		}
+		return outcome.NotRun(outcome.OwnerUnreachable, "the request is under suspicion and its home does not answer")
+	}
+	return a.obey(p, reply)
+}
+
+// obey applies the home's answer.
+func (a *acquisition) obey(p *permit, reply *peerpb.SuspectReply) *outcome.Refusal {
+	wait := time.Duration(reply.GetWaitMs()) * time.Millisecond
+	if suspect.Verdict(reply.GetVerdict()) == suspect.Convicted {
+		refusal := outcome.NotRun(outcome.RequestConvicted, "the same request has crashed endpoints")
+		refusal.RetryAfter = wait
+		return refusal
+	}
+	if wait > 0 {
+		a.pause = wait
+		return outcome.NotRun(outcome.EndpointAtCap, "the request is under suspicion and waits for its turn")
+	}
+	p.asked = true
+	alone := suspect.Verdict(reply.GetVerdict()) == suspect.Suspected
+	elsewhere := reply.GetEndpoint() != "" && reply.GetEndpoint() != p.endpoint.Name
+	if !elsewhere && alone == p.alone {
+		return nil
+	}
+	if reply.GetEndpoint() != "" {
+		a.must = reply.GetEndpoint()
+	} else {
+		a.must = p.endpoint.Name
+	}
+	a.alone = alone
+	return outcome.NotRun(outcome.EndpointAtCap, "the request has to run at endpoint %s", a.must)
+}
+
+// askHome asks the home of the message's fingerprint. It returns nil if there
+// is no answer.
+func (n *Node) askHome(ctx context.Context, m *peerpb.Suspect) *peerpb.SuspectReply {
+	now := n.clock.Now()
+	home, ok := n.members.OwnerFor(now, member.DutySuspect, suspect.Fingerprint(m.GetFingerprint()).Key())
+	if !ok {
+		return nil
+	}
+	if home.Name == n.self.Name {
+		result := n.suspects.Handle(now, m)
+		n.spread(now, result)
+		return result.Reply
+	}
+	ctx, cancel := context.WithTimeout(ctx, homeTime)
+	defer cancel()
+	reply, err := n.links.Call(ctx, home.Peer, &peerpb.Envelope{Body: &peerpb.Envelope_Suspect{Suspect: m}})
+	if err != nil {
+		return nil
+	}
+	return reply.GetSuspectReply()
+}
+
+// tellSuspectHome tells the home how a request went.
+func (n *Node) tellSuspectHome(m *peerpb.Suspect) {
+	now := n.clock.Now()
+	home, ok := n.members.OwnerFor(now, member.DutySuspect, suspect.Fingerprint(m.GetFingerprint()).Key())
+	switch {
+	case !ok:
+	case home.Name == n.self.Name:
+		n.spread(now, n.suspects.Handle(now, m))
+	default:
+		if m.GetCrashed() {
+			n.suspects.Learn(now, m)
+		}
+		n.links.Send(home.Peer, &peerpb.Envelope{Body: &peerpb.Envelope_Suspect{Suspect: m}})
+	}
+}
+
+// Crashed implements serve.Fleet.
+func (n *Node) Crashed(_ *serve.Job, endpoint string, boot uint64) {
+	for _, m := range n.running.Lost(endpoint, boot) {
+		n.tellSuspectHome(m)
+	}
+}
+
+// spread sends on what the home has to tell others.
+func (n *Node) spread(now time.Time, result suspect.Result) {
+	if result.Notice == nil {
+		return
+	}
+	message := &peerpb.Envelope{Body: &peerpb.Envelope_Suspect{Suspect: result.Notice}}
+	for _, m := range n.spreadTo(now, result) {
+		n.links.Send(m.Peer, message)
+	}
+}
+
+func (n *Node) spreadTo(now time.Time, result suspect.Result) []member.Member {
+	if result.Spread == suspect.SpreadAll {
+		return n.roster.others()
+	}
+	var others []member.Member
+	for _, m := range n.members.Live(now) {
+		if m.Name != n.self.Name {
+			others = append(others, m)
+		}
+	}
+	next, ok := member.NewView(others).Owner(member.DutySuspect, suspect.Fingerprint(result.Notice.GetFingerprint()).Key())
+	if !ok {
+		return nil
+	}
+	return []member.Member{next}
+}
--- /dev/null
+++ b/process/run/run.go
@@ -0,0 +1,109 @@
+package run
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/stoatmount/stoatmount/process/logging"
+	"github.com/stoatmount/stoatmount/process/node"
+	"github.com/stoatmount/stoatmount/process/settings"
+)
+
+// Exit statuses.
+const (
+	exitDone   = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// arguments are the flags of the command.
+type arguments struct {
+	Settings string        `short:"s" help:"Settings file in TOML." default:"/etc/stoatmount/settings.toml" env:"STOATMOUNT_SETTINGS" placeholder:"FILE"`
+	Check    bool          `help:"Check the settings and end."`
+	Level    string        `help:"Log level: error, info or debug. Overrides the settings." env:"STOATMOUNT_LOG_LEVEL" placeholder:"LEVEL"`
+	Grace    time.Duration `help:"Longest wait for requests in progress after a termination signal." default:"10m" env:"STOATMOUNT_GRACE"`
+}
+
+const description = `Router process of one entry host.
+
+It takes requests of callers, chooses endpoints together with the other
+routers, and keeps nothing on disk. SIGTERM and SIGINT end it without cutting
+off requests in progress; a second signal ends it at once.`
+
+// Main runs the command and returns its exit status.
+func Main(args []string, stdout, stderr io.Writer) int {
+	var a arguments
+	parser, err := kong.New(&a, kong.Name("stoatmount"), kong.Description(description),
+		kong.Writers(stdout, stderr), kong.Exit(func(int) {}))
+	if err != nil {
+		return fail(stderr, exitFailed, err)
+	}
+	if helpWanted(args) {
+		_, _ = parser.Parse(args)
+		return exitDone
+	}
+	if _, err := parser.Parse(args); err != nil {
+		return fail(stderr, exitUsage, err)
+	}
+	s, err := settings.Load(a.Settings)
+	if err != nil {
+		return fail(stderr, exitFailed, err)
+	}
+	if a.Level != "" {
+		s.Log.Level = a.Level
+	}
+	if a.Check {
+		_, _ = fmt.Fprintf(stdout, "%s is valid\n", a.Settings)
+		return exitDone
+	}
+	return serve(s, a.Grace, logging.New(stderr, s.Log.Level))
+}
+
+func helpWanted(args []string) bool {
+	for _, arg := range args {
+		if arg == "--help" || arg == "-h" {
+			return true
+		}
+	}
+	return false
+}
+
+func fail(stderr io.Writer, status int, err error) int {
+	_, _ = fmt.Fprintf(stderr, "stoatmount: %v\n", err)
+	return status
+}
+
+// serve runs the process until a signal ends it.
+func serve(s settings.Settings, grace time.Duration, log logr.Logger) int {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	process, err := node.New(node.Options{Settings: s, Clock: clockwork.NewRealClock(), Log: log, Seed: rand.Uint64()})
+	if err != nil {
+		log.Error(err, "could not start")
+		return exitFailed
+	}
+	process.Start()
+	<-signals
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	go func() {
+		<-signals
+		cancel()
+	}()
+	process.Shutdown(ctx)
+	if process.Checker().Total() > 0 {
+		return exitFailed
+	}
+	return exitDone
+}
--- a/request/serve/job.go
+++ b/request/serve/job.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"github.com/stoatmount/stoatmount/process/suspect"
+	"github.com/stoatmount/stoatmount/request/place"
 	"github.com/stoatmount/stoatmount/version/config"
 )
 
@@ -27,7 +29,7 @@
 	Deadline     time.Time
 	Place        string // place token that the caller sent
 	PromptTokens int    // estimate
-	Fingerprint  uint64 // of workspace, kind and body
+	Fingerprint  suspect.Fingerprint
 }
 
 // Session names the chat's cached prefix at endpoints. It is empty for a
@@ -36,16 +38,12 @@
 	if j.Chat == "" {
 		return ""
 	}
-	return j.Workspace + "/" + j.Chat
+	return j.ChatID().Session()
 }
 
-// ChatKey is what the chat's place is looked up and hashed by. A request
-// without a chat is placed by its own number.
-func (j *Job) ChatKey() string {
-	if session := j.Session(); session != "" {
-		return session
-	}
-	return j.ID
+// ChatID identifies the chat. It is 0 for a request without a chat.
+func (j *Job) ChatID() place.Chat {
+	return place.ChatOf(j.Workspace, j.Chat)
 }
 
 // Repeatable reports whether the request may be sent to endpoints more than
