Gather the fleet's state and counters from all routers

Cause: any router must be able to answer for the fleet; the counters of all routers would be too much to send to the operator.

Change: connection/operator.Gather asks all routers, keeps the last word of those that do not answer, and sums the counts of all processes, each once, into counts for kind and minute. Counters travel as protobuf (BurnPage). lab/capacity measures a whole record of counters.

--- a/connection/operator/api/api.go
+++ b/connection/operator/api/api.go
@@ -85,31 +85,40 @@
 }
 
 // Burn is the counters of all routers, those that are gone included as far as
-// they are known.
+// they are known. Each process is counted once, whoever kept its counters.
 type Burn struct {
-	At      time.Time        `json:"at"`
-	Records []burn.Record    `json:"records"`
-	Kinds   []Objective      `json:"kinds"`
-	Out     []config.OutMark `json:"out"`
-	// Live are the router processes that are live for the router that was
-	// asked.
-	Live []Process `json:"live"`
+	At time.Time `json:"at"`
+	// Kinds are those of the configuration in its order, then others that were
+	// counted.
+	Kinds     []KindCounts     `json:"kinds"`
+	Processes []Process        `json:"processes"` // that the counts are from
+	Out       []config.OutMark `json:"out"`
 	// Silent are the live routers that did not answer.
 	Silent []string `json:"silent"`
+	// Unknown are the silent routers of which nobody keeps a record.
+	Unknown []string `json:"unknown"`
 	// Dropped is the number of records that keepers no longer have.
 	Dropped int `json:"dropped"`
 }
 
-// Process identifies a router process.
-type Process struct {
-	Host string `json:"host"`
-	Boot uint64 `json:"boot"`
+// KindCounts is the counters of a kind over all processes.
+type KindCounts struct {
+	Kind string `json:"kind"`
+	// Objective is 0 if the kind is not configured.
+	Objective float64       `json:"objective"`
+	Total     burn.Counts   `json:"total"`
+	Minutes   []burn.Minute `json:"minutes"` // of the last six hours, oldest first
 }
 
-// Objective is the service-level objective of a kind.
-type Objective struct {
-	Kind      string  `json:"kind"`
-	Objective float64 `json:"objective"`
+// Process is a router process whose counters are known.
+type Process struct {
+	Host    string    `json:"host"`
+	Boot    uint64    `json:"boot"`
+	Zone    string    `json:"zone"`
+	Started time.Time `json:"started"`
+	At      time.Time `json:"at"`    // of its newest counters
+	Final   bool      `json:"final"` // it ended in order
+	Live    bool      `json:"live"`
 }
 
 // Push asks to put a configuration in force.
--- /dev/null
+++ b/connection/operator/gatherburn.go
@@ -0,0 +1,144 @@
+package operator
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/stoatmount/stoatmount/connection/operator/api"
+	"github.com/stoatmount/stoatmount/connection/peer/peerpb"
+	"github.com/stoatmount/stoatmount/process/burn"
+	"github.com/stoatmount/stoatmount/process/member"
+)
+
+// counters is what one router knows of counts.
+type counters struct {
+	own     burn.Record
+	kept    []burn.Record
+	dropped int
+}
+
+func (c *counters) page() *peerpb.BurnPage {
+	page := &peerpb.BurnPage{Own: burn.ToWire(c.own), Dropped: uint32(c.dropped)}
+	for _, record := range c.kept {
+		page.Kept = append(page.Kept, burn.ToWire(record))
+	}
+	return page
+}
+
+func countersOf(page *peerpb.BurnPage) *counters {
+	c := &counters{own: burn.FromWire(page.GetOwn()), dropped: int(page.GetDropped())}
+	for _, record := range page.GetKept() {
+		c.kept = append(c.kept, burn.FromWire(record))
+	}
+	return c
+}
+
+func (g *Gather) ownCounters(now time.Time) *counters {
+	kept, dropped := g.Keeper.Records(now)
+	return &counters{own: g.Recorder.Record(now, time.Time{}), kept: kept, dropped: dropped}
+}
+
+// Burn implements Controller.
+func (g *Gather) Burn(ctx context.Context) api.Burn {
+	now := g.Clock.Now()
+	own := g.ownCounters(now)
+	members := slices.DeleteFunc(slices.Clone(g.Peers.Members()), func(m member.Member) bool { return m.Name == own.own.Host })
+	replies := make([]*counters, len(members))
+	g.each(ctx, members, func(ctx context.Context, i int) {
+		replies[i] = g.askCounters(ctx, members[i])
+	})
+	result := api.Burn{At: now, Silent: []string{}, Unknown: []string{}}
+	lists := [][]burn.Record{{own.own}, own.kept}
+	result.Dropped = own.dropped
+	for i, reply := range replies {
+		if reply == nil {
+			result.Silent = append(result.Silent, members[i].Name)
+			continue
+		}
+		lists = append(lists, []burn.Record{reply.own}, reply.kept)
+		result.Dropped += reply.dropped
+	}
+	self := member.Member{Name: own.own.Host, Boot: own.own.Boot}
+	g.fill(&result, burn.Union(lists...), append(members, self))
+	return result
+}
+
+// askCounters returns the counters of a router, or nil.
+func (g *Gather) askCounters(ctx context.Context, to member.Member) *counters {
+	data, err := g.Peers.Status(ctx, to, true)
+	if err != nil {
+		return nil
+	}
+	page := &peerpb.BurnPage{}
+	if err := proto.Unmarshal(data, page); err != nil || page.GetOwn().GetHost() != to.Name {
+		return nil
+	}
+	return countersOf(page)
+}
+
+// fill adds what the records of all processes say.
+func (g *Gather) fill(result *api.Burn, records []burn.Record, live []member.Member) {
+	if snapshot := g.Snapshot(); snapshot != nil {
+		result.Out = snapshot.Out
+		for i := range snapshot.Config.Kinds {
+			kind := &snapshot.Config.Kinds[i]
+			result.Kinds = append(result.Kinds, api.KindCounts{Kind: kind.Name, Objective: kind.Objective})
+		}
+	}
+	result.Kinds = Sum(result.Kinds, records)
+	for _, r := range records {
+		isLive := slices.ContainsFunc(live, func(m member.Member) bool { return m.Name == r.Host && m.Boot == r.Boot })
+		result.Processes = append(result.Processes, api.Process{
+			Host: r.Host, Boot: r.Boot, Zone: r.Zone, Started: r.Started, At: r.At, Final: r.Final, Live: isLive,
+		})
+	}
+	for _, silent := range result.Silent {
+		known := slices.ContainsFunc(result.Processes, func(p api.Process) bool { return p.Live && p.Host == silent })
+		if !known {
+			result.Unknown = append(result.Unknown, silent)
+		}
+	}
+}
+
+// Sum adds the counts of the records, one for each process, to kinds. Kinds
+// that are not among them are added in the order of their names.
+func Sum(kinds []api.KindCounts, records []burn.Record) []api.KindCounts {
+	configured := len(kinds)
+	minutes := make(map[string]map[int64]burn.Counts)
+	for _, record := range records {
+		for _, counted := range record.Kinds {
+			i := slices.IndexFunc(kinds, func(k api.KindCounts) bool { return k.Kind == counted.Kind })
+			if i < 0 {
+				i = len(kinds)
+				kinds = append(kinds, api.KindCounts{Kind: counted.Kind})
+			}
+			kinds[i].Total = kinds[i].Total.Add(counted.Total)
+			sum := minutes[counted.Kind]
+			if sum == nil {
+				sum = make(map[int64]burn.Counts)
+				minutes[counted.Kind] = sum
+			}
+			for _, minute := range counted.Minutes {
+				sum[minute.Unix] = sum[minute.Unix].Add(minute.Counts)
+			}
+		}
+	}
+	for i := range kinds {
+		kinds[i].Minutes = sorted(minutes[kinds[i].Kind])
+	}
+	slices.SortFunc(kinds[configured:], func(a, b api.KindCounts) int { return cmp.Compare(a.Kind, b.Kind) })
+	return kinds
+}
+
+func sorted(sums map[int64]burn.Counts) []burn.Minute {
+	minutes := make([]burn.Minute, 0, len(sums))
+	for unix, counts := range sums {
+		minutes = append(minutes, burn.Minute{Unix: unix, Counts: counts})
+	}
+	slices.SortFunc(minutes, func(a, b burn.Minute) int { return cmp.Compare(a.Unix, b.Unix) })
+	return minutes
+}
--- a/lab/capacity/probe.go
+++ b/lab/capacity/probe.go
@@ -195,16 +195,21 @@
 		return heapOf(func() any { return filledRecorder(n) })
 	})
 	m.add("record_bytes", "B", "kinds", kinds, func(n int) float64 {
-		end := virtual.Epoch.Add(time.Hour)
+		end := virtual.Epoch.Add(6 * time.Hour)
 		record := filledRecorder(n).Record(end, end.Add(-burn.DigestEvery))
 		return float64(wireSize(burn.ToWire(record)))
 	})
+	m.add("whole_record_bytes", "B", "kinds", kinds, func(n int) float64 {
+		record := filledRecorder(n).Record(virtual.Epoch.Add(6*time.Hour), virtual.Epoch)
+		return float64(wireSize(burn.ToWire(record)))
+	})
 	return m
 }
 
+// filledRecorder has counts in each minute of six hours.
 func filledRecorder(kinds int) *burn.Recorder {
 	recorder := burn.NewRecorder("host-001", 1, "zone-1", virtual.Epoch)
-	for minute := range 60 {
+	for minute := range 6 * 60 {
 		for kind := range kinds {
 			at := virtual.Epoch.Add(time.Duration(minute) * time.Minute)
 			recorder.Count(at, fmt.Sprintf("kind-%d", kind), burn.InTime)
--- a/lab/capacity/roles.go
+++ b/lab/capacity/roles.go
@@ -217,6 +217,7 @@
 		Rows: []Row{
 			state("kinds", fmt.Sprintf("23 models × 3 = %.0f", kinds)),
 			s.row(Messages, "records to two keepers", "counters/record_bytes", kinds, digestsPerSecond, "2 / 30 s"),
+			s.row(Messages, "answering one report on burn an hour", "counters/whole_record_bytes", kinds, 1.0/3600, "1 / 3,600 s"),
 			s.row(Memory, "counters and histograms", "counters/table_bytes", kinds, 1, ""),
 		},
 	}
--- a/operate/burnreport/notknown.go
+++ b/operate/burnreport/notknown.go
@@ -10,7 +10,7 @@
 )
 
 // notKnown says what the figures leave out.
-func notKnown(r Report, records []burn.Record, counters api.Burn) []string {
+func notKnown(r Report, counters api.Burn) []string {
 	notes := []string{
 		fmt.Sprintf("Counting begins at %s, the start of the oldest router process that is known. Hosts keep nothing, so what was counted before is gone.",
 			r.Since.UTC().Format(time.RFC3339)),
@@ -22,8 +22,8 @@
 	if r.Routers.Silent > 0 {
 		notes = append(notes, fmt.Sprintf("These live routers did not answer; their figures are the last that others keep: %s.", strings.Join(counters.Silent, ", ")))
 	}
-	if without := silentWithout(records, counters); len(without) > 0 {
-		notes = append(notes, fmt.Sprintf("Nothing at all is known of what these live routers counted: %s.", strings.Join(without, ", ")))
+	if len(counters.Unknown) > 0 {
+		notes = append(notes, fmt.Sprintf("Nothing at all is known of what these live routers counted: %s.", strings.Join(counters.Unknown, ", ")))
 	}
 	if counters.Dropped > 0 {
 		notes = append(notes, fmt.Sprintf("%d records of routers that are gone were dropped for age or number.", counters.Dropped))
--- a/operate/burnreport/report.go
+++ b/operate/burnreport/report.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/stoatmount/stoatmount/connection/operator/api"
@@ -104,79 +103,40 @@
 
 // New works out the report.
 func New(counters api.Burn, changes []api.Change) Report {
-	records := burn.Union(counters.Records)
 	r := Report{
 		At:      counters.At,
-		Since:   since(records, counters.At),
+		Since:   since(counters),
 		Outages: outages(changes, counters.Out, counters.At),
+		Routers: routers(counters),
 	}
-	r.Routers = routers(records, counters)
-	r.NotKnown = notKnown(r, records, counters)
-	for _, name := range kindNames(records, counters.Kinds) {
-		r.Kinds = append(r.Kinds, newKind(name, objective(counters.Kinds, name), records, r))
+	r.NotKnown = notKnown(r, counters)
+	for _, counted := range counters.Kinds {
+		r.Kinds = append(r.Kinds, newKind(counted, r))
 	}
 	return r
 }
 
-func since(records []burn.Record, at time.Time) time.Time {
-	first := at
-	for _, record := range records {
-		if record.Started.Before(first) {
-			first = record.Started
+func since(counters api.Burn) time.Time {
+	first := counters.At
+	for _, process := range counters.Processes {
+		if process.Started.Before(first) {
+			first = process.Started
 		}
 	}
 	return first
 }
 
-// kindNames returns the configured kinds in their order, then other kinds
-// that were counted.
-func kindNames(records []burn.Record, objectives []api.Objective) []string {
-	var names []string
-	for _, o := range objectives {
-		names = append(names, o.Kind)
-	}
-	configured := len(names)
-	for _, record := range records {
-		for _, kind := range record.Kinds {
-			if !slices.Contains(names, kind.Kind) {
-				names = append(names, kind.Kind)
-			}
-		}
-	}
-	slices.Sort(names[configured:])
-	return names
-}
-
-// objective returns the objective of the kind, or 0 if it has none.
-func objective(objectives []api.Objective, kind string) float64 {
-	for _, o := range objectives {
-		if o.Kind == kind {
-			return o.Objective
-		}
-	}
-	return 0
-}
-
-func newKind(name string, objective float64, records []burn.Record, r Report) Kind {
-	k := Kind{Kind: name, Objective: objective}
-	minutes := make(map[int64]burn.Counts)
-	for _, record := range records {
-		for _, kind := range record.Kinds {
-			if kind.Kind != name {
-				continue
-			}
-			k.Counts = k.Counts.Add(kind.Total)
-			for _, minute := range kind.Minutes {
-				minutes[minute.Unix] = minutes[minute.Unix].Add(minute.Counts)
-			}
-		}
-	}
-	k.Requests = k.Counts.Requests()
+func newKind(counted api.KindCounts, r Report) Kind {
+	k := Kind{Kind: counted.Kind, Objective: counted.Objective, Counts: counted.Total, Requests: counted.Total.Requests()}
 	k.Share = 1
 	if k.Requests > 0 {
 		k.Share = float64(k.Counts.InTime) / float64(k.Requests)
 	}
-	k.BudgetUsed = burnOf(k.Counts, objective)
+	k.BudgetUsed = burnOf(k.Counts, k.Objective)
+	minutes := make(map[int64]burn.Counts, len(counted.Minutes))
+	for _, minute := range counted.Minutes {
+		minutes[minute.Unix] = minute.Counts
+	}
 	k.windows(minutes, r)
 	k.bins(minutes, r.At)
 	return k
@@ -263,15 +223,14 @@
 	return slices.DeleteFunc(all, func(o Outage) bool { return !o.To.IsZero() && o.To.Before(at.Add(-span)) })
 }
 
-func routers(records []burn.Record, counters api.Burn) Routers {
+func routers(counters api.Burn) Routers {
 	counts := Routers{Silent: len(counters.Silent)}
-	for _, record := range records {
+	for _, process := range counters.Processes {
 		switch {
-		case isLive(record, counters.Live):
-			if !slices.Contains(counters.Silent, record.Host) {
-				counts.Live++
-			}
-		case record.Final:
+		case process.Live && slices.Contains(counters.Silent, process.Host):
+		case process.Live:
+			counts.Live++
+		case process.Final:
 			counts.Ended++
 		default:
 			counts.Lost++
@@ -279,16 +238,3 @@
 	}
 	return counts
 }
-
-func isLive(record burn.Record, live []api.Process) bool {
-	return slices.Contains(live, api.Process{Host: record.Host, Boot: record.Boot})
-}
-
-// silentWithout returns the silent routers of which no record is kept.
-func silentWithout(records []burn.Record, counters api.Burn) []string {
-	return slices.DeleteFunc(slices.Clone(counters.Silent), func(host string) bool {
-		return slices.ContainsFunc(records, func(r burn.Record) bool {
-			return strings.EqualFold(r.Host, host) && isLive(r, counters.Live)
-		})
-	})
-}
--- a/operate/burnreport/report_test.go
+++ b/operate/burnreport/report_test.go
@@ -4,12 +4,14 @@
 	"bytes"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/stoatmount/stoatmount/connection/operator"
 	"github.com/stoatmount/stoatmount/connection/operator/api"
 	"github.com/stoatmount/stoatmount/process/burn"
 	"github.com/stoatmount/stoatmount/version/config"
@@ -34,6 +36,19 @@
 	return recorder.Record(ended, started)
 }
 
+// gathered returns what a router would gather from records, of which those of
+// live routers are.
+func gathered(records []burn.Record, live ...string) api.Burn {
+	union := burn.Union(records)
+	counters := api.Burn{At: at, Kinds: operator.Sum(slices.Clone(configured), union)}
+	for _, r := range union {
+		counters.Processes = append(counters.Processes, api.Process{
+			Host: r.Host, Boot: r.Boot, Started: r.Started, Final: r.Final, Live: slices.Contains(live, r.Host),
+		})
+	}
+	return counters
+}
+
 func always(n int) func(time.Time) int { return func(time.Time) int { return n } }
 
 func kind(c *qt.C, r Report, name string) Kind {
@@ -46,7 +61,7 @@
 	return Kind{}
 }
 
-var objectives = []api.Objective{{Kind: "booth-booking", Objective: 0.99}, {Kind: "quiet", Objective: 0.9}}
+var configured = []api.KindCounts{{Kind: "booth-booking", Objective: 0.99}, {Kind: "quiet", Objective: 0.9}}
 
 func TestBurnOverPairsOfWindows(t *testing.T) {
 	c := qt.New(t)
@@ -59,7 +74,7 @@
 		return 0
 	}
 	record := counted("entry-1", at.Add(-7*time.Hour), at.Add(time.Second), 20, trouble)
-	r := New(api.Burn{At: at, Records: []burn.Record{record}, Live: []api.Process{{Host: "entry-1", Boot: 1}}, Kinds: objectives}, nil)
+	r := New(gathered([]burn.Record{record}, "entry-1"), nil)
 	k := kind(c, r, "booth-booking")
 	c.Check(k.Windows[0].Length, qt.Equals, 5*time.Minute)
 	c.Check(k.Windows[0].Burn > 40 && k.Windows[0].Burn < 60, qt.IsTrue, qt.Commentf("%v", k.Windows))
@@ -77,13 +92,8 @@
 	lost := counted("entry-22", at.Add(-time.Hour), at.Add(-time.Minute), 5, always(0))
 	ended := lost
 	ended.Boot, ended.Final = 2, true
-	counters := api.Burn{
-		At:      at,
-		Records: []burn.Record{live, lost, ended, lost, live},
-		Live:    []api.Process{{Host: "entry-1", Boot: 1}, {Host: "entry-3", Boot: 9}},
-		Silent:  []string{"entry-3"},
-		Kinds:   objectives,
-	}
+	counters := gathered([]burn.Record{live, lost, ended, lost, live}, "entry-1")
+	counters.Silent, counters.Unknown = []string{"entry-3"}, []string{"entry-3"}
 	r := New(counters, nil)
 	c.Check(kind(c, r, "booth-booking").Requests, qt.Equals, uint64(5*(60+59+59)))
 	c.Check(r.Routers, qt.Equals, Routers{Live: 1, Silent: 1, Ended: 1, Lost: 1})
@@ -126,7 +136,7 @@
 		{At: at.Add(-95 * time.Minute), Target: &zone, Out: true, Accepted: true, By: "<b>ana"},
 	}
 	var page bytes.Buffer
-	r := New(api.Burn{At: at, Records: []burn.Record{record}, Kinds: objectives}, changes)
+	r := New(gathered([]burn.Record{record}), changes)
 	c.Assert(HTML(&page, r), qt.IsNil)
 	for _, outside := range []string{"http:", "https:", "<script", "<link", "src=", "<b>ana", "ZgotmplZ"} {
 		c.Check(strings.Contains(page.String(), outside), qt.IsFalse, qt.Commentf("%s", outside))
--- a/operate/fleet_test.go
+++ b/operate/fleet_test.go
@@ -32,7 +32,7 @@
 	operator.Changes
 	*fakeLog
 	running map[string]int
-	records []burn.Record
+	counted []api.KindCounts
 }
 
 // fakeLog judges changes by their base alone.
@@ -86,7 +86,7 @@
 }
 
 func (f *fakeFleet) Burn(context.Context) api.Burn {
-	return api.Burn{At: burnTime, Records: f.records, Silent: []string{"entry-2"}, Kinds: []api.Objective{{Kind: "booth-booking", Objective: 0.999}}}
+	return api.Burn{At: burnTime, Silent: []string{"entry-2"}, Kinds: f.counted, Processes: []api.Process{{Host: "entry-1", Live: true, Started: burnTime.Add(-time.Hour)}}}
 }
 
 func (f *fakeFleet) Loads(context.Context) plan.Loads {
@@ -221,3 +221,22 @@
 	c.Check(notes, qt.Contains, "limits.ledger_shards = 7")
 	c.Check(fleet.state.Config.Limits.LedgerShards, qt.Equals, 7)
 }
+
+func TestBurnReport(t *testing.T) {
+	c := qt.New(t)
+	fleet, stoatctl := startFleet(c)
+	fleet.counted = []api.KindCounts{{
+		Kind: "booth-booking", Objective: 0.999, Total: burn.Counts{InTime: 998, Late: 2},
+		Minutes: []burn.Minute{{Unix: burn.MinuteOf(burnTime), Counts: burn.Counts{InTime: 98, Late: 2}}},
+	}}
+	status, out, notes := stoatctl("report", "burn")
+	c.Assert(status, qt.Equals, StatusDone, qt.Commentf("%s", notes))
+	c.Check(out, qt.Matches, `(?s).*booth-booking +99.90% +99.80% +1000 +2 +0 +0 +0 +200.00% +20.0 +20.0 +20.0 +20.0\* +burning\n.*`)
+	c.Check(out, qt.Contains, "These live routers did not answer")
+	page := filepath.Join(t.TempDir(), "burn.html")
+	status, out, _ = stoatctl("report", "burn", "--json", "--html", page)
+	c.Assert(status, qt.Equals, StatusDone)
+	c.Check(json.Valid([]byte(out)), qt.IsTrue)
+	_, err := os.Stat(page)
+	c.Check(err, qt.IsNil)
+}
