Say what is no fault of the answers but worth knowing

Cause: workers that all stand in one zone, or keys that do not tell their age, are no faults, but their team should know what follows.

Change: answers.Notes and its lines in 'answers check'; a fuzz target for what operators send over HTTP.

--- a/connection/operator/server_test.go
+++ b/connection/operator/server_test.go
@@ -222,3 +222,36 @@
 	var unreachable *client.UnreachableError
 	c.Check(errors.As(err, &unreachable), qt.IsTrue)
 }
+
+// Whatever an operator sends: an answer in JSON, and a coded refusal unless it
+// is 2xx.
+func FuzzBodies(f *testing.F) {
+	f.Add(api.PathConfig, []byte(`{"base":0,"config":{"zones":[{"name":"a"}]}}`))
+	f.Add(api.PathOut, []byte(`{"target":{"scope":"zone","name":"a"}}`))
+	f.Add(api.PathPreview, []byte(`{"out":true,"target":{"scope":"host","name":""}}`))
+	controller := &fakeController{state: config.State{Version: 1, Config: config.Config{Zones: []config.Zone{{Name: "a"}}}}}
+	server, err := operator.New(controller, "", true, logr.Discard())
+	if err != nil {
+		f.Fatal(err)
+	}
+	handler := server.Handler()
+	f.Fuzz(func(t *testing.T, path string, body []byte) {
+		request, err := http.NewRequest(http.MethodPost, "http://router/", strings.NewReader(string(body)))
+		if err != nil {
+			t.Skip()
+		}
+		request.URL.Path = path
+		answer := httptest.NewRecorder()
+		handler.ServeHTTP(answer, request)
+		if answer.Code/100 == 3 {
+			return // a path that was cleaned
+		}
+		var refusal api.Refusal
+		if err := json.Unmarshal(answer.Body.Bytes(), &refusal); err != nil {
+			t.Fatalf("%d %q", answer.Code, answer.Body)
+		}
+		if answer.Code/100 != 2 && refusal.Code.Info().Status != answer.Code {
+			t.Fatalf("status %d with code %d", answer.Code, refusal.Code)
+		}
+	})
+}
--- a/operate/answers.go
+++ b/operate/answers.go
@@ -61,6 +61,16 @@
 
 // Run checks the form.
 func (c *AnswersCheckCmd) Run(env *Env) error {
-	_, err := answers.Load(c.File)
-	return reportProblems(env, c.File, err, c.JSON.JSON)
+	answered, err := answers.Load(c.File)
+	if err != nil {
+		return reportProblems(env, c.File, err, c.JSON.JSON)
+	}
+	notes := answers.Notes(c.File, answered)
+	if c.JSON.JSON {
+		return writeCheck(env, checkResult{File: c.File, Valid: true, Notes: notes})
+	}
+	for _, note := range notes {
+		env.printf("%s: %s\n    %s; better: %s\n", env.paint(yellow, "note"), note.Key, note.Text, note.Remedy)
+	}
+	return reportProblems(env, c.File, nil, false)
 }
--- a/operate/settings.go
+++ b/operate/settings.go
@@ -31,6 +31,7 @@
 	File     string        `json:"file"`
 	Valid    bool          `json:"valid"`
 	Problems form.Problems `json:"problems"`
+	Notes    form.Problems `json:"notes,omitempty"` // what is no fault
 }
 
 // reportProblems writes what err says about file. It returns an error if there
--- a/version/answers/answers_test.go
+++ b/version/answers/answers_test.go
@@ -160,6 +160,23 @@
 	})
 }
 
+func TestNotesTellWhatIsNoFault(t *testing.T) {
+	c := qt.New(t)
+	a := example(c, "voces-unidas")
+	c.Check(Notes("a.toml", a), qt.HasLen, 0)
+	for i := range a.Workers {
+		a.Workers[i].Zone = "xela-a"
+	}
+	a.Workers[0].Zone = "xela-b"
+	a.Kinds[0].Keys = KeysSometimes
+	a.Kinds[1].Keys = KeysAnyForm
+	c.Check(Check(a), qt.HasLen, 0)
+	notes := Notes("a.toml", a)
+	c.Assert(notes, qt.HasLen, 4)
+	c.Check(notes[0].Text, qt.Equals, "64 of the 72 requests that it bears are in xela-a, and would be gone with that zone")
+	c.Check(notes[1].Text, qt.Equals, "all its workers are in xela-a: taking that zone out stops it")
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(New()))
 	f.Add([]byte("workers = [{name = 1}, 2]\n[kinds]\n"))
