Generate every router's settings from the questionnaire

Cause: a team goes from one filled-in form to a running fleet; hosts belong in it.

Change: the form has hosts, their common ports and keys, and the platform's addresses; stoatctl settings generate writes one settings file per host. The examples have 7 entry hosts each.

Conclusion: the settings of all 7 hosts of the example pass 'settings check'.

--- a/operate/cli.go
+++ b/operate/cli.go
@@ -10,6 +10,6 @@
 	Report   ReportCmd   `cmd:"" help:"Report on service-level burn."`
 	Status   StatusCmd   `cmd:"" help:"Show the fleet at a glance."`
 	Capacity CapacityCmd `cmd:"" help:"Work out what each role needs at the size to design for."`
-	Settings SettingsCmd `cmd:"" help:"Check the settings file of a router."`
+	Settings SettingsCmd `cmd:"" help:"Write and check the settings files of routers."`
 	Codes    CodesCmd    `cmd:"" help:"List the numbered result codes."`
 }
--- a/operate/fleet_test.go
+++ b/operate/fleet_test.go
@@ -209,6 +209,24 @@
 	c.Check(out, qt.Contains, "unknown key")
 }
 
+func TestSettingsOfEveryHostAreValid(t *testing.T) {
+	c := qt.New(t)
+	folder := filepath.Join(t.TempDir(), "settings")
+	status, _, notes := run(t, "settings", "generate", voces, "--out", folder)
+	c.Assert(status, qt.Equals, StatusDone, qt.Commentf("%s", notes))
+	files, err := filepath.Glob(filepath.Join(folder, "*.toml"))
+	c.Assert(err, qt.IsNil)
+	c.Check(files, qt.HasLen, 7)
+	for _, file := range files {
+		status, out, _ := run(t, "settings", "check", file)
+		c.Check(status, qt.Equals, StatusDone, qt.Commentf("%s", out))
+	}
+	status, _, _ = run(t, "settings", "generate", voces, "--host", "nobody")
+	c.Check(status, qt.Equals, StatusFailed)
+	status, _, _ = run(t, "settings", "generate", voces)
+	c.Check(status, qt.Equals, StatusUsage)
+}
+
 // The number of ledger shards is fixed by the first configuration.
 func TestRevisedAnswersKeepTheShardsInForce(t *testing.T) {
 	c := qt.New(t)
--- a/operate/main.go
+++ b/operate/main.go
@@ -19,6 +19,8 @@
 Examples:
 
   stoatctl answers new answers.toml           write an empty questionnaire
+  stoatctl settings generate answers.toml --out settings/
+                                              write each router's settings
   stoatctl config generate answers.toml       derive the configuration, with reasons
   stoatctl config push answers.toml           put it in force
   stoatctl status                             see the fleet at a glance
--- a/operate/settings.go
+++ b/operate/settings.go
@@ -11,7 +11,8 @@
 
 // SettingsCmd is `stoatctl settings`.
 type SettingsCmd struct {
-	Check SettingsCheckCmd `cmd:"" help:"Say what is wrong in a settings file, all at once."`
+	Generate SettingsGenerateCmd `cmd:"" help:"Write the settings of each entry host from a questionnaire."`
+	Check    SettingsCheckCmd    `cmd:"" help:"Say what is wrong in a settings file, all at once."`
 }
 
 // SettingsCheckCmd is `stoatctl settings check`.
--- a/version/answers/answers.go
+++ b/version/answers/answers.go
@@ -15,6 +15,8 @@
 	Organisation string        `toml:"organisation"`
 	WeighsMost   Weight        `toml:"weighs_most"`
 	Zones        []Zone        `toml:"zones"`
+	Hosts        []Host        `toml:"hosts"`
+	Entry        Entry         `toml:"entry"`
 	Applications []Application `toml:"applications"`
 	Workers      []Worker      `toml:"workers"`
 	Kinds        []Kind        `toml:"kinds"`
@@ -38,6 +40,30 @@
 	Region string `toml:"region"`
 }
 
+// Host is an entry host, on which a router runs.
+type Host struct {
+	Name string `toml:"name"` // in the platform's list
+	Zone string `toml:"zone"`
+	// Address is the IP number of the interface that the router listens on.
+	Address netip.Addr `toml:"address"`
+}
+
+// Entry is what all entry hosts have in common.
+type Entry struct {
+	CallerPort   int `toml:"caller_port"`
+	PeerPort     int `toml:"peer_port"`
+	OperatorPort int `toml:"operator_port"`
+	// OperatorKeySHA256 is the SHA-256 of the operators' key in hexadecimal.
+	OperatorKeySHA256 string `toml:"operator_key_sha256"`
+	// PlaceKeyFile holds the key that signs place tokens, on each host.
+	PlaceKeyFile string `toml:"place_key_file"`
+	// Certificates is the folder with the certificates, on each host; empty:
+	// no TLS.
+	Certificates string `toml:"certificates"`
+	// OpenOnLoopback lets everybody in, for a trial on one machine.
+	OpenOnLoopback bool `toml:"open_on_loopback"`
+}
+
 // Sort is the sort of an application.
 type Sort string
 
@@ -129,6 +155,10 @@
 
 // Platform is what the answers say of the platform and the callers.
 type Platform struct {
+	Log     netip.AddrPort `toml:"log"`
+	Hosts   netip.AddrPort `toml:"hosts"`
+	Weights netip.AddrPort `toml:"weights"`
+	TLS     bool           `toml:"tls"`
 	// LoadReportLag is the oldest that a worker's load report gets.
 	LoadReportLag config.Duration `toml:"load_report_lag"`
 	// RepeatsWithin is how long after the first try a caller still repeats it.
--- a/version/answers/check.go
+++ b/version/answers/check.go
@@ -43,6 +43,8 @@
 	c := &checker{answers: a, source: source}
 	c.general()
 	c.zones()
+	c.hosts()
+	c.entry()
 	c.applications()
 	c.workers()
 	c.kinds()
@@ -93,6 +95,11 @@
 	c.require(slices.Contains(known, name), key, remedy, "there is no %s %q", what, name)
 }
 
+// zone requires that name is the name of a zone.
+func (c *checker) zone(key, name string) {
+	c.reference(key, name, "zone", names(c.answers.Zones, func(z Zone) string { return z.Name }))
+}
+
 func (c *checker) positive(key string, d config.Duration, example string) {
 	c.require(d > 0, key, fmt.Sprintf("write a time above 0, for example %q", example), "is missing or not above 0")
 }
@@ -151,7 +158,7 @@
 		w := &c.answers.Workers[i]
 		c.name(key+".name", w.Name, "worker", seen)
 		c.reference(key+".application", w.Application, "application", names(c.answers.Applications, func(a Application) string { return a.Name }))
-		c.reference(key+".zone", w.Zone, "zone", names(c.answers.Zones, func(z Zone) string { return z.Name }))
+		c.zone(key+".zone", w.Zone)
 		c.address(key+".address", w.Address, addresses)
 		c.worker(key, w)
 	}
@@ -165,7 +172,7 @@
 	}
 	c.require(!address.Addr().IsUnspecified() && address.Port() != 0, key, remedy, "%v is no address to connect to", address)
 	first, twice := seen[address]
-	c.require(!twice, key, "give each worker its own address", "%v is the address of %s already", address, first)
+	c.require(!twice, key, "give each its own address", "%v is the address of %s already", address, first)
 	seen[address] = key
 }
 
@@ -260,6 +267,10 @@
 
 func (c *checker) platform() {
 	p := c.answers.Platform
+	seen := make(map[netip.AddrPort]string)
+	c.address("platform.log", p.Log, seen)
+	c.address("platform.hosts", p.Hosts, seen)
+	c.address("platform.weights", p.Weights, seen)
 	c.positive("platform.load_report_lag", p.LoadReportLag, "500ms")
 	c.positive("platform.repeats_within", p.RepeatsWithin, "10m")
 	c.require(p.RepeatsWithin.Std() <= maxLedgerWindow, "platform.repeats_within", "write at most 24h: repeats cannot be told from new requests for longer", "%v is too long", p.RepeatsWithin.Std())
