Run the whole path in one command: stoatctl demo

Cause: nothing showed a request going from caller to endpoint and back. Change: lab/fleet starts routers and stand-ins on loopback, lab/demo drives chats, bookings and a zone change, the operators' side uses operator.Gather.

--- /dev/null
+++ b/lab/demo/demo.go
@@ -0,0 +1,247 @@
+package demo
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/sourcegraph/conc"
+
+	"github.com/stoatmount/stoatmount/connection/operator/api"
+	"github.com/stoatmount/stoatmount/connection/operator/client"
+	"github.com/stoatmount/stoatmount/examples"
+	"github.com/stoatmount/stoatmount/lab/fleet"
+	"github.com/stoatmount/stoatmount/lab/load"
+	"github.com/stoatmount/stoatmount/lab/site"
+	"github.com/stoatmount/stoatmount/standin/engine"
+	"github.com/stoatmount/stoatmount/version/answers"
+	"github.com/stoatmount/stoatmount/version/config"
+)
+
+const (
+	routers = 7
+	// startTime bounds the start of the fleet.
+	startTime = 30 * time.Second
+	// outAt and inAt are the parts of the run after which the zone goes out
+	// and comes back.
+	outAt = 0.4
+	inAt  = 0.7
+	// sampleEvery is the time between two looks at the load of endpoints.
+	sampleEvery = 50 * time.Millisecond
+	// mayWork is how long after the accepted call the zone's endpoints may get
+	// new work.
+	mayWork = 5 * time.Second
+	// tokenTime is the time of a step of an engine stand-in.
+	tokenTime = 3 * time.Millisecond
+)
+
+// Options describe a demonstration.
+type Options struct {
+	Seconds float64
+	Seed    uint64
+	Log     logr.Logger
+	// Progress is called about once a second, if it is set.
+	Progress func(Progress)
+}
+
+// Progress is a look at a demonstration that runs.
+type Progress struct {
+	Elapsed  time.Duration
+	Stage    string
+	Counts   load.Counts
+	Kinds    []load.KindCounts
+	InWork   int // requests in progress at endpoints
+	Broken   int64
+	Refusals int
+}
+
+// Run runs the demonstration and returns what it shows.
+func Run(ctx context.Context, o Options) (Result, error) {
+	cfg, err := configuration()
+	if err != nil {
+		return Result{}, err
+	}
+	f, err := fleet.Start(fleet.Options{
+		Config: cfg, Routers: routers, Log: o.Log, Seed: o.Seed,
+		Site: site.Options{Seed: o.Seed, Engine: engine.Options{TokenTime: tokenTime, ColdSlowdown: 2}},
+	})
+	if err != nil {
+		return Result{}, err
+	}
+	defer f.Close()
+	starting, cancel := context.WithTimeout(ctx, startTime)
+	defer cancel()
+	if err := f.Push(starting); err != nil {
+		return Result{}, err
+	}
+	d := &demonstration{options: o, fleet: f, started: time.Now()}
+	return d.run(ctx)
+}
+
+// configuration is that of the cooperative.
+func configuration() (config.Config, error) {
+	form, err := examples.Answers(examples.VocesUnidas)
+	if err != nil {
+		return config.Config{}, err
+	}
+	filled, err := answers.Parse(examples.VocesUnidas+"/answers.toml", form)
+	if err != nil {
+		return config.Config{}, err
+	}
+	cfg, _ := answers.Generate(filled)
+	return cfg, nil
+}
+
+// demonstration is a run in progress.
+type demonstration struct {
+	options   Options
+	fleet     *fleet.Fleet
+	generator *load.Generator
+	started   time.Time
+	stage     string
+	zone      ZoneOut
+	findings  []string
+}
+
+func (d *demonstration) run(ctx context.Context) (Result, error) {
+	generator, err := load.New(load.Options{
+		Seed: d.options.Seed, Entries: d.fleet.Callers(),
+		Workspaces: workspaces(d.fleet.Site.Config.Workspaces), Kinds: kinds(),
+	})
+	if err != nil {
+		return Result{}, err
+	}
+	operator, err := d.fleet.Operator("demo")
+	if err != nil {
+		return Result{}, err
+	}
+	d.generator = generator
+	duration := time.Duration(d.options.Seconds * float64(time.Second))
+	running, cancel := context.WithTimeout(ctx, duration)
+	defer cancel()
+	bytesBefore := d.controlBytes()
+	d.stage = "all zones in service"
+	var wg conc.WaitGroup
+	wg.Go(func() { d.watch(running) })
+	wg.Go(func() { d.takeZoneOut(running, operator, duration) })
+	counts := generator.Run(running)
+	wg.Wait()
+	return d.result(&counts, bytesBefore), nil
+}
+
+// takeZoneOut takes a zone out in the midst of the run and brings it back.
+func (d *demonstration) takeZoneOut(ctx context.Context, operator *client.Client, duration time.Duration) {
+	zone := d.fleet.Site.Config.Zones[0].Name
+	if !pause(ctx, scale(duration, outAt)) {
+		return
+	}
+	target := config.Target{Scope: config.ScopeZone, Name: zone}
+	asked := time.Now()
+	if _, err := operator.Mark(ctx, api.Mark{Target: target, Out: true, Reason: "demonstration"}); err != nil {
+		d.findings = append(d.findings, "taking the zone out failed: "+err.Error())
+		return
+	}
+	accepted := time.Now()
+	d.stage = "zone " + zone + " is out"
+	d.zone = ZoneOut{Zone: zone, AcceptedMs: accepted.Sub(asked).Milliseconds()}
+	pause(ctx, scale(duration, inAt-outAt)-accepted.Sub(asked))
+	d.checkZone(zone, accepted)
+	d.zone.OutSeconds = time.Since(accepted).Seconds()
+	if _, err := operator.Mark(context.WithoutCancel(ctx), api.Mark{Target: target, Out: false, Reason: "demonstration"}); err != nil {
+		d.findings = append(d.findings, "bringing the zone back failed: "+err.Error())
+		return
+	}
+	d.stage = "zone " + zone + " is back"
+}
+
+// checkZone looks at when the zone's endpoints got their last new work.
+func (d *demonstration) checkZone(zone string, accepted time.Time) {
+	for _, e := range d.fleet.Site.InZone(zone) {
+		late := e.LastWork().Sub(accepted)
+		d.zone.LastWorkMs = max(d.zone.LastWorkMs, late.Milliseconds())
+		if late > mayWork {
+			d.findings = append(d.findings, "endpoint "+e.Name+" got work "+late.String()+" after its zone was out")
+		}
+	}
+}
+
+// watch samples loads and reports progress until ctx ends.
+func (d *demonstration) watch(ctx context.Context) {
+	ticker := time.NewTicker(sampleEvery)
+	defer ticker.Stop()
+	shown := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		d.fleet.Site.Sample()
+		if d.options.Progress != nil && time.Since(shown) >= time.Second {
+			shown = time.Now()
+			d.options.Progress(d.progress())
+		}
+	}
+}
+
+func (d *demonstration) progress() Progress {
+	result := d.generator.Result()
+	p := Progress{
+		Elapsed: time.Since(d.started), Stage: d.stage, Counts: result.Total(), Kinds: result.Kinds,
+		Broken: d.fleet.Violations(),
+	}
+	for _, e := range d.fleet.Site.Endpoints {
+		p.InWork += e.InProgress()
+	}
+	return p
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+func scale(d time.Duration, part float64) time.Duration {
+	return time.Duration(part * float64(d))
+}
+
+func (d *demonstration) controlBytes() int64 {
+	total := int64(0)
+	for _, r := range d.fleet.Routers {
+		total += r.Node.Traffic().Sent() + r.Node.Traffic().Received()
+	}
+	return total
+}
+
+// result compares what the callers saw with what the stand-ins know.
+func (d *demonstration) result(counts *load.Result, bytesBefore int64) Result {
+	elapsed := time.Since(d.started).Seconds()
+	audit := load.NewAudit(counts, func(j *load.Judgement) int { return d.fleet.Site.Executions(j.Name, j.Key) })
+	truth := d.fleet.Site.Truth()
+	total := counts.Total()
+	r := Result{
+		Seconds: elapsed, Sent: total.Sent, CompletedOnceInTime: audit.OnceInTime,
+		RefusedNotRun: total.NotRun, OutcomeUnknown: total.Unknown,
+		RanMoreThanOnce: truth.MoreThanOnce, FalseNotRun: audit.FalseNotRun, WrongAnswers: audit.Wrong,
+		ColdOverrun: truth.WorstColdOverrun, InvariantViolations: d.fleet.Violations(),
+		LoadSkew:                    d.fleet.Site.LoadSkew(),
+		ControlBytesPerRouterSecond: float64(d.controlBytes()-bytesBefore) / elapsed / routers,
+		LogAppendsPerSecond:         float64(truth.Appends) / elapsed,
+		ZoneOut:                     d.zone, Findings: d.findings,
+		Kinds: make(map[string]load.Counts),
+	}
+	if total.PromptTokens > 0 {
+		r.CacheReuse = float64(total.CachedTokens) / float64(total.PromptTokens)
+	}
+	for _, kind := range counts.Kinds {
+		r.Kinds[kind.Kind] = kind.Counts
+	}
+	for _, finding := range audit.Findings {
+		r.Findings = append(r.Findings, finding.String())
+	}
+	return r
+}
--- a/operate/cli.go
+++ b/operate/cli.go
@@ -12,4 +12,5 @@
 	Capacity CapacityCmd `cmd:"" help:"Work out what each role needs at the size to design for."`
 	Settings SettingsCmd `cmd:"" help:"Write and check the settings files of routers."`
 	Codes    CodesCmd    `cmd:"" help:"List the numbered result codes."`
+	Demo     DemoCmd     `cmd:"" help:"Run a whole small fleet on loopback."`
 }
--- a/process/node/fleet.go
+++ b/process/node/fleet.go
@@ -177,3 +177,9 @@
 	}
 	n.recorder.Latency(done.Kind, done.FirstByte, done.Took)
 }
+
+// Joined reports whether the process has read the configuration's stream and
+// is in a view, so that operators can be answered.
+func (n *Node) Joined() bool {
+	return n.follower.Ready() && n.members.View() != nil
+}
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -96,13 +96,13 @@
 	callers  *caller.Server
 	peers    *grpc.Server
 	operator *operator.Server
+	gather   *operator.Gather
 	listen   listeners
 
 	nextID      atomic.Uint64
 	inProgress  atomic.Int64
 	drain       drainState
 	figures     figures
-	last        lastSeen
 	strays      strays
 	reconcilers reconcilers
 
--- a/process/node/provision.go
+++ b/process/node/provision.go
@@ -9,7 +9,6 @@
 
 	"github.com/stoatmount/stoatmount/connection/caller"
 	"github.com/stoatmount/stoatmount/connection/endpoint"
-	"github.com/stoatmount/stoatmount/connection/operator"
 	"github.com/stoatmount/stoatmount/connection/peer"
 	"github.com/stoatmount/stoatmount/connection/platform"
 	"github.com/stoatmount/stoatmount/process/admission"
@@ -164,6 +163,5 @@
 		BodyBytes: limits.BodyBytes, HeaderBytes: limits.HeaderBytes, BodyTime: limits.BodyTime.Std(),
 		Connections: limits.Connections, Open: n.settings.Access.OpenOnLoopback, TLS: callerTLS,
 	}, n.clock, n.log.WithName("caller"))
-	n.operator, err = operator.New(n.controller(), n.settings.Access.OperatorKeyHash, n.settings.Access.OpenOnLoopback, n.log.WithName("operator"))
-	return err
+	return n.provisionOperators()
 }
--- a/process/node/status.go
+++ b/process/node/status.go
@@ -2,72 +2,63 @@
 
 import (
 	"context"
-	"encoding/json"
-	"maps"
 	"net"
 	"net/http"
-	"slices"
-	"strings"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/sourcegraph/conc/iter"
-
-	tlsfiles "github.com/stoatmount/stoatmount/process/credentials"
 
 	"github.com/stoatmount/stoatmount/connection/operator"
 	"github.com/stoatmount/stoatmount/connection/operator/api"
 	"github.com/stoatmount/stoatmount/connection/peer/peerpb"
-	"github.com/stoatmount/stoatmount/process/burn"
+	tlsfiles "github.com/stoatmount/stoatmount/process/credentials"
 	"github.com/stoatmount/stoatmount/process/member"
-	"github.com/stoatmount/stoatmount/version/config"
-	"github.com/stoatmount/stoatmount/version/plan"
 )
 
-// statusTime bounds the question to one router for its status.
-const statusTime = time.Second
-
-// lastSeen keeps the last status of every router. The zero value is usable;
-// mu is a leaf.
-type lastSeen struct {
-	mu      sync.Mutex
-	routers map[string]api.Router
+// statusPeers implements operator.Peers.
+type statusPeers struct {
+	node *Node
 }
 
-func (l *lastSeen) put(r api.Router) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.routers == nil {
-		l.routers = make(map[string]api.Router)
-	}
-	l.routers[r.Name] = r
-}
-
-func (l *lastSeen) get(name string) api.Router {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.routers[name]
+// Members implements operator.Peers.
+func (p statusPeers) Members() []member.Member {
+	return p.node.members.Live(p.node.clock.Now())
 }
 
-// controller implements operator.Controller.
-type controller struct {
-	operator.Changes
-	*Node
+// Status implements operator.Peers.
+func (p statusPeers) Status(ctx context.Context, to member.Member, counters bool) ([]byte, error) {
+	reply, err := p.node.links.Call(ctx, to.Peer, &peerpb.Envelope{Body: &peerpb.Envelope_StatusQuery{
+		StatusQuery: &peerpb.StatusQuery{Burn: counters},
+	}})
+	if err != nil {
+		return nil, err
+	}
+	if reply.GetStatusReply() == nil {
+		return nil, errors.Errorf("router %s sent no status", to.Name)
+	}
+	return reply.GetStatusReply().GetJson(), nil
 }
 
-// Snapshot implements operator.Controller.
-func (c *controller) Snapshot() *config.Snapshot {
-	return c.follower.Snapshot()
+func (n *Node) provisionOperators() (err error) {
+	n.gather = operator.NewGather(operator.GatherOptions{
+		Clock: n.clock, Peers: statusPeers{n}, Self: n.status, Recorder: n.recorder, Keeper: n.keeper, Snapshot: n.follower.Snapshot,
+	})
+	controller := operator.Process{Changes: operator.Changes{Follower: n.follower}, Gather: n.gather, Metrics: n.Vars}
+	n.operator, err = operator.New(controller, n.settings.Access.OperatorKeyHash, n.settings.Access.OpenOnLoopback, n.log.WithName("operator"))
+	return err
 }
 
-func (n *Node) controller() operator.Controller {
-	return &controller{Changes: operator.Changes{Follower: n.follower}, Node: n}
+// statusReply answers another router's question.
+func (n *Node) statusReply(m *peerpb.StatusQuery) *peerpb.Envelope {
+	data, err := n.gather.Answer(m.GetBurn())
+	if err != nil {
+		n.log.Error(err, "status")
+	}
+	return &peerpb.Envelope{Body: &peerpb.Envelope_StatusReply{StatusReply: &peerpb.StatusReply{Json: data}}}
 }
 
 // status returns the state of this router.
-func (n *Node) status() api.Router {
-	now := n.clock.Now()
+func (n *Node) status(now time.Time) api.Router {
 	s := api.Router{
 		Name: n.self.Name, Boot: n.self.Boot, Zone: n.self.Zone, Region: n.self.Region,
 		Started: n.started, At: now, Draining: n.drain.leaving(), Health: n.health(),
@@ -121,120 +112,6 @@
 	return endpoints
 }
 
-// Fleet implements operator.Controller.
-func (n *Node) Fleet(ctx context.Context) api.Fleet {
-	now := n.clock.Now()
-	others := n.roster.others()
-	routers := iter.Map(others, func(m *member.Member) api.Router { return n.statusOf(ctx, *m) })
-	routers = append(routers, n.status())
-	sortRouters(routers)
-	return api.Fleet{Asked: n.self.Name, At: now, Routers: routers}
-}
-
-// statusOf asks a router for its status. One that does not answer is given as
-// it was last seen.
-func (n *Node) statusOf(ctx context.Context, m member.Member) api.Router {
-	var r api.Router
-	err := n.askStatus(ctx, m, false, &r)
-	if err == nil {
-		r.AgeMs = 0
-		n.last.put(r)
-		return r
-	}
-	r = n.last.get(m.Name)
-	r.AgeMs = -1
-	if !r.At.IsZero() {
-		r.AgeMs = n.clock.Since(r.At).Milliseconds()
-	}
-	r.Name, r.Zone, r.Region = m.Name, m.Zone, m.Region
-	r.Unreachable = true
-	return r
-}
-
-func (n *Node) askStatus(ctx context.Context, m member.Member, counters bool, into any) error {
-	ctx, cancel := context.WithTimeout(ctx, statusTime)
-	defer cancel()
-	reply, err := n.links.Call(ctx, m.Peer, &peerpb.Envelope{Body: &peerpb.Envelope_StatusQuery{
-		StatusQuery: &peerpb.StatusQuery{Burn: counters},
-	}})
-	if err != nil {
-		return err
-	}
-	return errors.WithStack(json.Unmarshal(reply.GetStatusReply().GetJson(), into))
-}
-
-// statusReply answers another router's question.
-func (n *Node) statusReply(m *peerpb.StatusQuery) *peerpb.Envelope {
-	var data []byte
-	if m.GetBurn() {
-		data, _ = json.Marshal(n.burnRecords())
-	} else {
-		data, _ = json.Marshal(n.status())
-	}
-	return &peerpb.Envelope{Body: &peerpb.Envelope_StatusReply{StatusReply: &peerpb.StatusReply{Json: data}}}
-}
-
-// keptRecords is what one router knows of counters.
-type keptRecords struct {
-	Records []burn.Record `json:"records"`
-	Dropped int           `json:"dropped"`
-}
-
-func (n *Node) burnRecords() keptRecords {
-	now := n.clock.Now()
-	records, dropped := n.keeper.Records(now)
-	return keptRecords{Records: append(records, n.recorder.Record(now, time.Time{})), Dropped: dropped}
-}
-
-// Burn implements operator.Controller.
-func (n *Node) Burn(ctx context.Context) api.Burn {
-	now := n.clock.Now()
-	own := n.burnRecords()
-	result := api.Burn{At: now, Dropped: own.Dropped, Live: []api.Process{{Host: n.self.Name, Boot: n.self.Boot}}}
-	lists := [][]burn.Record{own.Records}
-	for _, m := range n.members.Live(now) {
-		if m.Name == n.self.Name {
-			continue
-		}
-		result.Live = append(result.Live, api.Process{Host: m.Name, Boot: m.Boot})
-		var kept keptRecords
-		if err := n.askStatus(ctx, m, true, &kept); err != nil {
-			result.Silent = append(result.Silent, m.Name)
-			continue
-		}
-		lists = append(lists, kept.Records)
-		result.Dropped += kept.Dropped
-	}
-	result.Records = burn.Union(lists...)
-	if snapshot := n.follower.Snapshot(); snapshot != nil {
-		result.Out = snapshot.Out
-		for i := range snapshot.Config.Kinds {
-			kind := &snapshot.Config.Kinds[i]
-			result.Kinds = append(result.Kinds, api.Objective{Kind: kind.Name, Objective: kind.Objective})
-		}
-	}
-	return result
-}
-
-// Loads implements operator.Controller.
-func (n *Node) Loads(ctx context.Context) plan.Loads {
-	var loads plan.Loads
-	kinds := make(map[string]int)
-	for _, r := range n.Fleet(ctx).Routers {
-		loads.Hosts = append(loads.Hosts, plan.HostLoad{Name: r.Name, Zone: r.Zone, InProgress: r.InProgress})
-		for _, e := range r.Endpoints {
-			loads.Endpoints = append(loads.Endpoints, plan.EndpointLoad{
-				Name: e.Name, InProgress: max(e.Permits, e.Running), Waiting: e.Waiting, Cold: e.Cold, Usable: e.Usable && !e.Leaving,
-			})
-		}
-		for _, k := range r.Kinds {
-			kinds[k.Kind] += k.Count
-		}
-	}
-	loads.Kinds = sortedKinds(kinds)
-	return loads
-}
-
 // serveOperators answers operators until ctx ends.
 func (n *Node) serveOperators(ctx context.Context) error {
 	server := n.operator.HTTPServer()
@@ -257,15 +134,3 @@
 	}
 	return server.Serve(listener)
 }
-
-func sortRouters(routers []api.Router) {
-	slices.SortFunc(routers, func(a, b api.Router) int { return strings.Compare(a.Name, b.Name) })
-}
-
-func sortedKinds(counts map[string]int) []plan.KindLoad {
-	loads := make([]plan.KindLoad, 0, len(counts))
-	for _, kind := range slices.Sorted(maps.Keys(counts)) {
-		loads = append(loads, plan.KindLoad{Kind: kind, Count: counts[kind]})
-	}
-	return loads
-}
