--- a/connection/peer/links.go
+++ b/connection/peer/links.go
@@ -128,7 +128,6 @@
 		}),
 		grpc.WithReadBufferSize(bufferBytes),
 		grpc.WithWriteBufferSize(bufferBytes),
-		grpc.WithSharedWriteBuffer(true),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
 		grpc.WithDisableServiceConfig(),
 	}
--- a/connection/peer/server.go
+++ b/connection/peer/server.go
@@ -29,7 +29,6 @@
 		}),
 		grpc.ReadBufferSize(bufferBytes),
 		grpc.WriteBufferSize(bufferBytes),
-		grpc.SharedWriteBuffer(true),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 	}
 	if creds != nil {
