Run random histories of the whole fleet and mend what they showed

Cause: the parts were tested alone; promises break between them. Change: package lab/histories runs membership, admission, the config stream and the ledger of five routers together, with kills, pauses, islands, one-way links, outages and lost replies, and checks the promises.

--- /dev/null
+++ b/lab/histories/histories_test.go
@@ -0,0 +1,61 @@
+package histories
+
+import (
+	"bytes"
+	"context"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Sizes of the fixed-seed runs.
+const (
+	testHistories = 40
+	testSteps     = 100
+	testSeed      = 1
+	// sabotageHistories is the number of histories within which a broken
+	// mechanism must be found.
+	sabotageHistories = 60
+)
+
+func TestPromisesHoldInRandomHistories(t *testing.T) {
+	c := qt.New(t)
+	var out bytes.Buffer
+	result := Run(context.Background(), Options{Histories: testHistories, Steps: testSteps, Seed: testSeed, Workers: 4}, &out)
+	c.Check(result.Broken, qt.HasLen, 0, qt.Commentf("%s", out.String()))
+	c.Check(result.Histories, qt.Equals, testHistories)
+	for name, count := range map[string]int{
+		"chats": result.Counts.Chats, "refused chats": result.Counts.ChatsRefused, "ran": result.Counts.Ran,
+		"repeats": result.Counts.Repeats, "accepted": result.Counts.Accepted, "rejected": result.Counts.Rejected,
+		"unknown": result.Counts.Unknown, "refused": result.Counts.Refused, "permits": result.Counts.Permits,
+		"lost replies": result.Counts.RepliesLost, "stored answers": result.Counts.StoredAnswers,
+	} {
+		c.Check(count > 0, qt.IsTrue, qt.Commentf("no %s in the histories", name))
+	}
+}
+
+func TestHistoriesRepeatBySeed(t *testing.T) {
+	c := qt.New(t)
+	_, first := runOne(testSeed, testSteps, wholeSystem)
+	_, second := runOne(testSeed, testSteps, wholeSystem)
+	c.Check(first, qt.Equals, second)
+}
+
+func TestBrokenMechanismsAreFound(t *testing.T) {
+	names := map[sabotage]string{
+		serveStale: "serve stale", dispatchAnyway: "dispatch anyway", refuseAsNotRun: "refuse as not run",
+		acceptAtOnce: "accept at once",
+	}
+	for broken := serveStale; broken < numberOfSabotage; broken++ {
+		t.Run(names[broken], func(t *testing.T) {
+			for seed := range uint64(sabotageHistories) {
+				found, _ := runOne(seed, testSteps, broken)
+				if len(found) > 0 {
+					t.Logf("seed %d, step %d: %s: %s", seed, found[0].Step, found[0].Promise, found[0].Evidence)
+					return
+				}
+			}
+			t.Errorf("not found in %d histories", sabotageHistories)
+		})
+	}
+}
--- /dev/null
+++ b/lab/histories/main_test.go
@@ -0,0 +1,33 @@
+package histories
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"os"
+	"testing"
+)
+
+// Flags for a run of any length; stoatctl histories does the same.
+var (
+	histories = flag.Int("histories", 0, "number of random histories to run")
+	steps     = flag.Int("steps", 200, "steps of each history")
+	seed      = flag.Uint64("seed", 1, "seed of the first history")
+	workers   = flag.Int("workers", 4, "histories at the same time")
+)
+
+// TestManyHistories runs as many histories as -histories says.
+func TestManyHistories(t *testing.T) {
+	if *histories == 0 {
+		t.Skip("run with -histories N")
+	}
+	result := Run(context.Background(), Options{Histories: *histories, Steps: *steps, Seed: *seed, Workers: *workers}, os.Stdout)
+	counts, err := json.Marshal(result.Counts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%d of %d histories broken; %s", len(result.Broken), result.Histories, counts)
+	if len(result.Broken) > 0 {
+		t.Fail()
+	}
+}
--- a/process/configlog/doc.go
+++ b/process/configlog/doc.go
@@ -13,6 +13,8 @@
 //     changed after the version that the change names. A change whose wish
 //     already holds is accepted without a new version.
 //   - Marks of targets taken out survive a push, also one that drops the target.
+//   - A restore is accepted whenever it is valid, and everything before it is
+//     forgotten, so that it also serves routers that know nothing.
 //   - A record with the id of an earlier one is a repeat and is ignored. Ids are
 //     remembered for the last rememberedChanges records; a change that was made
 //     before the oldest remembered one is rejected, so that a repeat that arrives
--- a/process/configlog/fold.go
+++ b/process/configlog/fold.go
@@ -44,6 +44,13 @@
 	return &Fold{next: 1, index: make(map[string]int)}
 }
 
+// foldAt returns a fold that knows nothing before offset first.
+func foldAt(first platform.Offset) *Fold {
+	f := NewFold()
+	f.next = first
+	return f
+}
+
 // FoldFrom returns the fold that c was taken of.
 func FoldFrom(c Checkpoint) *Fold {
 	f := NewFold()
@@ -170,6 +177,9 @@
 
 // decide judges c against the state in force. It returns the state after it.
 func (f *Fold) decide(r platform.Record, c Change) (Verdict, config.State) {
+	if c.Op == OpRestore && c.Config != nil {
+		return f.decideRestore(r, c)
+	}
 	if c.Seen <= f.floorOffset {
 		return f.reject(outcome.VersionConflict, "the change was made before offset %d and arrived too late", f.floorOffset)
 	}
@@ -203,6 +213,29 @@
 	return Verdict{Accepted: true, Version: next.Version}, next
 }
 
+// decideRestore forgets what went before and puts c in force. A fold that knows
+// nothing starts with such a record, so it may not depend on earlier ones.
+func (f *Fold) decideRestore(r platform.Record, c Change) (Verdict, config.State) {
+	if problems := config.Validate(*c.Config); len(problems) > 0 {
+		v, state := f.reject(outcome.ConfigInvalid, "%s", problems[0])
+		v.Problems = problems
+		return v, state
+	}
+	f.entries = nil
+	f.index = make(map[string]int)
+	f.dropped = 0
+	f.floorOffset = r.Offset - 1
+	f.floorVersion = 0
+	next := config.State{Version: config.Version(r.Offset), Config: *c.Config}
+	return Verdict{Accepted: true, Version: next.Version}, next
+}
+
+// restores reports whether rec is a change that a fold can start with.
+func restores(rec record) bool {
+	c := rec.Change
+	return c != nil && c.ID != "" && c.Op == OpRestore && c.Config != nil && len(config.Validate(*c.Config)) == 0
+}
+
 // shardsChanged reports a push that changes the number of ledger shards. It
 // would move keys to other streams, where their claims are not known.
 func (f *Fold) shardsChanged(c Change) (config.Problem, bool) {
--- a/process/configlog/follower.go
+++ b/process/configlog/follower.go
@@ -26,7 +26,8 @@
 type Peers interface {
 	// Members returns every known router but this one: listed, in the view or
 	// heard of lately. A view alone is not enough, as it shrinks on an island.
-	Members() []Member
+	// It returns false while they are not known.
+	Members() ([]Member, bool)
 	// Pull asks member for the records from offset from on. The answer is what
 	// its Follower.Serve returned.
 	Pull(ctx context.Context, member string, from platform.Offset) (*peerpb.ConfigPage, error)
@@ -43,6 +44,12 @@
 	Checker *invariant.Checker
 	Logger  logr.Logger
 
+	// Tell is called, with the Follower locked, whenever records were applied or
+	// the log's end was read. It must pass Status.KnownEnd to what gossips, so
+	// that no message leaves without a record that this router has acknowledged.
+	// It must not call the Follower. It may be nil.
+	Tell func(Status)
+
 	Fresh           time.Duration // how long a configuration may go unconfirmed
 	Poll            time.Duration // wait of one read of the log
 	CheckpointEvery time.Duration // age of the last checkpoint at which another is due
@@ -152,6 +159,10 @@
 func (f *Follower) Status() Status {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.statusLocked()
+}
+
+func (f *Follower) statusLocked() Status {
 	s := Status{KnownEnd: f.peerEnd, LogRead: f.logEnd, Confirmed: f.fresh.Confirmed(), Halted: f.halted}
 	if f.fold != nil {
 		s.Next = f.fold.Next()
@@ -209,8 +220,11 @@
 	}
 }
 
-// signalAdvanced wakes everybody who waits for progress.
+// signalAdvanced tells everybody about progress.
 func (f *Follower) signalAdvanced() {
+	if f.opt.Tell != nil {
+		f.opt.Tell(f.statusLocked())
+	}
 	close(f.advanced)
 	f.advanced = make(chan struct{})
 }
--- a/process/configlog/ingest.go
+++ b/process/configlog/ingest.go
@@ -82,6 +82,9 @@
 		return s.replay(NewFold())
 	case ok && rec.Checkpoint != nil && rec.Checkpoint.Next >= s.held[0].Offset:
 		return s.replay(FoldFrom(*rec.Checkpoint))
+	case ok && restores(rec):
+		s.held = s.held[len(s.held)-1:]
+		return s.replay(foldAt(r.Offset))
 	}
 	return nil, nil
 }
--- a/process/configlog/machine_test.go
+++ b/process/configlog/machine_test.go
@@ -100,14 +100,14 @@
 	return r.m.log.Read(ctx, stream, from, limit, 0)
 }
 
-func (r reach) Members() []Member {
+func (r reach) Members() ([]Member, bool) {
 	var members []Member
 	for i := range machineRouters {
 		if name := nodeName(i); name != r.self {
 			members = append(members, Member{Name: name, Region: "r"})
 		}
 	}
-	return members
+	return members, true
 }
 
 func (r reach) Pull(_ context.Context, member string, from platform.Offset) (*peerpb.ConfigPage, error) {
--- a/process/configlog/majority.go
+++ b/process/configlog/majority.go
@@ -21,8 +21,11 @@
 // majorityHolds asks the members that are not in held and adds those that hold
 // all records before end.
 func (f *Follower) majorityHolds(ctx context.Context, end platform.Offset, held map[string]bool) bool {
-	members := []Member{f.opt.Self}
-	members = append(members, f.members()...)
+	others, ok := f.members()
+	if !ok {
+		return false
+	}
+	members := append([]Member{f.opt.Self}, others...)
 	var missing []Member
 	for _, m := range members {
 		if !held[m.Name] {
@@ -57,9 +60,9 @@
 	return true
 }
 
-func (f *Follower) members() []Member {
+func (f *Follower) members() ([]Member, bool) {
 	if f.opt.Peers == nil {
-		return nil
+		return nil, true
 	}
 	return f.opt.Peers.Members()
 }
@@ -97,8 +100,12 @@
 // serves a router that starts while the log is down: what a majority of the
 // routers that are ready knows is everything that was accepted.
 func (f *Follower) StartFromPeers(ctx context.Context) {
+	known, ok := f.members()
+	if !ok {
+		return
+	}
 	var members []Member
-	for _, m := range f.members() {
+	for _, m := range known {
 		if m.Region == f.opt.Self.Region {
 			members = append(members, m)
 		}
--- a/process/configlog/record.go
+++ b/process/configlog/record.go
@@ -20,6 +20,10 @@
 	OpPush Op = "push" // replaces the configuration
 	OpOut  Op = "out"  // takes a target out of service
 	OpIn   Op = "in"   // brings a target back into service
+	// OpRestore replaces the configuration and all marks, whatever is in force.
+	// It is for a log whose records have expired while no router knew the
+	// configuration; without it, no router could start again.
+	OpRestore Op = "restore"
 )
 
 // Change is an operator's change as it stands in the log.
@@ -31,7 +35,7 @@
 	At     time.Time       `json:"at"`               // when the change was made, by the router's clock
 	Reason string          `json:"reason"`           // free text, for the history
 	Op     Op              `json:"op"`               //
-	Config *config.Config  `json:"config,omitempty"` // OpPush
+	Config *config.Config  `json:"config,omitempty"` // OpPush and OpRestore
 	Target *config.Target  `json:"target,omitempty"` // OpOut and OpIn
 }
 
--- a/process/configlog/run.go
+++ b/process/configlog/run.go
@@ -148,7 +148,7 @@
 	if f.opt.Peers == nil {
 		return
 	}
-	members := f.opt.Peers.Members()
+	members, _ := f.opt.Peers.Members()
 	if len(members) == 0 {
 		return
 	}
--- a/process/configlog/submit.go
+++ b/process/configlog/submit.go
@@ -72,7 +72,7 @@
 	c.At = now.UTC()
 	f.mu.Lock()
 	c.Seen = f.nextLocked()
-	known := f.fold != nil && f.halted == nil
+	known := f.fold != nil && f.halted == nil || c.Op == OpRestore
 	f.mu.Unlock()
 	if !known {
 		return nil, outcome.NotRun(outcome.LogUnavailable, "this router has not read the configuration from the log")
--- a/process/ledger/attempt.go
+++ b/process/ledger/attempt.go
@@ -80,3 +80,8 @@
 func (a *Attempt) move(from, to attemptState) bool {
 	return a.state.CompareAndSwap(int32(from), int32(to))
 }
+
+// Over reports whether the attempt was given up.
+func (a *Attempt) Over() bool {
+	return a.current() == attemptGivenUp
+}
--- a/process/ledger/machine_test.go
+++ b/process/ledger/machine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -272,6 +273,10 @@
 	}
 	for broken := skipReplay; broken <= openClaims; broken++ {
 		t.Run(names[broken], func(t *testing.T) {
+			shrink := flag.Lookup("rapid.shrinktime").Value
+			usual := shrink.String()
+			qt.Assert(t, shrink.Set("0s"), qt.IsNil)
+			defer func() { _ = shrink.Set(usual) }()
 			v := &verdict{T: t}
 			rapid.Check(v, func(t *rapid.T) {
 				m := newMachine(t, broken)
--- a/process/member/receive.go
+++ b/process/member/receive.go
@@ -9,11 +9,16 @@
 // clockDrift is the largest drift between two routers' clocks, as a share.
 const clockDrift = 1e-3
 
+// stallShare is the share of a tick, as a divisor, by which a call may be late
+// before it counts as a pause.
+const stallShare = 5
+
 // Receive takes a message from the router called from and returns the replies.
 func (t *Table) Receive(now time.Time, from string, m *peerpb.Gossip) []Outgoing {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.begin(now)
+	t.noticeStall(now)
 	if from == t.self.Name {
 		return nil
 	}
@@ -22,7 +27,7 @@
 	if p == nil {
 		p = t.add(Member{Name: from, Region: t.self.Region})
 	}
-	at := p.sentAt(now, t.base, m)
+	at := t.sentAt(now, p, m)
 	t.mergeMembers(now, at, m)
 	t.heard(now, p, m.Boot, at, Stance{View: ViewID(m.View), Prev: ViewID(m.Prev)})
 	lacking = t.mergeAges(now, at, m) || lacking
@@ -68,14 +73,19 @@
 
 // sentAt estimates when m was sent. The sender's uptime shows how much longer
 // than the quickest message m took; a message that waited while this router
-// was paused is not taken for a new one.
-func (p *peer) sentAt(now, base time.Time, m *peerpb.Gossip) time.Time {
-	offset := now.Sub(base) - time.Duration(m.UptimeMs)*time.Millisecond
+// was paused is not taken for a new one. Of a process that was not heard before,
+// nothing is known of the time that m took, so that m is as old as it can be:
+// sent right after the last moment at which this router was known to run.
+func (t *Table) sentAt(now time.Time, p *peer, m *peerpb.Gossip) time.Time {
+	offset := now.Sub(t.base) - time.Duration(m.UptimeMs)*time.Millisecond
 	if p.clockBoot != m.Boot {
+		if t.draining(now) {
+			return t.stalledFrom
+		}
 		p.clockBoot = m.Boot
 		p.clockOffset = offset
 		p.clockAt = now
-		return now
+		return t.callBefore
 	}
 	drift := time.Duration(float64(now.Sub(p.clockAt)) * clockDrift)
 	p.clockOffset = min(offset, p.clockOffset+drift)
@@ -83,6 +93,28 @@
 	return now.Add(p.clockOffset - offset)
 }
 
+// noticeStall compares the clock with the last call. After a pause, the
+// messages that waited come in within a tick.
+func (t *Table) noticeStall(now time.Time) {
+	if t.lastCall.IsZero() {
+		t.lastCall = now
+	}
+	if now.Sub(t.lastCall) > t.cfg.Tick+t.cfg.Tick/stallShare {
+		t.stalledFrom = t.lastCall
+		t.stalledTo = now
+	}
+	if now.After(t.lastCall) {
+		t.callBefore = t.lastCall
+		t.lastCall = now
+	}
+}
+
+// draining reports whether messages that come in may have waited during a
+// pause.
+func (t *Table) draining(now time.Time) bool {
+	return !t.stalledTo.IsZero() && now.Sub(t.stalledTo) < t.cfg.Tick
+}
+
 // heard notes that the process boot of p sent a message at the given time in
 // the given stance. It reports whether that was news.
 func (t *Table) heard(now time.Time, p *peer, boot uint64, at time.Time, stance Stance) bool {
--- a/process/member/shares.go
+++ b/process/member/shares.go
@@ -161,16 +161,9 @@
 	return t.since
 }
 
-// HeardMajority returns how long ago this router had news of more than half of
-// the known routers, itself included; Never if it has not. The news may have
-// come through others. A paused router sees by the clock that it is late.
-func (t *Table) HeardMajority(now time.Time) time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.begin(now)
-	return t.heardMajority(now)
-}
-
+// heardMajority returns how long ago this router had news of more than half of
+// the routers that shares are counted of, itself included; Never if it has not.
+// The news may have come through others.
 func (t *Table) heardMajority(now time.Time) time.Duration {
 	ages := make([]time.Duration, 1, len(t.names)+1) // itself at age 0
 	known := 1
--- a/process/member/table.go
+++ b/process/member/table.go
@@ -61,7 +61,11 @@
 	start       time.Time // first call with a time
 	lastTick    time.Time
 	awake       time.Time // start or end of the last pause
-	mustHear    bool      // paused; waits for a majority before it decides
+	lastCall    time.Time // last Tick or Receive
+	callBefore  time.Time // the one before, at another time
+	stalledFrom time.Time // begin and end of the last time without a call
+	stalledTo   time.Time
+	mustHear    bool // paused; waits for a majority before it decides
 	ticks       uint64
 
 	peers map[string]*peer
@@ -99,6 +103,7 @@
 		t.start = now
 		t.awake = now
 		t.base = now
+		t.callBefore = now
 	}
 }
 
@@ -191,6 +196,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.begin(now)
+	t.noticeStall(now)
 	t.noticePause(now)
 	t.ticks++
 	t.fullsLeft = 1
