Tell the follower when the routers are known

Cause: its interface now asks whether the other routers are known. Change: true once the platform's list was read. Result: builds, demo test passes.

--- a/process/node/configuration.go
+++ b/process/node/configuration.go
@@ -23,13 +23,13 @@
 }
 
 // Members implements configlog.Peers.
-func (p configPeers) Members() []configlog.Member {
+func (p configPeers) Members() ([]configlog.Member, bool) {
 	others := p.node.roster.others()
 	members := make([]configlog.Member, 0, len(others))
 	for _, m := range others {
 		members = append(members, configlog.Member{Name: m.Name, Region: m.Region})
 	}
-	return members
+	return members, p.node.listRead.Load()
 }
 
 // Pull implements configlog.Peers.
--- a/process/node/loops.go
+++ b/process/node/loops.go
@@ -170,6 +170,7 @@
 	now := n.clock.Now()
 	n.members.SetListed(now, listed)
 	n.roster.learn(now, listed)
+	n.listRead.Store(true)
 }
 
 // takeDuties takes and gives up the ledger's shards as the view demands.
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -101,6 +101,7 @@
 
 	nextID      atomic.Uint64
 	inProgress  atomic.Int64
+	listRead    atomic.Bool // the platform's list was read at least once
 	drain       drainState
 	figures     figures
 	strays      strays
