Try a questionnaire's whole fleet on one machine

Cause: a new team should get from its form to a running fleet and operate it before it has hosts.

Found and mended by it: bringing a zone back did not count its endpoints, a host that is out was shown as serving, and refusals did not show their code.

--- a/connection/operator/api/api.go
+++ b/connection/operator/api/api.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/stoatmount/stoatmount/process/burn"
@@ -173,9 +174,9 @@
 
 // Error implements error.
 func (r *Refusal) Error() string {
-	text := r.Text
+	text := fmt.Sprintf("%d %s: %s", int(r.Code), r.Name, r.Text)
 	if r.Detail != "" {
-		text += " " + r.Detail
+		text += "\n  " + r.Detail
 	}
 	for _, problem := range r.Problems {
 		text += "\n  " + problem.String()
--- a/connection/operator/changes.go
+++ b/connection/operator/changes.go
@@ -120,6 +120,8 @@
 	}
 	refusal := outcome.NotRun(verdict.Code, "%s", verdict.Detail)
 	if len(verdict.Problems) > 0 {
+		// The problems say it all.
+		refusal.Detail = ""
 		return 0, &InvalidError{Refusal: refusal, Problems: verdict.Problems}
 	}
 	return 0, refusal
--- a/operate/cli.go
+++ b/operate/cli.go
@@ -12,5 +12,6 @@
 	Capacity CapacityCmd `cmd:"" help:"Work out what each role needs at the size to design for."`
 	Settings SettingsCmd `cmd:"" help:"Write and check the settings files of routers."`
 	Codes    CodesCmd    `cmd:"" help:"List the numbered result codes."`
+	Trial    TrialCmd    `cmd:"" help:"Run the fleet of a questionnaire on loopback."`
 	Demo     DemoCmd     `cmd:"" help:"Run a whole small fleet on loopback."`
 }
--- a/operate/config.go
+++ b/operate/config.go
@@ -121,6 +121,10 @@
 
 // writeChanges prints the difference to version.
 func writeChanges(env *Env, version config.Version, changes []answers.Change) {
+	if version == 0 {
+		env.notef("no configuration is in force yet\n")
+		return
+	}
 	if len(changes) == 0 {
 		env.notef("no difference to version %d, which is in force\n", version)
 		return
--- a/operate/outin.go
+++ b/operate/outin.go
@@ -164,20 +164,20 @@
 
 // writeImpact says what the change leaves.
 func writeImpact(env *Env, impact plan.Impact, out bool) {
-	verb := "back in"
+	verb := "back in service would give"
 	if out {
-		verb = "out"
+		verb = "out of service would leave"
 	}
-	env.printf("%s %s %s would leave:\n", impact.Target.Scope, impact.Target.Name, verb)
+	env.printf("%s %s %s:\n", impact.Target.Scope, impact.Target.Name, verb)
 	rows := &table{env: env}
-	rows.add("entry hosts", impact.HostsAfter, "of", impact.HostsBefore, "")
+	rows.add("entry hosts", impact.HostsAfter, "now "+itoa(impact.HostsBefore))
 	for _, group := range impact.Groups {
-		rows.add(group.Group, group.EndpointsAfter, "of", group.EndpointsBefore, "endpoints")
+		rows.add(group.Group+" endpoints", group.EndpointsAfter, "now "+itoa(group.EndpointsBefore))
 		colour := green
 		if group.Load > group.BearsAfter {
 			colour = red
 		}
-		rows.add("", cell{itoa(group.BearsAfter), colour}, "of", group.BearsBefore, "requests at a time; now there are "+itoa(group.Load))
+		rows.add(group.Group+" requests at a time", cell{itoa(group.BearsAfter), colour}, "now "+itoa(group.BearsBefore)+", "+itoa(group.Load)+" in progress or waiting")
 	}
 	rows.write("  ")
 	if !out {
--- a/operate/status.go
+++ b/operate/status.go
@@ -67,7 +67,7 @@
 	}
 	writeWarnings(env, fleet)
 	env.printf("\n")
-	writeRouters(env, result)
+	writeRouters(env, result, config.NewSnapshot(config.State{Config: c, Out: result.Out}))
 	env.printf("\n")
 	writeEndpoints(env, result, c)
 	if len(result.Stale) > 0 {
@@ -99,7 +99,7 @@
 	}
 }
 
-func writeRouters(env *Env, result statusResult) {
+func writeRouters(env *Env, result statusResult, snapshot *config.Snapshot) {
 	rows := &table{env: env}
 	rows.add(cell{"ROUTER", bold}, cell{"ZONE", bold}, cell{"STATE", bold}, cell{"CONFIG", bold}, cell{"VIEW", bold},
 		cell{"RUNNING", bold}, cell{"WAITING", bold}, cell{"CONTROL B/S", bold}, cell{"UP", bold}, cell{"SEEN", bold})
@@ -109,17 +109,19 @@
 		if stale(r) {
 			name = cell{r.Name + " *", yellow}
 		}
-		rows.add(name, r.Zone, routerState(r), configCell(r, result.Version), fmt.Sprintf("%08x/%d", uint32(r.View), r.ViewMembers),
+		rows.add(name, r.Zone, routerState(r, snapshot), configCell(r, result.Version), fmt.Sprintf("%08x/%d", uint32(r.View), r.ViewMembers),
 			r.InProgress, r.Waiting, fmt.Sprintf("%.0f", r.ControlBytesPerSecond), r.At.Sub(r.Started).Round(time.Second),
 			fmt.Sprintf("%v ago", (time.Duration(r.AgeMs)*time.Millisecond).Round(100*time.Millisecond)))
 	}
 	rows.write("")
 }
 
-func routerState(r *api.Router) cell {
+func routerState(r *api.Router, snapshot *config.Snapshot) cell {
 	switch {
 	case r.Unreachable:
 		return cell{"silent", red}
+	case snapshot.HostOut(r.Name, r.Zone):
+		return cell{"out", yellow}
 	case r.Draining:
 		return cell{"draining", yellow}
 	case !r.ConfigFresh:
--- a/version/plan/impact.go
+++ b/version/plan/impact.go
@@ -73,8 +73,10 @@
 	cold := loads
 	cold.Endpoints = slices.Clone(loads.Endpoints)
 	for i := range cold.Endpoints {
+		// What is out counts as not usable now; whether it answers shows later.
 		if snapshot.EndpointOut(cold.Endpoints[i].Name) {
 			cold.Endpoints[i].Cold = true
+			cold.Endpoints[i].Usable = true
 		}
 	}
 	impact := OutOfService(config.NewSnapshot(state), cold, target)
@@ -84,7 +86,7 @@
 		g.BearsBefore, g.BearsAfter = g.BearsAfter, g.BearsBefore
 	}
 	impact.HostsBefore, impact.HostsAfter = impact.HostsAfter, impact.HostsBefore
-	impact.Kinds, impact.Breaks = nil, false
+	impact.Kinds, impact.Breaks = []KindImpact{}, false
 	return impact
 }
 
@@ -104,7 +106,7 @@
 		target:    target,
 		endpoints: make(map[string]EndpointLoad, len(loads.Endpoints)),
 		kinds:     make(map[string]int, len(loads.Kinds)),
-		impact:    Impact{Target: target},
+		impact:    Impact{Target: target, Groups: []GroupImpact{}, Kinds: []KindImpact{}},
 	}
 	for _, load := range loads.Endpoints {
 		p.endpoints[load.Name] = load
--- a/version/plan/impact_test.go
+++ b/version/plan/impact_test.go
@@ -77,6 +77,7 @@
 	state, loads := fleet()
 	target := config.Target{Scope: config.ScopeZone, Name: "b"}
 	state.Out = []config.OutMark{{Target: target}}
+	loads.Endpoints[1].Usable = false // nothing may be sent there now
 	impact := BackInService(config.NewSnapshot(state), loads, target)
 	c.Check(impact.Groups, qt.DeepEquals, []GroupImpact{{"scripts", 2, 3, 16, 18, 18}})
 	c.Check(fmt.Sprint(impact.HostsBefore, impact.HostsAfter), qt.Equals, "2 3")
