Start the measurements of the request path's decisions

Cause: choices are to be compared with baselines on the same requests before they are kept.

Change: package lab/measure drives the real choice, directory, tokens and queue with a virtual clock beside five baselines and an oracle.

--- /dev/null
+++ b/lab/measure/events.go
@@ -0,0 +1,56 @@
+package measure
+
+import (
+	"time"
+
+	"github.com/stoatmount/stoatmount/connection/endpoint/protocol"
+	"github.com/stoatmount/stoatmount/request/choose"
+)
+
+// readEvents reads a page of cache events of each endpoint. Some pages are
+// lost; the next one shows the gap.
+func (p *product) readEvents() {
+	for _, e := range p.f.ends {
+		if !e.up || e.config.Model == "" {
+			continue
+		}
+		page := protocol.CacheEvents{Boot: e.boot, Next: e.seq + 1, Events: e.events}
+		e.events = nil
+		if p.f.rng.Float64() < gapShare {
+			continue
+		}
+		p.ownerOf(e).owned.Events(p.f.loop.now, e.config.Name, page)
+	}
+}
+
+// moveAhead copies the most valuable chats of a leaving endpoint, as far as
+// the transfer rate allows within the time given.
+func (p *product) moveAhead(e *endpoint, within time.Duration) {
+	model := p.f.snapshot.Model(e.config.Model)
+	if model == nil {
+		return
+	}
+	now := p.f.loop.now
+	owner := p.ownerOf(e)
+	var held []choose.HeldChat
+	for _, h := range owner.owned.HeldBy(e.config.Name) {
+		held = append(held, choose.HeldChat{Chat: h.Chat, Tokens: h.Tokens, Idle: now.Sub(h.At)})
+	}
+	budget := int(float64(model.MovePerSecond) * within.Seconds())
+	elapsed := time.Duration(0)
+	for _, move := range owner.chooser.Moves(now, e.config, held, budget) {
+		elapsed += time.Duration(move.Tokens) * time.Second / time.Duration(model.MovePerSecond)
+		p.f.loop.after(elapsed, func() { p.finishMove(move, e) })
+	}
+}
+
+func (p *product) finishMove(move choose.Move, from *endpoint) {
+	to := p.f.ends[p.f.indexOf(move.To)]
+	tokens := from.holds(move.Chat)
+	if tokens == 0 || !to.up || !from.up {
+		return
+	}
+	to.store(move.Chat, tokens)
+	p.f.stats.movedAhead++
+	p.tellHome(move.Chat, from.config.Group(), to, tokens)
+}
--- /dev/null
+++ b/lab/measure/reuse.go
@@ -0,0 +1,77 @@
+package measure
+
+import (
+	"fmt"
+	"time"
+)
+
+var (
+	productMaker = policyMaker{"stoatmount", newProduct}
+	oracleMaker  = policyMaker{"oracle", newOracle}
+)
+
+// Targets of cache reuse, as parts of the oracle's.
+const (
+	reuseCalm      = 0.98
+	reuseChurn     = 0.95
+	reuseTokenLost = 0.85
+)
+
+// churnEvery returns the time between two upgrades, so that each endpoint is
+// upgraded about once in the counted time.
+func churnEvery(w *Workload) time.Duration {
+	workers := 0
+	for _, e := range w.State.Config.Endpoints {
+		if e.Model != "" {
+			workers++
+		}
+	}
+	return w.Counted / time.Duration(workers)
+}
+
+// measureReuse measures cache reuse when nothing churns, under churn, and
+// under churn with the callers' tokens lost.
+func measureReuse(o Options) (*Report, error) {
+	report := &Report{Name: "reuse", Seeds: o.seeds(), Plot: "reuse, churn"}
+	for _, w := range o.workloads() {
+		churn := churnEvery(&w)
+		for _, c := range []struct {
+			name   string
+			s      scenario
+			target float64
+		}{
+			{"calm", scenario{}, reuseCalm},
+			{"churn", scenario{churnEvery: churn}, reuseChurn},
+			{"churn, token lost", scenario{churnEvery: churn, tokenLost: true}, reuseTokenLost},
+		} {
+			reuseCase(o, report, &w, c.name, c.s, c.target)
+		}
+	}
+	return report, nil
+}
+
+func reuseCase(o Options, report *Report, w *Workload, name string, s scenario, target float64) {
+	oracle := o.runs(w, s, oracleMaker)
+	product := o.runs(w, s, productMaker)
+	addReuse(report, w, oracleMaker.name, name, oracle)
+	addReuse(report, w, productMaker.name, name, product)
+	worst := worstRatio(product, oracle, (*stats).reuse)
+	report.atLeast(fmt.Sprintf("reuse over oracle, %s, %s", w.Name, name), target, worst)
+	if s.tokenLost {
+		return // baselines use no token
+	}
+	for _, b := range baselines() {
+		addReuse(report, w, b.name, name, o.runs(w, s, b))
+	}
+}
+
+func addReuse(report *Report, w *Workload, policy, name string, runs []*stats) {
+	report.add(w.Name, policy, "reuse, "+name, collect(runs, (*stats).reuse))
+	report.add(w.Name, policy, "live in time, "+name, collect(runs, liveShare))
+	report.add(w.Name, policy, "overruns, "+name, collect(runs, func(s *stats) float64 { return float64(s.overBears) }))
+	report.add(w.Name, policy, "cold overruns, "+name, collect(runs, func(s *stats) float64 { return float64(s.overCold) }))
+}
+
+func liveShare(s *stats) float64 {
+	return s.named(kindLive).share()
+}
--- /dev/null
+++ b/lab/measure/surge.go
@@ -0,0 +1,61 @@
+package measure
+
+import "time"
+
+// maxWaitGrowth is how much longer the others may wait during a surge.
+const maxWaitGrowth = 1.10
+
+// measureSurge measures load skew, and the waits of the other workspaces while
+// one sends several times its traffic.
+func measureSurge(o Options) (*Report, error) {
+	report := &Report{Name: "surge", Seeds: o.seeds(), Plot: "skew p99"}
+	for _, w := range o.workloads() {
+		policies := append([]policyMaker{productMaker}, baselines()...)
+		for _, p := range policies {
+			runs := o.runs(&w, scenario{surge: true}, p)
+			addSurge(report, &w, p.name, runs)
+			if p.name != productMaker.name {
+				continue
+			}
+			report.atMost("permits over the cap, "+w.Name, 0, worst(runs, func(s *stats) float64 { return float64(s.overCap) }))
+			report.atMost("wait of others during the surge over before, "+w.Name, maxWaitGrowth, worst(runs, waitGrowth))
+		}
+	}
+	return report, nil
+}
+
+func worst(runs []*stats, value func(*stats) float64) float64 {
+	highest := 0.0
+	for _, s := range runs {
+		highest = max(highest, value(s))
+	}
+	return highest
+}
+
+// waitGrowth is the mean wait of the others during the surge over that before.
+func waitGrowth(s *stats) float64 {
+	return ratio(s.surge.mean().Seconds(), s.calm.mean().Seconds())
+}
+
+func addSurge(report *Report, w *Workload, policy string, runs []*stats) {
+	add := func(name string, value func(*stats) float64) {
+		report.add(w.Name, policy, name, collect(runs, value))
+	}
+	add("skew p50", func(s *stats) float64 { return s.skew(0.5) })
+	add("skew p99", func(s *stats) float64 { return s.skew(0.99) })
+	add("skew max", func(s *stats) float64 { return s.skew(1) })
+	add("permits over cap", func(s *stats) float64 { return float64(s.overCap) })
+	add("permits over mean of the moment", func(s *stats) float64 { return float64(s.overMean) })
+	add("overruns", func(s *stats) float64 { return float64(s.overBears) })
+	add("others wait before ms", func(s *stats) float64 { return milliseconds(s.calm.mean()) })
+	add("others wait in surge ms", func(s *stats) float64 { return milliseconds(s.surge.mean()) })
+	add("others p95 before ms", func(s *stats) float64 { return milliseconds(s.calm.quantile(0.95)) })
+	add("others p95 in surge ms", func(s *stats) float64 { return milliseconds(s.surge.quantile(0.95)) })
+	add("surging wait ms", func(s *stats) float64 { return milliseconds(s.surging.mean()) })
+	add("live in time", liveShare)
+	add("reuse", (*stats).reuse)
+}
+
+func milliseconds(d time.Duration) float64 {
+	return float64(d) / float64(time.Millisecond)
+}
