--- a/lab/measure/fleet.go
+++ b/lab/measure/fleet.go
@@ -143,6 +143,7 @@
 		rate = m.PrefillPerSecond
 	}
 	held := e.start(f.loop.now, r, &f.workload.Traffic, reuse, moveTime, rate)
+	f.stats.started(r, held-f.serve(r))
 	boot := e.boot
 	f.loop.after(held, func() {
 		if boot == e.boot {
--- a/lab/measure/reuse.go
+++ b/lab/measure/reuse.go
@@ -68,6 +68,7 @@
 func addReuse(report *Report, w *Workload, policy, name string, runs []*stats) {
 	report.add(w.Name, policy, "reuse, "+name, collect(runs, (*stats).reuse))
 	report.add(w.Name, policy, "live in time, "+name, collect(runs, liveShare))
+	addTimes(report, w, policy, name, runs)
 	report.add(w.Name, policy, "overruns, "+name, collect(runs, func(s *stats) float64 { return float64(s.overBears) }))
 	report.add(w.Name, policy, "cold overruns, "+name, collect(runs, func(s *stats) float64 { return float64(s.overCold) }))
 }
@@ -75,3 +76,11 @@
 func liveShare(s *stats) float64 {
 	return s.named(kindLive).share()
 }
+
+// addTimes adds the load and the times to the first token.
+func addTimes(report *Report, w *Workload, policy, name string, runs []*stats) {
+	report.add(w.Name, policy, "first token p50 ms, "+name, collect(runs, func(s *stats) float64 { return milliseconds(s.firstToken.quantile(0.5)) }))
+	report.add(w.Name, policy, "first token p95 ms, "+name, collect(runs, func(s *stats) float64 { return milliseconds(s.firstToken.quantile(0.95)) }))
+	report.add(w.Name, policy, "mean load, "+name, collect(runs, func(s *stats) float64 { return ratio(s.load, float64(s.loads)) }))
+	report.add(w.Name, policy, "skew p99, "+name, collect(runs, func(s *stats) float64 { return s.skew(0.99) }))
+}
--- a/lab/measure/stats.go
+++ b/lab/measure/stats.go
@@ -60,10 +60,14 @@
 	skews       []float64 // highest load over the mean, per second and group
 	overCap     int       // permits beyond the cap as the owner knows it
 	overMean    int       // permits beyond max(1, ceil(c x mean)) of that moment
+	mostOver    int       // the largest number of permits beyond it
+	load        float64   // sum of the sampled mean loads of models
+	loads       int
 	overBears   int       // requests beyond what the endpoint bears
 	overCold    int       // of these, at an endpoint in a cold start
 	calm, surge waitStats // of live requests of workspaces that do not surge
 	surging     waitStats // of live requests of the surging workspace
+	firstToken  waitStats // of live requests, from arrival to the end of prefill
 
 	asks         int
 	placeUpdates int
@@ -135,8 +139,9 @@
 func (s *stats) checkMean(e *endpoint) {
 	group := e.config.Group()
 	mean := float64(s.f.permits[group]) / float64(max(s.f.usable[group], 1))
-	if e.gate.permits > max(1, int(math.Ceil(meanMultiple*mean))) {
+	if over := e.gate.permits - max(1, int(math.Ceil(meanMultiple*mean))); over > 0 {
 		s.overMean++
+		s.mostOver = max(s.mostOver, over)
 	}
 }
 
@@ -221,12 +226,23 @@
 	}
 	for _, g := range s.f.groups {
 		mean := ratio(float64(sum[g]), float64(count[g]))
+		if count[g] > 0 {
+			s.load += mean
+			s.loads++
+		}
 		if mean >= minSkewMean {
 			s.skews = append(s.skews, float64(highest[g])/mean)
 		}
 	}
 }
 
+// started notes when the first token of r comes.
+func (s *stats) started(r *request, compute time.Duration) {
+	if s.f.counting(r.sent) && !r.kind.CanWait && r.kind.Service == "" {
+		s.firstToken.add(s.f.loop.now.Add(compute).Sub(r.sent))
+	}
+}
+
 func (s *stats) reuse() float64 {
 	return ratio(float64(s.cached), float64(s.reusable))
 }
--- a/lab/measure/surge.go
+++ b/lab/measure/surge.go
@@ -46,6 +46,7 @@
 	add("skew max", func(s *stats) float64 { return s.skew(1) })
 	add("permits over cap", func(s *stats) float64 { return float64(s.overCap) })
 	add("permits over mean of the moment", func(s *stats) float64 { return float64(s.overMean) })
+	add("most permits over it", func(s *stats) float64 { return float64(s.mostOver) })
 	add("overruns", func(s *stats) float64 { return float64(s.overBears) })
 	add("others wait before ms", func(s *stats) float64 { return milliseconds(s.calm.mean()) })
 	add("others wait in surge ms", func(s *stats) float64 { return milliseconds(s.surge.mean()) })
@@ -54,6 +55,7 @@
 	add("surging wait ms", func(s *stats) float64 { return milliseconds(s.surging.mean()) })
 	add("live in time", liveShare)
 	add("reuse", (*stats).reuse)
+	addTimes(report, w, policy, "whole run", runs)
 }
 
 func milliseconds(d time.Duration) float64 {
--- a/lab/measure/workload.go
+++ b/lab/measure/workload.go
@@ -94,7 +94,7 @@
 		c.Endpoints = append(c.Endpoints, config.Endpoint{
 			Name: fmt.Sprintf("%s-w%03d", model, w), Address: netip.MustParseAddrPort("10.0.0.1:80"),
 			Zone: c.Zones[w%d.zones].Name, Model: model,
-			Bears: 16, ColdBears: 4, WarmAfter: 24, CacheTokens: 900_000,
+			Bears: 16, ColdBears: 4, WarmAfter: 24, CacheTokens: 1_600_000,
 		})
 	}
 }
@@ -174,8 +174,8 @@
 func traffic(workers int) Traffic {
 	n := float64(workers)
 	return Traffic{
-		ChatsPerSecond: 0.12 * n,
-		WaitsPerSecond: 0.35 * n,
+		ChatsPerSecond: 0.2 * n,
+		WaitsPerSecond: 0.6 * n,
 		CallsPerSecond: 0.5 * n,
 		Turns:          10,
 		Pause:          60 * time.Second,
--- a/lab/measure/zone.go
+++ b/lab/measure/zone.go
@@ -32,5 +32,6 @@
 		report.add(w.Name, policy, kind+" refused", collect(runs, func(s *stats) float64 { return float64(k(s).refused) }))
 		report.add(w.Name, policy, kind+" late", collect(runs, func(s *stats) float64 { return float64(k(s).late) }))
 	}
+	addTimes(report, w, policy, "whole run", runs)
 	report.add(w.Name, policy, "reuse", collect(runs, (*stats).reuse))
 }
--- a/operate/cli.go
+++ b/operate/cli.go
@@ -4,4 +4,5 @@
 type CLI struct {
 	Settings SettingsCmd `cmd:"" help:"Check the settings file of a router."`
 	Codes    CodesCmd    `cmd:"" help:"List the numbered result codes."`
+	Measure  MeasureCmd  `cmd:"" help:"Measure the decisions against baselines, under a virtual clock."`
 }
