--- a/lab/measure/gate.go
+++ b/lab/measure/gate.go
@@ -56,8 +56,9 @@
 		return
 	}
 	now := g.fleet.loop.now
+	space := &g.fleet.config.Workspaces[t.r.space]
 	item := queue.Item{
-		ID: t.r.id, Workspace: g.fleet.config.Workspaces[t.r.space].Name, Share: 1, Kind: t.r.kind,
+		ID: t.r.id, Workspace: space.Name, Share: space.Share, Kind: t.r.kind,
 		Sent: t.r.sent, Deadline: t.r.deadline, GiveUp: giveUp, Serve: serve,
 	}
 	g.waiting[t.r.id] = t
--- a/lab/measure/product.go
+++ b/lab/measure/product.go
@@ -115,6 +115,7 @@
 	}
 	in.Chat = r.chat.key
 	in.Known = p.known(r)
+	in.Returns = r.chat.length > 0
 	return in
 }
 
--- a/lab/measure/workload.go
+++ b/lab/measure/workload.go
@@ -115,8 +115,8 @@
 }
 
 func (d deployment) addWorkspaces(c *config.Config) {
-	for i := range d.workspaces {
-		c.Workspaces = append(c.Workspaces, config.Workspace{Name: fmt.Sprintf("space-%03d", i), Share: 1})
+	for i, weight := range weights(d.workspaces) {
+		c.Workspaces = append(c.Workspaces, config.Workspace{Name: fmt.Sprintf("space-%03d", i), Share: weight})
 	}
 }
 
@@ -174,8 +174,8 @@
 func traffic(workers int) Traffic {
 	n := float64(workers)
 	return Traffic{
-		ChatsPerSecond: 0.2 * n,
-		WaitsPerSecond: 0.6 * n,
+		ChatsPerSecond: 0.24 * n,
+		WaitsPerSecond: 1.2 * n,
 		CallsPerSecond: 0.5 * n,
 		Turns:          10,
 		Pause:          60 * time.Second,
--- a/request/choose/choose.go
+++ b/request/choose/choose.go
@@ -71,6 +71,10 @@
 // Overflow goes to the same few endpoints each time, so that it finds caches.
 const rendezvousChoices = 4
 
+// presumedConfidence is the probability that a chat without known place is
+// cached at its default endpoint.
+const presumedConfidence = 0.8
+
 // noEndpointRetry is when a request without usable endpoint should come back.
 const noEndpointRetry = time.Second
 
@@ -172,15 +176,31 @@
 	for i := range in.Known {
 		c.addKnown(now, &plan, &w, in, &in.Known[i])
 	}
+	if len(in.Known) == 0 && in.Returns {
+		presumed := c.presume(in)
+		c.addKnown(now, &plan, &w, in, &presumed)
+	}
 	for k := range best.n {
 		c.addRanked(now, &plan, &w, in, best.index[k], k)
 	}
 	c.addLeastLoad(now, &plan, &w, in, group, key)
 	plan.sort()
 	plan.dropLate(in)
+	plan.setWaits(&w)
 	return plan
 }
 
+// presume returns where a chat is cached of which nobody knows a place: at its
+// default endpoint, as the directory is told of all other places.
+func (c *Chooser) presume(in *Input) Known {
+	return Known{
+		Endpoint:   c.Default(in.Kind.Group(), in.Chat),
+		Tokens:     in.Prompt,
+		Confidence: presumedConfidence,
+		Reason:     ReasonRendezvous,
+	}
+}
+
 // refuse says why no endpoint of the group called name is usable.
 func (c *Chooser) refuse(plan *Plan, name string) {
 	plan.Code = outcome.NoEndpoint
--- a/request/choose/plan.go
+++ b/request/choose/plan.go
@@ -50,6 +50,7 @@
 	Prompt   int           // estimated prompt tokens
 	Serve    time.Duration // expected time at an endpoint after prefill
 	Known    []Known       // where the prefix may be cached
+	Returns  bool          // the chat has had a turn before
 	Tried    []string      // endpoints that are not to be tried again
 }
 
@@ -102,6 +103,19 @@
 	return false
 }
 
+// setWaits gives each candidate the time for which waiting in its queue is
+// better than to go on to the next one, and the last one all the time left.
+func (p *Plan) setWaits(w *weigher) {
+	for i := range p.n {
+		c := &p.list[i]
+		if i == p.n-1 {
+			c.Wait = max(w.in.Deadline-w.in.Age-w.in.Serve, 0)
+			return
+		}
+		c.Wait = w.worthWaiting(c.score - p.list[i+1].score)
+	}
+}
+
 // sort orders the candidates by score, larger first. Insertion sort keeps
 // equal ones in order and allocates nothing.
 func (p *Plan) sort() {
--- a/request/choose/weigh.go
+++ b/request/choose/weigh.go
@@ -13,13 +13,8 @@
 	// delayPrice is the price of a second that the caller waits while the
 	// answer keeps its full worth, in the same unit.
 	delayPrice = 0.25
-	// waitSlack is how much longer than expected a request may wait in a
-	// queue before it tries the next endpoint.
-	waitSlack = 2
 	// coldSlowdown multiplies the prefill time at an endpoint in a cold start.
 	coldSlowdown = 3
-	// minWait is the least wait that is asked for at a full endpoint.
-	minWait = 50 * time.Millisecond
 	// rankStep is the expected time by which a later rendezvous choice must
 	// be better to go before an earlier one.
 	rankStep = 20 * time.Millisecond
@@ -71,7 +66,6 @@
 	c := Candidate{Endpoint: e, Reason: reason, Cached: cached, cost: compute}
 	wait := s.wait()
 	c.Expected = wait + compute + w.in.Serve
-	c.Wait = max(minWait, waitSlack*wait)
 	c.score = w.score(c.Expected, c.cost)
 	return c
 }
@@ -85,6 +79,16 @@
 	return worth
 }
 
+// worthWaiting returns the wait that costs as much as the difference of two
+// scores.
+func (w *weigher) worthWaiting(difference float64) time.Duration {
+	price := w.perPoint * delayPrice
+	if price <= 0 {
+		return 0
+	}
+	return time.Duration(difference / price * float64(time.Second))
+}
+
 // tryMove changes candidate to one that gets the holder's cache first, if that
 // is better than to recompute.
 func (w *weigher) tryMove(c *Chooser, candidate *Candidate, s *state) {
--- a/request/queue/queue.go
+++ b/request/queue/queue.go
@@ -70,10 +70,11 @@
 	if item.late(now) {
 		return outcome.DeadlineTooShort, 0
 	}
-	if limit <= 0 || len(q.items) == 0 {
+	ahead := q.ahead(now, item) + max(q.spaces.running-limit+1, 0)
+	if limit <= 0 || ahead == 0 {
 		return outcome.OK, 0
 	}
-	start := now.Add(q.slots(q.ahead(now, item), limit))
+	start := now.Add(q.slots(ahead, limit))
 	if item.late(start) {
 		return outcome.DeadlineTooShort, q.drain(limit)
 	}
--- a/request/queue/spaces.go
+++ b/request/queue/spaces.go
@@ -21,9 +21,10 @@
 // spaces are the accounts of the workspaces at one endpoint, by the rules of
 // start-time fair queueing.
 type spaces struct {
-	byName map[string]*space
-	total  float64 // sum of the shares of workspaces that wait or run
-	clock  float64 // virtual time: permits given per share in use
+	byName  map[string]*space
+	running int     // permits held, of all workspaces
+	total   float64 // sum of the shares of workspaces that wait or run
+	clock   float64 // virtual time: permits given per share in use
 }
 
 func newSpaces() spaces {
@@ -65,6 +66,7 @@
 		s.total += w.share
 	}
 	w.running++
+	s.running++
 	w.served = min(w.served+1/w.share, s.clock+maxLead/w.share)
 	s.clock += 1 / max(s.total, w.share)
 }
@@ -76,6 +78,7 @@
 		return
 	}
 	w.running--
+	s.running--
 	s.settle(name, w)
 }
 
@@ -119,25 +122,29 @@
 	return w != nil && w.served > s.clock
 }
 
-// reserve is the number of free permits that are kept for workspaces within
-// their share while one is over its share.
-const reserve = 1
+const (
+	// reserveFactor times the root of the permits that the others hold is the
+	// number of free permits kept for them while a workspace is over its share
+	// and queues up. The root is how far their load varies by chance.
+	reserveFactor = 1.0
+	// surgeWaiting is the number of waiting requests of a workspace from which
+	// on permits are kept back from it.
+	surgeWaiting = 2
+)
 
 // mayStart reports whether item may take one of limit permits of which running
-// are held. The last ones are kept for workspaces within their share, and so
-// is room for other work before work that can wait.
+// are held. A workspace over its share that queues up leaves some free for the
+// others, so that these need not wait for one of its requests to end.
 func (s *spaces) mayStart(item *Item, running, limit int) bool {
-	free := limit - running
-	if free > reserve || limit <= minLimitToReserve {
-		return true
-	}
 	w := s.byName[item.Workspace]
-	if w == nil || w.running == 0 {
+	if w == nil || w.waiting < surgeWaiting || w.running == 0 {
 		return true
 	}
 	fair := float64(limit) * w.share / max(s.total, w.share)
-	return float64(w.running) < math.Ceil(fair)
+	if float64(w.running) < fair {
+		return true
+	}
+	others := max(running-w.running, 0)
+	reserve := reserveFactor * math.Sqrt(float64(others))
+	return float64(limit-running) > reserve
 }
-
-// minLimitToReserve is the limit up to which no permit is kept back.
-const minLimitToReserve = 2
