--- a/lab/measure/gate.go
+++ b/lab/measure/gate.go
@@ -27,7 +27,9 @@
 }
 
 func newGate(f *fleet, e *endpoint) *gate {
-	return &gate{fleet: f, end: e, queue: queue.New(queue.DefaultBound), waiting: make(map[uint64]*ticket)}
+	g := &gate{fleet: f, end: e, queue: queue.New(queue.DefaultBound), waiting: make(map[uint64]*ticket)}
+	g.queue.SetFull(e.config.Bears)
+	return g
 }
 
 // cap returns the number of permits allowed now.
@@ -39,7 +41,7 @@
 // load is what a permit reply tells.
 func (g *gate) load() choose.Load {
 	return choose.Load{
-		Permits: g.permits, Cap: g.cap(), Queue: g.queue.Len(),
+		Permits: g.permits, Cap: g.cap(), Queue: g.queue.Urgent(),
 		Cold: g.end.cold(), Boot: g.end.boot,
 	}
 }
--- a/request/queue/order.go
+++ b/request/queue/order.go
@@ -31,7 +31,7 @@
 	best, bestScore := -1, 0.0
 	for i := range q.items {
 		item := &q.items[i]
-		if !q.spaces.mayStart(item, running, limit) {
+		if q.spaces.missing(item, running, limit, q.full) > 0 {
 			continue
 		}
 		if score := q.score(now, item, horizon); best < 0 || score > bestScore {
--- a/request/queue/queue.go
+++ b/request/queue/queue.go
@@ -31,6 +31,7 @@
 // Queue holds the requests that wait for one endpoint.
 type Queue struct {
 	bound  int
+	full   int    // permits that the endpoint bears, 0 if not known
 	items  []Item // in order of arrival
 	spaces spaces
 	hold   time.Duration // moving average of the time a permit is held
@@ -42,6 +43,12 @@
 	return &Queue{bound: bound, spaces: newSpaces(), hold: defaultHold}
 }
 
+// SetFull tells how many permits the warm endpoint bears. A limit below it
+// follows from the mean of the group.
+func (q *Queue) SetFull(permits int) {
+	q.full = permits
+}
+
 // Len returns the number of waiting requests.
 func (q *Queue) Len() int {
 	return len(q.items)
@@ -52,11 +59,12 @@
 // worth least, or another one.
 func (q *Queue) Push(now time.Time, item Item, limit int) (Refused, bool) {
 	item.queued = now
+	q.items = append(q.items, item)
+	q.spaces.enqueued(item.Workspace, item.share(), item.Kind.CanWait)
 	if code, after := q.refusal(now, &item, limit); code != outcome.OK {
+		q.take(len(q.items) - 1)
 		return Refused{Item: item, Code: code, RetryAfter: after}, true
 	}
-	q.items = append(q.items, item)
-	q.spaces.enqueued(item.Workspace, item.share())
 	if len(q.items) <= q.bound {
 		return Refused{}, false
 	}
@@ -65,12 +73,18 @@
 	return Refused{Item: evicted, Code: q.shedCode(&evicted), RetryAfter: q.drain(limit)}, true
 }
 
+// Urgent returns the number of waiting requests that cannot wait: those that
+// a new one may have to wait for.
+func (q *Queue) Urgent() int {
+	return q.spaces.urgent
+}
+
 // refusal returns why item can't wait here, or OK.
 func (q *Queue) refusal(now time.Time, item *Item, limit int) (outcome.Code, time.Duration) {
 	if item.late(now) {
 		return outcome.DeadlineTooShort, 0
 	}
-	ahead := q.ahead(now, item) + max(q.spaces.running-limit+1, 0)
+	ahead := q.ahead(now, item) + q.spaces.missing(item, q.spaces.running, limit, q.full)
 	if limit <= 0 || ahead == 0 {
 		return outcome.OK, 0
 	}
@@ -84,12 +98,12 @@
 	return outcome.OK, 0
 }
 
-// ahead returns how many waiting requests would go before item.
+// ahead returns how many waiting requests would go before item, the newest.
 func (q *Queue) ahead(now time.Time, item *Item) int {
 	horizon := q.horizon(1)
 	own := q.score(now, item, horizon)
 	n := 0
-	for i := range q.items {
+	for i := range len(q.items) - 1 {
 		if q.score(now, &q.items[i], horizon) >= own {
 			n++
 		}
@@ -184,6 +198,6 @@
 func (q *Queue) take(i int) Item {
 	item := q.items[i]
 	q.items = append(q.items[:i], q.items[i+1:]...)
-	q.spaces.left(item.Workspace)
+	q.spaces.left(item.Workspace, item.Kind.CanWait)
 	return item
 }
--- a/request/queue/spaces.go
+++ b/request/queue/spaces.go
@@ -14,6 +14,7 @@
 type space struct {
 	share   float64
 	waiting int
+	patient int // of the waiting, those that can wait
 	running int
 	served  float64 // permits got, per share: the virtual time of the workspace
 }
@@ -22,6 +23,7 @@
 // start-time fair queueing.
 type spaces struct {
 	byName  map[string]*space
+	urgent  int     // waiting requests that cannot wait, of all workspaces
 	running int     // permits held, of all workspaces
 	total   float64 // sum of the shares of workspaces that wait or run
 	clock   float64 // virtual time: permits given per share in use
@@ -31,7 +33,7 @@
 	return spaces{byName: make(map[string]*space)}
 }
 
-func (s *spaces) enqueued(name string, share float64) {
+func (s *spaces) enqueued(name string, share float64, canWait bool) {
 	w, ok := s.byName[name]
 	if !ok {
 		w = &space{share: share}
@@ -43,6 +45,11 @@
 		w.served = max(w.served, s.clock-maxLag/share)
 	}
 	w.waiting++
+	if canWait {
+		w.patient++
+	} else {
+		s.urgent++
+	}
 }
 
 func (w *space) idle() bool {
@@ -50,9 +57,14 @@
 }
 
 // left tells that a request of the workspace left the queue.
-func (s *spaces) left(name string) {
+func (s *spaces) left(name string, canWait bool) {
 	w := s.byName[name]
 	w.waiting--
+	if canWait {
+		w.patient--
+	} else {
+		s.urgent--
+	}
 	s.settle(name, w)
 }
 
@@ -126,25 +138,40 @@
 	// reserveFactor times the root of the permits that the others hold is the
 	// number of free permits kept for them while a workspace is over its share
 	// and queues up. The root is how far their load varies by chance.
-	reserveFactor = 1.0
-	// surgeWaiting is the number of waiting requests of a workspace from which
-	// on permits are kept back from it.
+	reserveFactor = 1.25
+	// surgeWaiting is the number of waiting requests of a workspace that cannot
+	// wait from which on permits are kept back from it.
 	surgeWaiting = 2
+	// fairSlack is how far over its share a workspace may be by chance.
+	fairSlack = 2
 )
 
-// mayStart reports whether item may take one of limit permits of which running
-// are held. A workspace over its share that queues up leaves some free for the
-// others, so that these need not wait for one of its requests to end.
-func (s *spaces) mayStart(item *Item, running, limit int) bool {
-	w := s.byName[item.Workspace]
-	if w == nil || w.waiting < surgeWaiting || w.running == 0 {
-		return true
+// missing returns how many of the running permits have to be given back before
+// item may take one of limit. A workspace over its share that queues up, and
+// work that can wait, leave some free for the others, so that these need not
+// wait for a request to end.
+//
+// While the limit is below full, what the endpoint bears, it is the mean that
+// binds. Then other endpoints have room, and nothing is kept back unless
+// requests queue up.
+func (s *spaces) missing(item *Item, running, limit, full int) int {
+	kept := 0
+	if w := s.byName[item.Workspace]; w != nil && s.keepsBack(w, item, limit, full) {
+		others := max(running-w.running, 0)
+		kept = int(math.Ceil(reserveFactor * math.Sqrt(float64(others))))
+	}
+	return max(running+kept-limit+1, 0)
+}
+
+// keepsBack reports whether item of w has to leave some permits free.
+func (s *spaces) keepsBack(w *space, item *Item, limit, full int) bool {
+	short := full > 0 && limit >= full
+	if item.Kind.CanWait {
+		return short || s.urgent > 0
 	}
 	fair := float64(limit) * w.share / max(s.total, w.share)
-	if float64(w.running) < fair {
-		return true
+	if w.waiting-w.patient >= surgeWaiting {
+		return float64(w.running) >= fair
 	}
-	others := max(running-w.running, 0)
-	reserve := reserveFactor * math.Sqrt(float64(others))
-	return float64(limit-running) > reserve
+	return short && float64(w.running) >= fair+fairSlack
 }
