--- a/standin/engine/chat.go
+++ b/standin/engine/chat.go
@@ -11,29 +11,38 @@
 	"github.com/stoatmount/stoatmount/standin/fault"
 )
 
-// maxBodyBytes bounds the body of a chat completion.
-const maxBodyBytes = 16 << 20
+// Bounds of a chat completion.
+const (
+	maxBodyBytes     = 16 << 20
+	largestMaxTokens = 1 << 16
+)
+
+// chatRequest is the body of a chat completion. User is the caller's own name
+// for the request; the record counts by it.
+type chatRequest struct {
+	protocol.ChatRequest
+	User string `json:"user"`
+}
 
 func (e *Engine) handleChat(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	var request protocol.ChatRequest
+	var request chatRequest
 	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&request)
 	if err != nil || len(request.Messages) == 0 {
 		e.refuse(w, &refusal{http.StatusBadRequest, "the body must be JSON with messages"})
 		return
 	}
-	if slow, ok := e.faults.Strike(fault.Slow); ok && !e.sleep(r, slow.Delay) {
+	if request.MaxTokens > largestMaxTokens {
+		e.refuse(w, &refusal{http.StatusBadRequest, "max_tokens is too large"})
 		return
 	}
-	if _, ok := e.faults.Strike(fault.TurnCold); ok {
-		e.TurnCold()
-	}
-	if _, ok := e.faults.Strike(fault.Refuse); ok {
-		e.refuse(w, &refusal{http.StatusServiceUnavailable, "refused"})
+	if refused := e.strikeBefore(r); refused != nil {
+		e.refuse(w, refused)
 		return
 	}
 	header := r.Header
 	priority, _ := strconv.Atoi(header.Get(protocol.HeaderPriority))
-	s := newSequence(header.Get(protocol.HeaderRequestID), header.Get(protocol.HeaderSession), priority, &request)
+	s := newSequence(header.Get(protocol.HeaderRequestID), header.Get(protocol.HeaderSession), priority, &request.ChatRequest)
+	s.user = request.User
 	if refused := e.submit(s); refused != nil {
 		e.refuse(w, refused)
 		return
@@ -42,6 +51,24 @@
 	e.answer(w, r, s, request.Stream)
 }
 
+// strikeBefore strikes the faults that come before a request is taken in.
+func (e *Engine) strikeBefore(r *http.Request) *refusal {
+	if slow, ok := e.faults.Strike(fault.Slow); ok {
+		e.sleep(r, slow.Delay)
+	}
+	if _, ok := e.faults.Strike(fault.TurnCold); ok {
+		e.TurnCold()
+	}
+	if _, ok := e.faults.Strike(fault.CrashBefore); ok {
+		e.Crash("fault")
+		panic(http.ErrAbortHandler)
+	}
+	if _, ok := e.faults.Strike(fault.Refuse); ok {
+		return &refusal{http.StatusServiceUnavailable, "refused"}
+	}
+	return nil
+}
+
 // refuse answers a request that was not run.
 func (e *Engine) refuse(w http.ResponseWriter, refused *refusal) {
 	w.Header().Set(protocol.HeaderNotRun, "true")
@@ -54,6 +81,9 @@
 		e.awaitEnd(r, s)
 		panic(http.ErrAbortHandler)
 	}
+	if _, ok := e.faults.Strike(fault.NoAnswer); ok {
+		e.hold(r)
+	}
 	a := &answerWriter{engine: e, w: w, r: r, sequence: s, id: s.id}
 	if _, ok := e.faults.Strike(fault.Crossed); ok {
 		a.cross()
