Let a load hint age, and prefer the newer of two places

A router that had learned that an endpoint was full took it for full for the whole life of the hint, 2 s, while a permit is given back every 0.3 s. Under churn it also trusted a token that was older than the directory's entry.

Change: the expected wait of a hint shrinks with its age; a place counts a little less if a newer one is known elsewhere; the default endpoint is presumed also when all known places are gone.

Ruled out: a token that names two places.

--- a/lab/measure/product.go
+++ b/lab/measure/product.go
@@ -127,12 +127,12 @@
 	var known []choose.Known
 	if told, ok := p.signer.Open(p.f.loop.now, r.chat.key, r.chat.token); ok && !p.f.scenario.tokenLost {
 		known = append(known, choose.Known{
-			Endpoint: told.Endpoint, Boot: told.Boot, Tokens: told.Tokens, Reason: choose.ReasonToken,
+			Endpoint: told.Endpoint, Boot: told.Boot, Tokens: told.Tokens, At: told.Issued, Reason: choose.ReasonToken,
 		})
 	}
 	if e, ok := p.homeOf(r.chat.key).home.Get(r.chat.key); ok {
 		known = append(known, choose.Known{
-			Endpoint: e.Endpoint, Boot: e.Boot, Tokens: e.Tokens, Confidence: e.Confidence, Reason: choose.ReasonDirectory,
+			Endpoint: e.Endpoint, Boot: e.Boot, Tokens: e.Tokens, Confidence: e.Confidence, At: e.At, Reason: choose.ReasonDirectory,
 		})
 	}
 	return known
--- a/request/choose/choose.go
+++ b/request/choose/choose.go
@@ -75,6 +75,11 @@
 // cached at its default endpoint.
 const presumedConfidence = 0.8
 
+// outdatedConfidence is the probability that a place is still right though a
+// newer one is known, if this router does not know whether the endpoint has
+// restarted since.
+const outdatedConfidence = 0.9
+
 // noEndpointRetry is when a request without usable endpoint should come back.
 const noEndpointRetry = time.Second
 
@@ -176,9 +181,8 @@
 	for i := range in.Known {
 		c.addKnown(now, &plan, &w, in, &in.Known[i])
 	}
-	if len(in.Known) == 0 && in.Returns {
-		presumed := c.presume(in)
-		c.addKnown(now, &plan, &w, in, &presumed)
+	if w.holder < 0 && in.Returns {
+		c.addPresumed(now, &plan, &w, in)
 	}
 	for k := range best.n {
 		c.addRanked(now, &plan, &w, in, best.index[k], k)
@@ -190,15 +194,18 @@
 	return plan
 }
 
-// presume returns where a chat is cached of which nobody knows a place: at its
-// default endpoint, as the directory is told of all other places.
-func (c *Chooser) presume(in *Input) Known {
-	return Known{
-		Endpoint:   c.Default(in.Kind.Group(), in.Chat),
-		Tokens:     in.Prompt,
-		Confidence: presumedConfidence,
-		Reason:     ReasonRendezvous,
+// addPresumed adds the default endpoint of a chat of which no usable place is
+// known, as the directory is told of all other places. It does not if the
+// default is a known place, which then has lost its cache.
+func (c *Chooser) addPresumed(now time.Time, plan *Plan, w *weigher, in *Input) {
+	name := c.Default(in.Kind.Group(), in.Chat)
+	for i := range in.Known {
+		if in.Known[i].Endpoint == name {
+			return
+		}
 	}
+	presumed := Known{Endpoint: name, Tokens: in.Prompt, Confidence: presumedConfidence, Reason: ReasonRendezvous}
+	c.addKnown(now, plan, w, in, &presumed)
 }
 
 // refuse says why no endpoint of the group called name is usable.
@@ -246,6 +253,9 @@
 	if confidence == 0 {
 		confidence = 1
 	}
+	if in.newerElsewhere(known) {
+		confidence *= outdatedConfidence
+	}
 	w.hold(i, cached, confidence)
 	plan.add(w.weigh(e, &s, known.Reason, int(float64(cached)*confidence)))
 }
--- a/request/choose/hints.go
+++ b/request/choose/hints.go
@@ -122,7 +122,8 @@
 // state is a hint as read at one time.
 type state struct {
 	load  Load
-	known bool // the load is recent
+	known bool          // the load is recent
+	age   time.Duration // of the load
 	hold  time.Duration
 }
 
@@ -130,7 +131,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s := state{load: e.load, hold: e.hold}
-	s.known = !e.loadAt.IsZero() && now.Sub(e.loadAt) < hintLife
+	s.age = now.Sub(e.loadAt)
+	s.known = !e.loadAt.IsZero() && s.age < hintLife
 	if s.hold == 0 {
 		s.hold = defaultHold
 	}
@@ -138,11 +140,12 @@
 }
 
 // wait estimates how long a request waits for a permit. Permits are given back
-// one by one, on average one per hold/cap.
+// one by one, on average one per hold/cap, since the load was told.
 func (s *state) wait() time.Duration {
 	if !s.known || s.load.Permits < s.load.Cap {
 		return 0
 	}
 	ahead := s.load.Queue + 1 + s.load.Permits - s.load.Cap
-	return s.hold * time.Duration(ahead) / time.Duration(max(s.load.Cap, 1))
+	wait := s.hold * time.Duration(ahead) / time.Duration(max(s.load.Cap, 1))
+	return max(wait-s.age, 0)
 }
--- a/request/choose/plan.go
+++ b/request/choose/plan.go
@@ -34,9 +34,10 @@
 // Known is a place at which the chat's prefix may be cached.
 type Known struct {
 	Endpoint   string
-	Boot       uint64  // 0 if not known
-	Tokens     int     // cached length
-	Confidence float64 // probability that it is still there; 0 counts as 1
+	Boot       uint64    // 0 if not known
+	Tokens     int       // cached length
+	Confidence float64   // probability that it is still there; 0 counts as 1
+	At         time.Time // when this was known; zero if not known
 	Reason     Reason
 }
 
@@ -54,6 +55,17 @@
 	Tried    []string      // endpoints that are not to be tried again
 }
 
+// newerElsewhere reports whether a newer place than known is known.
+func (in *Input) newerElsewhere(known *Known) bool {
+	for i := range in.Known {
+		other := &in.Known[i]
+		if other.Endpoint != known.Endpoint && other.At.After(known.At) {
+			return true
+		}
+	}
+	return false
+}
+
 // Candidate is an endpoint to try.
 type Candidate struct {
 	Endpoint *config.Endpoint
