Count control traffic by kind of message

Cause: 5.8 KB/s per router and no word on what it is made of. Change: bytes per kind of message, in the metrics and in the demonstration.

--- a/connection/peer/link.go
+++ b/connection/peer/link.go
@@ -28,10 +28,10 @@
 	ended bool
 }
 
-func newLink(self string, conn *grpc.ClientConn) *link {
+func newLink(self string, conn *grpc.ClientConn, traffic *Traffic) *link {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &link{
-		self: self, conn: conn, out: newOutbox(),
+		self: self, conn: conn, out: newOutbox(traffic),
 		ctx: ctx, cancel: cancel,
 		calls: make(map[uint64]chan *peerpb.Envelope),
 	}
--- a/connection/peer/links.go
+++ b/connection/peer/links.go
@@ -109,7 +109,7 @@
 	if err != nil {
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
-	target := newLink(l.self, conn)
+	target := newLink(l.self, conn, l.traffic)
 	l.links[address] = target
 	target.start(func() { l.forget(address, target) })
 	return target, nil
--- a/connection/peer/outbox.go
+++ b/connection/peer/outbox.go
@@ -15,11 +15,12 @@
 
 // outbox collects the messages for one stream into batches.
 type outbox struct {
-	queue chan *peerpb.Envelope
+	queue   chan *peerpb.Envelope
+	traffic *Traffic
 }
 
-func newOutbox() *outbox {
-	return &outbox{queue: make(chan *peerpb.Envelope, outboxLength)}
+func newOutbox(traffic *Traffic) *outbox {
+	return &outbox{queue: make(chan *peerpb.Envelope, outboxLength), traffic: traffic}
 }
 
 // put queues a message. It reports false if the outbox is full.
@@ -42,6 +43,7 @@
 		case first := <-o.queue:
 			batch := &peerpb.Batch{From: from, Envelopes: o.collect(first)}
 			from = ""
+			o.traffic.note(batch)
 			if err := send(batch); err != nil {
 				return err
 			}
--- a/connection/peer/server.go
+++ b/connection/peer/server.go
@@ -15,6 +15,7 @@
 type Server struct {
 	peerpb.UnimplementedPeerServer
 	handler Handler
+	traffic *Traffic
 }
 
 // NewServer returns a gRPC server that hands messages to handler. creds may be
@@ -35,14 +36,14 @@
 		options = append(options, grpc.Creds(creds))
 	}
 	server := grpc.NewServer(options...)
-	peerpb.RegisterPeerServer(server, &Server{handler: handler})
+	peerpb.RegisterPeerServer(server, &Server{handler: handler, traffic: traffic})
 	return server
 }
 
 // Link implements the Link method of the Peer service.
 func (s *Server) Link(stream grpc.BidiStreamingServer[peerpb.Batch, peerpb.Batch]) error {
 	ctx, cancel := context.WithCancel(stream.Context())
-	out := newOutbox()
+	out := newOutbox(s.traffic)
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	defer cancel()
--- a/connection/peer/traffic.go
+++ b/connection/peer/traffic.go
@@ -2,9 +2,14 @@
 
 import (
 	"context"
+	"maps"
+	"sync"
 	"sync/atomic"
 
 	"google.golang.org/grpc/stats"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/stoatmount/stoatmount/connection/peer/peerpb"
 )
 
 // frameBytes is the size of an HTTP/2 frame header, in bytes.
@@ -16,6 +21,39 @@
 	sent     atomic.Int64
 	received atomic.Int64
 	batches  atomic.Int64
+
+	mu    sync.Mutex // leaf; guards kinds
+	kinds map[string]int64
+}
+
+// note counts the messages of a batch that is sent, by their kind.
+func (t *Traffic) note(batch *peerpb.Batch) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.kinds == nil {
+		t.kinds = make(map[string]int64)
+	}
+	for _, message := range batch.GetEnvelopes() {
+		t.kinds[kindOf(message)] += int64(proto.Size(message))
+	}
+}
+
+// kindOf returns the name of the message's body in peer.proto.
+func kindOf(message *peerpb.Envelope) string {
+	reflected := message.ProtoReflect()
+	field := reflected.WhichOneof(reflected.Descriptor().Oneofs().Get(0))
+	if field == nil {
+		return "none"
+	}
+	return string(field.Name())
+}
+
+// Kinds returns the bytes of the messages sent since start, by kind and
+// without framing.
+func (t *Traffic) Kinds() map[string]int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return maps.Clone(t.kinds)
 }
 
 // Sent returns the bytes sent since start.
--- a/lab/demo/demo.go
+++ b/lab/demo/demo.go
@@ -217,6 +217,18 @@
 	return total
 }
 
+// messageRates returns the bytes sent per router and second by kind of message,
+// from the start of the fleet on.
+func (d *demonstration) messageRates(elapsed float64) map[string]float64 {
+	rates := make(map[string]float64)
+	for _, r := range d.fleet.Routers {
+		for kind, bytes := range r.Node.Traffic().Kinds() {
+			rates[kind] += float64(bytes) / elapsed / routers
+		}
+	}
+	return rates
+}
+
 // result compares what the callers saw with what the stand-ins know.
 func (d *demonstration) result(counts *load.Result, bytesBefore int64) Result {
 	elapsed := time.Since(d.started).Seconds()
@@ -230,6 +242,7 @@
 		ColdOverrun: truth.WorstColdOverrun, InvariantViolations: d.fleet.Violations(),
 		LoadSkew:                    d.fleet.Site.LoadSkew(),
 		ControlBytesPerRouterSecond: float64(d.controlBytes()-bytesBefore) / elapsed / routers,
+		ControlBytesByMessage:       d.messageRates(elapsed),
 		LogAppendsPerSecond:         float64(truth.Appends) / elapsed,
 		ZoneOut:                     d.zone, Findings: d.findings,
 		Kinds: make(map[string]load.Counts),
--- a/lab/demo/result.go
+++ b/lab/demo/result.go
@@ -26,6 +26,9 @@
 	LoadSkew float64 `json:"load_skew"`
 	// ControlBytesPerRouterSecond counts messages between routers, both ways.
 	ControlBytesPerRouterSecond float64 `json:"control_bytes_per_router_second"`
+	// ControlBytesByMessage is the part of it that each kind of message has, in
+	// bytes sent per router and second, without framing.
+	ControlBytesByMessage map[string]float64 `json:"control_bytes_by_message"`
 	// LogAppendsPerSecond is for the whole fleet.
 	LogAppendsPerSecond float64 `json:"log_appends_per_second"`
 
--- a/process/node/figures.go
+++ b/process/node/figures.go
@@ -109,6 +109,7 @@
 		{Key: "stoatmount.connections", Value: intVar(n.callers.Connections())},
 		{Key: "stoatmount.control_bytes_received", Value: intVar(n.traffic.Received())},
 		{Key: "stoatmount.control_bytes_sent", Value: intVar(n.traffic.Sent())},
+		{Key: "stoatmount.control_bytes_sent_by_message", Value: n.messageVar()},
 		{Key: "stoatmount.in_progress", Value: intVar(n.inProgress.Load())},
 		{Key: "stoatmount.invariants", Value: n.invariantVar()},
 		{Key: "stoatmount.kinds", Value: n.recorder.Var()},
@@ -135,3 +136,12 @@
 	}
 	return counts
 }
+
+// messageVar returns the bytes sent to other routers by kind of message.
+func (n *Node) messageVar() expvar.Var {
+	counts := new(expvar.Map)
+	for kind, bytes := range n.traffic.Kinds() {
+		counts.Add(kind, bytes)
+	}
+	return counts
+}
