--- /dev/null
+++ b/connection/peer/traffic.go
@@ -0,0 +1,89 @@
+package peer
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"sync/atomic"
+
+	"google.golang.org/grpc/stats"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/stoatmount/stoatmount/connection/peer/peerpb"
+)
+
+// frameBytes is the size of an HTTP/2 frame header, in bytes.
+const frameBytes = 9
+
+// Traffic counts the bytes of messages between routers, with the framing of
+// gRPC and HTTP/2 but without that of TLS, TCP and IP.
+type Traffic struct {
+	sent     atomic.Int64
+	received atomic.Int64
+	batches  atomic.Int64
+
+	mu    sync.Mutex // leaf; guards kinds
+	kinds map[string]int64
+}
+
+// note counts the messages of a batch that is sent, by their kind.
+func (t *Traffic) note(batch *peerpb.Batch) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.kinds == nil {
+		t.kinds = make(map[string]int64)
+	}
+	for _, message := range batch.GetEnvelopes() {
+		t.kinds[kindOf(message)] += int64(proto.Size(message))
+	}
+}
+
+// kindOf returns the name of the message's body in peer.proto.
+func kindOf(message *peerpb.Envelope) string {
+	reflected := message.ProtoReflect()
+	field := reflected.WhichOneof(reflected.Descriptor().Oneofs().Get(0))
+	if field == nil {
+		return "none"
+	}
+	return string(field.Name())
+}
+
+// Kinds returns the bytes of the messages sent since start, by kind and
+// without framing.
+func (t *Traffic) Kinds() map[string]int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return maps.Clone(t.kinds)
+}
+
+// Sent returns the bytes sent since start.
+func (t *Traffic) Sent() int64 { return t.sent.Load() }
+
+// Received returns the bytes received since start.
+func (t *Traffic) Received() int64 { return t.received.Load() }
+
+// Batches returns the number of batches sent and received since start.
+func (t *Traffic) Batches() int64 { return t.batches.Load() }
+
+// TagRPC implements stats.Handler.
+func (t *Traffic) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context { return ctx }
+
+// TagConn implements stats.Handler.
+func (t *Traffic) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
+
+// HandleConn implements stats.Handler.
+func (t *Traffic) HandleConn(context.Context, stats.ConnStats) {}
+
+// HandleRPC implements stats.Handler.
+func (t *Traffic) HandleRPC(_ context.Context, s stats.RPCStats) {
+	switch event := s.(type) {
+	case *stats.InPayload:
+		t.received.Add(int64(event.WireLength + frameBytes))
+		t.batches.Add(1)
+	case *stats.OutPayload:
+		t.sent.Add(int64(event.WireLength + frameBytes))
+		t.batches.Add(1)
+	case *stats.InHeader:
+		t.received.Add(int64(event.WireLength + frameBytes))
+	}
+}
