Ask the directory when a token cannot be trusted, and give hints urgent queues

Cause: an entry that had a token never asked the chat's home. After an upgrade the token named an endpoint that had left or restarted, while the directory knew where the cache had been moved. The admission owner told the length of the whole queue, archive work included, so that endpoints looked too late.

Change: Chooser.Trusted says whether a token's place can be relied on; the node asks the home if not. Places carry their time. A chat whose history holds an answer counts as returning. The owner tells Queue.Urgent and SetFull.

--- a/lab/measure/product.go
+++ b/lab/measure/product.go
@@ -130,6 +130,10 @@
 			Endpoint: told.Endpoint, Boot: told.Boot, Tokens: told.Tokens, At: told.Issued, Reason: choose.ReasonToken,
 		})
 	}
+	if len(known) > 0 && p.routers[r.router].chooser.Trusted(p.f.loop.now, &known[0]) {
+		return known
+	}
+	p.f.stats.placeQueries++
 	if e, ok := p.homeOf(r.chat.key).home.Get(r.chat.key); ok {
 		known = append(known, choose.Known{
 			Endpoint: e.Endpoint, Boot: e.Boot, Tokens: e.Tokens, Confidence: e.Confidence, At: e.At, Reason: choose.ReasonDirectory,
--- a/lab/measure/stats.go
+++ b/lab/measure/stats.go
@@ -71,6 +71,7 @@
 
 	asks         int
 	placeUpdates int
+	placeQueries int
 	movedAhead   int
 	requests     int
 }
--- a/process/admission/endpoint.go
+++ b/process/admission/endpoint.go
@@ -81,6 +81,7 @@
 	if settings == nil || e.leaving || o.snap.EndpointOut(e.name) {
 		return l
 	}
+	e.queue.SetFull(settings.Bears)
 	l.cold = e.warm.cold(settings)
 	l.coldCap = e.warm.cap(settings)
 	l.capacity = min(settings.Bears, l.coldCap, meanCap(o.snap.Config.Limits.MeanMultiple, o.mean(now, settings)))
@@ -307,7 +308,7 @@
 func (o *Owner) decision(e *endpoint, l limit, r *Request) Decision {
 	return Decision{
 		From: r.From, Call: r.Call, Endpoint: r.Endpoint,
-		Load: len(e.permits), Cap: l.capacity, Queue: len(e.waiting), Cold: l.cold, Boot: e.warm.boot,
+		Load: len(e.permits), Cap: l.capacity, Queue: e.queue.Urgent(), Cold: l.cold, Boot: e.warm.boot,
 	}
 }
 
--- a/process/admission/message.go
+++ b/process/admission/message.go
@@ -45,7 +45,7 @@
 	RetryAfter time.Duration
 	Load       int // permits held
 	Cap        int // permits allowed
-	Queue      int // requests waiting
+	Queue      int // requests waiting, without those that can wait
 	Cold       bool
 	Boot       uint64 // of the endpoint
 }
--- a/process/node/acquire.go
+++ b/process/node/acquire.go
@@ -148,6 +148,7 @@
 		Prompt:   a.job.PromptTokens,
 		Serve:    a.node.durations.of(a.job.Kind.Name),
 		Known:    a.known,
+		Returns:  a.job.Returns(),
 		Tried:    a.avoid,
 	}
 }
--- a/process/node/places.go
+++ b/process/node/places.go
@@ -13,8 +13,8 @@
 )
 
 // knownPlaces returns where the chat's prefix may be cached: what the caller's
-// token says, what the directory of the chat's home says, and what this router
-// has seen in cache events.
+// token says, what this router has seen in cache events and, unless the first
+// of these can be trusted, what the directory of the chat's home says.
 func (n *Node) knownPlaces(ctx context.Context, now time.Time, job *serve.Job) []choose.Known {
 	chat := job.ChatID()
 	if chat == 0 || job.Kind.Model == "" {
@@ -23,15 +23,18 @@
 	var known []choose.Known
 	if n.signer != nil && job.Place != "" {
 		if p, ok := n.signer.Open(now, chat, job.Place); ok {
-			known = append(known, choose.Known{Endpoint: p.Endpoint, Boot: p.Boot, Tokens: p.Tokens, Reason: choose.ReasonToken})
+			known = append(known, choose.Known{
+				Endpoint: p.Endpoint, Boot: p.Boot, Tokens: p.Tokens, At: p.Issued, Reason: choose.ReasonToken,
+			})
 		}
 	}
 	if entry, ok := n.directory.Get(chat); ok {
 		known = append(known, choose.Known{
-			Endpoint: entry.Endpoint, Boot: entry.Boot, Tokens: entry.Tokens, Confidence: entry.Confidence, Reason: choose.ReasonEvents,
+			Endpoint: entry.Endpoint, Boot: entry.Boot, Tokens: entry.Tokens, Confidence: entry.Confidence, At: entry.At, Reason: choose.ReasonEvents,
 		})
 	}
-	if len(known) > 0 {
+	chooser := n.chooser.Load()
+	if len(known) > 0 && chooser != nil && chooser.Trusted(now, &known[0]) {
 		return known
 	}
 	if found, ok := n.askDirectory(ctx, now, chat); ok {
@@ -55,7 +58,10 @@
 		return choose.Known{}, false
 	}
 	r := reply.GetPlaceReply()
-	return choose.Known{Endpoint: r.GetEndpoint(), Boot: r.GetBoot(), Tokens: int(r.GetTokens()), Reason: choose.ReasonDirectory}, true
+	age := time.Duration(r.GetAgeMs()) * time.Millisecond
+	return choose.Known{
+		Endpoint: r.GetEndpoint(), Boot: r.GetBoot(), Tokens: int(r.GetTokens()), At: now.Add(-age), Reason: choose.ReasonDirectory,
+	}, true
 }
 
 func chatKey(chat place.Chat) string {
--- a/request/choose/choose.go
+++ b/request/choose/choose.go
@@ -194,6 +194,18 @@
 	return plan
 }
 
+// Trusted reports whether known can be relied on without asking the directory:
+// its endpoint is usable and, as far as this router has learned, has not
+// restarted since.
+func (c *Chooser) Trusted(now time.Time, known *Known) bool {
+	i, ok := c.byName[known.Endpoint]
+	if !ok || c.snapshot.IndexOut(i) || !c.hints[i].usable(now.UnixNano()) {
+		return false
+	}
+	s := c.hints[i].read(now)
+	return known.Boot != 0 && known.Boot == s.load.Boot
+}
+
 // addPresumed adds the default endpoint of a chat of which no usable place is
 // known, as the directory is told of all other places. It does not if the
 // default is a known place, which then has lost its cache.
--- a/request/queue/queue.go
+++ b/request/queue/queue.go
@@ -154,6 +154,9 @@
 // Done tells that a permit of workspace was given back after hold.
 func (q *Queue) Done(workspace string, hold time.Duration) {
 	q.spaces.done(workspace)
+	if hold <= 0 {
+		return // the permit was never used
+	}
 	q.hold += time.Duration(holdWeight * float64(hold-q.hold))
 }
 
--- a/request/serve/job.go
+++ b/request/serve/job.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"bytes"
 	"net/http"
 	"strings"
 	"time"
@@ -46,6 +47,15 @@
 	return place.ChatOf(j.Workspace, j.Chat)
 }
 
+// Returns reports whether the chat has had a turn before, as an answer in its
+// history shows.
+func (j *Job) Returns() bool {
+	return j.Chat != "" && bytes.Contains(j.Body, assistantRole)
+}
+
+// assistantRole marks an answer in the history of a chat.
+var assistantRole = []byte(`"assistant"`)
+
 // Repeatable reports whether the request may be sent to endpoints more than
 // once.
 func (j *Job) Repeatable() bool {
