--- /dev/null
+++ b/lab/ledger/measure_test.go
@@ -0,0 +1,26 @@
+package ledger
+
+import (
+	"encoding/json"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// maxAppends is the bound for the whole fleet at 2,000 requests a second with a
+// tenth of them non-idempotent.
+const maxAppends = 200
+
+func TestAppendsStayWithinTheBudget(t *testing.T) {
+	c := qt.New(t)
+	o := DefaultOptions()
+	o.Rates, o.Seconds = []int{2000}, 20
+	result, err := Measure(o)
+	c.Assert(err, qt.IsNil)
+	p := result.Points[0]
+	text, err := json.Marshal(p)
+	c.Assert(err, qt.IsNil)
+	t.Logf("%s", text)
+	c.Check(p.Claims > 3000, qt.IsTrue)
+	c.Check(p.BusiestSecond <= maxAppends, qt.IsTrue, qt.Commentf("%d", p.BusiestSecond))
+}
--- a/process/ledger/shard.go
+++ b/process/ledger/shard.go
@@ -181,6 +181,10 @@
 
 func (s *Shard) enqueue(w *waiting) {
 	s.queue = append(s.queue, w)
+	s.signalKick()
+}
+
+func (s *Shard) signalKick() {
 	select {
 	case s.kick <- struct{}{}:
 	default:
@@ -243,9 +247,9 @@
 
 // unsettledLocked returns the result of a claim that could not be recorded.
 func (s *Shard) unsettledLocked(c Claim) Result {
-	alone := s.ready && s.fold.keys[c.Key] == nil && s.fold.admit(c.Key) == Unsettled
+	alone := s.ready && s.fold.keys[c.Key] == nil && s.fold.admit(c.Key) != TooOld
 	for _, w := range append(s.queue[:len(s.queue):len(s.queue)], s.sent...) {
-		if w.record.Key == c.Key && w.record.Attempt != c.Attempt {
+		if w.record.Key == c.Key && w.record.Attempt != c.Attempt && w.mayRun() {
 			alone = false
 		}
 	}
@@ -253,6 +257,16 @@
 	return Result{State: LogDown, NeverTried: never}
 }
 
+// mayRun reports whether the attempt of w may run or have run. One whose claim
+// was answered without having won never will.
+func (w *waiting) mayRun() bool {
+	if w.ticket == nil {
+		return w.record.Op != opRelease
+	}
+	state := w.ticket.Result().State
+	return state == Unsettled || state == Won
+}
+
 // Finish records what became of an attempt, as soon as the log takes it.
 func (s *Shard) Finish(f Finish) {
 	s.mu.Lock()
--- a/process/ledger/tail.go
+++ b/process/ledger/tail.go
@@ -36,7 +36,10 @@
 	}
 }
 
+// runFlush commits as soon as there is something to append, but not more often
+// than once per FlushEvery.
 func (s *Shard) runFlush(ctx context.Context) {
+	var last time.Time
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
@@ -44,21 +47,24 @@
 		case <-s.kick:
 		case <-s.opt.Clock.After(s.opt.Poll):
 		}
-		s.pause(ctx, s.opt.FlushEvery)
-		for s.flushOnce(ctx) {
-			s.pause(ctx, s.opt.FlushEvery)
+		if rest := s.opt.FlushEvery - s.opt.Clock.Since(last); rest > 0 {
+			s.pause(ctx, rest)
 		}
+		last = s.opt.Clock.Now()
+		s.flushOnce(ctx)
 	}
 }
 
-// flushOnce reports whether another group commit should follow.
-func (s *Shard) flushOnce(ctx context.Context) bool {
+// flushOnce makes one group commit and asks for another if records are left.
+func (s *Shard) flushOnce(ctx context.Context) {
 	tried, err := s.Flush(ctx)
 	if err != nil {
 		s.opt.Logger.V(1).Info("ledger append failed", "stream", s.stream, "error", err.Error())
 		s.pause(ctx, retryAfter)
 	}
-	return tried && ctx.Err() == nil
+	if tried {
+		s.signalKick()
+	}
 }
 
 func (s *Shard) pause(ctx context.Context, d time.Duration) {
