Tell gossip of records before they are acknowledged

Cause: the histories showed that a router whose gossip lags behind what it has acknowledged lets an island serve an old configuration, and that a process may vouch only once it is ready; the node told gossip once per tick and gossiped at once.

--- a/lab/histories/world.go
+++ b/lab/histories/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"time"
@@ -36,6 +37,7 @@
 	routers     = 5
 	shards      = 2
 	freshFor    = 5 * time.Second
+	promise     = 2 * time.Second
 	window      = 20 * time.Second // of the ledger
 	keepRecords = 40 * time.Second // in the log
 	claimWait   = 1500 * time.Millisecond
@@ -155,7 +157,7 @@
 	for i := range h.shards {
 		h.shards[i] = ledger.NewShard(ledger.Options{
 			Log: reach, Clock: w.clock, Checker: w.check1, Logger: logr.Discard(), Window: window,
-			Quiet: func(time.Time) bool { return false },
+			Quiet: func(shard int, since time.Time) bool { return w.onlyAppender(h, shard, since) },
 		}, i)
 	}
 	w.hosts[r] = h
@@ -164,6 +166,13 @@
 	w.every(h, ledgerEvery, w.serveLedger)
 }
 
+// onlyAppender is the rule of package node.
+func (w *world) onlyAppender(h *host, shard int, since time.Time) bool {
+	shares := h.table.Shares(w.fleet.Now)
+	alone := shares.Counted(member.DutyLedger, fmt.Sprint(shard)) == shares.Known
+	return alone && h.table.Since().Add(promise).Before(since)
+}
+
 // every runs fn in the process of h again and again.
 func (w *world) every(h *host, period time.Duration, fn func(*host)) {
 	phase := time.Duration(w.rng.Int64N(int64(period)))
--- a/process/ledger/set_test.go
+++ b/process/ledger/set_test.go
@@ -48,7 +48,7 @@
 	c := qt.New(t)
 	b := newBench(0)
 	quiet := false
-	b.opt.Quiet = func(time.Time) bool { return quiet }
+	b.opt.Quiet = func(int, time.Time) bool { return quiet }
 	s := b.open(c)
 	c.Assert(b.log.Faults().On(fault.Fault{Name: fault.Outage}), qt.IsNil)
 	key := keyAt(b.clock.Now(), 1)
--- a/process/ledger/shard.go
+++ b/process/ledger/shard.go
@@ -26,11 +26,11 @@
 	Poll        time.Duration // wait of one read of the log
 	AnswerBytes int           // bound of a shard's stored answers
 
-	// Quiet reports whether no other router can have appended to the log after
-	// since: all known routers were heard later, and none had read the log. It
-	// lets a refusal during an outage say that the request was not run. It may
-	// be nil.
-	Quiet func(since time.Time) bool
+	// Quiet reports whether no other router can have appended claims to a shard
+	// after since, as all known routers take this one for the appender. It lets
+	// a refusal during an outage say that the request was not run. It may be
+	// nil.
+	Quiet func(shard int, since time.Time) bool
 }
 
 // Defaults of Options.
@@ -106,6 +106,7 @@
 // Shard appends to one shard and follows it. It is safe for concurrent use.
 type Shard struct {
 	opt    Options
+	number int
 	stream string
 	kick   chan struct{} // there is something to append
 
@@ -136,6 +137,7 @@
 func NewShard(o Options, shard int) *Shard {
 	return &Shard{
 		opt:     o.withDefaults(),
+		number:  shard,
 		stream:  Stream(shard),
 		kick:    make(chan struct{}, 1),
 		waiters: make(map[AttemptID][]*Ticket),
@@ -253,7 +255,7 @@
 			alone = false
 		}
 	}
-	never := alone && s.opt.Quiet != nil && s.opt.Quiet(s.end)
+	never := alone && s.opt.Quiet != nil && s.opt.Quiet(s.number, s.end)
 	return Result{State: LogDown, NeverTried: never}
 }
 
--- a/process/node/configuration.go
+++ b/process/node/configuration.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -63,11 +64,22 @@
 		"endpoints", len(snapshot.Config.Endpoints), "out", len(snapshot.Out))
 }
 
-// exchangeNews passes what gossip tells of the config stream to the follower
-// and the other way round.
+// tellNews passes what the follower knows of the config stream to gossip.
+func (n *Node) tellNews(status configlog.Status) {
+	n.members.Tell(member.News{Version: uint64(status.Version), End: uint64(status.KnownEnd), LogReadAt: status.LogRead})
+}
+
+// onlyAppender reports whether every known router has asked this one alone for
+// the claims of a shard since a time.
+func (n *Node) onlyAppender(shard int, since time.Time) bool {
+	now := n.clock.Now()
+	shares := n.members.Shares(now)
+	alone := shares.Counted(member.DutyLedger, strconv.Itoa(shard)) == shares.Known
+	return alone && n.members.Since().Add(n.settings.Member.Promise.Std()).Before(since)
+}
+
+// exchangeNews passes what gossip tells of the config stream to the follower.
 func (n *Node) exchangeNews(now time.Time) {
-	status := n.follower.Status()
-	n.members.Tell(member.News{Version: uint64(status.Version), End: uint64(status.Next), LogReadAt: status.LogRead})
 	news := n.members.News()
 	heard := configlog.News{End: platform.Offset(news.End), LogRead: news.LogReadAt}
 	if age := n.members.HeardMajority(now); age < n.settings.Member.Fresh.Std() {
--- a/process/node/handle.go
+++ b/process/node/handle.go
@@ -21,7 +21,9 @@
 	now := n.clock.Now()
 	switch body := message.GetBody().(type) {
 	case *peerpb.Envelope_Gossip:
-		n.gossip(n.members.Receive(now, from, body.Gossip))
+		if replies := n.members.Receive(now, from, body.Gossip); n.follower.Ready() {
+			n.gossip(replies)
+		}
 	case *peerpb.Envelope_PermitRequest:
 		n.handlePermit(now, from, body.PermitRequest, reply)
 	case *peerpb.Envelope_Release:
--- a/process/node/loops.go
+++ b/process/node/loops.go
@@ -60,7 +60,10 @@
 
 // tick gossips and moves what depends on membership.
 func (n *Node) tick(_ context.Context, now time.Time) {
-	n.gossip(n.members.Tick(now))
+	messages := n.members.Tick(now)
+	if n.follower.Ready() {
+		n.gossip(messages)
+	}
 	n.roster.learn(now, n.members.Live(now))
 	n.exchangeNews(now)
 	majority := n.members.HeardMajority(now) < n.settings.Member.DeadAfter.Std()
--- a/process/node/provision.go
+++ b/process/node/provision.go
@@ -138,9 +138,11 @@
 		Checker: n.check,
 		Logger:  n.log.WithName("config"),
 		Fresh:   n.settings.Member.Fresh.Std(),
+		Tell:    n.tellNews,
 	})
 	n.ledger = ledger.NewSet(ledger.Options{
 		Log: n.logs, Clock: n.clock, Checker: n.check, Logger: n.log.WithName("ledger"), Window: ledgerWindow,
+		Quiet: n.onlyAppender,
 	})
 	n.follower.Subscribe(n.applySnapshot)
 }
