--- a/process/ledger/tail.go
+++ b/process/ledger/tail.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
 	"github.com/stoatmount/stoatmount/connection/platform"
+	"github.com/stoatmount/stoatmount/process/invariant"
 	"github.com/stoatmount/stoatmount/request/outcome"
 )
 
@@ -34,7 +36,10 @@
 	}
 }
 
+// runFlush commits as soon as there is something to append, but not more often
+// than once per FlushEvery.
 func (s *Shard) runFlush(ctx context.Context) {
+	var last time.Time
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
@@ -42,21 +47,24 @@
 		case <-s.kick:
 		case <-s.opt.Clock.After(s.opt.Poll):
 		}
-		s.pause(ctx, s.opt.FlushEvery)
-		for s.flushOnce(ctx) {
-			s.pause(ctx, s.opt.FlushEvery)
+		if rest := s.opt.FlushEvery - s.opt.Clock.Since(last); rest > 0 {
+			s.pause(ctx, rest)
 		}
+		last = s.opt.Clock.Now()
+		s.flushOnce(ctx)
 	}
 }
 
-// flushOnce reports whether another group commit should follow.
-func (s *Shard) flushOnce(ctx context.Context) bool {
+// flushOnce makes one group commit and asks for another if records are left.
+func (s *Shard) flushOnce(ctx context.Context) {
 	tried, err := s.Flush(ctx)
 	if err != nil {
 		s.opt.Logger.V(1).Info("ledger append failed", "stream", s.stream, "error", err.Error())
 		s.pause(ctx, retryAfter)
 	}
-	return tried && ctx.Err() == nil
+	if tried {
+		s.signalKick()
+	}
 }
 
 func (s *Shard) pause(ctx context.Context, d time.Duration) {
@@ -201,12 +209,24 @@
 	if !ok || !event.Claim {
 		return
 	}
+	result := event.Result
+	if event.Second {
+		s.fail(event)
+		result = Result{State: Lost}
+	}
 	for _, t := range s.waiters[event.Attempt] {
-		t.settle(event.Result)
+		t.settle(result)
 	}
 	delete(s.waiters, event.Attempt)
 }
 
+// fail reports a second winner for a key.
+func (s *Shard) fail(event Event) {
+	s.opt.Checker.Check(false, invariant.AtMostOnce, func() string {
+		return fmt.Sprintf("%s: attempt %x won key %s, as another had", s.stream, event.Attempt, event.Key)
+	})
+}
+
 // settleSentLocked drops the records that are known to be in the log and
 // appends those again of which the log's end, read at asked, shows that they
 // are not.
--- /dev/null
+++ b/process/node/status.go
@@ -0,0 +1,136 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/stoatmount/stoatmount/connection/operator"
+	"github.com/stoatmount/stoatmount/connection/operator/api"
+	"github.com/stoatmount/stoatmount/connection/peer/peerpb"
+	tlsfiles "github.com/stoatmount/stoatmount/process/credentials"
+	"github.com/stoatmount/stoatmount/process/member"
+)
+
+// statusPeers implements operator.Peers.
+type statusPeers struct {
+	node *Node
+}
+
+// Members implements operator.Peers.
+func (p statusPeers) Members() []member.Member {
+	return p.node.members.Live(p.node.clock.Now())
+}
+
+// Status implements operator.Peers.
+func (p statusPeers) Status(ctx context.Context, to member.Member, counters bool) ([]byte, error) {
+	reply, err := p.node.links.Call(ctx, to.Peer, &peerpb.Envelope{Body: &peerpb.Envelope_StatusQuery{
+		StatusQuery: &peerpb.StatusQuery{Burn: counters},
+	}})
+	if err != nil {
+		return nil, err
+	}
+	if reply.GetStatusReply() == nil {
+		return nil, errors.Errorf("router %s sent no status", to.Name)
+	}
+	return reply.GetStatusReply().GetJson(), nil
+}
+
+func (n *Node) provisionOperators() (err error) {
+	n.gather = operator.NewGather(operator.GatherOptions{
+		Clock: n.clock, Peers: statusPeers{n}, Self: n.status, Recorder: n.recorder, Keeper: n.keeper, Snapshot: n.follower.Snapshot,
+	})
+	controller := operator.Process{Changes: operator.Changes{Follower: n.follower}, Gather: n.gather, Metrics: n.Vars}
+	n.operator, err = operator.New(controller, n.settings.Access.OperatorKeyHash, n.settings.Access.OpenOnLoopback, n.log.WithName("operator"))
+	return err
+}
+
+// statusReply answers another router's question.
+func (n *Node) statusReply(m *peerpb.StatusQuery) *peerpb.Envelope {
+	data, err := n.gather.Answer(m.GetBurn())
+	if err != nil {
+		n.log.Error(err, "status")
+	}
+	return &peerpb.Envelope{Body: &peerpb.Envelope_StatusReply{StatusReply: &peerpb.StatusReply{Json: data}}}
+}
+
+// status returns the state of this router.
+func (n *Node) status(now time.Time) api.Router {
+	s := api.Router{
+		Name: n.self.Name, Boot: n.self.Boot, Zone: n.self.Zone, Region: n.self.Region,
+		Started: n.started, At: now, Draining: n.drain.leaving(), Health: n.health(),
+		ConfigVersion: n.follower.Status().Version, ConfigFresh: n.follower.Fresh(now), LogAgeMs: -1,
+		InProgress:            int(n.inProgress.Load()),
+		ControlBytesPerSecond: float64(n.figures.controlRate.Load()),
+		InvariantViolations:   n.check.Total(),
+		MemoryBytes:           memoryBytes(),
+		Kinds:                 n.figures.kinds(),
+	}
+	if confirmed := n.follower.Status().Confirmed; !confirmed.IsZero() {
+		s.LogAgeMs = now.Sub(confirmed).Milliseconds()
+	}
+	if view := n.members.View(); view != nil {
+		s.View, s.ViewMembers = uint64(view.ID), len(view.Members)
+	}
+	s.Endpoints = n.endpointStatus(now)
+	for _, e := range s.Endpoints {
+		s.Waiting += e.Waiting
+	}
+	return s
+}
+
+func (n *Node) health() string {
+	switch {
+	case n.drain.leaving():
+		return "leaving"
+	case n.Ready():
+		return "ready"
+	default:
+		return "not ready"
+	}
+}
+
+func (n *Node) endpointStatus(now time.Time) []api.Endpoint {
+	var endpoints []api.Endpoint
+	for _, s := range n.owner.Status(now) {
+		if !n.owns(now, member.DutyAdmission, s.Endpoint) {
+			continue
+		}
+		e := api.Endpoint{
+			Name: s.Endpoint, Permits: s.Permits, Cap: s.Cap, Waiting: s.Waiting, Cold: s.Cold,
+			Usable: n.owner.Usable(now, s.Endpoint), Running: -1,
+		}
+		if report, ok := n.loads.get(s.Endpoint); ok {
+			e.Running, e.Leaving = report.Running, report.Leaving
+			e.ReportAgeMs = now.Sub(report.At).Milliseconds() + report.AgeMs
+		}
+		endpoints = append(endpoints, e)
+	}
+	return endpoints
+}
+
+// serveOperators answers operators until ctx ends.
+func (n *Node) serveOperators(ctx context.Context) error {
+	server := n.operator.HTTPServer()
+	certificate, err := tlsfiles.Listener(n.settings.TLS.OperatorCert, n.settings.TLS.OperatorKey)
+	if err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	err = serveMaybeTLS(server, n.listen.operator, certificate != nil, n.settings.TLS.OperatorCert, n.settings.TLS.OperatorKey)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+func serveMaybeTLS(server *http.Server, listener net.Listener, secure bool, cert, key string) error {
+	if secure {
+		return server.ServeTLS(listener, cert, key)
+	}
+	return server.Serve(listener)
+}
