--- a/process/admission/config.go
+++ b/process/admission/config.go
@@ -36,9 +36,9 @@
 		DispatchWindow: 250 * time.Millisecond,
 		Settle:         350 * time.Millisecond,
 		ReportStale:    5 * time.Second,
-		MeanStale:      5 * time.Second,
+		MeanStale:      3 * time.Second,
 		MeanEvery:      250 * time.Millisecond,
-		MeanKeepAlive:  2 * time.Second,
+		MeanKeepAlive:  time.Second,
 		QueueBound:     queue.DefaultBound,
 	}
 }
@@ -53,6 +53,10 @@
 // implements it.
 type Queue interface {
 	Len() int
+	// Urgent returns the number of waiting items that cannot wait.
+	Urgent() int
+	// SetFull tells the number of permits that the warm endpoint bears.
+	SetFull(permits int)
 	// Push adds an item; limit permits exist in total. It returns what has to
 	// be refused because of it, possibly the item itself.
 	Push(now time.Time, item queue.Item, limit int) (queue.Refused, bool)
