Use connections to endpoints again after a stream

Cause: a profile of one routed request (lab/speed, BenchmarkRouted) showed a dial per request: the body was closed right after the end mark, before its end. The benchmark warms the router first.

--- a/connection/endpoint/watchdog.go
+++ b/connection/endpoint/watchdog.go
@@ -71,3 +71,21 @@
 	b.cancel(nil)
 	return b.inner.Close()
 }
+
+const (
+	// drainTime is the wait for the end of an answer after its end mark.
+	drainTime = 50 * time.Millisecond
+	// drainBytes bounds what may come after the end mark.
+	drainBytes = 4 << 10
+)
+
+// Drain reads the rest of an answer that is known to be whole, so that its
+// connection can be used again. It does not wait for long.
+func (a *Answer) Drain() {
+	body, ok := a.Body.(*watchedBody)
+	if !ok {
+		return
+	}
+	body.between = drainTime
+	_, _ = io.CopyN(io.Discard, body, drainBytes)
+}
--- a/lab/speed/speed_test.go
+++ b/lab/speed/speed_test.go
@@ -30,6 +30,9 @@
 		b.Fatal(err)
 	}
 	defer measured.close()
+	if err := measured.warm(ctx); err != nil {
+		b.Fatal(err)
+	}
 	t, data := pick(measured), body(costTokens)
 	b.ReportAllocs()
 	for b.Loop() {
--- a/request/serve/stream.go
+++ b/request/serve/stream.go
@@ -25,6 +25,9 @@
 // the same endpoint if it can.
 func (s *Server) passStream(ctx context.Context, x *exchangeState) *outcome.Refusal {
 	refusal := s.passEvents(ctx, x, x.answer.Body, x.done.stream.events > 0)
+	if refusal == nil {
+		x.answer.Drain()
+	}
 	for resumes := 0; resumes < maxResumes && broken(refusal) && ctx.Err() == nil; resumes++ {
 		answer, err := s.client.Resume(ctx, x.request, x.done.stream.events)
 		if err != nil {
