--- a/lab/histories/world.go
+++ b/lab/histories/world.go
@@ -37,7 +37,6 @@
 	routers     = 5
 	shards      = 2
 	freshFor    = 5 * time.Second
-	promise     = 2 * time.Second
 	window      = 20 * time.Second // of the ledger
 	keepRecords = 40 * time.Second // in the log
 	claimWait   = 1500 * time.Millisecond
@@ -157,7 +156,9 @@
 	for i := range h.shards {
 		h.shards[i] = ledger.NewShard(ledger.Options{
 			Log: reach, Clock: w.clock, Checker: w.check1, Logger: logr.Discard(), Window: window,
-			Quiet: func(shard int, since time.Time) bool { return w.onlyAppender(h, shard, since) },
+			Quiet: func(shard int, since time.Time) bool {
+				return h.table.SoleOwner(w.fleet.Now, member.DutyLedger, fmt.Sprint(shard), since)
+			},
 		}, i)
 	}
 	w.hosts[r] = h
@@ -166,13 +167,6 @@
 	w.every(h, ledgerEvery, w.serveLedger)
 }
 
-// onlyAppender is the rule of package node.
-func (w *world) onlyAppender(h *host, shard int, since time.Time) bool {
-	shares := h.table.Shares(w.fleet.Now)
-	alone := shares.Counted(member.DutyLedger, fmt.Sprint(shard)) == shares.Known
-	return alone && h.table.Since().Add(promise).Before(since)
-}
-
 // every runs fn in the process of h again and again.
 func (w *world) every(h *host, period time.Duration, fn func(*host)) {
 	phase := time.Duration(w.rng.Int64N(int64(period)))
--- /dev/null
+++ b/lab/matrix/fleet.go
@@ -0,0 +1,145 @@
+package matrix
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+
+	"github.com/stoatmount/stoatmount/connection/operator/client"
+	"github.com/stoatmount/stoatmount/lab/fleet"
+	"github.com/stoatmount/stoatmount/lab/site"
+	"github.com/stoatmount/stoatmount/process/settings"
+	"github.com/stoatmount/stoatmount/standin/engine"
+	"github.com/stoatmount/stoatmount/standin/service"
+	"github.com/stoatmount/stoatmount/version/config"
+)
+
+// Names in the fleet of the matrix.
+const (
+	workspace   = "team"
+	other       = "others"
+	chatKind    = "adaptation"
+	bookingKind = "booking"
+	modelName   = "scripts"
+	serviceName = "studio"
+	routers     = 3
+)
+
+// Times of the fleet of the matrix.
+const (
+	tokenTime   = 8 * time.Millisecond
+	serviceTime = 150 * time.Millisecond
+	startTime   = 60 * time.Second
+	healTime    = 30 * time.Second
+	healCheck   = 50 * time.Millisecond
+)
+
+// configuration is that of a small site in quick motion.
+func configuration() config.Config {
+	c := config.Config{
+		Zones:      []config.Zone{{Name: "zone-a", Region: "here"}, {Name: "zone-b", Region: "here"}},
+		Models:     []config.Model{{Name: modelName, Version: "1", PrefillPerSecond: 20000, MovePerSecond: 100000}},
+		Services:   []config.Service{{Name: serviceName}},
+		Workspaces: []config.Workspace{{Name: workspace, Share: 1}, {Name: other, Share: 1}},
+		Kinds: []config.Kind{
+			kind(chatKind, modelName, "", false),
+			kind(bookingKind, "", serviceName, true),
+		},
+		Limits: config.Limits{
+			MeanMultiple: 4, LoadLag: config.Duration(100 * time.Millisecond), LedgerWindow: config.Duration(10 * time.Minute),
+			LedgerShards: 2, CrashLimit: 3, RetryShare: 0.5, AddressTTL: config.Duration(200 * time.Millisecond),
+			WeightLoadsPerMinute: 60,
+		},
+	}
+	for _, zone := range []string{"zone-a", "zone-b"} {
+		c.Endpoints = append(c.Endpoints,
+			worker("engine-1-"+zone, zone, modelName, ""), worker("engine-2-"+zone, zone, modelName, ""),
+			worker("service-"+zone, zone, "", serviceName))
+	}
+	return c
+}
+
+func kind(name, model, service string, once bool) config.Kind {
+	return config.Kind{
+		Name: name, Model: model, Service: service, NonIdempotent: once, KeyRequired: once, Worth: 10,
+		FullUntil: config.Duration(2 * time.Second), Deadline: config.Duration(5 * time.Second),
+		FirstByte: config.Duration(time.Second), BetweenBytes: config.Duration(500 * time.Millisecond), Objective: 0.99,
+	}
+}
+
+func worker(name, zone, model, service string) config.Endpoint {
+	return config.Endpoint{
+		Name: name, Zone: zone, Model: model, Service: service, Role: "serve", Bears: 8, ColdBears: 4, WarmAfter: 4,
+		CacheTokens: 20000, ChecksFence: true, Address: netip.MustParseAddrPort("127.0.0.1:1"),
+	}
+}
+
+// bench is a fleet on which cells run one after another.
+type bench struct {
+	fleet    *fleet.Fleet
+	probe    *probe
+	operator *client.Client
+	turn     int // spreads the work over the entries
+}
+
+func newBench(ctx context.Context, seed uint64, prefix string) (*bench, error) {
+	f, err := fleet.Start(fleet.Options{
+		Config: configuration(), Routers: routers, Log: logr.Discard(), Seed: seed,
+		Adjust: func(s *settings.Settings) { s.Limits.Drain = config.Duration(300 * time.Millisecond) },
+		Site: site.Options{
+			Seed:    seed,
+			Engine:  engine.Options{TokenTime: tokenTime},
+			Service: service.Options{Work: serviceTime, RestartAfter: 200 * time.Millisecond},
+		},
+	})
+	if err != nil {
+		return nil, err
+	}
+	b := &bench{fleet: f, probe: newProbe(prefix)}
+	ctx, cancel := context.WithTimeout(ctx, startTime)
+	defer cancel()
+	if err := f.Push(ctx); err != nil {
+		f.Close()
+		return nil, err
+	}
+	b.operator, err = f.Operator("matrix")
+	return b, err
+}
+
+// entry returns the address for callers of the router with number i.
+func (b *bench) entry(i int) string {
+	return b.fleet.Routers[i%routers].Settings.Listen.Caller.String()
+}
+
+// heal ends all faults and waits until a chat and a booking are served again.
+func (b *bench) heal(ctx context.Context) error {
+	b.clear()
+	ctx, cancel := context.WithTimeout(ctx, healTime)
+	defer cancel()
+	if err := b.bringBack(ctx); err != nil {
+		return err
+	}
+	if err := b.fleet.WaitReady(ctx); err != nil {
+		return err
+	}
+	for i := 0; ; i++ {
+		got, _ := b.probe.chat(ctx, b.entry(i), "", nil, nil)
+		once, err := b.probe.newBooking()
+		if err != nil {
+			return err
+		}
+		booked := b.probe.book(ctx, b.entry(i), once)
+		if got.Answered && booked.Answered && i >= routers-1 {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return errors.Errorf("not healed: chat: %s, booking: %s", got.Text, booked.Text)
+		}
+		if !got.Answered || !booked.Answered {
+			time.Sleep(healCheck)
+		}
+	}
+}
--- a/process/member/majority.go
+++ b/process/member/majority.go
@@ -59,3 +59,31 @@
 	slices.Sort(ages)
 	return ages[need-1]
 }
+
+// SoleOwner reports whether every known router has taken this one for the owner
+// of duty on key ever since a time, as far as can be told: all have been heard
+// without a break, as the same processes and in this router's view.
+func (t *Table) SoleOwner(now time.Time, duty Duty, key string, since time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.view == nil || t.listedAt.IsZero() || !t.since.Add(t.cfg.promise(t.view)).Before(since) {
+		return false
+	}
+	if !owns(t.view, t.self, duty, key) {
+		return false
+	}
+	for _, name := range t.names {
+		p := t.peers[name]
+		if t.vouches(p) && !t.boundSince(p, now, since) {
+			return false
+		}
+	}
+	return true
+}
+
+// boundSince reports whether p has been on this router's view alone since a
+// time.
+func (t *Table) boundSince(p *peer, now, since time.Time) bool {
+	alone := p.stance == Stance{View: t.view.ID}
+	return alone && p.stanceSince.Before(since) && p.steadySince.Before(since) && t.alive(p, now)
+}
--- a/process/member/receive.go
+++ b/process/member/receive.go
@@ -140,6 +140,9 @@
 		p.steadySince = at
 	}
 	p.heard = at
+	if p.stance != stance || p.stanceSince.Before(p.steadySince) {
+		p.stanceSince = at
+	}
 	p.stance = stance
 	p.dropped = false
 	p.knownUntil = at.Add(t.cfg.ForgetAfter)
--- a/process/member/table.go
+++ b/process/member/table.go
@@ -42,6 +42,7 @@
 	clockBoot   uint64        // process that clockOffset is for
 	clockOffset time.Duration // smallest difference of our clock and its uptime
 	clockAt     time.Time     // when clockOffset was last adjusted
+	stanceSince time.Time     // first heard in stance without a break
 }
 
 // Table is the membership state of one router. It does no I/O: the caller
--- a/process/node/configuration.go
+++ b/process/node/configuration.go
@@ -72,10 +72,7 @@
 // onlyAppender reports whether every known router has asked this one alone for
 // the claims of a shard since a time.
 func (n *Node) onlyAppender(shard int, since time.Time) bool {
-	now := n.clock.Now()
-	shares := n.members.Shares(now)
-	alone := shares.Counted(member.DutyLedger, strconv.Itoa(shard)) == shares.Known
-	return alone && n.members.Since().Add(n.settings.Member.Promise.Std()).Before(since)
+	return n.members.SoleOwner(n.clock.Now(), member.DutyLedger, strconv.Itoa(shard), since)
 }
 
 // exchangeNews passes what gossip tells of the config stream to the follower.
--- a/standin/engine/chat.go
+++ b/standin/engine/chat.go
@@ -28,15 +28,15 @@
 	var request chatRequest
 	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&request)
 	if err != nil || len(request.Messages) == 0 {
-		e.refuse(w, &refusal{http.StatusBadRequest, "the body must be JSON with messages"})
+		e.refuse(w, r, &refusal{http.StatusBadRequest, "the body must be JSON with messages"})
 		return
 	}
 	if request.MaxTokens > largestMaxTokens {
-		e.refuse(w, &refusal{http.StatusBadRequest, "max_tokens is too large"})
+		e.refuse(w, r, &refusal{http.StatusBadRequest, "max_tokens is too large"})
 		return
 	}
 	if refused := e.strikeBefore(r); refused != nil {
-		e.refuse(w, refused)
+		e.refuse(w, r, refused)
 		return
 	}
 	header := r.Header
@@ -44,7 +44,7 @@
 	s := newSequence(header.Get(protocol.HeaderRequestID), header.Get(protocol.HeaderSession), priority, &request.ChatRequest)
 	s.user = request.User
 	if refused := e.submit(s); refused != nil {
-		e.refuse(w, refused)
+		e.refuse(w, r, refused)
 		return
 	}
 	defer e.detach(s)
@@ -70,7 +70,8 @@
 }
 
 // refuse answers a request that was not run.
-func (e *Engine) refuse(w http.ResponseWriter, refused *refusal) {
+func (e *Engine) refuse(w http.ResponseWriter, r *http.Request, refused *refusal) {
+	w.Header().Set(protocol.HeaderRequestID, r.Header.Get(protocol.HeaderRequestID))
 	w.Header().Set(protocol.HeaderNotRun, "true")
 	http.Error(w, refused.text, refused.status)
 }
--- a/standin/engine/faults_test.go
+++ b/standin/engine/faults_test.go
@@ -50,7 +50,7 @@
 		arrivals int
 		want     seen
 	}{
-		{fault.Refuse, 0, seen{status: http.StatusServiceUnavailable, cleanEnd: true, notRun: true}},
+		{fault.Refuse, 0, seen{status: http.StatusServiceUnavailable, own: true, cleanEnd: true, notRun: true}},
 		{fault.CrashBefore, 0, seen{}},
 		{fault.LostReply, 1, seen{}},
 		{fault.Crossed, 1, seen{status: ok, whole: true, cleanEnd: true}},
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -141,14 +141,14 @@
 func (s *Service) handleRequest(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err != nil {
-		s.refuse(w, http.StatusBadRequest)
+		s.refuse(w, r, http.StatusBadRequest)
 		return
 	}
 	if slow, ok := s.faults.Strike(fault.Slow); ok {
 		s.sleep(r, slow.Delay)
 	}
 	if _, ok := s.faults.Strike(fault.Refuse); ok || s.isLeaving() {
-		s.refuse(w, http.StatusServiceUnavailable)
+		s.refuse(w, r, http.StatusServiceUnavailable)
 		return
 	}
 	if _, ok := s.faults.Strike(fault.CrashBefore); ok {
@@ -166,10 +166,11 @@
 	return s.leaving
 }
 
-func (s *Service) refuse(w http.ResponseWriter, status int) {
+func (s *Service) refuse(w http.ResponseWriter, r *http.Request, status int) {
 	s.mu.Lock()
 	s.record.refused++
 	s.mu.Unlock()
+	w.Header().Set(protocol.HeaderRequestID, r.Header.Get(protocol.HeaderRequestID))
 	w.Header().Set(protocol.HeaderNotRun, "true")
 	http.Error(w, "refused", status)
 }
