--- a/request/choose/choose.go
+++ b/request/choose/choose.go
@@ -71,6 +71,15 @@
 // Overflow goes to the same few endpoints each time, so that it finds caches.
 const rendezvousChoices = 4
 
+// presumedConfidence is the probability that a chat without known place is
+// cached at its default endpoint.
+const presumedConfidence = 0.8
+
+// outdatedConfidence is the probability that a place is still right though a
+// newer one is known, if this router does not know whether the endpoint has
+// restarted since.
+const outdatedConfidence = 0.9
+
 // noEndpointRetry is when a request without usable endpoint should come back.
 const noEndpointRetry = time.Second
 
@@ -172,15 +181,45 @@
 	for i := range in.Known {
 		c.addKnown(now, &plan, &w, in, &in.Known[i])
 	}
+	if w.holder < 0 && in.Returns {
+		c.addPresumed(now, &plan, &w, in)
+	}
 	for k := range best.n {
 		c.addRanked(now, &plan, &w, in, best.index[k], k)
 	}
 	c.addLeastLoad(now, &plan, &w, in, group, key)
 	plan.sort()
 	plan.dropLate(in)
+	plan.setWaits(&w)
 	return plan
 }
 
+// Trusted reports whether known can be relied on without asking the directory:
+// its endpoint is usable and, as far as this router has learned, has not
+// restarted since.
+func (c *Chooser) Trusted(now time.Time, known *Known) bool {
+	i, ok := c.byName[known.Endpoint]
+	if !ok || c.snapshot.IndexOut(i) || !c.hints[i].usable(now.UnixNano()) {
+		return false
+	}
+	s := c.hints[i].read(now)
+	return known.Boot != 0 && known.Boot == s.load.Boot
+}
+
+// addPresumed adds the default endpoint of a chat of which no usable place is
+// known, as the directory is told of all other places. It does not if the
+// default is a known place, which then has lost its cache.
+func (c *Chooser) addPresumed(now time.Time, plan *Plan, w *weigher, in *Input) {
+	name := c.Default(in.Kind.Group(), in.Chat)
+	for i := range in.Known {
+		if in.Known[i].Endpoint == name {
+			return
+		}
+	}
+	presumed := Known{Endpoint: name, Tokens: in.Prompt, Confidence: presumedConfidence, Reason: ReasonRendezvous}
+	c.addKnown(now, plan, w, in, &presumed)
+}
+
 // refuse says why no endpoint of the group called name is usable.
 func (c *Chooser) refuse(plan *Plan, name string) {
 	plan.Code = outcome.NoEndpoint
@@ -226,6 +265,9 @@
 	if confidence == 0 {
 		confidence = 1
 	}
+	if in.newerElsewhere(known) {
+		confidence *= outdatedConfidence
+	}
 	w.hold(i, cached, confidence)
 	plan.add(w.weigh(e, &s, known.Reason, int(float64(cached)*confidence)))
 }
