Ask the next home of a fingerprint when the home does not answer

Cause: while the home of a body was dead and not yet out of the view, entries ran the body unasked and their reports of its crashes went to the dead home. Each router then lost an endpoint of its own.

Change: an entry that gets no answer asks the next home, which keeps copies on one endpoint and runs no suspect (Table.Standby); a loss is told to both homes. stoatctl measure crash measures the bound.

--- a/lab/measure/measure.go
+++ b/lab/measure/measure.go
@@ -35,6 +35,7 @@
 		{"reuse", "cache reuse with and without churn, against an oracle", measureReuse},
 		{"surge", "load skew and waits while a workspace surges", measureSurge},
 		{"zone", "requests in time while a zone goes out and returns", measureZone},
+		{"crash", "endpoints lost to a body that crashes whatever runs it", measureCrash},
 	}
 }
 
--- a/process/node/handle.go
+++ b/process/node/handle.go
@@ -125,13 +125,14 @@
 // handleSuspect answers as home of a fingerprint, or learns what another home
 // spreads.
 func (n *Node) handleSuspect(now time.Time, m *peerpb.Suspect, reply peer.Reply) {
-	if reply == nil && !n.homeOf(now, suspect.Fingerprint(m.GetFingerprint())) {
+	home := n.homeOf(now, suspect.Fingerprint(m.GetFingerprint()))
+	switch {
+	case reply != nil:
+		result := n.answerSuspect(now, m)
+		answer(reply, &peerpb.Envelope{Body: &peerpb.Envelope_SuspectReply{SuspectReply: result}})
+	case home:
+		n.spread(now, n.suspects.Handle(now, m))
+	default:
 		n.suspects.Learn(now, m)
-		return
-	}
-	result := n.suspects.Handle(now, m)
-	n.spread(now, result)
-	if result.Reply != nil {
-		answer(reply, &peerpb.Envelope{Body: &peerpb.Envelope_SuspectReply{SuspectReply: result.Reply}})
 	}
 }
--- a/process/node/suspects.go
+++ b/process/node/suspects.go
@@ -67,41 +67,88 @@
 	return outcome.NotRun(outcome.EndpointAtCap, "the request has to run at endpoint %s", a.must)
 }
 
-// askHome asks the home of the message's fingerprint. It returns nil if there
-// is no answer.
+// askHome asks the home of the message's fingerprint and, if it does not
+// answer, the next home. It returns nil if neither answers.
 func (n *Node) askHome(ctx context.Context, m *peerpb.Suspect) *peerpb.SuspectReply {
 	now := n.clock.Now()
 	home, ok := n.members.OwnerFor(now, member.DutySuspect, suspect.Fingerprint(m.GetFingerprint()).Key())
 	if !ok {
 		return nil
 	}
-	if home.Name == n.self.Name {
-		result := n.suspects.Handle(now, m)
-		n.spread(now, result)
-		return result.Reply
+	if reply := n.askSuspect(ctx, home, m); reply != nil {
+		return reply
+	}
+	next, ok := n.nextHome(now, home, m)
+	if !ok {
+		return nil
+	}
+	return n.askSuspect(ctx, next, m)
+}
+
+// nextHome returns the member that would be home of the message's fingerprint
+// without home.
+func (n *Node) nextHome(now time.Time, home member.Member, m *peerpb.Suspect) (member.Member, bool) {
+	var others []member.Member
+	for _, other := range n.members.Live(now) {
+		if other.Name != home.Name {
+			others = append(others, other)
+		}
+	}
+	return member.NewView(others).Owner(member.DutySuspect, suspect.Fingerprint(m.GetFingerprint()).Key())
+}
+
+// askSuspect asks one router about a fingerprint. It returns nil if there is no
+// answer.
+func (n *Node) askSuspect(ctx context.Context, asked member.Member, m *peerpb.Suspect) *peerpb.SuspectReply {
+	if asked.Name == n.self.Name {
+		return n.answerSuspect(n.clock.Now(), m)
 	}
 	ctx, cancel := context.WithTimeout(ctx, homeTime)
 	defer cancel()
-	reply, err := n.links.Call(ctx, home.Peer, &peerpb.Envelope{Body: &peerpb.Envelope_Suspect{Suspect: m}})
+	reply, err := n.links.Call(ctx, asked.Peer, &peerpb.Envelope{Body: &peerpb.Envelope_Suspect{Suspect: m}})
 	if err != nil {
 		return nil
 	}
 	return reply.GetSuspectReply()
 }
 
-// tellSuspectHome tells the home how a request went.
+// answerSuspect answers as the home of a fingerprint or, to a router that
+// cannot reach the home, as the next one.
+func (n *Node) answerSuspect(now time.Time, m *peerpb.Suspect) *peerpb.SuspectReply {
+	if !n.homeOf(now, suspect.Fingerprint(m.GetFingerprint())) {
+		return n.suspects.Standby(now, m).Reply
+	}
+	result := n.suspects.Handle(now, m)
+	n.spread(now, result)
+	return result.Reply
+}
+
+// tellSuspectHome tells the home how a request went. A loss is told to the
+// next home as well, in case the home is lost too.
 func (n *Node) tellSuspectHome(m *peerpb.Suspect) {
 	now := n.clock.Now()
 	home, ok := n.members.OwnerFor(now, member.DutySuspect, suspect.Fingerprint(m.GetFingerprint()).Key())
-	switch {
-	case !ok:
-	case home.Name == n.self.Name:
+	if !ok {
+		return
+	}
+	if m.GetCrashed() {
+		n.tellNextHome(now, home, m)
+	}
+	if home.Name == n.self.Name {
 		n.spread(now, n.suspects.Handle(now, m))
-	default:
-		if m.GetCrashed() {
-			n.suspects.Learn(now, m)
-		}
-		n.links.Send(home.Peer, &peerpb.Envelope{Body: &peerpb.Envelope_Suspect{Suspect: m}})
+		return
+	}
+	n.links.Send(home.Peer, &peerpb.Envelope{Body: &peerpb.Envelope_Suspect{Suspect: m}})
+}
+
+// tellNextHome tells a loss to the next home, and remembers it here.
+func (n *Node) tellNextHome(now time.Time, home member.Member, m *peerpb.Suspect) {
+	if home.Name != n.self.Name {
+		n.suspects.Learn(now, m)
+	}
+	next, ok := n.nextHome(now, home, m)
+	if ok && next.Name != n.self.Name {
+		n.links.Send(next.Peer, &peerpb.Envelope{Body: &peerpb.Envelope_Suspect{Suspect: m}})
 	}
 }
 
@@ -127,13 +174,7 @@
 	if result.Spread == suspect.SpreadAll {
 		return n.roster.others()
 	}
-	var others []member.Member
-	for _, m := range n.members.Live(now) {
-		if m.Name != n.self.Name {
-			others = append(others, m)
-		}
-	}
-	next, ok := member.NewView(others).Owner(member.DutySuspect, suspect.Fingerprint(result.Notice.GetFingerprint()).Key())
+	next, ok := n.nextHome(now, n.self, result.Notice)
 	if !ok {
 		return nil
 	}
--- a/process/suspect/suspect_test.go
+++ b/process/suspect/suspect_test.go
@@ -102,6 +102,17 @@
 	c.Check(ask(table, testNow.Add(time.Second), 7, "b").WaitMs, qt.Equals, uint32(0))
 }
 
+func TestStandbyRunsNoSuspect(t *testing.T) {
+	c := qt.New(t)
+	table := newTable(c)
+	question := &peerpb.Suspect{Fingerprint: 7, Endpoint: "a"}
+	c.Check(table.Standby(testNow, question).Reply.Endpoint, qt.Equals, "a")
+	table.Learn(testNow, crash(7, "a", 1, false))
+	c.Check(table.Standby(testNow, question).Reply.WaitMs > 0, qt.IsTrue)
+	table.Learn(testNow, crash(7, "b", 1, true))
+	c.Check(Verdict(table.Standby(testNow, question).Reply.Verdict), qt.Equals, Convicted)
+}
+
 func TestFloodOfBodiesDoesNotHideAConviction(t *testing.T) {
 	c := qt.New(t)
 	table := newTable(c)
--- a/process/suspect/table.go
+++ b/process/suspect/table.go
@@ -89,6 +89,25 @@
 	}
 }
 
+// Standby answers a question as the next home of a fingerprint, to a router
+// that cannot reach the home. It lets no suspect run, as the home may be doing
+// so, and keeps copies of an unknown body on one endpoint.
+func (t *Table) Standby(now time.Time, m *peerpb.Suspect) Result {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.record(Fingerprint(m.GetFingerprint()))
+	reply := t.reply(now, r)
+	switch Verdict(reply.Verdict) {
+	case Convicted:
+		reply.WaitMs = uint32(max(r.convicted.Sub(now), aloneRetry).Milliseconds())
+	case Suspected:
+		reply.WaitMs = uint32(aloneRetry.Milliseconds())
+	case None:
+		askCopy(now, r, m.GetEndpoint(), reply)
+	}
+	return Result{Reply: reply}
+}
+
 // record returns the record of f, a new one if there is none.
 func (t *Table) record(f Fingerprint) *record {
 	if r, ok := t.guilty.Get(f); ok {
