Bind a suspected request to the endpoint that its home named

Cause: test/faults showed refusals 2007 after one endpoint failed: a request under suspicion went on to other candidates, dropped its binding at the end of the round and asked its home anew, which counted the earlier word as a running copy and told it to wait. Ruled out: the retry budget and the cap of the remaining endpoints. Change: a binding lives until its endpoint was asked; it is not confirmed a second time, and is withdrawn when the endpoint cannot take the request. Tests drive 8 faults through chats with and without streams, 9 through bookings, the stored answer, and a body that crashes endpoints. Conclusion: the promises of the request flow hold for single faults.

--- a/process/node/acquire.go
+++ b/process/node/acquire.go
@@ -27,6 +27,7 @@
 // Acquire implements serve.Fleet.
 func (n *Node) Acquire(ctx context.Context, job *serve.Job, avoid []string) (serve.Permit, *outcome.Refusal) {
 	a := &acquisition{node: n, job: job, avoid: avoid}
+	defer a.unbind()
 	for round := range maxRounds {
 		permit, refusal := a.round(ctx, round)
 		if permit != nil {
@@ -46,15 +47,24 @@
 	avoid []string
 	known []choose.Known
 	asked bool // known is filled
-	must  string
-	alone bool
+	bound *binding
 	pause time.Duration
 	last  *outcome.Refusal
 }
 
+// binding is the word of the home of the request's fingerprint that the
+// request may run at one endpoint only. The home counts it as running there.
+type binding struct {
+	endpoint string
+	alone    bool // nothing else may run there
+}
+
 // again decides after a round without permit and waits before the next one.
 func (a *acquisition) again(ctx context.Context, refusal *outcome.Refusal) bool {
 	a.last = refusal
+	if a.bound != nil {
+		return ctx.Err() == nil
+	}
 	if !passing(refusal.Code) {
 		return false
 	}
@@ -101,33 +111,56 @@
 		refusal.RetryAfter = plan.RetryAfter
 		return nil, refusal
 	}
+	if a.bound != nil {
+		return a.askBound(ctx, now, candidates)
+	}
 	refusal := outcome.NotRun(outcome.NoEndpoint, "")
 	for i := range candidates {
-		c := &candidates[i]
-		if a.must != "" && c.Endpoint.Name != a.must {
-			continue
-		}
-		wait := c.Wait
-		if round > 0 && i == 0 || a.must != "" {
+		wait := candidates[i].Wait
+		if round > 0 && i == 0 {
 			wait = a.longestWait(now)
 		}
-		permit, denied := a.ask(ctx, c, wait)
+		permit, denied := a.ask(ctx, &candidates[i], wait)
 		if permit != nil {
 			return permit, nil
 		}
 		refusal = denied
-		if ctx.Err() != nil || final(denied.Code) {
+		if ctx.Err() != nil || a.bound != nil || final(denied.Code) {
 			return nil, denied
 		}
 	}
-	if a.must != "" {
-		// The endpoint that the request is bound to cannot take it; it is
-		// asked again whether the request may run elsewhere.
-		a.must, a.alone = "", false
+	return nil, refusal
+}
+
+// askBound asks the endpoint that the request is bound to. If it cannot take
+// the request, the home is asked anew in the next round.
+func (a *acquisition) askBound(ctx context.Context, now time.Time, candidates []choose.Candidate) (serve.Permit, *outcome.Refusal) {
+	defer a.unbind()
+	refusal := outcome.NotRun(outcome.EndpointAtCap, "the request has to run at endpoint %s", a.bound.endpoint)
+	for i := range candidates {
+		if candidates[i].Endpoint.Name != a.bound.endpoint {
+			continue
+		}
+		permit, denied := a.ask(ctx, &candidates[i], a.longestWait(now))
+		if permit != nil {
+			return permit, nil
+		}
+		refusal = denied
 	}
 	return nil, refusal
 }
 
+// unbind tells the home that the request does not run where it is bound to.
+func (a *acquisition) unbind() {
+	if a.bound == nil {
+		return
+	}
+	a.node.tellSuspectHome(&peerpb.Suspect{
+		Fingerprint: uint64(a.job.Fingerprint), Endpoint: a.bound.endpoint, Alone: a.bound.alone, Withdrawn: true,
+	})
+	a.bound = nil
+}
+
 // final reports whether no other candidate needs to be asked.
 func final(code outcome.Code) bool {
 	return code == outcome.RequestConvicted || code == outcome.WorkspaceOverShare
@@ -160,11 +193,12 @@
 	if _, ok := n.breakers.Allow(n.clock.Now(), c.Endpoint.Name); !ok {
 		return nil, outcome.NotRun(outcome.BreakerOpen, "endpoint %s", c.Endpoint.Name)
 	}
-	granted, refusal := n.askOwner(ctx, a.job, c.Endpoint, wait, a.alone)
+	alone := a.bound != nil && a.bound.alone
+	granted, refusal := n.askOwner(ctx, a.job, c.Endpoint, wait, alone)
 	if refusal != nil {
 		return nil, refusal
 	}
-	p := &permit{node: n, job: a.job, endpoint: c.Endpoint, held: granted.held, boot: granted.boot, at: granted.at, alone: a.alone}
+	p := &permit{node: n, job: a.job, endpoint: c.Endpoint, held: granted.held, boot: granted.boot, at: granted.at, alone: alone}
 	if refusal := a.clear(ctx, p); refusal != nil {
 		p.Release(serve.Result{})
 		return nil, refusal
--- a/process/node/suspects.go
+++ b/process/node/suspects.go
@@ -24,6 +24,11 @@
 // endpoint of p. A refusal may bind the next round to another endpoint.
 func (a *acquisition) clear(ctx context.Context, p *permit) *outcome.Refusal {
 	n := a.node
+	if a.bound != nil && a.bound.endpoint == p.endpoint.Name {
+		p.asked = true
+		a.bound = nil
+		return nil
+	}
 	verdict := n.suspects.Verdict(n.clock.Now(), a.job.Fingerprint)
 	if verdict == suspect.Convicted {
 		return outcome.NotRun(outcome.RequestConvicted, "the same request has crashed endpoints")
@@ -52,19 +57,17 @@
 		a.pause = wait
 		return outcome.NotRun(outcome.EndpointAtCap, "the request is under suspicion and waits for its turn")
 	}
-	p.asked = true
 	alone := suspect.Verdict(reply.GetVerdict()) == suspect.Suspected
 	elsewhere := reply.GetEndpoint() != "" && reply.GetEndpoint() != p.endpoint.Name
-	if !elsewhere && alone == p.alone {
+	if !elsewhere && !alone {
+		p.asked = true
 		return nil
 	}
-	if reply.GetEndpoint() != "" {
-		a.must = reply.GetEndpoint()
-	} else {
-		a.must = p.endpoint.Name
+	a.bound = &binding{endpoint: p.endpoint.Name, alone: alone}
+	if elsewhere {
+		a.bound.endpoint = reply.GetEndpoint()
 	}
-	a.alone = alone
-	return outcome.NotRun(outcome.EndpointAtCap, "the request has to run at endpoint %s", a.must)
+	return outcome.NotRun(outcome.EndpointAtCap, "the request has to run at endpoint %s", a.bound.endpoint)
 }
 
 // askHome asks the home of the message's fingerprint and, if it does not
--- /dev/null
+++ b/test/faults/answers_test.go
@@ -0,0 +1,105 @@
+package faults
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/stoatmount/stoatmount/request/outcome"
+	"github.com/stoatmount/stoatmount/standin/engine"
+	"github.com/stoatmount/stoatmount/standin/fault"
+)
+
+// The faults that a request which may be repeated has to survive unseen.
+var survived = []fault.Name{
+	fault.Refuse, fault.LostReply, fault.Silence, fault.Truncate, fault.Cut, fault.Crossed, fault.CrashBefore, fault.Crash,
+}
+
+func TestChatIsWholeWhenItsEndpointFails(t *testing.T) {
+	for _, stream := range []bool{false, true} {
+		for _, name := range survived {
+			t.Run(string(name)+map[bool]string{true: "/stream"}[stream], func(t *testing.T) {
+				t.Parallel()
+				c := qt.New(t)
+				f := start(c, small(3, 1), 1)
+				router := f.Callers()[0]
+				warm := chat(c, router, "warm up", 8, stream)
+				c.Assert(warm.status, qt.Equals, http.StatusOK, qt.Commentf("%+v", warm))
+				// One endpoint of three fails once; requests go on until it does.
+				faults := f.Site.Endpoint("e1").Faults()
+				c.Assert(faults.On(fault.Fault{Name: name, Count: 1}), qt.IsNil)
+				for i := 0; faults.Hits(name) == 0; i++ {
+					c.Assert(i < 100, qt.IsTrue, qt.Commentf("the fault did not strike"))
+					text := fmt.Sprintf("adapt scene %d", i)
+					r := chat(c, router, text, 40, stream)
+					c.Assert(r.broken, qt.IsNil)
+					c.Assert(r.status, qt.Equals, http.StatusOK, qt.Commentf("%+v", r))
+					c.Check(r.text, qt.Contains, engine.Expected(messages(text), 40))
+				}
+				checkPromises(c, f)
+			})
+		}
+	}
+}
+
+func TestBookingRunsAtMostOnceWhenItsEndpointFails(t *testing.T) {
+	for _, name := range append([]fault.Name{fault.NoAnswer}, survived...) {
+		t.Run(string(name), func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			f := start(c, small(1, 2), 2)
+			c.Assert(book(c, f.Callers()[0], newKey(c)).status, qt.Equals, http.StatusOK)
+			strike(c, f, "s", name, 1)
+			key := newKey(c)
+			first := book(c, f.Callers()[0], key)
+			second := book(c, f.Callers()[1], key)
+			executed := f.Site.Executions("", key)
+			c.Check(executed <= 1, qt.IsTrue)
+			for _, r := range []reply{first, second} {
+				if r.broken == nil && r.status == http.StatusOK {
+					c.Check(executed, qt.Equals, 1)
+				}
+				if r.status >= http.StatusBadRequest && r.refused.Run == outcome.RunNot {
+					c.Check(executed, qt.Equals, 0, qt.Commentf("%+v", r))
+				}
+			}
+			checkPromises(c, f)
+		})
+	}
+}
+
+func TestRepeatGetsTheFirstAnswer(t *testing.T) {
+	c := qt.New(t)
+	f := start(c, small(1, 2), 3)
+	key := newKey(c)
+	first := book(c, f.Callers()[0], key)
+	c.Assert(first.status, qt.Equals, http.StatusOK, qt.Commentf("%+v", first))
+	within(c, "the stored answer", func() bool {
+		return book(c, f.Callers()[1], key).header.Get("Stoatmount-Repeated") == "true"
+	})
+	again := book(c, f.Callers()[2], key)
+	c.Check(again.status, qt.Equals, http.StatusOK)
+	c.Check(again.text, qt.Equals, first.text)
+	c.Check(f.Site.Executions("", key), qt.Equals, 1)
+	checkPromises(c, f)
+}
+
+func TestPoisonousBodyCostsAtMostThreeEndpoints(t *testing.T) {
+	c := qt.New(t)
+	f := start(c, small(6, 1), 3)
+	c.Assert(chat(c, f.Callers()[0], "harmless", 4, false).status, qt.Equals, http.StatusOK)
+	convicted := false
+	for i := range 24 {
+		r := chat(c, f.Callers()[i%3], "a scene "+engine.PoisonMarker, 8, false)
+		c.Assert(r.status >= http.StatusBadRequest, qt.IsTrue, qt.Commentf("%+v", r))
+		convicted = convicted || r.refused.Code == outcome.RequestConvicted
+	}
+	c.Check(convicted, qt.IsTrue)
+	c.Check(f.Site.Truth().Crashes <= 3, qt.IsTrue, qt.Commentf("%d endpoints lost", f.Site.Truth().Crashes))
+	within(c, "an endpoint for a harmless request", func() bool {
+		return chat(c, f.Callers()[1], "harmless again", 4, false).status == http.StatusOK
+	})
+	checkPromises(c, f)
+}
