Make the queue, the token and the hash of the choice cheaper

Change: an item keeps its times as numbers, and its loss is a constant while its worth does not fall; a workspace's weight is worked out once per pass; tokens are opened in pooled scratch space; the hash of the choice takes one multiplication. stoatctl measure gains control and storm.

--- /dev/null
+++ b/lab/measure/bench_test.go
@@ -0,0 +1,79 @@
+package measure
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stoatmount/stoatmount/process/directory"
+	"github.com/stoatmount/stoatmount/request/choose"
+	"github.com/stoatmount/stoatmount/request/place"
+	"github.com/stoatmount/stoatmount/request/queue"
+	"github.com/stoatmount/stoatmount/version/config"
+)
+
+// BenchmarkDecision is what a router decides for one returning chat at the
+// planned size: open the token, look the chat up among 20,000, choose among
+// 640 endpoints, queue at the owner and get the permit.
+func BenchmarkDecision(b *testing.B) {
+	benchmarkDecision(b, Scaled().State)
+}
+
+// BenchmarkDecisionOneGroup is BenchmarkDecision with all 640 endpoints serving
+// one model.
+func BenchmarkDecisionOneGroup(b *testing.B) {
+	benchmarkDecision(b, deployment{zones: 5, models: 1, workers: 640, services: 1, workspaces: 230}.state())
+}
+
+func benchmarkDecision(b *testing.B, state config.State) {
+	snapshot := config.NewSnapshot(state)
+	chooser := choose.New(snapshot, choose.NewHints())
+	chats, err := directory.New(chatsPerRouter)
+	if err != nil {
+		b.Fatal(err)
+	}
+	signer, err := place.NewSigner(time.Hour, make([]byte, place.MinKeyBytes))
+	if err != nil {
+		b.Fatal(err)
+	}
+	kind := &state.Config.Kinds[0]
+	tokens := make([]string, chatsPerRouter)
+	for i := range tokens {
+		chat := place.Chat(i + 1)
+		name := chooser.Default(kind.Group(), chat)
+		chats.Put(epoch, chat, name, 1, 4000)
+		tokens[i] = signer.Sign(chat, place.Place{Endpoint: name, Boot: 1, Tokens: 4000, Issued: epoch})
+	}
+	waiting := queue.New(queue.DefaultBound)
+	b.ReportAllocs()
+	for b.Loop() {
+		decide(b, chooser, chats, signer, waiting, kind, tokens)
+	}
+}
+
+var decisions int
+
+func decide(b *testing.B, chooser *choose.Chooser, chats *directory.Directory, signer *place.Signer, waiting *queue.Queue, kind *config.Kind, tokens []string) {
+	decisions++
+	chat := place.Chat(decisions%chatsPerRouter + 1)
+	told, ok := signer.Open(epoch, chat, tokens[chat-1])
+	if !ok {
+		b.Fatal("token refused")
+	}
+	entry, _ := chats.Get(chat)
+	known := [...]choose.Known{
+		{Endpoint: told.Endpoint, Boot: told.Boot, Tokens: told.Tokens, At: told.Issued, Reason: choose.ReasonToken},
+		{Endpoint: entry.Endpoint, Boot: entry.Boot, Tokens: entry.Tokens, At: entry.At, Reason: choose.ReasonDirectory},
+	}
+	plan := chooser.Choose(epoch, &choose.Input{
+		Chat: chat, Kind: kind, Deadline: kind.Deadline.Std(), Prompt: 4200, Serve: time.Second, Known: known[:],
+	})
+	if len(plan.Candidates()) == 0 {
+		b.Fatal("no candidate")
+	}
+	waiting.Push(epoch, queue.Item{ID: uint64(decisions), Workspace: "space-001", Kind: kind, Sent: epoch, Deadline: epoch.Add(kind.Deadline.Std())}, 8)
+	item, ok := waiting.Pop(epoch, 0, 8)
+	if !ok {
+		b.Fatal("no permit")
+	}
+	waiting.Done(item.Workspace, time.Second)
+}
--- a/lab/measure/measure.go
+++ b/lab/measure/measure.go
@@ -36,6 +36,8 @@
 		{"surge", "load skew and waits while a workspace surges", measureSurge},
 		{"zone", "requests in time while a zone goes out and returns", measureZone},
 		{"crash", "endpoints lost to a body that crashes whatever runs it", measureCrash},
+		{"control", "bytes a second that routers send each other for the request path", measureControl},
+		{"storm", "attempts per request while endpoints fail", measureStorm},
 	}
 }
 
--- a/request/choose/choose.go
+++ b/request/choose/choose.go
@@ -1,6 +1,7 @@
 package choose
 
 import (
+	"math/bits"
 	"slices"
 	"time"
 
@@ -116,6 +117,13 @@
 	return x ^ x>>31
 }
 
+// fold spreads the bits of x, which is made of two hashes, with one
+// multiplication.
+func fold(x uint64) uint64 {
+	high, low := bits.Mul64(x, 0x9e3779b97f4a7c15)
+	return high ^ low
+}
+
 // rank hashes key over the usable endpoints of the group called name. Whether
 // an endpoint is usable is read only of those that would be among the best.
 func (c *Chooser) rank(now time.Time, name string, key uint64, tried []string) ranked {
@@ -127,7 +135,7 @@
 	key = mix(key)
 	nowNanos := now.UnixNano()
 	for k, hash := range g.live.hash {
-		score := mix(key ^ hash)
+		score := fold(key ^ hash)
 		if best.full() && score <= best.score[rendezvousChoices-1] {
 			continue
 		}
@@ -157,7 +165,7 @@
 	key := mix(uint64(chat))
 	best, bestScore := 0, uint64(0)
 	for k, hash := range g.all.hash {
-		if score := mix(key ^ hash); k == 0 || score > bestScore {
+		if score := fold(key ^ hash); k == 0 || score > bestScore {
 			best, bestScore = g.all.index[k], score
 		}
 	}
--- a/request/place/token.go
+++ b/request/place/token.go
@@ -34,6 +34,14 @@
 	clockSkew = time.Minute
 )
 
+// scratch is what one call of a Signer works in, so that it need not allocate.
+type scratch struct {
+	mac  hash.Hash
+	sum  [sha256.Size]byte
+	chat [8]byte
+	raw  [MaxTokenBytes]byte
+}
+
 // Signer signs and opens tokens. It is safe for concurrent use.
 type Signer struct {
 	lifetime time.Duration
@@ -50,7 +58,7 @@
 			return nil, errors.Errorf("place key has %d bytes; at least %d are needed", len(k), MinKeyBytes)
 		}
 		k = append([]byte(nil), k...)
-		s.pools = append(s.pools, &sync.Pool{New: func() any { return hmac.New(sha256.New, k) }})
+		s.pools = append(s.pools, &sync.Pool{New: func() any { return &scratch{mac: hmac.New(sha256.New, k)} }})
 	}
 	return s, nil
 }
@@ -67,7 +75,9 @@
 	buf = binary.AppendUvarint(buf, uint64(min(p.Tokens, maxTokens)))
 	buf = binary.AppendUvarint(buf, uint64(max(p.Issued.Unix(), 0)))
 	buf = append(buf, p.Endpoint...)
-	buf = s.appendMAC(0, buf, chat, buf)
+	work := s.pools[0].Get().(*scratch)
+	buf = append(buf, work.code(chat, buf)...)
+	s.pools[0].Put(work)
 	return base64.RawURLEncoding.EncodeToString(buf)
 }
 
@@ -77,13 +87,14 @@
 	if chat == 0 || token == "" || len(token) > MaxTokenBytes {
 		return Place{}, false
 	}
-	var raw [MaxTokenBytes]byte
-	n, err := base64.RawURLEncoding.Decode(raw[:], []byte(token))
+	work := s.pools[0].Get().(*scratch)
+	defer s.pools[0].Put(work)
+	n, err := base64.RawURLEncoding.Decode(work.raw[:], []byte(token))
 	if err != nil || n <= macBytes {
 		return Place{}, false
 	}
-	payload, mac := raw[:n-macBytes], raw[n-macBytes:n]
-	if !s.verify(chat, payload, mac) {
+	payload, mac := work.raw[:n-macBytes], work.raw[n-macBytes:n]
+	if !s.verify(work, chat, payload, mac) {
 		return Place{}, false
 	}
 	p, ok := decode(payload)
@@ -93,27 +104,29 @@
 	return p, true
 }
 
-func (s *Signer) verify(chat Chat, payload, mac []byte) bool {
-	for i := range s.pools {
-		var want [macBytes]byte
-		if hmac.Equal(s.appendMAC(i, want[:0], chat, payload), mac) {
+// verify checks mac with the newest key, which work has, and the older ones.
+func (s *Signer) verify(work *scratch, chat Chat, payload, mac []byte) bool {
+	if hmac.Equal(work.code(chat, payload), mac) {
+		return true
+	}
+	for _, pool := range s.pools[1:] {
+		older := pool.Get().(*scratch)
+		equal := hmac.Equal(older.code(chat, payload), mac)
+		pool.Put(older)
+		if equal {
 			return true
 		}
 	}
 	return false
 }
 
-// appendMAC appends the code of chat and payload under key i to dst.
-func (s *Signer) appendMAC(i int, dst []byte, chat Chat, payload []byte) []byte {
-	mac := s.pools[i].Get().(hash.Hash)
-	defer s.pools[i].Put(mac)
-	mac.Reset()
-	var chatBytes [8]byte
-	binary.BigEndian.PutUint64(chatBytes[:], uint64(chat))
-	_, _ = mac.Write(chatBytes[:])
-	_, _ = mac.Write(payload)
-	var sum [sha256.Size]byte
-	return append(dst, mac.Sum(sum[:0])[:macBytes]...)
+// code returns the code of chat and payload. It is valid until the next call.
+func (w *scratch) code(chat Chat, payload []byte) []byte {
+	w.mac.Reset()
+	binary.BigEndian.PutUint64(w.chat[:], uint64(chat))
+	_, _ = w.mac.Write(w.chat[:])
+	_, _ = w.mac.Write(payload)
+	return w.mac.Sum(w.sum[:0])[:macBytes]
 }
 
 func decode(payload []byte) (Place, bool) {
--- a/request/queue/item.go
+++ b/request/queue/item.go
@@ -20,6 +20,10 @@
 	Alone     bool          // the request must run alone
 
 	queued time.Time
+	space  *space
+	sent   int64         // Sent as Unix time in nanoseconds
+	span   time.Duration // from Sent to Deadline
+	base   float64       // loss per second while the worth does not fall yet
 }
 
 // Refused is an Item that leaves the queue without a permit.
@@ -36,20 +40,37 @@
 	return now.Add(i.Serve).After(i.Deadline)
 }
 
-// lossRate returns the worth lost per second if i is dispatched horizon later
-// than now, plus a small part that keeps equal ones ordered by worth.
-func (i *Item) lossRate(now time.Time, horizon time.Duration) float64 {
-	age := now.Sub(i.Sent) + i.Serve
-	atDeadline := i.Deadline.Sub(i.Sent)
-	soon := i.worthAt(age, atDeadline)
-	later := i.worthAt(age+horizon, atDeadline)
-	base := i.Kind.Worth / max(i.Kind.Deadline.Std().Seconds(), minSeconds)
-	return (soon-later)/horizon.Seconds() + idleLoss*base
+// prepare works out what scores are made of.
+func (i *Item) prepare() {
+	i.sent = i.Sent.UnixNano()
+	i.span = i.Deadline.Sub(i.Sent)
+	i.base = idleLoss * i.Kind.Worth / max(i.Kind.Deadline.Std().Seconds(), minSeconds)
+}
+
+// moment is a time at which scores are compared, and how far ahead.
+type moment struct {
+	now       int64 // Unix time in nanoseconds
+	horizon   time.Duration
+	perSecond float64 // 1 over the horizon in seconds
+}
+
+func momentAt(now time.Time, horizon time.Duration) moment {
+	return moment{now: now.UnixNano(), horizon: horizon, perSecond: 1 / horizon.Seconds()}
+}
+
+// lossRate returns the worth lost per second if i is dispatched a horizon
+// later, plus a small part that keeps equal ones ordered by worth.
+func (i *Item) lossRate(m *moment) float64 {
+	age := time.Duration(m.now-i.sent) + i.Serve
+	if age+m.horizon <= i.Kind.FullUntil.Std() && age+m.horizon < i.span {
+		return i.base
+	}
+	return (i.worthAt(age)-i.worthAt(age+m.horizon))*m.perSecond + i.base
 }
 
 // worthAt is Kind.WorthAt bounded by the request's own deadline.
-func (i *Item) worthAt(age, deadline time.Duration) float64 {
-	if age >= deadline {
+func (i *Item) worthAt(age time.Duration) float64 {
+	if age >= i.span {
 		return 0
 	}
 	return i.Kind.WorthAt(age)
--- a/request/queue/order.go
+++ b/request/queue/order.go
@@ -12,8 +12,8 @@
 
 // score is how much is lost per second while item waits, weighted by how far
 // its workspace is from its share.
-func (q *Queue) score(now time.Time, item *Item, horizon time.Duration) float64 {
-	loss := item.lossRate(now, horizon) * q.spaces.weight(item.Workspace)
+func (q *Queue) score(m *moment, item *Item) float64 {
+	loss := item.lossRate(m) * q.spaces.weight(item.space)
 	if item.Kind.CanWait {
 		loss *= canWaitFactor
 	}
@@ -27,14 +27,15 @@
 			return aged
 		}
 	}
-	horizon := q.horizon(limit)
+	m := momentAt(now, q.horizon(limit))
+	q.spaces.pass++
 	best, bestScore := -1, 0.0
 	for i := range q.items {
 		item := &q.items[i]
 		if q.spaces.missing(item, running, limit, q.full) > 0 {
 			continue
 		}
-		if score := q.score(now, item, horizon); best < 0 || score > bestScore {
+		if score := q.score(&m, item); best < 0 || score > bestScore {
 			best, bestScore = i, score
 		}
 	}
@@ -54,11 +55,12 @@
 // worst returns the index of the request that is shed first: the one whose
 // answer is worth least, weighted by how far its workspace is over its share.
 func (q *Queue) worst(now time.Time) int {
+	q.spaces.pass++
 	worst, worstValue := -1, math.Inf(1)
 	for i := range q.items {
 		item := &q.items[i]
 		age := now.Sub(item.Sent) + item.Serve
-		value := item.worthAt(age, item.Deadline.Sub(item.Sent)) * q.spaces.weight(item.Workspace)
+		value := item.worthAt(age) * q.spaces.weight(item.space)
 		if value <= worstValue {
 			worst, worstValue = i, value
 		}
--- a/request/queue/queue.go
+++ b/request/queue/queue.go
@@ -59,8 +59,9 @@
 // worth least, or another one.
 func (q *Queue) Push(now time.Time, item Item, limit int) (Refused, bool) {
 	item.queued = now
+	item.prepare()
+	item.space = q.spaces.enqueued(item.Workspace, item.share(), item.Kind.CanWait)
 	q.items = append(q.items, item)
-	q.spaces.enqueued(item.Workspace, item.share(), item.Kind.CanWait)
 	if code, after := q.refusal(now, &item, limit); code != outcome.OK {
 		q.take(len(q.items) - 1)
 		return Refused{Item: item, Code: code, RetryAfter: after}, true
@@ -100,11 +101,12 @@
 
 // ahead returns how many waiting requests would go before item, the newest.
 func (q *Queue) ahead(now time.Time, item *Item) int {
-	horizon := q.horizon(1)
-	own := q.score(now, item, horizon)
+	m := momentAt(now, q.horizon(1))
+	q.spaces.pass++
+	own := q.score(&m, item)
 	n := 0
 	for i := range len(q.items) - 1 {
-		if q.score(now, &q.items[i], horizon) >= own {
+		if q.score(&m, &q.items[i]) >= own {
 			n++
 		}
 	}
--- a/request/queue/spaces.go
+++ b/request/queue/spaces.go
@@ -16,6 +16,8 @@
 	waiting int
 	patient int // of the waiting, those that can wait
 	running int
+	pass    uint64 // of spaces, in which factor was worked out
+	factor  float64
 	served  float64 // permits got, per share: the virtual time of the workspace
 }
 
@@ -26,6 +28,7 @@
 	urgent  int     // waiting requests that cannot wait, of all workspaces
 	running int     // permits held, of all workspaces
 	total   float64 // sum of the shares of workspaces that wait or run
+	pass    uint64  // number of the pass over the queue
 	clock   float64 // virtual time: permits given per share in use
 }
 
@@ -33,7 +36,7 @@
 	return spaces{byName: make(map[string]*space)}
 }
 
-func (s *spaces) enqueued(name string, share float64, canWait bool) {
+func (s *spaces) enqueued(name string, share float64, canWait bool) *space {
 	w, ok := s.byName[name]
 	if !ok {
 		w = &space{share: share}
@@ -50,6 +53,7 @@
 	} else {
 		s.urgent++
 	}
+	return w
 }
 
 func (w *space) idle() bool {
@@ -118,14 +122,15 @@
 }
 
 // weight is 1 for a workspace at its share, larger for one that got less and
-// much smaller for one that got more.
-func (s *spaces) weight(name string) float64 {
-	w := s.byName[name]
-	if w == nil {
-		return 1
+// much smaller for one that got more. It is worked out once in a pass over the
+// queue.
+func (s *spaces) weight(w *space) float64 {
+	if w.pass != s.pass {
+		lag := (s.clock - w.served) * w.share
+		w.factor = math.Exp2(min(max(lag, -maxLead), maxLag))
+		w.pass = s.pass
 	}
-	lag := (s.clock - w.served) * w.share
-	return math.Exp2(min(max(lag, -maxLead), maxLag))
+	return w.factor
 }
 
 // overShare reports whether the workspace runs more than its share.
@@ -156,8 +161,8 @@
 // requests queue up.
 func (s *spaces) missing(item *Item, running, limit, full int) int {
 	kept := 0
-	if w := s.byName[item.Workspace]; w != nil && s.keepsBack(w, item, limit, full) {
-		others := max(running-w.running, 0)
+	if s.keepsBack(item.space, item, limit, full) {
+		others := max(running-item.space.running, 0)
 		kept = int(math.Ceil(reserveFactor * math.Sqrt(float64(others))))
 	}
 	return max(running+kept-limit+1, 0)
