--- a/lab/load/options.go
+++ b/lab/load/options.go
@@ -67,15 +67,17 @@
 	Kinds      []Kind
 	// MaxOpen bounds the callers at a time; 0: 4096.
 	MaxOpen int
-	// MaxTries bounds the tries of one request; 0: 8.
+	// MaxTries bounds the tries of one request; 0: 8, largest 32.
 	MaxTries int
-	// Backoff is the least pause before a repeat; 0: 50 ms.
+	// Backoff is the least pause before the first repeat; it doubles with
+	// every further one. 0: 50 ms.
 	Backoff time.Duration
 }
 
 const (
 	defaultMaxOpen  = 4096
 	defaultMaxTries = 8
+	largestMaxTries = 32
 	defaultBackoff  = 50 * time.Millisecond
 )
 
@@ -98,6 +100,7 @@
 	if o.MaxTries == 0 {
 		o.MaxTries = defaultMaxTries
 	}
+	o.MaxTries = min(o.MaxTries, largestMaxTries)
 	if o.Backoff == 0 {
 		o.Backoff = defaultBackoff
 	}
--- a/lab/load/request.go
+++ b/lab/load/request.go
@@ -77,7 +77,7 @@
 			j.finish(q, &t)
 			return j
 		}
-		if j.Tries >= q.generator.options.MaxTries || !q.mayRepeat(&t) || !q.pause(ctx, &t) {
+		if j.Tries >= q.generator.options.MaxTries || !q.mayRepeat(&t) || !q.pause(ctx, &t, j.Tries) {
 			j.finish(q, &t)
 			return j
 		}
@@ -134,9 +134,13 @@
 	}
 }
 
-// pause waits before the next try. It reports false if time runs out first.
-func (q *request) pause(ctx context.Context, t *try) bool {
-	wait := q.generator.options.Backoff
+// longestBackoff bounds the pause that doubles with every try.
+const longestBackoff = 5 * time.Second
+
+// pause waits before the next try: twice as long each time, and at least as
+// long as the fleet asks for. It reports false if time runs out first.
+func (q *request) pause(ctx context.Context, t *try, tries int) bool {
+	wait := min(q.generator.options.Backoff<<(tries-1), longestBackoff)
 	if t.end == endRefused {
 		wait = max(wait, time.Duration(t.refusal.RetryAfterMs)*time.Millisecond)
 	}
--- a/test.sh
+++ b/test.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Runs everything that must hold before a change lands: formatter, vet, linter
-# and all tests with the race detector. Tests listed in KNOWN-RED.txt are run
+# and all tests with the race detector, those with real processes (build tag
+# process) included. Tests listed in KNOWN-RED.txt are run
 # and printed, but do not decide the verdict.
 set -euo pipefail
 cd "$(dirname "$0")"
@@ -10,16 +11,16 @@
   echo "not formatted: $unformatted"
   exit 1
 fi
-go vet ./...
+go vet -tags process ./...
 linter=$(go tool -C tools -n staticcheck)
-"$linter" ./...
+"$linter" -tags process ./...
 
 # The first word of each entry that starts with "Test" is a test's name.
 red=$({ grep -oE '^Test[A-Za-z0-9_]+' KNOWN-RED.txt 2>/dev/null || true; } | sort -u | paste -sd'|' -)
 if [ -n "$red" ]; then
-  go test -race -timeout 9m -skip "^($red)\$" ./...
+  go test -race -tags process -timeout 9m -skip "^($red)\$" ./...
   echo "Known red, not part of the verdict:"
-  go test -timeout 3m -run "^($red)\$" ./... 2>&1 | grep -v 'no test' | tail -n 60 || true
+  go test -tags process -timeout 3m -run "^($red)\$" ./... 2>&1 | grep -v 'no test' | tail -n 60 || true
 else
-  go test -race -timeout 9m ./...
+  go test -race -tags process -timeout 9m ./...
 fi
