--- a/request/choose/plan.go
+++ b/request/choose/plan.go
@@ -34,9 +34,10 @@
 // Known is a place at which the chat's prefix may be cached.
 type Known struct {
 	Endpoint   string
-	Boot       uint64  // 0 if not known
-	Tokens     int     // cached length
-	Confidence float64 // probability that it is still there; 0 counts as 1
+	Boot       uint64    // 0 if not known
+	Tokens     int       // cached length
+	Confidence float64   // probability that it is still there; 0 counts as 1
+	At         time.Time // when this was known; zero if not known
 	Reason     Reason
 }
 
@@ -50,9 +51,21 @@
 	Prompt   int           // estimated prompt tokens
 	Serve    time.Duration // expected time at an endpoint after prefill
 	Known    []Known       // where the prefix may be cached
+	Returns  bool          // the chat has had a turn before
 	Tried    []string      // endpoints that are not to be tried again
 }
 
+// newerElsewhere reports whether a newer place than known is known.
+func (in *Input) newerElsewhere(known *Known) bool {
+	for i := range in.Known {
+		other := &in.Known[i]
+		if other.Endpoint != known.Endpoint && other.At.After(known.At) {
+			return true
+		}
+	}
+	return false
+}
+
 // Candidate is an endpoint to try.
 type Candidate struct {
 	Endpoint *config.Endpoint
@@ -102,6 +115,19 @@
 	return false
 }
 
+// setWaits gives each candidate the time for which waiting in its queue is
+// better than to go on to the next one, and the last one all the time left.
+func (p *Plan) setWaits(w *weigher) {
+	for i := range p.n {
+		c := &p.list[i]
+		if i == p.n-1 {
+			c.Wait = max(w.in.Deadline-w.in.Age-w.in.Serve, 0)
+			return
+		}
+		c.Wait = w.worthWaiting(c.score - p.list[i+1].score)
+	}
+}
+
 // sort orders the candidates by score, larger first. Insertion sort keeps
 // equal ones in order and allocates nothing.
 func (p *Plan) sort() {
