--- a/lab/measure/stats.go
+++ b/lab/measure/stats.go
@@ -57,6 +57,9 @@
 	cached   int // of these, found where the request ran
 	moves    int
 
+	calmReuse  reuseStats // of the workspaces that do not surge, before the surge
+	surgeReuse reuseStats // and during it
+
 	skews       []float64 // highest load over the mean, per second and group
 	overCap     int       // permits beyond the cap as the owner knows it
 	overMean    int       // permits beyond max(1, ceil(c x mean)) of that moment
@@ -116,6 +119,7 @@
 	if r.chat != nil && r.chat.length > 0 {
 		s.reusable += r.chat.length
 		s.cached += min(reuse, r.chat.length)
+		s.reused(r, min(reuse, r.chat.length))
 	}
 	s.checkMean(e)
 	if !r.first.IsZero() || r.kind.CanWait || r.kind.Service != "" {
@@ -136,6 +140,29 @@
 	}
 }
 
+// reuseStats counts the prompt tokens that could be and were found cached.
+type reuseStats struct {
+	reusable, cached int
+}
+
+func (u *reuseStats) share() float64 {
+	return ratio(float64(u.cached), float64(u.reusable))
+}
+
+func (s *stats) reused(r *request, tokens int) {
+	phase := &s.calmReuse
+	switch {
+	case r.space == 0:
+		return
+	case s.f.surging:
+		phase = &s.surgeReuse
+	case !s.f.loop.now.Before(s.f.countedStart().Add(s.f.workload.Counted / 3)):
+		return
+	}
+	phase.reusable += r.chat.length
+	phase.cached += tokens
+}
+
 // checkMean compares the permits of e with the mean of this moment.
 func (s *stats) checkMean(e *endpoint) {
 	group := e.config.Group()
--- a/lab/measure/surge.go
+++ b/lab/measure/surge.go
@@ -52,6 +52,8 @@
 	add("others wait in surge ms", func(s *stats) float64 { return milliseconds(s.surge.mean()) })
 	add("others p95 before ms", func(s *stats) float64 { return milliseconds(s.calm.quantile(0.95)) })
 	add("others p95 in surge ms", func(s *stats) float64 { return milliseconds(s.surge.quantile(0.95)) })
+	add("others reuse before", func(s *stats) float64 { return s.calmReuse.share() })
+	add("others reuse in surge", func(s *stats) float64 { return s.surgeReuse.share() })
 	add("surging wait ms", func(s *stats) float64 { return milliseconds(s.surging.mean()) })
 	add("live in time", liveShare)
 	add("reuse", (*stats).reuse)
