--- a/lab/matrix/cell.go
+++ b/lab/matrix/cell.go
@@ -64,10 +64,14 @@
 
 // got notes what a caller got.
 func (c *cell) got(what string, g Got) {
+	ran := c.bench.executions(g.Name)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.results = append(c.results, what+": "+g.Text)
 	c.gots = append(c.gots, g)
+	if g.Run == outcome.RunNot && ran > 0 {
+		c.broken = append(c.broken, fmt.Sprintf("%s was refused as not run (%s), but ran", g.Name, g.Text))
+	}
 	if g.Wrong {
 		c.broken = append(c.broken, what+" got a wrong answer")
 	}
@@ -131,14 +135,18 @@
 // judge checks every request of the cell against the stand-ins' records.
 func (c *cell) judge() {
 	seen := make(map[string]bool)
+	mayRun := make(map[string]bool) // some try was not refused as not run
+	for _, g := range c.gots {
+		mayRun[g.Name] = mayRun[g.Name] || g.Run != outcome.RunNot
+	}
 	for _, g := range c.gots {
 		ran := c.bench.executions(g.Name)
 		if c.isBooking(g.Name) && ran > 1 && !seen[g.Name] {
 			c.broken = append(c.broken, fmt.Sprintf("%s ran %d times", g.Name, ran))
 		}
 		seen[g.Name] = true
-		if g.Run == outcome.RunNot && ran > 0 {
-			c.broken = append(c.broken, fmt.Sprintf("%s was refused as not run (%s), but ran", g.Name, g.Text))
+		if !mayRun[g.Name] && ran > 0 {
+			c.broken = append(c.broken, fmt.Sprintf("%s was refused as not run (%s), but ran later", g.Name, g.Text))
 		}
 		if g.Answered && ran == 0 {
 			c.broken = append(c.broken, g.Name+" was answered, but never ran")
