Count as known whom one hears, and gate admission by a fresh configuration

Cause: with the list out of service, a router that woke from a pause counted only the hosts of its old list as known and granted a share of the cap that others had counted for themselves (seed 3276); in the histories, routers that may not serve took requests (seed 2011). Change: a router that is heard counts as known, as the design says; the histories let only routers with a fresh configuration take and dispatch requests.

--- a/lab/histories/world.go
+++ b/lab/histories/world.go
@@ -100,7 +100,6 @@
 	clock := clockwork.NewFakeClockAt(virtual.Epoch)
 	w := &world{
 		seed: seed, rng: rand.New(rand.NewPCG(seed, 11)), clock: clock, sabotage: broken,
-		site:     admission.NewSite(sizes, seed, admission.NewOwners),
 		log:      logstore.NewMemory(logstore.Options{Clock: clock, KeepFor: keepRecords, Seed: seed}),
 		check1:   invariant.New(logr.Discard()),
 		hosts:    make(map[*virtual.Router]*host),
@@ -109,6 +108,9 @@
 		accepted: make(map[config.Version]time.Time),
 		truth:    configlog.NewFold(),
 	}
+	w.site = admission.NewSite(sizes, seed, func(s *admission.Site) admission.Policy {
+		return gate{Policy: admission.NewOwners(s), world: w}
+	})
 	w.fleet = w.site.Fleet
 	w.fleet.Blocked = w.isBlocked
 	list := w.fleet.List
--- a/process/member/shares.go
+++ b/process/member/shares.go
@@ -128,6 +128,9 @@
 	if p.wasListed && !p.listed && !p.dropped {
 		return true
 	}
+	if !p.heard.IsZero() && now.Sub(p.heard) <= t.deadAfter() {
+		return true // also if the list that was last read did not have it
+	}
 	return t.view != nil && t.view.Index(p.Name) >= 0
 }
 
