Test what keeps rival owners apart, one mechanism at a time

Cause: deliberate faults in the mechanisms went unseen by the random histories: maturity of views, delayed messages, pauses, hosts dropped from the list, the dispatch window, lost polls. Conclusion: each mechanism is held by a test.

--- a/process/admission/endpoint.go
+++ b/process/admission/endpoint.go
@@ -46,10 +46,13 @@
 	queue    Queue
 	reserved *reserved
 
-	cover     cover
-	owned     []ownedStance // cache of hash decisions
-	foreign   int           // work at the endpoint that no permit stands for, at most
-	foreignAt time.Time     // foreign covers all work that began before
+	cover cover
+	owned []ownedStance // cache of hash decisions
+
+	audited    *member.Shares // that auditCount is for
+	auditCount int
+	foreign    int       // work at the endpoint that no permit stands for, at most
+	foreignAt  time.Time // foreign covers all work that began before
 	// doubtUntil is when unconfirmed permits are no longer held back.
 	doubtUntil time.Time
 	doubt      doubt     // report that may lower foreign once more is known
@@ -197,13 +200,22 @@
 		return evidence(e, "cold cap", coldCap)
 	})
 	shares := o.members.Shares(now)
-	allowed := share(settings.Bears, shares.Counted(member.DutyAdmission, e.name), shares.Known)
+	allowed := share(settings.Bears, e.auditedCount(shares), shares.Known)
 	allowed = min(allowed, meanCap(o.snap.Config.Limits.MeanMultiple, o.mean(now, settings))) - e.foreign
 	return o.check.Check(after <= allowed, invariant.PermitsWithinCap, func() string {
 		return evidence(e, "allowed", allowed)
 	}) && ok
 }
 
+// auditedCount is counted without the cache of stances, once per Shares.
+func (e *endpoint) auditedCount(shares *member.Shares) int {
+	if e.audited != shares {
+		e.audited = shares
+		e.auditCount = shares.Counted(member.DutyAdmission, e.name)
+	}
+	return e.auditCount
+}
+
 func evidence(e *endpoint, name string, bound int) string {
 	return e.name + ": permits " + strconv.Itoa(len(e.permits)+1) + ", foreign " + strconv.Itoa(e.foreign) +
 		", " + name + " " + strconv.Itoa(bound)
--- a/process/admission/owner_test.go
+++ b/process/admission/owner_test.go
@@ -326,3 +326,71 @@
 	f.c.Assert(releases[0].Release.Dispatched, qt.IsTrue)
 	f.c.Assert(h.Release(held, Result{}), qt.HasLen, 0)
 }
+
+func TestBrokenConnectionOrLostPollTurnsColdUntilALaterReport(t *testing.T) {
+	f := newFixture(t)
+	f.owner.Mean(f.now, "m", 100)
+	f.own("e", protocol.LoadReport{Boot: 1, Completed: 100})
+	d := f.request("e", 0)[0]
+	f.now = f.now.Add(100 * time.Millisecond)
+	f.owner.Release(f.now, "a", Release{Endpoint: "e", Permit: d.Permit, Result: Result{Dispatched: true, Failed: true}})
+	f.c.Assert(f.owner.Status(f.now)[0].ColdCap, qt.Equals, 2)
+	early := f.now.Add(-10 * time.Millisecond)
+	f.owner.Load(f.now, "e", &protocol.LoadReport{Boot: 1, Completed: 100}, early)
+	f.c.Assert(f.owner.Status(f.now)[0].ColdCap, qt.Equals, 2)
+	f.now = f.now.Add(100 * time.Millisecond)
+	f.load("e", protocol.LoadReport{Boot: 1, Completed: 100})
+	f.c.Assert(f.owner.Status(f.now)[0].ColdCap, qt.Equals, 8)
+	f.owner.Lost(f.now, "e")
+	f.c.Assert(f.owner.Status(f.now)[0].ColdCap, qt.Equals, 2)
+}
+
+func TestAdoptedPermitsReplaceForeignWork(t *testing.T) {
+	f := newFixture(t)
+	f.owner.Mean(f.now, "m", 100)
+	f.own("e", protocol.LoadReport{Boot: 1, Completed: 100, Running: 6})
+	f.c.Assert(f.owner.Status(f.now)[0].Limit, qt.Equals, 2)
+	f.owner.Adopt(f.now, "b", "e", []uint64{1, 2, 3}, []time.Duration{time.Minute, time.Minute, 0})
+	status := f.owner.Status(f.now)[0]
+	f.c.Assert([3]int{status.Permits, status.Foreign, status.Limit}, qt.Equals, [3]int{3, 4, 4})
+	f.owner.Release(f.now, "b", Release{Endpoint: "e", Permit: 1, Result: Result{Completed: true}})
+	f.c.Assert(f.owner.Status(f.now)[0].Permits, qt.Equals, 2)
+}
+
+func BenchmarkRequestAndRelease(b *testing.B) {
+	members := make([]member.Member, 330)
+	for i := range members {
+		members[i] = member.Member{Name: fmt.Sprint("host-", i), Boot: uint64(i + 1), Region: "r"}
+	}
+	view := member.NewView(members)
+	var endpoints []config.Endpoint
+	for i := range 640 {
+		endpoints = append(endpoints, config.Endpoint{Name: fmt.Sprint("endpoint-", i), Model: "m", Bears: 4})
+	}
+	owner, _ := view.Owner(member.DutyAdmission, "endpoint-7")
+	shares := &member.Shares{Self: owner, Known: 330, Stances: []member.StanceCount{{View: view, Count: 330}}}
+	o := NewOwner(DefaultConfig(), fixedShares{shares}, invariant.New(logr.Discard()), rand.New(rand.NewPCG(1, 1)))
+	o.SetSnapshot(config.NewSnapshot(config.State{Config: config.Config{
+		Endpoints: endpoints,
+		Kinds:     []config.Kind{{Name: "k", Model: "m", Worth: 1, Deadline: config.Duration(time.Minute)}},
+		Limits:    config.Limits{MeanMultiple: 1.25},
+	}}))
+	o.Watched(epoch)
+	now := epoch.Add(time.Second)
+	o.Mean(now, "m", 3)
+	o.Load(now, "endpoint-7", &protocol.LoadReport{Boot: 1, Completed: 9}, now)
+	r := Request{From: "a", Endpoint: "endpoint-7", Workspace: "w", Kind: "k", Sent: now, Deadline: now.Add(time.Minute)}
+	b.ReportAllocs()
+	for b.Loop() {
+		d := o.Request(now, r)
+		if !d[0].Granted {
+			b.Fatal(d)
+		}
+		o.Release(now, "a", Release{Endpoint: "endpoint-7", Permit: d[0].Permit})
+	}
+}
+
+// fixedShares is a Membership that never changes.
+type fixedShares struct{ shares *member.Shares }
+
+func (f fixedShares) Shares(time.Time) *member.Shares { return f.shares }
--- /dev/null
+++ b/process/member/shares_test.go
@@ -0,0 +1,196 @@
+package member_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/stoatmount/stoatmount/lab/virtual"
+	"github.com/stoatmount/stoatmount/process/member"
+)
+
+// steady returns a fleet of n that agrees and counts all promises.
+func steady(c *qt.C, n int) *virtual.Fleet {
+	f := virtual.New(n, member.DefaultConfig(), 1)
+	settle(c, f, 20*time.Second)
+	f.Run(10 * time.Second)
+	return f
+}
+
+func stances(s *member.Shares) int {
+	n := 0
+	for i := range s.Stances {
+		n += s.Stances[i].Count
+	}
+	return n
+}
+
+// cut loses all messages between the first n routers and the others.
+func cut(f *virtual.Fleet, n int) {
+	inFirst := make(map[*virtual.Router]bool)
+	for _, r := range f.Routers[:n] {
+		inFirst[r] = true
+	}
+	f.Blocked = func(a, b *virtual.Router) bool { return inFirst[a] != inFirst[b] }
+}
+
+func TestRouterBoundToAnEarlierViewCountsOnlyForItsOwner(t *testing.T) {
+	c := qt.New(t)
+	members := make([]member.Member, 5)
+	for i := range members {
+		members[i] = member.Member{Name: fmt.Sprint("host-", i), Boot: uint64(i + 1), Region: "r"}
+	}
+	before, after := member.NewView(members), member.NewView(members[1:])
+	moved, kept := 0, 0
+	for key := range 100 {
+		endpoint := fmt.Sprint("endpoint-", key)
+		owner, _ := after.Owner(member.DutyAdmission, endpoint)
+		old, _ := before.Owner(member.DutyAdmission, endpoint)
+		s := member.Shares{Self: owner, Known: 5, Stances: []member.StanceCount{
+			{View: after, Prev: before, Count: 3}, {View: after, Count: 1},
+		}}
+		if old.Name == owner.Name {
+			c.Check(s.Counted(member.DutyAdmission, endpoint), qt.Equals, 4)
+			kept++
+			continue
+		}
+		c.Check(s.Counted(member.DutyAdmission, endpoint), qt.Equals, 1)
+		moved++
+	}
+	c.Assert(moved > 0 && kept > moved, qt.IsTrue)
+}
+
+func TestRivalOwnersNeverCountARouterTwice(t *testing.T) {
+	c := qt.New(t)
+	f := steady(c, 7)
+	most := 0
+	f.OnTick = func(*virtual.Router) {
+		for key := range 20 {
+			endpoint, sum := fmt.Sprint("endpoint-", key), 0
+			for _, r := range f.Routers {
+				if r.Up && !r.Paused {
+					sum += r.Table.Shares(f.Now).Counted(member.DutyAdmission, endpoint)
+				}
+			}
+			most = max(most, sum)
+		}
+	}
+	for range 3 {
+		cut(f, 3)
+		f.Run(12 * time.Second)
+		f.Blocked = nil
+		f.Run(6 * time.Second)
+		f.Pause(f.Routers[2])
+		f.Run(9 * time.Second)
+		f.Resume(f.Routers[2])
+		f.Run(3 * time.Second)
+		f.Kill(f.Routers[5])
+		f.Run(time.Second)
+		f.Start(f.Routers[5])
+		f.Run(8 * time.Second)
+	}
+	c.Assert(most, qt.Equals, 7)
+}
+
+func TestPausedRouterOwnsNothingUntilItHearsAMajority(t *testing.T) {
+	c := qt.New(t)
+	f := steady(c, 7)
+	r := f.Routers[3]
+	c.Assert(stances(r.Table.Shares(f.Now)), qt.Equals, 7)
+	f.Pause(r)
+	f.Run(10 * time.Second)
+	c.Assert(stances(r.Table.Shares(f.Now)), qt.Equals, 0) // the clock shows it
+	c.Assert(r.Table.HeardMajority(f.Now) > 8*time.Second, qt.IsTrue)
+	cut(f, 4)
+	f.Blocked = func(a, b *virtual.Router) bool { return (a == r) != (b == r) }
+	f.Resume(r)
+	f.Run(3 * time.Second) // the messages that waited are old news
+	c.Assert(stances(r.Table.Shares(f.Now)), qt.Equals, 0)
+	f.Blocked = nil
+	settle(c, f, time.Minute)
+	f.Run(10 * time.Second)
+	c.Assert(stances(r.Table.Shares(f.Now)), qt.Equals, 7)
+}
+
+func TestMinorityKeepsCountingHostsThatTheListDropped(t *testing.T) {
+	c := qt.New(t)
+	f := steady(c, 7)
+	minority := f.Routers[0]
+	cut(f, 3)
+	visible := f.List()[:3]
+	f.List = func() []member.Member { return visible } // the list sees the minority only
+	f.Run(time.Minute)
+	c.Assert(minority.Table.Known(f.Now), qt.Equals, 7)
+	c.Assert(stances(minority.Table.Shares(f.Now)), qt.Equals, 3)
+	f.List = func() []member.Member { return nil } // and then an outage
+	f.Run(10 * time.Second)
+	c.Assert(stances(minority.Table.Shares(f.Now)), qt.Equals, 0)
+}
+
+func TestMajorityForgetsHostsThatTheListDropped(t *testing.T) {
+	c := qt.New(t)
+	f := steady(c, 7)
+	f.Kill(f.Routers[0])
+	f.Run(5 * time.Second)
+	c.Assert(f.Routers[1].Table.Known(f.Now), qt.Equals, 7)
+	f.Run(20 * time.Second)
+	c.Assert(f.Routers[1].Table.Known(f.Now), qt.Equals, 6)
+}
+
+func TestOneWayLinkCausesNoDeath(t *testing.T) {
+	c := qt.New(t)
+	f := steady(c, 7)
+	view := f.Routers[0].Table.View()
+	f.Blocked = func(a, b *virtual.Router) bool { return a == f.Routers[1] && b == f.Routers[2] }
+	f.Run(time.Minute)
+	for _, r := range f.Routers {
+		c.Check(r.Table.View().ID, qt.Equals, view.ID)
+	}
+}
+
+func TestFlappingHostIsKeptOutForLonger(t *testing.T) {
+	c := qt.New(t)
+	f := steady(c, 7)
+	r := f.Routers[6]
+	var waits []time.Duration
+	for range 4 {
+		f.Kill(r)
+		f.Run(9 * time.Second)
+		f.Start(r)
+		waits = append(waits, settle(c, f, time.Minute))
+	}
+	c.Logf("%v", waits)
+	c.Assert(waits[3] > 2*waits[0], qt.IsTrue)
+}
+
+func TestLeavingRouterHandsItsDutiesOver(t *testing.T) {
+	c := qt.New(t)
+	f := steady(c, 7)
+	r := f.Routers[2]
+	r.Table.SetLeaving(f.Now, true)
+	r.Member.Leaving = true
+	settle(c, f, 20*time.Second)
+	f.Run(5 * time.Second)
+	for _, other := range f.Routers {
+		c.Check(other.Table.View().Index(r.Member.Name), qt.Equals, -1)
+		c.Check(stances(other.Table.Shares(f.Now)) >= 6, qt.IsTrue)
+	}
+	c.Check(r.Table.Shares(f.Now).Counted(member.DutyAdmission, "e"), qt.Equals, 0)
+}
+
+func TestNewsOfTheConfigurationIsRelayed(t *testing.T) {
+	c := qt.New(t)
+	f := steady(c, 20)
+	read := f.Now
+	f.Routers[0].Table.Tell(member.News{Version: 9, End: 12, LogReadAt: read})
+	f.Run(6 * time.Second)
+	for _, r := range f.Routers {
+		n := r.Table.News()
+		c.Check(n.Version, qt.Equals, uint64(9))
+		c.Check(n.End, qt.Equals, uint64(12))
+		late := n.LogReadAt.Sub(read)
+		c.Check(late < 50*time.Millisecond && late > -time.Second, qt.IsTrue, qt.Commentf("%v", late))
+	}
+}
