--- a/lab/admission/cold_test.go
+++ b/lab/admission/cold_test.go
@@ -32,7 +32,7 @@
 func TestSurgeStaysWithinTheCap(t *testing.T) {
 	c := qt.New(t)
 	baseline := 0
-	for _, r := range RunAdmission(Options{Seeds: []uint64{1, 2, 3}, Workers: 2}).Results {
+	for _, r := range Surge(Small, []uint64{1, 2, 3}, 2) {
 		c.Logf("%+v", r)
 		if r.Way != ways()[0].name {
 			baseline += r.Overruns
--- a/lab/admission/handover.go
+++ b/lab/admission/handover.go
@@ -54,6 +54,15 @@
 	}
 }
 
+// Ways returns the names of the ways that are measured, the product's first.
+func Ways() []string {
+	var names []string
+	for _, w := range ways() {
+		names = append(names, w.name)
+	}
+	return names
+}
+
 // Phases of a handover run.
 const (
 	warmUp     = 12 * time.Second
--- /dev/null
+++ b/lab/admission/surge.go
@@ -0,0 +1,66 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+)
+
+// SurgeResult is what one way of admission did while the offered work rose to
+// three times what the endpoints bear and fell again.
+type SurgeResult struct {
+	Way           string  `json:"way"`
+	Routers       int     `json:"routers"`
+	Seed          uint64  `json:"seed"`
+	Offered       int64   `json:"offered"`
+	Served        int64   `json:"served"`
+	Overruns      int     `json:"overruns"`
+	WorstOverrun  int     `json:"worst_overrun"`
+	OverMean      int64   `json:"over_mean"`
+	WorstOverMean float64 `json:"worst_over_mean"`
+	Invariants    int64   `json:"invariant_violations"`
+	// UsedInSurge is the part of what the endpoints bear that was served in
+	// the surge.
+	UsedInSurge float64 `json:"used_in_surge"`
+}
+
+const (
+	surgeFactor = 3.0
+	surgeTime   = 10 * time.Second
+)
+
+// Surge measures all ways in a surge, for each seed.
+func Surge(sizes Sizes, seeds []uint64, workers int) []SurgeResult {
+	results := make([]SurgeResult, len(ways())*len(seeds))
+	p := pool.New().WithMaxGoroutines(workers)
+	for i, w := range ways() {
+		for j, seed := range seeds {
+			p.Go(func() { results[i*len(seeds)+j] = surge(w, sizes, seed) })
+		}
+	}
+	p.Wait()
+	return results
+}
+
+func surge(w way, sizes Sizes, seed uint64) SurgeResult {
+	calm := sizes.Arrivals / 2
+	s := NewSite(sizes, seed, w.policy)
+	s.Arrivals = calm
+	s.Fleet.Run(warmUp)
+	s.Offer()
+	s.Fleet.Run(quietTime)
+	s.Arrivals = surgeFactor * sizes.Arrivals
+	served := s.Served
+	s.Fleet.Run(surgeTime)
+	capacity := float64(sizes.Endpoints*sizes.Bears) / sizes.Service.Seconds() * surgeTime.Seconds()
+	r := SurgeResult{Way: w.name, Routers: sizes.Routers, Seed: seed}
+	r.UsedInSurge = float64(s.Served-served) / capacity
+	s.Arrivals = calm
+	s.Fleet.Run(quietTime)
+	r.Offered, r.Served = s.Offered, s.Served
+	r.Overruns, r.WorstOverrun = s.Overruns()
+	r.OverMean, r.WorstOverMean = s.OverMean, math.Max(1, s.WorstMean)
+	r.Invariants = s.Check.Total()
+	return r
+}
--- /dev/null
+++ b/lab/measure/admission.go
@@ -0,0 +1,184 @@
+package measure
+
+import (
+	"strconv"
+
+	"github.com/stoatmount/stoatmount/lab/admission"
+)
+
+// Targets of admission and membership.
+const (
+	rampTarget       = 1.5              // times the perfect ramp
+	membershipBudget = 2 * 1024         // bytes a second that a router sends
+	coreBudget       = 0.02             // of a core
+	memoryBudget     = 32 * 1024 * 1024 // bytes
+	deathTarget      = 10               // seconds until duties of a dead host moved
+)
+
+// fleetSizes are the fleets that membership is measured at, smallest first.
+var fleetSizes = []int{7, 50, 150, 330}
+
+// smallFleetSizes are measured where Options.Small is set.
+const smallFleetSizes = 2
+
+// sites returns the sites to measure and the seeds for each. The planned size
+// takes minutes and gets one seed.
+func (o *Options) sites() []siteRuns {
+	small := siteRuns{name: "today", sizes: admission.Small, seeds: o.seeds()}
+	if o.Small {
+		return []siteRuns{small}
+	}
+	return []siteRuns{small, {name: "planned", sizes: admission.Large, seeds: o.seeds()[:1]}}
+}
+
+type siteRuns struct {
+	name  string
+	sizes admission.Sizes
+	seeds []uint64
+}
+
+// values collects a figure of all results that keep accepts.
+func values[R any](results []R, keep func(*R) bool, figure func(*R) float64) []float64 {
+	var out []float64
+	for i := range results {
+		if keep(&results[i]) {
+			out = append(out, figure(&results[i]))
+		}
+	}
+	return out
+}
+
+// named is a figure of a result.
+type named[R any] struct {
+	name   string
+	figure func(*R) float64
+}
+
+// measureHandover weighs ways of admission while owners change.
+func measureHandover(o Options) (*Report, error) {
+	r := &Report{Name: "handover", Seeds: o.seeds(), Plot: "served_during"}
+	for _, site := range o.sites() {
+		results := admission.Handover(site.sizes, site.seeds, o.Workers)
+		for _, way := range admission.Ways() {
+			keep := func(h *admission.HandoverResult) bool { return h.Way == way }
+			for _, f := range handoverFigures() {
+				got := r.add(site.name, way, f.name, values(results, keep, f.figure))
+				if way == admission.Ways()[0] && (f.name == "overruns" || f.name == "invariant_violations") {
+					r.atMost(site.name+" "+f.name, 0, got.Max)
+				}
+			}
+		}
+	}
+	return r, nil
+}
+
+func handoverFigures() []named[admission.HandoverResult] {
+	type result = admission.HandoverResult
+	return []named[result]{
+		{"overruns", func(h *result) float64 { return float64(h.Overruns) }},
+		{"worst_overrun", func(h *result) float64 { return float64(h.WorstOverrun) }},
+		{"over_mean", func(h *result) float64 { return float64(h.OverMean) }},
+		{"invariant_violations", func(h *result) float64 { return float64(h.Invariants) }},
+		{"served_before", func(h *result) float64 { return h.ServedBefore }},
+		{"served_during", func(h *result) float64 { return h.ServedDuring }},
+		{"served_after", func(h *result) float64 { return h.ServedAfter }},
+	}
+}
+
+// measureAdmission compares ways of admission in a surge.
+func measureAdmission(o Options) (*Report, error) {
+	r := &Report{Name: "admission", Seeds: o.seeds(), Plot: "over_mean"}
+	type result = admission.SurgeResult
+	figures := []named[result]{
+		{"overruns", func(s *result) float64 { return float64(s.Overruns) }},
+		{"worst_overrun", func(s *result) float64 { return float64(s.WorstOverrun) }},
+		{"over_mean", func(s *result) float64 { return float64(s.OverMean) }},
+		{"worst_over_mean", func(s *result) float64 { return s.WorstOverMean }},
+		{"used_in_surge", func(s *result) float64 { return s.UsedInSurge }},
+	}
+	for _, site := range o.sites() {
+		results := admission.Surge(site.sizes, site.seeds, o.Workers)
+		for _, way := range admission.Ways() {
+			keep := func(s *result) bool { return s.Way == way }
+			for _, f := range figures {
+				got := r.add(site.name, way, f.name, values(results, keep, f.figure))
+				if way == admission.Ways()[0] && (f.name == "overruns" || f.name == "over_mean") {
+					r.atMost(site.name+" "+f.name, 0, got.Max)
+				}
+			}
+		}
+	}
+	return r, nil
+}
+
+// measureCold compares the ramp after cold starts with a perfect one.
+func measureCold(o Options) (*Report, error) {
+	r := &Report{Name: "cold", Seeds: o.seeds(), Plot: "ratio"}
+	type result = admission.ColdResult
+	starts := []struct {
+		name string
+		keep func(*result) bool
+	}{
+		{"announced", func(c *result) bool { return c.Announced && !c.Flapping }},
+		{"announced, routers flap", func(c *result) bool { return c.Announced && c.Flapping }},
+		{"without notice", func(c *result) bool { return !c.Announced }},
+	}
+	for _, site := range o.sites() {
+		results := admission.Cold(site.sizes, site.seeds, o.Workers)
+		for _, start := range starts {
+			r.add(site.name, start.name, "full_after_s", values(results, start.keep, func(c *result) float64 { return c.FullAfter }))
+			r.add(site.name, start.name, "perfect_s", values(results, start.keep, func(c *result) float64 { return c.Perfect }))
+			ratio := r.add(site.name, start.name, "ratio", values(results, start.keep, func(c *result) float64 { return c.Ratio }))
+			over := r.add(site.name, start.name, "overruns", values(results, start.keep, func(c *result) float64 { return float64(c.Overruns) }))
+			if start.name == "without notice" {
+				continue // until it is noticed, the cap is that of a warm endpoint
+			}
+			r.atMost(site.name+" overruns, "+start.name, 0, over.Max)
+			if start.name == "announced" {
+				r.atMost(site.name+" ratio, "+start.name, rampTarget, ratio.Max)
+			}
+		}
+	}
+	return r, nil
+}
+
+// measureMember measures what membership costs and how quickly it agrees. It
+// runs one fleet after another, so that processor time is that of one.
+func measureMember(o Options) (*Report, error) {
+	r := &Report{Name: "member", Seeds: o.seeds()[:1], Plot: "sent_bytes_per_s"}
+	sizes := fleetSizes
+	if o.Small {
+		sizes = sizes[:smallFleetSizes]
+	}
+	for _, n := range sizes {
+		m := admission.Membership(n, o.Seed)
+		name := strconv.Itoa(n) + " routers"
+		for _, f := range memberFigures() {
+			r.add(name, "gossip", f.name, []float64{f.figure(&m)})
+		}
+		r.atMost(name+" sent bytes a second", membershipBudget, m.SentPerSecond+m.Daily)
+		r.atMost(name+" part of a core", coreBudget, m.CoreShare)
+		r.atMost(name+" memory", memoryBudget, m.HeapBytes)
+		r.atMost(name+" false deaths", 0, float64(m.FalseDeaths))
+		r.atMost(name+" death noticed by all", deathTarget, m.DeathAfter)
+	}
+	return r, nil
+}
+
+func memberFigures() []named[admission.MemberResult] {
+	type result = admission.MemberResult
+	return []named[result]{
+		{"sent_bytes_per_s", func(m *result) float64 { return m.SentPerSecond }},
+		{"sent_bytes_per_s_most", func(m *result) float64 { return m.SentMost }},
+		{"replacements_bytes_per_s", func(m *result) float64 { return m.Daily }},
+		{"core_share", func(m *result) float64 { return m.CoreShare }},
+		{"heap_bytes", func(m *result) float64 { return m.HeapBytes }},
+		{"least_counted", func(m *result) float64 { return m.LeastCounted }},
+		{"false_deaths", func(m *result) float64 { return float64(m.FalseDeaths) }},
+		{"start_s", func(m *result) float64 { return m.StartAfter }},
+		{"death_s", func(m *result) float64 { return m.DeathAfter }},
+		{"zone_death_s", func(m *result) float64 { return m.ZoneAfter }},
+		{"join_s", func(m *result) float64 { return m.JoinAfter }},
+		{"leave_s", func(m *result) float64 { return m.LeaveAfter }},
+	}
+}
--- a/lab/measure/measure.go
+++ b/lab/measure/measure.go
@@ -38,6 +38,10 @@
 		{"crash", "endpoints lost to a body that crashes whatever runs it", measureCrash},
 		{"control", "bytes a second that routers send each other for the request path", measureControl},
 		{"storm", "attempts per request while endpoints fail", measureStorm},
+		{"admission", "load over what endpoints bear and over the mean in a surge", measureAdmission},
+		{"handover", "overrun and service while owners change", measureHandover},
+		{"cold", "the ramp after cold starts against a perfect one", measureCold},
+		{"member", "cost and speed of membership by size of fleet", measureMember},
 	}
 }
 
