Do not cap an endpoint that is alone in its group by its own mean

Change: with one endpoint in service the load is the mean, whatever it is, and only what the endpoint bears limits it. The unit tests' group has a second endpoint now, so that they test the cap by the mean as before; a new test holds the case of one.

--- a/process/admission/endpoint.go
+++ b/process/admission/endpoint.go
@@ -97,13 +97,28 @@
 	l.cold = e.warm.cold(settings)
 	l.coldCap = e.warm.cap(settings)
 	bears := min(settings.Bears, l.coldCap)
-	byMean := meanCap(withMargin(o.snap.Config.Limits.MeanMultiple), o.mean(now, settings))
+	byMean := o.capByMean(now, settings, withMargin(o.snap.Config.Limits.MeanMultiple))
 	covered := e.cover.covered
 	l.capacity = min(bears, byMean)
 	l.permits = max(0, min(share(bears, covered.counted, covered.known), byMean)-e.foreign)
 	return l
 }
 
+// capByMean is the cap that follows from the mean of the endpoint's group. An
+// endpoint that is alone in its group is its own mean and has no such cap.
+func (o *Owner) capByMean(now time.Time, settings *config.Endpoint, c float64) int {
+	inService := 0
+	for _, i := range o.snap.GroupEndpoints(settings.Group()) {
+		if !o.snap.IndexOut(i) {
+			inService++
+		}
+	}
+	if inService == 1 {
+		return settings.Bears
+	}
+	return meanCap(c, o.mean(now, settings))
+}
+
 // counted returns how many routers are bound to this one as e's owner.
 func (e *endpoint) counted(shares *member.Shares) int {
 	n := 0
@@ -201,7 +216,7 @@
 	})
 	shares := o.members.Shares(now)
 	allowed := share(settings.Bears, e.auditedCount(shares), shares.Known)
-	allowed = min(allowed, meanCap(o.snap.Config.Limits.MeanMultiple, o.mean(now, settings))) - e.foreign
+	allowed = min(allowed, o.capByMean(now, settings, o.snap.Config.Limits.MeanMultiple)) - e.foreign
 	return o.check.Check(after <= allowed, invariant.PermitsWithinCap, func() string {
 		return evidence(e, "allowed", allowed)
 	}) && ok
--- a/process/admission/owner_test.go
+++ b/process/admission/owner_test.go
@@ -42,13 +42,17 @@
 	calls   uint64
 }
 
-// newFixture has one endpoint "e" of model "m" that bears 8, and 2 when cold.
+// newFixture has endpoints "e" and "other" of model "m" that bear 8, and 2 when
+// cold. Only "e" is used.
 func newFixture(t *testing.T, endpoints ...config.Endpoint) *fixture {
 	f := &fixture{c: qt.New(t), now: epoch, check: invariant.New(logr.Discard())}
 	f.members = &fakeMembers{self: member.Member{Name: "a", Boot: 1, Region: "r"}, counted: 7, known: 7}
 	f.owner = NewOwner(DefaultConfig(), f.members, f.check, rand.New(rand.NewPCG(1, 1)))
 	if len(endpoints) == 0 {
-		endpoints = []config.Endpoint{{Name: "e", Model: "m", Bears: 8, ColdBears: 2, WarmAfter: 12}}
+		endpoints = []config.Endpoint{
+			{Name: "e", Model: "m", Bears: 8, ColdBears: 2, WarmAfter: 12},
+			{Name: "other", Model: "m", Bears: 8, ColdBears: 2, WarmAfter: 12},
+		}
 	}
 	f.setConfig(config.State{Config: config.Config{
 		Endpoints: endpoints,
@@ -130,6 +134,14 @@
 	}
 }
 
+func TestEndpointAloneInItsGroupIsItsOwnMean(t *testing.T) {
+	f := newFixture(t, config.Endpoint{Name: "e", Model: "m", Bears: 8, ColdBears: 2, WarmAfter: 12})
+	f.own("e", protocol.LoadReport{Boot: 1, Completed: 100})
+	f.owner.Mean(f.now, "m", 0)
+	f.c.Check(f.fill("e"), qt.HasLen, 8)
+	f.c.Check(f.check.Total(), qt.Equals, int64(0))
+}
+
 func TestSharesOfRivalsNeverExceedTheCap(t *testing.T) {
 	c := qt.New(t)
 	for known := 1; known <= 12; known++ {
