Let a minority own only what it knows to be counted by all

Change: a minority of the known routers owns nothing unless all known routers were last heard on a view with this process; Follower.Fresh needs Ready.

--- a/lab/histories/histories_test.go
+++ b/lab/histories/histories_test.go
@@ -70,3 +70,12 @@
 		qt.Check(t, broken, qt.HasLen, 0, qt.Commentf("seed %d", seed))
 	}
 }
+
+// TestCapHoldsWhenAHostJoinsWithinAListOutage runs histories in which a host
+// restarts on an island while the list is out of service for some routers.
+func TestCapHoldsWhenAHostJoinsWithinAListOutage(t *testing.T) {
+	for _, seed := range []uint64{300, 1784, 6895} {
+		broken, _ := runOne(seed, foundSteps, wholeSystem)
+		qt.Check(t, broken, qt.HasLen, 0, qt.Commentf("seed %d", seed))
+	}
+}
--- a/process/configlog/follower.go
+++ b/process/configlog/follower.go
@@ -138,11 +138,12 @@
 	}
 }
 
-// Fresh reports whether new work may be taken at now.
+// Fresh reports whether new work may be taken at now. A router that may not
+// gossip yet takes none, as the others do not know of it.
 func (f *Follower) Fresh(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.halted == nil && f.fresh.Fresh(now)
+	return f.halted == nil && f.readyLocked() && f.fresh.Fresh(now)
 }
 
 // Status is how far a Follower is, for gossip and for operators.
--- a/process/member/shares.go
+++ b/process/member/shares.go
@@ -76,9 +76,38 @@
 			s.add(t, p.stance)
 		}
 	}
+	if s.minority() && !t.inAllViews(now) {
+		s.Stances = nil
+	}
 	return s
 }
 
+// minority reports whether no more than half of the known routers are counted.
+func (s *Shares) minority() bool {
+	counted := 0
+	for i := range s.Stances {
+		counted += s.Stances[i].Count
+	}
+	return 2*counted <= s.Known
+}
+
+// inAllViews reports whether all known routers were last heard on a view with
+// this process. Another may not count this one as known yet, and then shares of
+// a minority could come on top of the whole.
+func (t *Table) inAllViews(now time.Time) bool {
+	for _, name := range t.names {
+		p := t.peers[name]
+		if !t.isKnown(p, now) {
+			continue
+		}
+		view := t.known.get(p.stance.View)
+		if view == nil || !view.Has(t.self.Name, t.self.Boot) {
+			return false
+		}
+	}
+	return true
+}
+
 // mayNotOwn reports whether this router must not act as an owner: it was or is
 // just being paused, or it hears no majority and cannot tell by the list either
 // whether others still count it as known.
