Hedge late requests and draw retries on the budget of their endpoint

Change: retry.Attempts decides; the budget is that of the endpoint which gets the retry; a request that may be repeated and has no first byte after half of its bound is sent to a second endpoint, the first answer wins and the other is cancelled and gives its permit back. A hedge needs the word of the home of the body's fingerprint, so a body that has not yet run to its end three times is not hedged: the bound on crashed endpoints goes before its delay.

--- a/process/node/fleet.go
+++ b/process/node/fleet.go
@@ -45,8 +45,8 @@
 }
 
 // MayRetry implements serve.Fleet.
-func (n *Node) MayRetry(job *serve.Job) bool {
-	return n.budget.Take(job.Kind.Group()) == outcome.OK
+func (n *Node) MayRetry(endpoint string) bool {
+	return n.budget.Take(endpoint) == outcome.OK
 }
 
 // Accepting implements caller.Fleet.
--- a/request/serve/fleet.go
+++ b/request/serve/fleet.go
@@ -13,8 +13,8 @@
 	// Acquire gets a permit at the best endpoint that is not in avoid. It
 	// waits no longer than the job's deadline allows.
 	Acquire(ctx context.Context, job *Job, avoid []string) (Permit, *outcome.Refusal)
-	// MayRetry spends one retry of the budget, if there is one.
-	MayRetry(job *Job) bool
+	// MayRetry spends one retry or hedge at the endpoint, if the budget has one.
+	MayRetry(endpoint string) bool
 	// Crashed is told that the endpoint was lost while it had the request.
 	Crashed(job *Job, endpoint string, boot uint64)
 	// PlaceToken returns the token that names the chat's place to the caller.
--- a/request/serve/server.go
+++ b/request/serve/server.go
@@ -12,10 +12,12 @@
 	"github.com/stoatmount/stoatmount/connection/endpoint"
 	"github.com/stoatmount/stoatmount/process/invariant"
 	"github.com/stoatmount/stoatmount/request/outcome"
+	"github.com/stoatmount/stoatmount/request/retry"
 )
 
-// maxAttempts bounds the attempts made for one request.
-const maxAttempts = 6
+// maxTries bounds the tries of one request, those that end before anything is
+// sent included.
+const maxTries = 8
 
 // Server serves requests. It is safe for concurrent use.
 type Server struct {
@@ -45,17 +47,26 @@
 
 // progress is what is known of a job over all its attempts.
 type progress struct {
-	attempt int
-	avoid   []string
-	run     outcome.Run
-	stream  streamed
+	tries  int // also those that sent nothing
+	made   int // attempts that were dispatched
+	avoid  []string
+	run    outcome.Run
+	stream streamed
+}
+
+// attempts returns the progress as the rules for retries see it. A stream that
+// has begun can be joined to its repetition.
+func (p *progress) attempts(job *Job, out *relay, now time.Time) *retry.Attempts {
+	return &retry.Attempts{
+		Kind: job.Kind, Run: p.run, Made: p.made, Streamed: out.head && !job.Stream, Left: job.Left(now),
+	}
 }
 
 // run makes attempts until one succeeds or no other is allowed.
 func (s *Server) run(ctx context.Context, job *Job, out *relay, claim Claim) *outcome.Refusal {
 	done := &progress{run: outcome.RunNot}
 	for {
-		done.attempt++
+		done.tries++
 		refusal := s.attempt(ctx, job, done, out, claim)
 		if refusal == nil {
 			return nil
@@ -67,22 +78,12 @@
 	}
 }
 
-// mayTryAgain decides after a failed attempt. A non-idempotent request is
-// tried again only if no attempt can have run.
+// mayTryAgain decides after a failed attempt.
 func (s *Server) mayTryAgain(ctx context.Context, job *Job, done *progress, out *relay, refusal *outcome.Refusal) bool {
-	if ctx.Err() != nil || done.attempt >= maxAttempts {
-		return false
-	}
-	if !retryable(refusal.Code) {
-		return false
-	}
-	if done.run != outcome.RunNot && !job.Repeatable() {
-		return false
-	}
-	if out.head && !job.Stream {
+	if ctx.Err() != nil || done.tries >= maxTries || !retryable(refusal.Code) {
 		return false
 	}
-	return s.fleet.MayRetry(job)
+	return done.attempts(job, out, s.clock.Now()).Again() == outcome.OK
 }
 
 // retryable reports whether another endpoint may do better.
@@ -106,40 +107,61 @@
 			final.Code = outcome.DeadlineTooShort
 		}
 	}
-	s.log.V(1).Info("request failed", "request", job.ID, "attempts", done.attempt,
+	s.log.V(1).Info("request failed", "request", job.ID, "attempts", done.made,
 		"code", int(final.Code), "run", final.Run.String(), "detail", final.Detail)
 	return &final
 }
 
-// attempt makes one attempt at one endpoint.
+// attempt makes one attempt at one endpoint, or at two if it is hedged.
 func (s *Server) attempt(ctx context.Context, job *Job, done *progress, out *relay, claim Claim) *outcome.Refusal {
-	permit, refusal := s.fleet.Acquire(ctx, job, done.avoid)
+	first, refusal := s.prepare(ctx, job, done)
 	if refusal != nil {
 		return refusal
 	}
-	result := &Result{}
-	defer func() { permit.Release(*result) }()
-	target := permit.Endpoint()
-	now := s.clock.Now()
-	if refusal := permit.MayDispatch(now); refusal != nil {
-		done.avoid = append(done.avoid, target.Name)
-		return refusal
-	}
 	if claim != nil && !claim.MayDispatch() {
+		first.release()
 		return outcome.NotRun(outcome.ClaimFailed, "the request was given up before it was sent")
 	}
-	request := s.request(job, done, permit, now)
-	refusal = s.exchange(ctx, job, done, out, request, result, target.Name)
+	winner, refusal := s.race(ctx, job, done, out, first)
 	if refusal != nil {
-		done.avoid = append(done.avoid, target.Name)
-		s.afterFailure(ctx, job, request, result, target.Name, refusal)
+		return refusal
+	}
+	defer winner.release()
+	refusal = s.pass(job, done, out, winner)
+	if refusal != nil {
+		done.avoid = append(done.avoid, winner.name())
+		s.afterFailure(job, winner, refusal)
 	}
 	return refusal
 }
 
-func (s *Server) request(job *Job, done *progress, permit Permit, now time.Time) *endpoint.Request {
+// prepare gets a permit and makes the last checks before a request leaves. A
+// repetition draws on the budget for retries.
+func (s *Server) prepare(ctx context.Context, job *Job, done *progress) (*leg, *outcome.Refusal) {
+	permit, refusal := s.fleet.Acquire(ctx, job, done.avoid)
+	if refusal != nil {
+		return nil, refusal
+	}
+	l := &leg{permit: permit, result: &Result{}}
+	if done.made > 0 && !s.fleet.MayRetry(l.name()) {
+		l.release()
+		return nil, outcome.NotRun(outcome.RetryBudgetSpent, "endpoint %s", l.name())
+	}
+	now := s.clock.Now()
+	if refusal := permit.MayDispatch(now); refusal != nil {
+		done.avoid = append(done.avoid, l.name())
+		l.release()
+		return nil, refusal
+	}
+	done.made++
+	l.ctx, l.cancel = context.WithCancel(ctx)
+	l.request = s.request(job, done.made, permit, now)
+	return l, nil
+}
+
+func (s *Server) request(job *Job, attempt int, permit Permit, now time.Time) *endpoint.Request {
 	return &endpoint.Request{
-		ID:           job.ID + "." + strconv.Itoa(done.attempt),
+		ID:           job.ID + "." + strconv.Itoa(attempt),
 		Address:      permit.Endpoint().Address,
 		Method:       job.Method,
 		Path:         job.Path,
@@ -154,33 +176,21 @@
 	}
 }
 
-// exchange sends the request and passes the answer on.
-func (s *Server) exchange(ctx context.Context, job *Job, done *progress, out *relay, request *endpoint.Request, result *Result, name string) *outcome.Refusal {
-	sent := s.clock.Now()
-	answer, refusal := s.client.Do(ctx, request)
-	if refusal != nil {
-		result.Dispatched = refusal.Run != outcome.RunNot
-		result.Failed = endpointAtFault(refusal.Code)
-		return refusal
-	}
-	result.Dispatched = true
-	result.Boot = answer.Boot
-	defer func() { _ = answer.Body.Close() }()
-	if job.Kind.Model != "" && answer.Status >= http.StatusInternalServerError {
-		result.Failed = true
-		return outcome.Unknown(outcome.EndpointFailed, "the endpoint answered status %d", answer.Status)
-	}
-	x := &exchangeState{job: job, done: done, out: out, request: request, answer: answer, result: result, sent: sent, name: name}
-	if job.Stream && answer.Status == http.StatusOK {
-		refusal = s.passStream(ctx, x)
+// pass passes the answer of a leg on to the caller.
+func (s *Server) pass(job *Job, done *progress, out *relay, l *leg) *outcome.Refusal {
+	defer func() { _ = l.answer.Body.Close() }()
+	x := &exchangeState{job: job, done: done, out: out, request: l.request, answer: l.answer, result: l.result, sent: l.sent, name: l.name()}
+	var refusal *outcome.Refusal
+	if job.Stream && l.answer.Status == http.StatusOK {
+		refusal = s.passStream(l.ctx, x)
 	} else {
-		refusal = s.passWhole(ctx, x)
+		refusal = s.passWhole(l.ctx, x)
 	}
 	if refusal == nil {
-		result.Completed = true
+		l.result.Completed = true
 		s.placed(x)
 	} else {
-		result.Failed = endpointAtFault(refusal.Code)
+		l.result.Failed = endpointAtFault(refusal.Code)
 	}
 	return refusal
 }
@@ -209,17 +219,22 @@
 
 // afterFailure cancels what the endpoint may still be running and reports a
 // lost endpoint.
-func (s *Server) afterFailure(ctx context.Context, job *Job, request *endpoint.Request, result *Result, name string, refusal *outcome.Refusal) {
-	if !result.Dispatched {
+func (s *Server) afterFailure(job *Job, l *leg, refusal *outcome.Refusal) {
+	if !l.result.Dispatched {
 		return
 	}
 	if refusal.Code == outcome.EndpointFailed || refusal.Code == outcome.AnswerTruncated {
-		s.fleet.Crashed(job, name, result.Boot)
+		s.fleet.Crashed(job, l.name(), l.result.Boot)
 	}
+	s.cancelAtEndpoint(job, l)
+}
+
+// cancelAtEndpoint tells a model engine that nobody waits any more.
+func (s *Server) cancelAtEndpoint(job *Job, l *leg) {
 	if job.Kind.Model == "" {
 		return
 	}
 	s.fleet.Background(func() {
-		_ = s.client.Cancel(ctx, request.Address, request.ID)
+		_ = s.client.Cancel(context.Background(), l.request.Address, l.request.ID)
 	})
 }
--- a/test/faults/answers_test.go
+++ b/test/faults/answers_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -103,3 +104,24 @@
 	})
 	checkPromises(c, f)
 }
+
+func TestLateChatIsHedgedOnceItsBodyIsKnownToBeHarmless(t *testing.T) {
+	c := qt.New(t)
+	f := start(c, small(3, 1), 1)
+	router := f.Callers()[0]
+	for range 6 {
+		c.Assert(chat(c, router, "the same scene", 4, false).status, qt.Equals, http.StatusOK)
+	}
+	faults := f.Site.Endpoint("e1").Faults()
+	c.Assert(faults.On(fault.Fault{Name: fault.Late, Count: 1, Delay: 1900 * time.Millisecond}), qt.IsNil)
+	for i := 0; faults.Hits(fault.Late) == 0; i++ {
+		c.Assert(i < 100, qt.IsTrue, qt.Commentf("the fault did not strike"))
+		before := f.Site.Truth().Executions
+		r := chat(c, router, "the same scene", 4, false)
+		c.Assert(r.status, qt.Equals, http.StatusOK, qt.Commentf("%+v", r))
+		if faults.Hits(fault.Late) > 0 {
+			c.Check(f.Site.Truth().Executions-before, qt.Equals, 2)
+		}
+	}
+	checkPromises(c, f)
+}
