--- a/process/ledger/shard.go
+++ b/process/ledger/shard.go
@@ -167,7 +167,7 @@
 	defer s.mu.Unlock()
 	if s.ready {
 		if r := s.fold.Lookup(c.Key, c.Attempt, c.Fingerprint); r.State != Unsettled {
-			t.settle(r)
+			t.settle(s.newestLocked(c, r))
 			return t
 		}
 	}
@@ -180,6 +180,23 @@
 	return t
 }
 
+// newestLocked returns r, or the outcome of the request in progress if its
+// holder has told it and it only waits for the log.
+func (s *Shard) newestLocked(c Claim, r Result) Result {
+	if r.State != InProgress {
+		return r
+	}
+	holder := s.fold.keys[c.Key].holder
+	for _, list := range [][]*waiting{s.queue, s.sent} {
+		for _, w := range list {
+			if w.record.Op == opDone && w.record.Key == c.Key && w.record.Attempt == holder {
+				return Result{State: Done, Answer: w.record.Answer}
+			}
+		}
+	}
+	return r
+}
+
 func (t *Ticket) settle(r Result) {
 	t.result = r
 	close(t.done)
--- a/process/ledger/shard_test.go
+++ b/process/ledger/shard_test.go
@@ -184,3 +184,18 @@
 	c.Check(once.Dispatch(now), qt.IsFalse)
 	c.Check(once.GiveUp(), qt.IsFalse)
 }
+
+func TestRepeatGetsTheAnswerBeforeItIsInTheLog(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(0)
+	s := b.open(c)
+	key := keyAt(b.clock.Now(), 1)
+	claim := b.claim(key)
+	s.Ask(claim)
+	b.round(c, s)
+	c.Check(s.Ask(b.claim(key)).Result().State, qt.Equals, InProgress)
+	s.Finish(Finish{Key: key, Attempt: claim.Attempt, Run: outcome.RunDone, Answer: &Answer{Status: 200, Body: []byte("booked")}})
+	again := s.Ask(b.claim(key)).Result()
+	c.Assert(again.State, qt.Equals, Done)
+	c.Check(string(again.Answer.Body), qt.Equals, "booked")
+}
