Enter a claim again when its appender is lost, and release what was lost

Cause: a router whose claim got no reply, as the appender was killed, paused or shut down, refused the booking at once as log_unavailable and left a claim that was perhaps recorded without a release. Repeats then met key_in_progress until the first deadline, 30 s. Change: the claim is entered again under the same attempt, with whoever appends by then, until its time is over; if nothing came back, a release is recorded. The first record of an attempt decides, so that entering it twice is harmless. Also: the load generator called a request without a key not run by its last try alone, although an earlier try was refused as unknown; TestSilentEndpoint... failed by that. It now combines all tries of such a request. For keyed requests the last refusal still decides, and for all others every claim of not_run that no doubt precedes is held to the records as before.

--- a/lab/load/judgement.go
+++ b/lab/load/judgement.go
@@ -54,7 +54,8 @@
 	Repeated          bool // the answer was a stored one
 	Took              time.Duration
 	FirstToken        time.Duration
-	Prompt, Cached    int // tokens
+	Prompt, Cached    int         // tokens
+	run               outcome.Run // over all tries
 	text              string
 	place             string
 }
@@ -75,6 +76,10 @@
 const maxTrail = 8
 
 func (j *Judgement) count(t *try) {
+	if j.Tries == 0 {
+		j.run = t.run()
+	}
+	j.run = outcome.Combine(j.run, t.run())
 	j.Tries++
 	j.Trail = append(j.Trail, t.String())
 	if len(j.Trail) > maxTrail {
@@ -111,11 +116,13 @@
 	case t.end == endWhole:
 		return Late
 	}
-	// A lost try leaves doubt that only a refusal under the same key removes.
-	if j.Lost+j.Cut > 0 && (t.end != endRefused || q.key == "") {
-		return Unknown
+	// With a key the last refusal is about all tries; without one each try is
+	// a request of its own.
+	run := j.run
+	if q.key != "" && t.end == endRefused {
+		run = t.run()
 	}
-	switch t.run() {
+	switch run {
 	case outcome.RunNot:
 		return NotRun
 	case outcome.RunDone:
--- a/process/node/claims.go
+++ b/process/node/claims.go
@@ -19,6 +19,9 @@
 	finishPause = 300 * time.Millisecond
 	// finishTime bounds one of them.
 	finishTime = time.Second
+	// askPause is the pause before a claim is entered again when the appender
+	// could not be reached.
+	askPause = 200 * time.Millisecond
 )
 
 // claims implements serve.Claims.
@@ -50,8 +53,9 @@
 		a := result.Answer
 		return nil, &serve.Stored{Status: a.Status, ContentType: a.ContentType, Body: a.Body}, nil
 	}
-	if result.State == ledger.Won {
-		// Won too late: the claim is given back, as it is never dispatched.
+	if result.State == ledger.Won || held.unanswered {
+		// Won too late, or perhaps recorded by an appender that was lost: the
+		// claim is given back, as it is never dispatched.
 		held.Finish(outcome.RunNot, nil)
 	}
 	refusal = result.Refusal()
@@ -68,6 +72,8 @@
 	shard   int
 	attempt *ledger.Attempt
 	once    bool // MayDispatch has allowed a dispatch
+	// unanswered says that the claim was sent and nothing came back.
+	unanswered bool
 }
 
 // appender returns the router that appends for the claim's shard.
@@ -75,27 +81,48 @@
 	return c.node.members.OwnerFor(c.node.clock.Now(), member.DutyLedger, strconv.Itoa(c.shard))
 }
 
-// ask enters the claim. An attempt whose result is not known can never be
-// dispatched.
+// ask enters the claim until it is answered or its time is over. Entering it
+// again is harmless, as the first record of the attempt decides. An attempt
+// whose result is not known can never be dispatched.
 func (c *claim) ask(ctx context.Context, entry ledger.Claim) ledger.Result {
+	ctx, cancel := context.WithTimeout(ctx, entry.Holds)
+	defer cancel()
+	for {
+		result, answered := c.askOnce(ctx, entry)
+		if answered {
+			c.unanswered = false
+			return result
+		}
+		select {
+		case <-c.node.clock.After(askPause):
+		case <-ctx.Done():
+			return ledger.Result{State: ledger.LogDown}
+		}
+	}
+}
+
+// askOnce enters the claim with the present appender. It reports false if the
+// appender could not be reached.
+func (c *claim) askOnce(ctx context.Context, entry ledger.Claim) (ledger.Result, bool) {
 	n := c.node
 	appender, ok := c.appender()
 	if !ok {
-		return ledger.Result{State: ledger.LogDown}
+		return ledger.Result{}, false
 	}
 	if appender.Name == n.self.Name {
-		return n.ledger.Claim(ctx, c.shard, entry)
+		return n.ledger.Claim(ctx, c.shard, entry), true
 	}
 	wait := entry.Holds
 	if deadline, ok := ctx.Deadline(); ok {
 		wait = min(wait, time.Until(deadline))
 	}
+	c.unanswered = true
 	message := &peerpb.Envelope{Body: &peerpb.Envelope_Claim{Claim: ledger.ClaimMessage(c.shard, entry, wait-wait/8)}}
 	reply, err := n.links.Call(ctx, appender.Peer, message)
 	if err != nil || reply.GetClaimReply() == nil {
-		return ledger.Result{State: ledger.LogDown}
+		return ledger.Result{}, false
 	}
-	return ledger.ClaimResult(reply.GetClaimReply())
+	return ledger.ClaimResult(reply.GetClaimReply()), true
 }
 
 // MayDispatch implements serve.Claim. Once a dispatch was allowed, a further
