Name the reason when no endpoint can be tried

Cause: Choose told BreakerOpen also when every endpoint was leaving or had been tried, as it did not look at the breakers.

Change: BreakerOpen only if a breaker is open, else NoEndpoint. The test now checks both.

--- a/request/choose/choose.go
+++ b/request/choose/choose.go
@@ -182,7 +182,7 @@
 	group := in.Kind.Group()
 	best := c.rank(now, group, key, in.Tried)
 	if best.n == 0 {
-		c.refuse(&plan, group)
+		c.refuse(now, &plan, group)
 		return plan
 	}
 	w := c.weigher(in)
@@ -228,12 +228,19 @@
 	c.addKnown(now, plan, w, in, &presumed)
 }
 
-// refuse says why no endpoint of the group called name is usable.
-func (c *Chooser) refuse(plan *Plan, name string) {
+// refuse says why no endpoint of the group called name can be tried: circuit
+// breakers are open, or there is none that is neither out, leaving nor tried.
+func (c *Chooser) refuse(now time.Time, plan *Plan, name string) {
 	plan.Code = outcome.NoEndpoint
 	plan.RetryAfter = noEndpointRetry
-	if g := c.groups[name]; g != nil && len(g.live.index) > 0 {
-		plan.Code = outcome.BreakerOpen
+	g := c.groups[name]
+	if g == nil {
+		return
+	}
+	for _, i := range g.live.index {
+		if c.hints[i].blocked(now.UnixNano()) {
+			plan.Code = outcome.BreakerOpen
+		}
 	}
 }
 
--- a/request/choose/choose_test.go
+++ b/request/choose/choose_test.go
@@ -115,10 +115,14 @@
 			c.Assert(banned[candidate.Endpoint.Name], qt.IsFalse)
 		}
 	}
+	hints.Block("adapt-2", time.Time{})
 	for i := range 9 {
 		hints.SetLeaving(fmt.Sprintf("adapt-%d", i), true)
 	}
 	plan := chooser.Choose(testNow, testInput(&state, 1))
+	c.Check(plan.Code, qt.Equals, outcome.NoEndpoint)
+	hints.Block("adapt-5", testNow.Add(time.Second))
+	plan = chooser.Choose(testNow, testInput(&state, 1))
 	c.Check(plan.Code, qt.Equals, outcome.BreakerOpen)
 }
 
--- a/request/choose/hints.go
+++ b/request/choose/hints.go
@@ -116,7 +116,12 @@
 // usable reports whether the endpoint may get new work, as far as this router
 // has learned.
 func (e *hint) usable(nowNanos int64) bool {
-	return e.blockedUntil.Load() <= nowNanos && !e.leaving.Load()
+	return !e.blocked(nowNanos) && !e.leaving.Load()
+}
+
+// blocked reports whether the endpoint's circuit breaker is open.
+func (e *hint) blocked(nowNanos int64) bool {
+	return e.blockedUntil.Load() > nowNanos
 }
 
 // state is a hint as read at one time.
