Count admitted work beyond what an endpoint bears when it starts

Cause: the count of overruns was made on the baselines' path only, so that it was 0 for the product whatever it did.

Change: work that admission let through is counted when it has started.

--- a/lab/measure/fleet.go
+++ b/lab/measure/fleet.go
@@ -144,6 +144,9 @@
 	}
 	held := e.start(f.loop.now, r, &f.workload.Traffic, reuse, moveTime, rate)
 	f.stats.started(r, held-f.serve(r))
+	if _, admits := f.policy.(installer); admits {
+		f.stats.admitted(e)
+	}
 	boot := e.boot
 	f.loop.after(held, func() {
 		if boot == e.boot {
--- a/lab/measure/measure_test.go
+++ b/lab/measure/measure_test.go
@@ -33,6 +33,7 @@
 	for _, s := range []scenario{{}, {surge: true}, {zoneOut: true}, {churnEvery: time.Minute}} {
 		got := newFleet(&w, s, 3, productMaker).run()
 		c.Check(got.overCap, qt.Equals, 0)
+		c.Check(got.overBears, qt.Equals, 0)
 		c.Check(got.overCold, qt.Equals, 0)
 	}
 }
--- a/lab/measure/stats.go
+++ b/lab/measure/stats.go
@@ -188,6 +188,18 @@
 	}
 }
 
+// admitted counts work beyond what the endpoint bears, for policies with
+// admission, when it has been started.
+func (s *stats) admitted(e *endpoint) {
+	if !s.f.counting(s.f.loop.now) || e.running <= e.bears() {
+		return
+	}
+	s.overBears++
+	if e.cold() {
+		s.overCold++
+	}
+}
+
 func (s *stats) asked(r *request) {
 	if s.f.counting(r.sent) {
 		s.asks++
