--- a/lab/trial/trial_test.go
+++ b/lab/trial/trial_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
+	"net/http"
 	"net/netip"
+	"os"
+	"regexp"
 	"testing"
 	"time"
 
@@ -47,6 +51,7 @@
 	operator, err := client.New(client.Options{Routers: []string{s.Listen.Operator.String()}, By: "test"})
 	c.Assert(err, qt.IsNil)
 	served := false
+	var vars map[string]json.RawMessage
 	var watching conc.WaitGroup
 	err = Run(ctx, Options{Config: cfg, Settings: []settings.Settings{s}, Log: logr.Discard(), Seed: 1, PerSecond: 10}, func() {
 		watching.Go(func() {
@@ -56,6 +61,7 @@
 				_, _ = operator.Push(ctx, api.Push{Config: cfg})
 				if counted, err := operator.Burn(ctx); err == nil && len(counted.Kinds) > 0 && counted.Kinds[0].Total.InTime > 3 {
 					served = true
+					vars = metrics(ctx, s.Listen.Operator)
 					return
 				}
 				time.Sleep(50 * time.Millisecond)
@@ -65,4 +71,31 @@
 	c.Assert(err, qt.IsNil)
 	watching.Wait()
 	c.Check(served, qt.IsTrue)
+	checkMetricsDocument(c, vars)
+}
+
+func metrics(ctx context.Context, address netip.AddrPort) map[string]json.RawMessage {
+	var vars map[string]json.RawMessage
+	request, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+api.PathVars, nil)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = response.Body.Close() }()
+	_ = json.NewDecoder(response.Body).Decode(&vars)
+	return vars
+}
+
+// checkMetricsDocument compares docs/METRICS.md with a running router.
+func checkMetricsDocument(c *qt.C, vars map[string]json.RawMessage) {
+	text, err := os.ReadFile("../../docs/METRICS.md")
+	c.Assert(err, qt.IsNil)
+	documented := make(map[string]bool)
+	for _, row := range regexp.MustCompile("(?m)^\\| `(stoatmount[a-z_.]+)` \\|").FindAllStringSubmatch(string(text), -1) {
+		documented[row[1]] = true
+		c.Check(vars[row[1]], qt.IsNotNil, qt.Commentf("%s is documented but does not exist", row[1]))
+	}
+	for name := range vars {
+		c.Check(documented[name], qt.IsTrue, qt.Commentf("%s is not documented", name))
+	}
 }
--- a/operate/burnreport/html.go
+++ b/operate/burnreport/html.go
@@ -26,6 +26,7 @@
 	"verdict":  VerdictOf,
 	"width":    func(used float64) string { return fmt.Sprintf("%.1f%%", min(used, 1)*100) },
 	"short":    func(n uint64) string { return grouped(n) },
+	"bar":      func(r Report) int64 { return r.scale().binMinutes },
 	"legend":   func() any { return legend() },
 }).Parse(pageText))
 
--- a/operate/burnreport/report.go
+++ b/operate/burnreport/report.go
@@ -9,16 +9,32 @@
 	"github.com/stoatmount/stoatmount/version/config"
 )
 
-// Bounds of the report.
-const (
-	// span is the time that plots show and the longest window.
-	span = 6 * time.Hour
-	// binMinutes is the width of a bar in the plots, in minutes.
-	binMinutes = 5
-	// bins is the number of bars in the plots.
-	bins = int(span/time.Minute) / binMinutes
+// scale is the time that the plots show and the width of their bars.
+type scale struct {
+	span       time.Duration
+	binMinutes int64
+}
+
+// The scales of the plots. The short one is used while counting began less
+// than its span ago.
+var (
+	shortScale = scale{span: time.Hour, binMinutes: 1}
+	longScale  = scale{span: 6 * time.Hour, binMinutes: 5}
 )
 
+// bins is the number of bars in the plots.
+func (s scale) bins() int64 {
+	return int64(s.span/time.Minute) / s.binMinutes
+}
+
+// scale returns the scale of the plots of r.
+func (r *Report) scale() scale {
+	if r.At.Sub(r.Since) < shortScale.span {
+		return shortScale
+	}
+	return longScale
+}
+
 // pairs are the windows that alert: burn over both must pass the threshold.
 // The long one shows that it matters, the short one that it goes on.
 var pairs = []Pair{
@@ -138,7 +154,7 @@
 		minutes[minute.Unix] = minute.Counts
 	}
 	k.windows(minutes, r)
-	k.bins(minutes, r.At)
+	k.bins(minutes, r)
 	return k
 }
 
@@ -182,14 +198,14 @@
 	slices.SortFunc(k.Windows, func(a, b Window) int { return int(a.Length - b.Length) })
 }
 
-func (k *Kind) bins(minutes map[int64]burn.Counts, at time.Time) {
+func (k *Kind) bins(minutes map[int64]burn.Counts, r Report) {
 	const hour = 60
-	last := burn.MinuteOf(at)
-	for i := range bins {
-		end := last - int64(bins-1-i)*binMinutes
+	last, scale := burn.MinuteOf(r.At), r.scale()
+	for left := scale.bins() - 1; left >= 0; left-- {
+		end := last - left*scale.binMinutes
 		k.Bins = append(k.Bins, Bin{
-			Start:  time.Unix((end-binMinutes+1)*60, 0).UTC(),
-			Counts: sum(minutes, end, binMinutes),
+			Start:  time.Unix((end-scale.binMinutes+1)*60, 0).UTC(),
+			Counts: sum(minutes, end, scale.binMinutes),
 			Burn:   burnOf(sum(minutes, end, hour), k.Objective),
 		})
 	}
@@ -220,7 +236,7 @@
 		}
 	}
 	slices.SortStableFunc(all, func(a, b Outage) int { return a.From.Compare(b.From) })
-	return slices.DeleteFunc(all, func(o Outage) bool { return !o.To.IsZero() && o.To.Before(at.Add(-span)) })
+	return slices.DeleteFunc(all, func(o Outage) bool { return !o.To.IsZero() && o.To.Before(at.Add(-longScale.span)) })
 }
 
 func routers(counters api.Burn) Routers {
--- a/operate/burnreport/svg.go
+++ b/operate/burnreport/svg.go
@@ -39,12 +39,14 @@
 type drawing struct {
 	b      strings.Builder
 	height float64
+	scale  scale
 	from   time.Time
 	top    float64 // largest value of the vertical axis
 }
 
-func newDrawing(height float64, from time.Time, top float64, title string) *drawing {
-	d := &drawing{height: height, from: from, top: top}
+func newDrawing(height float64, r *Report, top float64, title string) *drawing {
+	scale := r.scale()
+	d := &drawing{height: height, scale: scale, from: r.At.Add(-scale.span), top: top}
 	d.addf(`<svg viewBox="0 0 %g %g" role="img" aria-label="%s">`, plotWidth, height, html.EscapeString(title))
 	return d
 }
@@ -60,7 +62,7 @@
 
 // x returns the place of a time.
 func (d *drawing) x(t time.Time) float64 {
-	part := float64(t.Sub(d.from)) / float64(span)
+	part := float64(t.Sub(d.from)) / float64(d.scale.span)
 	return plotLeft + min(max(part, 0), 1)*(plotWidth-plotLeft-plotRight)
 }
 
@@ -70,14 +72,15 @@
 	return d.height - plotBottom - part*(d.height-plotTop-plotBottom)
 }
 
-// grid draws the axes: lines at values and a label on each full hour.
+// grid draws the axes: lines at values and six labels of the time.
 func (d *drawing) grid(values []float64) {
 	for _, value := range values {
 		y := d.y(value)
 		d.addf(`<line x1="%.1f" x2="%.1f" y1="%.1f" y2="%.1f" class="grid"/>`, plotLeft, plotWidth-plotRight, y, y)
 		d.addf(`<text x="%.1f" y="%.1f" text-anchor="end">%s</text>`, plotLeft-6, y+3.5, shortNumber(value))
 	}
-	for t := d.from.Truncate(time.Hour).Add(time.Hour); !t.After(d.from.Add(span)); t = t.Add(time.Hour) {
+	step := d.scale.span / 6
+	for t := d.from.Truncate(step).Add(step); !t.After(d.from.Add(d.scale.span)); t = t.Add(step) {
 		x := d.x(t)
 		d.addf(`<line x1="%.1f" x2="%.1f" y1="%.1f" y2="%.1f" class="tick"/>`, x, x, d.height-plotBottom, d.height-plotBottom+4)
 		d.addf(`<text x="%.1f" y="%.1f" text-anchor="middle">%s</text>`, x, d.height-6, t.UTC().Format("15:04"))
@@ -91,10 +94,17 @@
 		if to.IsZero() {
 			to = at
 		}
+		if to.Before(d.from) {
+			continue
+		}
 		x, end := d.x(outage.From), d.x(to)
 		d.addf(`<rect x="%.1f" y="%.1f" width="%.1f" height="%.1f" class="outage"><title>%s</title></rect>`,
 			x, plotTop, max(end-x, 1), d.height-plotTop-plotBottom, html.EscapeString(outageText(outage)))
-		d.addf(`<text x="%.1f" y="%.1f" class="outage-label">%s out</text>`, x+3, plotTop-3, html.EscapeString(outage.Target.Name))
+		at, anchor := x+3, "start"
+		if x > plotWidth*0.85 {
+			at, anchor = end, "end"
+		}
+		d.addf(`<text x="%.1f" y="%.1f" text-anchor="%s" class="outage-label">%s out</text>`, at, plotTop-3, anchor, html.EscapeString(outage.Target.Name))
 	}
 }
 
@@ -113,9 +123,9 @@
 		most = max(most, float64(bin.Counts.Requests()))
 	}
 	top := niceTop(most)
-	d := newDrawing(countsHeight, r.At.Add(-span), top, "requests of "+k.Kind+" in each five minutes")
+	d := newDrawing(countsHeight, &r, top, "requests of "+k.Kind)
 	d.grid([]float64{0, top / 2, top})
-	width := (plotWidth-plotLeft-plotRight)/float64(bins) - 1.5
+	width := (plotWidth-plotLeft-plotRight)/float64(len(k.Bins)) - 1.5
 	for _, bin := range k.Bins {
 		if bin.Counts.Requests() == 0 {
 			continue
@@ -153,7 +163,7 @@
 	for _, bin := range k.Bins {
 		most = max(most, bin.Burn)
 	}
-	d := newDrawing(burnHeight, r.At.Add(-span), math.Sqrt(most), "burn of "+k.Kind+" over the last hour")
+	d := newDrawing(burnHeight, &r, math.Sqrt(most), "burn of "+k.Kind+" over the last hour")
 	d.outages(r.Outages, r.At)
 	d.grid(nil)
 	d.level(0, "grid", "0")
@@ -163,7 +173,7 @@
 	}
 	var points strings.Builder
 	for _, bin := range k.Bins {
-		end := bin.Start.Add(binMinutes * time.Minute)
+		end := bin.Start.Add(time.Duration(d.scale.binMinutes) * time.Minute)
 		if end.Before(r.Since) {
 			continue
 		}
--- a/operate/capacity.go
+++ b/operate/capacity.go
@@ -12,7 +12,7 @@
 type CapacityCmd struct {
 	Page         string `help:"Page to write anew." default:"docs/CAPACITY.md" placeholder:"FILE"`
 	Measurements string `help:"Folder with the measurements." default:"docs/measurements" placeholder:"DIR"`
-	Measure      bool   `help:"Measure the roles anew first, those that need no running fleet."`
+	Measure      bool   `help:"Measure the roles anew first; it takes two minutes."`
 }
 
 // Help implements kong.HelpProvider.
@@ -54,17 +54,31 @@
 }
 
 func (c *CapacityCmd) measure(env *Env) error {
+	entry, err := capacity.MeasureEntry(env.Context)
+	if err != nil {
+		return err
+	}
+	if err := c.save(env, entry); err != nil {
+		return err
+	}
 	for _, probe := range capacity.Probes() {
-		measured := probe()
-		if err := measured.Save(c.Measurements); err != nil {
+		if err := c.save(env, probe()); err != nil {
 			return err
 		}
-		env.printf("%s: measured\n", measured.Name)
-		for i := range measured.Series {
-			series := &measured.Series[i]
-			line := series.Fit()
-			env.printf("  %s: %.4g + %.4g x %s, in %s, off by %.0f%%\n", series.Name, line.Fixed, line.Slope, series.Per, series.Unit, line.Off*100)
-		}
+	}
+	return nil
+}
+
+// save writes a measurement to its file and shows its lines.
+func (c *CapacityCmd) save(env *Env, measured capacity.Measurement) error {
+	if err := measured.Save(c.Measurements); err != nil {
+		return err
+	}
+	env.printf("%s: measured\n", measured.Name)
+	for i := range measured.Series {
+		series := &measured.Series[i]
+		line := series.Fit()
+		env.printf("  %s: %.4g + %.4g x %s, in %s, off by %.0f%%\n", series.Name, line.Fixed, line.Slope, series.Per, series.Unit, line.Off*100)
 	}
 	return nil
 }
