--- a/lab/capacity/capacity_test.go
+++ b/lab/capacity/capacity_test.go
@@ -42,3 +42,12 @@
 	_, err = Page("# A page without marks", nil)
 	c.Check(err, qt.IsNotNil)
 }
+
+// The probe times permits, not refusals.
+func TestPermitProbeIsGranted(t *testing.T) {
+	c := qt.New(t)
+	for _, n := range []int{7, 100} {
+		_, granted := grantPermits(n)
+		c.Check(granted, qt.Equals, permits, qt.Commentf("%d routers", n))
+	}
+}
--- a/lab/capacity/probelog.go
+++ b/lab/capacity/probelog.go
@@ -81,25 +81,34 @@
 	return owner, now
 }
 
+// permits is the number of permits that are timed.
+const permits = 2000
+
 // permitTime returns the processor time of one permit, from the request to its
-// release.
+// release, and of the load report that shows it.
 func permitTime(n int) float64 {
+	used, granted := grantPermits(n)
+	return used.Seconds() / float64(max(granted, 1)) * 1e6
+}
+
+// grantPermits asks for permits one after the other and returns how many were
+// granted.
+func grantPermits(n int) (used time.Duration, granted int) {
 	owner, now := newOwner(n, 2*n)
 	watched := owner.Watched(now)
 	snapshot := config.NewSnapshot(config.State{Config: configOf(2 * n)})
-	const permits = 2000
-	granted := 0
-	used := processorTime(func() {
+	kinds := make(map[string]string)
+	for _, k := range snapshot.Config.Kinds {
+		kinds[k.Model] = k.Name
+	}
+	report := protocol.LoadReport{Boot: 1, Completed: 1000}
+	used = processorTime(func() {
 		for i := range permits {
 			name := watched[i%len(watched)]
-			kind := "kind-0-0"
-			for _, k := range snapshot.Config.Kinds {
-				if k.Model == snapshot.Endpoint(name).Model {
-					kind = k.Name
-					break
-				}
-			}
-			for _, d := range owner.Request(now, admission.Request{From: "host-001", Call: uint64(i), Endpoint: name, Kind: kind, Sent: now, Deadline: now.Add(time.Minute)}) {
+			now = now.Add(time.Second)
+			report.Completed++
+			owner.Load(now, name, &report, now)
+			for _, d := range owner.Request(now, admission.Request{From: "host-001", Call: uint64(i), Endpoint: name, Workspace: "workspace-000", Kind: kinds[snapshot.Endpoint(name).Model], Sent: now, Deadline: now.Add(time.Hour), Wait: time.Minute}) {
 				if d.Granted {
 					granted++
 					owner.Release(now, "host-001", admission.Release{Endpoint: name, Permit: d.Permit, Result: admission.Result{Dispatched: true, Completed: true}})
@@ -107,10 +116,7 @@
 			}
 		}
 	})
-	if granted == 0 {
-		return 0
-	}
-	return used.Seconds() / float64(granted) * 1e6
+	return used, granted
 }
 
 // permitBytes returns the bytes of a request for a permit, its reply and its
