Do not refuse as hopeless on the word of a first guess or a paused request

The queue took 2 s for the time a permit is held until it had seen any, counted a limit of 0 during a change of owner as 1, and averaged in the time of paused requests. Ruled out: the deadline that reaches the owner, which was right. Change: the first hold seen counts in full and 250 ms is assumed before; a hold counts at most four times the average; a limit of 0 is taken as half of what the endpoint bears. The test of hopeless requests now tells the queue the 2 s that it relied on, with the same bound; two tests hold the new cases. Conclusion: early refusals rest on what was seen.

--- a/process/node/tables.go
+++ b/process/node/tables.go
@@ -11,6 +11,10 @@
 // durationWeight is the weight of the newest request in the moving average.
 const durationWeight = 0.1
 
+// maxDurationRise bounds the times that are averaged, as a multiple of the
+// average.
+const maxDurationRise = 4
+
 // durations estimates how long endpoints take per kind.
 type durations struct {
 	mu     sync.Mutex
@@ -29,6 +33,7 @@
 		d.byKind[kind] = took
 		return
 	}
+	took = min(took, maxDurationRise*old)
 	d.byKind[kind] = old + time.Duration(durationWeight*float64(took-old))
 }
 
--- a/request/choose/hints.go
+++ b/request/choose/hints.go
@@ -20,7 +20,10 @@
 	hintLife = 2 * time.Second
 	// defaultHold is the assumed time that a permit is held before any was
 	// seen at an endpoint.
-	defaultHold = 2 * time.Second
+	defaultHold = 250 * time.Millisecond
+	// maxHoldRise bounds the holds that are averaged, as a multiple of the
+	// average: those of requests that were paused or lost say little of others.
+	maxHoldRise = 4
 	// holdWeight is the weight of the newest hold in the moving average.
 	holdWeight = 0.2
 )
@@ -87,6 +90,7 @@
 		entry.hold = hold
 		return
 	}
+	hold = min(hold, maxHoldRise*entry.hold)
 	entry.hold += time.Duration(holdWeight * float64(hold-entry.hold))
 }
 
--- a/request/queue/queue.go
+++ b/request/queue/queue.go
@@ -22,8 +22,12 @@
 	agedAfter = 30 * time.Second
 	// agedShare is the part of all permits that aged work gets under shortage.
 	agedShare = 0.05
-	// defaultHold is the assumed time that a permit is held.
-	defaultHold = 2 * time.Second
+	// defaultHold is the assumed time that a permit is held until one was given
+	// back.
+	defaultHold = 250 * time.Millisecond
+	// maxHoldRise bounds the holds that are averaged, as a multiple of the
+	// average: those of requests that were paused or lost say little of others.
+	maxHoldRise = 4
 	// holdWeight is the weight of the newest hold in the moving average.
 	holdWeight = 0.1
 )
@@ -35,6 +39,7 @@
 	items  []Item // in order of arrival
 	spaces spaces
 	hold   time.Duration // moving average of the time a permit is held
+	seen   bool          // hold is of permits that were given back
 	credit float64       // permits that aged work may take, see agedShare
 }
 
@@ -113,8 +118,13 @@
 	return n
 }
 
-// slots returns the expected time until n permits are given back.
+// slots returns the expected time until n permits are given back. A limit of 0
+// passes, as while the owner changes; half of what the endpoint bears is
+// expected then.
 func (q *Queue) slots(n, limit int) time.Duration {
+	if limit <= 0 {
+		limit = q.full / 2
+	}
 	return q.hold * time.Duration(n) / time.Duration(max(limit, 1))
 }
 
@@ -124,7 +134,7 @@
 }
 
 func (q *Queue) horizon(limit int) time.Duration {
-	return min(max(q.slots(len(q.items), max(limit, 1)), minHorizon), maxHorizon)
+	return min(max(q.slots(len(q.items), limit), minHorizon), maxHorizon)
 }
 
 // Pop returns the request that gets the next permit. running is the number of
@@ -159,6 +169,12 @@
 	if hold <= 0 {
 		return // the permit was never used
 	}
+	if !q.seen {
+		q.seen = true
+		q.hold = hold
+		return
+	}
+	hold = min(hold, maxHoldRise*q.hold)
 	q.hold += time.Duration(holdWeight * float64(hold-q.hold))
 }
 
--- a/request/queue/queue_test.go
+++ b/request/queue/queue_test.go
@@ -103,6 +103,7 @@
 	c.Assert(any, qt.IsTrue)
 	c.Check(refused.Code, qt.Equals, outcome.DeadlineTooShort)
 
+	q.Done("b", 2*time.Second)
 	for id := range uint64(100) {
 		q.Push(testNow, item(id+2, "a", live, testNow), 1)
 	}
@@ -143,3 +144,25 @@
 		q.Push(testNow, got, 1000)
 	}
 }
+
+func TestHandoverDoesNotMakeWaitingLookHopeless(t *testing.T) {
+	c := qt.New(t)
+	q := New(DefaultBound)
+	q.SetFull(8)
+	for id := range uint64(20) {
+		_, refused := q.Push(testNow, item(id+1, "a", live, testNow.Add(-10*time.Second)), 0)
+		c.Check(refused, qt.IsFalse)
+	}
+	c.Check(q.Len(), qt.Equals, 20)
+}
+
+func TestPausedRequestDoesNotSpoilTheEstimate(t *testing.T) {
+	c := qt.New(t)
+	q := New(DefaultBound)
+	q.Done("b", 100*time.Millisecond)
+	q.Done("b", time.Hour)
+	for id := range uint64(20) {
+		_, refused := q.Push(testNow, item(id+1, "a", live, testNow), 1)
+		c.Check(refused, qt.IsFalse)
+	}
+}
