--- a/process/configlog/follower.go
+++ b/process/configlog/follower.go
@@ -138,11 +138,12 @@
 	}
 }
 
-// Fresh reports whether new work may be taken at now.
+// Fresh reports whether new work may be taken at now. A router that may not
+// gossip yet takes none, as the others do not know of it.
 func (f *Follower) Fresh(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.halted == nil && f.fresh.Fresh(now)
+	return f.halted == nil && f.readyLocked() && f.fresh.Fresh(now)
 }
 
 // Status is how far a Follower is, for gossip and for operators.
@@ -198,7 +199,9 @@
 	if !n.LogRead.IsZero() {
 		f.fresh.Learn(n.LogRead, max(f.peerEnd, 1), next)
 	}
-	if !n.HeardOthers.IsZero() {
+	// A router that is not ready counts itself in a majority without knowing
+	// what an earlier process of its name has acknowledged.
+	if !n.HeardOthers.IsZero() && f.readyLocked() {
 		f.fresh.Learn(n.HeardOthers, max(f.peerEnd, 1), next)
 	}
 	if f.peerEnd > next {
--- a/process/ledger/shard.go
+++ b/process/ledger/shard.go
@@ -26,8 +26,8 @@
 	Poll        time.Duration // wait of one read of the log
 	AnswerBytes int           // bound of a shard's stored answers
 
-	// Quiet reports whether no other router can have appended claims to a shard
-	// after since, as all known routers take this one for the appender. It lets
+	// Quiet reports whether no other router can have been asked for claims of a
+	// shard after since, as all known routers take this one for the appender. It lets
 	// a refusal during an outage say that the request was not run. It may be
 	// nil.
 	Quiet func(shard int, since time.Time) bool
@@ -71,6 +71,10 @@
 	retryAfter = 200 * time.Millisecond
 )
 
+// MaxWait is the longest time that a claim waits for the log. A claim that
+// another appender was asked for is settled or given up by then.
+const MaxWait = 30 * time.Second
+
 // Stream returns the name of a shard's stream.
 func Stream(shard int) string {
 	return platform.StreamLedger + strconv.Itoa(shard)
@@ -163,7 +167,7 @@
 	defer s.mu.Unlock()
 	if s.ready {
 		if r := s.fold.Lookup(c.Key, c.Attempt, c.Fingerprint); r.State != Unsettled {
-			t.settle(r)
+			t.settle(s.newestLocked(c, r))
 			return t
 		}
 	}
@@ -176,6 +180,23 @@
 	return t
 }
 
+// newestLocked returns r, or the outcome of the request in progress if its
+// holder has told it and it only waits for the log.
+func (s *Shard) newestLocked(c Claim, r Result) Result {
+	if r.State != InProgress {
+		return r
+	}
+	holder := s.fold.keys[c.Key].holder
+	for _, list := range [][]*waiting{s.queue, s.sent} {
+		for _, w := range list {
+			if w.record.Op == opDone && w.record.Key == c.Key && w.record.Attempt == holder {
+				return Result{State: Done, Answer: w.record.Answer}
+			}
+		}
+	}
+	return r
+}
+
 func (t *Ticket) settle(r Result) {
 	t.result = r
 	close(t.done)
@@ -194,8 +215,10 @@
 }
 
 // Claim enters a claim and waits for its result until ctx ends. A claim that is
-// not settled by then is given up.
+// not settled by then, or after MaxWait, is given up.
 func (s *Shard) Claim(ctx context.Context, c Claim) Result {
+	ctx, cancel := clockwork.WithTimeout(ctx, s.opt.Clock, MaxWait)
+	defer cancel()
 	t := s.Ask(c)
 	select {
 	case <-t.Done():
@@ -255,7 +278,7 @@
 			alone = false
 		}
 	}
-	never := alone && s.opt.Quiet != nil && s.opt.Quiet(s.number, s.end)
+	never := alone && s.opt.Quiet != nil && s.opt.Quiet(s.number, s.end.Add(-MaxWait))
 	return Result{State: LogDown, NeverTried: never}
 }
 
--- a/process/node/fleet.go
+++ b/process/node/fleet.go
@@ -45,8 +45,8 @@
 }
 
 // MayRetry implements serve.Fleet.
-func (n *Node) MayRetry(job *serve.Job) bool {
-	return n.budget.Take(job.Kind.Group()) == outcome.OK
+func (n *Node) MayRetry(endpoint string) bool {
+	return n.budget.Take(endpoint) == outcome.OK
 }
 
 // Accepting implements caller.Fleet.
@@ -58,7 +58,8 @@
 		refusal.RetryAfter = retryElsewhere
 		return refusal
 	}
-	if n.follower.Snapshot() == nil {
+	if n.chooser.Load() == nil {
+		// The follower has a configuration a moment before the tables do.
 		return outcome.NotRun(outcome.NoConfig, "no configuration is in force yet")
 	}
 	if !n.follower.Fresh(now) {
