Check the promises of each request where it ends, and see each check fail

Change: the request flow is audited by code that does not decide it; tests break each mechanism on purpose and see its check fail. Tokens of a stream must follow each other. A dispatch is checked against out and leaving endpoints. A message to several routers is wrapped once per router.

--- a/connection/peer/links.go
+++ b/connection/peer/links.go
@@ -67,14 +67,14 @@
 }
 
 // Send sends message to the router at address without expecting an answer.
-// The message is dropped if too many are waiting.
+// The message is dropped if too many are waiting. It may be sent to several
+// routers and must not be changed afterwards.
 func (l *Links) Send(address netip.AddrPort, message *peerpb.Envelope) {
 	target, err := l.link(address)
 	if err != nil {
 		return
 	}
-	message.Call = 0
-	target.out.put(message)
+	target.out.put(&peerpb.Envelope{Body: message.GetBody()})
 }
 
 // Close closes all links.
--- a/process/node/configuration.go
+++ b/process/node/configuration.go
@@ -55,6 +55,7 @@
 
 // applySnapshot puts a configuration in force in all tables.
 func (n *Node) applySnapshot(snapshot *config.Snapshot) {
+	n.appliedAt.Store(n.clock.Now().UnixNano())
 	n.owner.SetSnapshot(snapshot)
 	n.means.SetSnapshot(snapshot)
 	n.chooser.Store(choose.New(snapshot, n.hints))
--- a/process/node/loops.go
+++ b/process/node/loops.go
@@ -17,7 +17,7 @@
 	// meanEvery is the time between two looks at loads and means.
 	meanEvery = 250 * time.Millisecond
 	// renewEvery is the time between two looks at leases.
-	renewEvery = 500 * time.Millisecond
+	renewEvery = 100 * time.Millisecond
 	// listEvery is the time between two questions for the list of hosts.
 	listEvery = time.Second
 	// dutiesEvery is the time between two looks at the duties held.
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -32,6 +32,7 @@
 	"github.com/stoatmount/stoatmount/process/settings"
 	"github.com/stoatmount/stoatmount/process/suspect"
 	"github.com/stoatmount/stoatmount/request/choose"
+	"github.com/stoatmount/stoatmount/request/outcome"
 	"github.com/stoatmount/stoatmount/request/place"
 	"github.com/stoatmount/stoatmount/request/retry"
 	"github.com/stoatmount/stoatmount/request/serve"
@@ -101,12 +102,16 @@
 
 	nextID      atomic.Uint64
 	inProgress  atomic.Int64
-	listRead    atomic.Bool // the platform's list was read at least once
+	appliedAt   atomic.Int64 // Unix time in nanoseconds of the last new configuration
+	listRead    atomic.Bool  // the platform's list was read at least once
 	drain       drainState
 	figures     figures
 	strays      strays
 	reconcilers reconcilers
 
+	// lastCheck is permit.check; tests replace it to see the invariants fail.
+	lastCheck func(*permit, time.Time) *outcome.Refusal
+
 	cancel context.CancelFunc
 	wg     conc.WaitGroup
 }
@@ -126,6 +131,8 @@
 		started:  o.Clock.Now(),
 		log:      o.Log.WithValues("host", o.Settings.Host.Name),
 		rng:      rand.New(rand.NewPCG(o.Seed, 1)),
+
+		lastCheck: (*permit).check,
 	}
 	if err := n.open(o); err != nil {
 		return nil, err
--- a/process/node/permit.go
+++ b/process/node/permit.go
@@ -32,24 +32,62 @@
 
 // MayDispatch implements serve.Permit.
 func (p *permit) MayDispatch(now time.Time) *outcome.Refusal {
+	n := p.node
+	if refusal := n.lastCheck(p, now); refusal != nil {
+		return refusal
+	}
+	p.audit(n.clock.Now())
+	p.started = true
+	p.run = n.nextID.Add(1)
+	n.running.Start(p.run, p.job.Fingerprint, p.endpoint.Name, p.boot, p.alone)
+	return nil
+}
+
+// check is the last check before the request leaves.
+func (p *permit) check(now time.Time) *outcome.Refusal {
 	n := p.node
 	if !n.follower.Fresh(now) {
 		return outcome.NotRun(outcome.StaleConfig, "the configuration was not confirmed lately")
 	}
-	snapshot := n.follower.Snapshot()
-	if code := n.holder.MayDispatch(now, p.held, snapshot); code != outcome.OK {
+	if code := n.holder.MayDispatch(now, p.held, n.follower.Snapshot()); code != outcome.OK {
 		return outcome.NotRun(code, "endpoint %s", p.endpoint.Name)
 	}
-	n.check.Check(!snapshot.EndpointOut(p.endpoint.Name), invariant.NothingToOut, func() string {
-		return "request " + p.job.ID + " to " + p.endpoint.Name
-	})
-	n.check.Check(n.follower.Fresh(now), invariant.DispatchOnFreshConfig, func() string { return "request " + p.job.ID })
-	p.started = true
-	p.run = n.nextID.Add(1)
-	n.running.Start(p.run, p.job.Fingerprint, p.endpoint.Name, p.boot, p.alone)
+	if n.leavingFor(now, p.endpoint.Name) > 0 {
+		return outcome.NotRun(outcome.EndpointOut, "endpoint %s is leaving", p.endpoint.Name)
+	}
 	return nil
 }
 
+// leavingGrace is how long after an endpoint was heard to be leaving it may
+// still get new work.
+const leavingGrace = 3 * time.Second
+
+// auditGrace is the age of a configuration from which on every dispatch must
+// respect it.
+const auditGrace = 250 * time.Millisecond
+
+// audit checks what must hold when a request leaves, without the check that
+// let it pass.
+func (p *permit) audit(now time.Time) {
+	n := p.node
+	name := p.endpoint.Name
+	evidence := func() string { return "request " + p.job.ID + " to " + name }
+	settled := now.Sub(time.Unix(0, n.appliedAt.Load())) > auditGrace
+	n.check.Check(!settled || !n.follower.Snapshot().EndpointOut(name), invariant.NothingToOut, evidence)
+	n.check.Check(n.leavingFor(now, name) <= leavingGrace, invariant.NothingToLeaving, evidence)
+	n.check.Check(n.follower.Fresh(now), invariant.DispatchOnFreshConfig, evidence)
+}
+
+// leavingFor returns how long this router has known that the endpoint leaves;
+// 0 if it does not.
+func (n *Node) leavingFor(now time.Time, name string) time.Duration {
+	since := n.loads.leavingSince(name)
+	if since.IsZero() {
+		return 0
+	}
+	return max(now.Sub(since), 1)
+}
+
 // Release implements serve.Permit.
 func (p *permit) Release(result serve.Result) {
 	n := p.node
--- a/process/node/tables.go
+++ b/process/node/tables.go
@@ -46,18 +46,32 @@
 
 // loadTable keeps the last load report of each endpoint that was asked.
 type loadTable struct {
-	mu     sync.Mutex
-	byName map[string]orders.Report
+	mu      sync.Mutex
+	byName  map[string]orders.Report
+	leaving map[string]time.Time // since when each leaving endpoint is known to leave
 }
 
 func newLoadTable() *loadTable {
-	return &loadTable{byName: make(map[string]orders.Report)}
+	return &loadTable{byName: make(map[string]orders.Report), leaving: make(map[string]time.Time)}
 }
 
 func (t *loadTable) put(now time.Time, endpoint string, report protocol.LoadReport) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.byName[endpoint] = orders.Report{LoadReport: report, At: now}
+	if !report.Leaving {
+		delete(t.leaving, endpoint)
+	} else if _, known := t.leaving[endpoint]; !known {
+		t.leaving[endpoint] = now
+	}
+}
+
+// leavingSince returns since when the endpoint is known to leave; zero if it is
+// not.
+func (t *loadTable) leavingSince(endpoint string) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.leaving[endpoint]
 }
 
 func (t *loadTable) get(endpoint string) (orders.Report, bool) {
--- a/request/serve/claimed.go
+++ b/request/serve/claimed.go
@@ -23,7 +23,7 @@
 	recorder := &recordingSink{inner: sink}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), job.Left(s.clock.Now()))
 	defer cancel()
-	refusal = s.run(ctx, job, &relay{sink: recorder}, claim)
+	refusal = s.audited(ctx, job, recorder, claim)
 	claim.Finish(finalRun(refusal), recorder.answer())
 	return refusal
 }
--- a/request/serve/event.go
+++ b/request/serve/event.go
@@ -14,6 +14,7 @@
 // event is one server-sent event with the blank line that ends it.
 type event struct {
 	raw  []byte
+	id   []byte // nil: none
 	data []byte
 }
 
@@ -51,6 +52,9 @@
 		if data, found := bytes.CutPrefix(whole, []byte("data:")); found {
 			e.data = append(e.data, bytes.TrimPrefix(data, []byte(" "))...)
 		}
+		if id, found := bytes.CutPrefix(whole, []byte("id:")); found {
+			e.id = bytes.TrimSpace(bytes.Clone(id))
+		}
 		if len(whole) == 0 && len(e.raw) > len(line) {
 			return e, nil
 		}
--- a/request/serve/hedge.go
+++ b/request/serve/hedge.go
@@ -94,7 +94,7 @@
 		return s.decide(job, done, l)
 	}
 	_, refusal := s.decide(job, done, l)
-	done.run = outcome.Combine(done.run, refusal.Run)
+	done.run = s.combine(done.run, refusal.Run)
 	return s.decide(job, done, <-heads)
 }
 
@@ -143,6 +143,9 @@
 
 // decide returns the leg if it has an answer. Otherwise the leg is over.
 func (s *Server) decide(job *Job, done *progress, l *leg) (*leg, *outcome.Refusal) {
+	if l.result.Dispatched {
+		done.left++
+	}
 	if l.refusal == nil {
 		return l, nil
 	}
--- a/request/serve/server.go
+++ b/request/serve/server.go
@@ -23,15 +23,19 @@
 type Server struct {
 	fleet  Fleet
 	claims Claims
-	client *endpoint.Client
+	client Client
 	clock  clockwork.Clock
 	check  *invariant.Checker
 	log    logr.Logger
+
+	// combine is outcome.Combine; tests replace it to see the check on what
+	// refusals say fail.
+	combine func(a, b outcome.Run) outcome.Run
 }
 
 // NewServer returns a Server.
-func NewServer(fleet Fleet, claims Claims, client *endpoint.Client, clock clockwork.Clock, check *invariant.Checker, log logr.Logger) *Server {
-	return &Server{fleet: fleet, claims: claims, client: client, clock: clock, check: check, log: log}
+func NewServer(fleet Fleet, claims Claims, client Client, clock clockwork.Clock, check *invariant.Checker, log logr.Logger) *Server {
+	return &Server{fleet: fleet, claims: claims, client: client, clock: clock, check: check, log: log, combine: outcome.Combine}
 }
 
 // Serve takes job to its outcome. A nil refusal means that the whole answer
@@ -42,7 +46,7 @@
 	if job.Kind.NonIdempotent && job.Key != "" {
 		return s.serveClaimed(ctx, job, sink)
 	}
-	return s.run(ctx, job, &relay{sink: sink}, nil)
+	return s.audited(ctx, job, sink, nil)
 }
 
 // progress is what is known of a job over all its attempts.
@@ -52,6 +56,7 @@
 	avoid  []string
 	run    outcome.Run
 	stream streamed
+	left   int // legs whose request may have reached an endpoint's work
 }
 
 // attempts returns the progress as the rules for retries see it. A stream that
@@ -71,9 +76,11 @@
 		if refusal == nil {
 			return nil
 		}
-		done.run = outcome.Combine(done.run, refusal.Run)
+		done.run = s.combine(done.run, refusal.Run)
 		if !s.mayTryAgain(ctx, job, done, out, refusal) {
-			return s.final(ctx, job, done, refusal)
+			final := s.final(ctx, job, done, refusal)
+			s.checkRefusal(job, done, final)
+			return final
 		}
 	}
 }
@@ -179,6 +186,7 @@
 // pass passes the answer of a leg on to the caller.
 func (s *Server) pass(job *Job, done *progress, out *relay, l *leg) *outcome.Refusal {
 	defer func() { _ = l.answer.Body.Close() }()
+	s.checkEcho(job, l)
 	x := &exchangeState{job: job, done: done, out: out, request: l.request, answer: l.answer, result: l.result, sent: l.sent, name: l.name()}
 	var refusal *outcome.Refusal
 	if job.Stream && l.answer.Status == http.StatusOK {
--- a/request/serve/stream.go
+++ b/request/serve/stream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -58,6 +59,9 @@
 		if err != nil {
 			return readFailure(ctx, err)
 		}
+		if !x.done.stream.follows(next) {
+			return outcome.Ran(outcome.AnswerTruncated, "token %s came in place of %d", next.id, x.done.stream.events)
+		}
 		if refusal := s.passEvent(x, next); refusal != nil {
 			return refusal
 		}
@@ -83,6 +87,12 @@
 	return nil
 }
 
+// follows reports whether next is the event that comes after those that the
+// caller has. Events without a number are taken to follow.
+func (t *streamed) follows(next event) bool {
+	return next.id == nil || string(next.id) == strconv.Itoa(t.events)
+}
+
 // add counts an event that the caller has got.
 func (t *streamed) add(data []byte) {
 	t.events++
--- a/request/serve/whole.go
+++ b/request/serve/whole.go
@@ -8,7 +8,6 @@
 
 	"github.com/stoatmount/stoatmount/connection/endpoint"
 	"github.com/stoatmount/stoatmount/connection/endpoint/protocol"
-	"github.com/stoatmount/stoatmount/process/invariant"
 	"github.com/stoatmount/stoatmount/request/outcome"
 )
 
@@ -32,10 +31,16 @@
 	if len(body) > heldBytes {
 		return s.passUndeclared(ctx, x, body)
 	}
-	whole := x.answer.Length < 0 || int64(len(body)) == x.answer.Length || x.job.Method == http.MethodHead
-	s.check.Check(whole, invariant.AnswerWhole, func() string { return "request " + x.job.ID + " has a body of the wrong length" })
+	head := x.job.Method == http.MethodHead
+	if x.answer.Length >= 0 && int64(len(body)) != x.answer.Length && !head {
+		return outcome.Ran(outcome.AnswerTruncated, "%d of %d bytes came", len(body), x.answer.Length)
+	}
+	length := int64(len(body))
+	if head {
+		length = x.answer.Length
+	}
 	x.result.FirstToken = s.clock.Since(x.sent)
-	if err := x.out.begin(x.answer.Status, s.answerHeader(x), int64(len(body))); err != nil {
+	if err := x.out.begin(x.answer.Status, s.answerHeader(x), length); err != nil {
 		return callerGone(err)
 	}
 	if err := x.out.sink.Write(body); err != nil {
