--- a/process/node/fleet.go
+++ b/process/node/fleet.go
@@ -152,18 +152,18 @@
 	return usable
 }
 
-// otherAddress names another entry host, or nothing.
+// otherAddress names another entry host, each in turn, or nothing.
 func (n *Node) otherAddress(now time.Time) string {
 	snapshot := n.follower.Snapshot()
 	if snapshot == nil {
 		return ""
 	}
-	for _, m := range n.usableHosts(now, snapshot) {
-		if m.Name != n.self.Name {
-			return m.Caller.String()
-		}
+	others := slices.DeleteFunc(n.usableHosts(now, snapshot), func(m member.Member) bool { return m.Name == n.self.Name })
+	if len(others) == 0 {
+		return ""
 	}
-	return ""
+	turn := n.nextID.Add(1) % uint64(len(others))
+	return others[turn].Caller.String()
 }
 
 // Observe implements caller.Fleet.
--- a/test/faults/input_test.go
+++ b/test/faults/input_test.go
@@ -144,3 +144,23 @@
 	c.Check(response.Body.Close(), qt.IsNil)
 	within(c, "the cancellation", func() bool { return f.Site.Endpoint("e0").InProgress() == 0 })
 }
+
+func TestTooManyConnectionsAreRefusedWithACode(t *testing.T) {
+	c := qt.New(t)
+	f, err := fleet.Start(fleet.Options{
+		Config: small(1, 1), Routers: 1, Log: logr.Discard(), Site: site.Options{},
+		Adjust: func(s *settings.Settings) { s.Limits.Connections = 1 },
+	})
+	c.Assert(err, qt.IsNil)
+	defer f.Close()
+	within(c, "the router", f.Routers[0].Node.Joined)
+	c.Assert(f.Push(c.Context()), qt.IsNil)
+	idle, err := net.Dial("tcp", f.Callers()[0])
+	c.Assert(err, qt.IsNil)
+	within(c, "the refusal", func() bool {
+		r := chat(c, f.Callers()[0], "hi", 2, false)
+		return r.refused.Code == outcome.TooManyConnections && r.refused.Run == outcome.RunNot
+	})
+	c.Assert(idle.Close(), qt.IsNil)
+	within(c, "the answer", func() bool { return chat(c, f.Callers()[0], "hi", 2, false).status == http.StatusOK })
+}
