Record a history in which unread records expire

Records 10 to 23 expired before any living router read them, so that no fold can follow the log. Ruled out: folds that judge differently; all routers agree on what they read. Conclusion: not mended in this state; the routers should say that they need an operator's restore, and the call that offers it should name it.

--- a/lab/histories/histories_test.go
+++ b/lab/histories/histories_test.go
@@ -79,3 +79,10 @@
 		qt.Check(t, broken, qt.HasLen, 0, qt.Commentf("seed %d", seed))
 	}
 }
+
+// TestRoutersReachTheEndOfTheLog runs a history after which all routers stayed
+// at an older version than the log holds.
+func TestRoutersReachTheEndOfTheLog(t *testing.T) {
+	broken, _ := runOne(60535, foundSteps, wholeSystem)
+	qt.Check(t, broken, qt.HasLen, 0)
+}
