--- /dev/null
+++ b/connection/forward/record.go
@@ -0,0 +1,43 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/stoatmount/stoatmount/request/outcome"
+	"github.com/stoatmount/stoatmount/request/placing"
+)
+
+// Record says what became of a request and on what it was decided.
+type Record struct {
+	ID         string
+	Method     string
+	Target     string
+	Route      string
+	Version    int64 // of the configuration
+	Arrived    time.Time
+	Took       time.Duration
+	First      time.Duration // until the first byte of the answer; 0 if none
+	Code       outcome.Code
+	Status     int
+	RetryAfter time.Duration
+	Endpoints  []string      // that it was sent to, in order
+	Choice     placing.Grant // the last one
+	Failed     []FailedAttempt
+	Dials      int    // connections opened for it
+	Strays     int    // answers to other requests on its connection
+	Begun      bool   // a part of the answer went to the caller
+	Events     int    // of a stream
+	Resumed    int    // times that a stream went on at another endpoint
+	LeftOut    string // endpoint that was left out because of this request
+	Error      string
+}
+
+// FailedAttempt is a send that brought no answer for the caller.
+type FailedAttempt struct {
+	Endpoint string          `json:"endpoint"`
+	Failure  placing.Failure `json:"failure"`
+	Run      outcome.Run     `json:"run"`
+	Status   int             `json:"status,omitempty"` // of the endpoint's answer
+	AfterMS  int64           `json:"after_ms"`         // from the request's arrival
+	Error    string          `json:"error,omitempty"`
+}
--- /dev/null
+++ b/connection/front/conn.go
@@ -0,0 +1,201 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/stoatmount/stoatmount/connection/h1"
+)
+
+const (
+	readBufferBytes = 4 << 10
+	// writeTimeout ends an answer whose caller does not read it.
+	writeTimeout = 10 * time.Second
+	// lingerTime is how long a refused request's bytes are read away, so that
+	// the close does not reset the answer before the caller reads it.
+	lingerTime = 300 * time.Millisecond
+)
+
+// conn is a caller's connection.
+type conn struct {
+	s    *Server
+	nc   net.Conn
+	r    *bufio.Reader
+	busy atomic.Bool // from the first byte of a request to the last of its answer
+
+	idleMu sync.Mutex // held while an idle connection is closed or becomes busy
+	closed bool
+}
+
+func newConn(s *Server, nc net.Conn) *conn {
+	return &conn{s: s, nc: nc, r: bufio.NewReaderSize(nc, readBufferBytes)}
+}
+
+// serve reads and answers requests one after the other.
+func (c *conn) serve() {
+	defer func() { _ = c.nc.Close() }()
+	for {
+		limits := c.s.Limits().orDefaults()
+		if !c.await(limits.IdleTimeout) {
+			return
+		}
+		keep := c.one(limits)
+		c.busy.Store(false)
+		if !keep {
+			return
+		}
+	}
+}
+
+// await blocks until a request begins and reports whether one did.
+func (c *conn) await(idle time.Duration) bool {
+	if c.nc.SetReadDeadline(time.Now().Add(idle)) != nil {
+		return false
+	}
+	if _, err := c.r.Peek(1); err != nil {
+		return false
+	}
+	c.idleMu.Lock()
+	defer c.idleMu.Unlock()
+	c.busy.Store(true)
+	return !c.closed
+}
+
+func (c *conn) closeIfIdle() {
+	c.idleMu.Lock()
+	defer c.idleMu.Unlock()
+	if !c.busy.Load() {
+		c.closed = true
+		_ = c.nc.Close()
+	}
+}
+
+// one serves one request and reports whether the connection can be used again.
+func (c *conn) one(limits Limits) bool {
+	arrived := time.Now()
+	if c.nc.SetReadDeadline(arrived.Add(limits.HeaderTimeout)) != nil {
+		return false
+	}
+	head, err := h1.ReadRequest(c.r, limits.HeaderBytes)
+	if err != nil {
+		c.reject(err)
+		return false
+	}
+	if head.Get("Expect") != "" && head.Length != 0 {
+		if _, err := io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			return false
+		}
+	}
+	body, err := c.body(head, limits)
+	if err != nil {
+		c.reject(err)
+		return false
+	}
+	defer c.s.bodies.Add(-int64(len(body)))
+	x := &Exchange{Head: head, Body: body, Arrived: arrived, conn: c, close: head.Close}
+	ctx, cancel := context.WithCancel(context.Background())
+	watched := c.watch(cancel)
+	c.s.Handler.Serve(ctx, x)
+	gone := c.unwatch(watched)
+	cancel()
+	return !gone && x.finished && !x.close
+}
+
+// errBusy says that too many bodies are held.
+var errBusy = errors.New("too many request bodies")
+
+// body reads the whole body and counts its bytes as held.
+func (c *conn) body(head *h1.Head, limits Limits) ([]byte, error) {
+	if head.Length == 0 {
+		return nil, nil
+	}
+	if c.s.bodies.Load()+max(head.Length, 0) > bodiesBytes {
+		return nil, errBusy
+	}
+	if err := c.nc.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
+		return nil, err
+	}
+	data, err := h1.NewBody(c.r, head.Length).ReadAll(limits.BodyBytes)
+	if err != nil {
+		return nil, err
+	}
+	c.s.bodies.Add(int64(len(data)))
+	return data, nil
+}
+
+// watch cancels when the caller closes the connection. It stops at the first
+// byte of a request that follows.
+func (c *conn) watch(cancel context.CancelFunc) chan bool {
+	done := make(chan bool, 1)
+	if c.r.Buffered() > 0 {
+		done <- false
+		return done
+	}
+	_ = c.nc.SetReadDeadline(time.Time{}) // a closed connection shows in the read
+	go func() {
+		_, err := c.r.Peek(1)
+		gone := err != nil && !isTimeout(err)
+		if gone {
+			cancel()
+		}
+		done <- gone
+	}()
+	return done
+}
+
+// unwatch ends the watcher and reports whether the caller has left.
+func (c *conn) unwatch(done chan bool) bool {
+	select {
+	case gone := <-done:
+		return gone
+	default:
+	}
+	_ = c.nc.SetReadDeadline(time.Unix(1, 0)) // wakes the watcher; a closed connection wakes it too
+	return <-done
+}
+
+func isTimeout(err error) bool {
+	var t net.Error
+	return errors.As(err, &t) && t.Timeout()
+}
+
+// reject answers a request that could not be read. Nothing of it was sent on.
+func (c *conn) reject(err error) {
+	status := http.StatusBadRequest
+	switch {
+	case errors.Is(err, h1.ErrHeadTooBig):
+		status = http.StatusRequestHeaderFieldsTooLarge
+	case errors.Is(err, h1.ErrBodyTooBig):
+		status = http.StatusRequestEntityTooLarge
+	case errors.Is(err, errBusy):
+		status = http.StatusServiceUnavailable
+	case isTimeout(err):
+		status = http.StatusRequestTimeout
+	case errors.Is(err, h1.ErrMalformed):
+	default:
+		return // the connection is gone
+	}
+	c.s.Log.Info("request not read", "peer", c.nc.RemoteAddr().String(), "status", status, "error", err.Error())
+	x := &Exchange{conn: c, close: true}
+	if x.Answer(status, nil, nil) != nil {
+		return
+	}
+	c.linger()
+}
+
+// linger reads away what the caller still sends.
+func (c *conn) linger() {
+	if t, ok := c.nc.(*net.TCPConn); ok {
+		_ = t.CloseWrite()
+	}
+	_ = c.nc.SetReadDeadline(time.Now().Add(lingerTime))
+	_, _ = io.Copy(io.Discard, c.r) // ends with the deadline or the caller's close
+}
--- /dev/null
+++ b/connection/front/exchange.go
@@ -0,0 +1,123 @@
+package front
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/stoatmount/stoatmount/connection/h1"
+)
+
+// Exchange is one request and its answer.
+type Exchange struct {
+	Head    *h1.Head
+	Body    []byte
+	Arrived time.Time // when its first byte was read
+
+	conn     *conn
+	close    bool // the connection ends after the answer
+	chunked  bool
+	finished bool // a complete answer was written
+	buf      []byte
+}
+
+// Peer returns the caller's address.
+func (x *Exchange) Peer() string { return x.conn.nc.RemoteAddr().String() }
+
+// Answer writes a whole answer.
+func (x *Exchange) Answer(status int, fields []h1.Field, body []byte) error {
+	x.head(status, "", fields)
+	x.buf = append(x.buf, "Content-Length: "...)
+	x.buf = strconv.AppendInt(x.buf, int64(len(body)), 10)
+	x.buf = append(x.buf, "\r\n\r\n"...)
+	if x.Head == nil || x.Head.Method != http.MethodHead {
+		x.buf = append(x.buf, body...)
+	}
+	err := x.flush()
+	x.finished = err == nil
+	return err
+}
+
+// Begin writes the head of an answer whose length is not known. Write and End
+// follow. A caller of HTTP/1.0 gets an answer that ends with the connection.
+func (x *Exchange) Begin(status int, fields []h1.Field) error {
+	x.chunked = x.Head.Minor > 0
+	x.close = x.close || !x.chunked
+	x.head(status, "", fields)
+	if x.chunked {
+		x.buf = append(x.buf, "Transfer-Encoding: chunked\r\n"...)
+	}
+	x.buf = append(x.buf, "\r\n"...)
+	return nil // goes out with the first part
+}
+
+// Write writes a part of the body.
+func (x *Exchange) Write(p []byte) error {
+	if len(p) == 0 {
+		return nil
+	}
+	if !x.chunked {
+		x.buf = append(x.buf, p...)
+		return x.flush()
+	}
+	x.buf = strconv.AppendInt(x.buf, int64(len(p)), 16)
+	x.buf = append(x.buf, "\r\n"...)
+	x.buf = append(x.buf, p...)
+	x.buf = append(x.buf, "\r\n"...)
+	return x.flush()
+}
+
+// End ends a body that was written whole. Without it the connection is closed
+// and the answer cannot be taken for a complete one.
+func (x *Exchange) End() error {
+	if x.chunked {
+		x.buf = append(x.buf, "0\r\n\r\n"...)
+	}
+	err := x.flush()
+	x.finished = err == nil
+	return err
+}
+
+// Cut resets the connection, so that an answer without framing does not look
+// complete.
+func (x *Exchange) Cut() {
+	x.close = true
+	if t, ok := x.conn.nc.(interface{ SetLinger(int) error }); ok && !x.chunked {
+		_ = t.SetLinger(0) // the close that follows is all that is left to do
+	}
+}
+
+func (x *Exchange) head(status int, reason string, fields []h1.Field) {
+	if x.conn.s.leaving.Load() {
+		x.close = true
+	}
+	if reason == "" {
+		reason = http.StatusText(status)
+	}
+	x.buf = append(x.buf[:0], "HTTP/1.1 "...)
+	x.buf = strconv.AppendInt(x.buf, int64(status), 10)
+	x.buf = append(x.buf, ' ')
+	x.buf = append(x.buf, reason...)
+	x.buf = append(x.buf, "\r\n"...)
+	for _, f := range fields {
+		x.buf = append(x.buf, f.Name...)
+		x.buf = append(x.buf, ": "...)
+		x.buf = append(x.buf, f.Value...)
+		x.buf = append(x.buf, "\r\n"...)
+	}
+	if x.close {
+		x.buf = append(x.buf, "Connection: close\r\n"...)
+	}
+}
+
+func (x *Exchange) flush() error {
+	if len(x.buf) == 0 {
+		return nil
+	}
+	if err := x.conn.nc.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	_, err := x.conn.nc.Write(x.buf)
+	x.buf = x.buf[:0]
+	return err
+}
--- /dev/null
+++ b/connection/front/server.go
@@ -0,0 +1,138 @@
+package front
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+
+	"github.com/stoatmount/stoatmount/connection/h1"
+)
+
+// Limits of a connection where the configuration names none.
+const (
+	defaultHeaderBytes   = 16 << 10
+	defaultBodyBytes     = 4 << 20
+	defaultHeaderTimeout = 3 * time.Second
+	defaultIdleTimeout   = 15 * time.Second
+	// bodyTimeout ends a body that stops arriving.
+	bodyTimeout = 10 * time.Second
+	// unsentTimeout closes a connection whose caller acknowledges nothing.
+	unsentTimeout = 5 * time.Second
+	// bodiesBytes bounds the bodies that are held at a time, as a share of the
+	// memory that one process has on the smallest host.
+	bodiesBytes = 64 << 20
+)
+
+// Limits bound what a caller may send. Zero values mean the defaults.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+func (l Limits) orDefaults() Limits {
+	if l.HeaderBytes <= 0 {
+		l.HeaderBytes = defaultHeaderBytes
+	}
+	if l.BodyBytes <= 0 {
+		l.BodyBytes = defaultBodyBytes
+	}
+	if l.HeaderTimeout <= 0 {
+		l.HeaderTimeout = defaultHeaderTimeout
+	}
+	if l.IdleTimeout <= 0 {
+		l.IdleTimeout = defaultIdleTimeout
+	}
+	return l
+}
+
+// Handler serves requests.
+type Handler interface {
+	// Serve answers the request of x. The context ends when the caller leaves.
+	Serve(ctx context.Context, x *Exchange)
+}
+
+// Server accepts connections until Close.
+type Server struct {
+	Handler Handler
+	Limits  func() Limits // in force now
+	Log     logr.Logger
+
+	leaving atomic.Bool
+	bodies  atomic.Int64 // bytes of bodies that are held
+
+	mu    sync.Mutex
+	conns map[*conn]bool
+	group sync.WaitGroup
+}
+
+// acceptPause follows a failed accept, such as one without descriptors left.
+const acceptPause = 20 * time.Millisecond
+
+// Serve accepts connections of l until l is closed.
+func (s *Server) Serve(l net.Listener) error {
+	for {
+		c, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			s.Log.Info("accept failed", "error", err.Error())
+			time.Sleep(acceptPause)
+			continue
+		}
+		s.start(c)
+	}
+}
+
+func (s *Server) start(nc net.Conn) {
+	h1.SetUserTimeout(nc, unsentTimeout)
+	c := newConn(s, nc)
+	s.mu.Lock()
+	if s.conns == nil {
+		s.conns = make(map[*conn]bool)
+	}
+	s.conns[c] = true
+	s.mu.Unlock()
+	s.group.Add(1)
+	go func() {
+		defer s.group.Done()
+		c.serve()
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	}()
+}
+
+// Leave makes every answer from now on the last of its connection.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
+// Open returns the number of open connections and of those with a request.
+func (s *Server) Open() (open, busy int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.busy.Load() {
+			busy++
+		}
+	}
+	return len(s.conns), busy
+}
+
+// CloseIdle closes the connections that hold no request.
+func (s *Server) CloseIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.closeIfIdle()
+	}
+}
+
+// Wait blocks until every connection has ended.
+func (s *Server) Wait() { s.group.Wait() }
--- /dev/null
+++ b/connection/h1/body.go
@@ -0,0 +1,111 @@
+package h1
+
+import (
+	"bufio"
+	"io"
+	"net/http/httputil"
+
+	"github.com/pkg/errors"
+)
+
+// ErrBodyTooBig is returned for a body over the limit.
+var ErrBodyTooBig = errors.New("HTTP body over the limit")
+
+// Body reads the body of a message and knows whether it is complete.
+type Body struct {
+	src      *bufio.Reader
+	chunks   io.Reader
+	left     int64
+	length   int64
+	complete bool
+}
+
+// NewBody returns a reader of a body with the given length.
+func NewBody(src *bufio.Reader, length int64) *Body {
+	b := &Body{src: src, length: length, left: length}
+	switch length {
+	case Chunked:
+		b.chunks = httputil.NewChunkedReader(src)
+	case 0:
+		b.complete = true
+	}
+	return b
+}
+
+// Complete reports whether the body was read to its end.
+func (b *Body) Complete() bool { return b.complete }
+
+// Read returns io.EOF only after the end of a complete body; a body that is
+// cut ends with another error.
+func (b *Body) Read(p []byte) (int, error) {
+	switch {
+	case b.complete:
+		return 0, io.EOF
+	case b.length == Chunked:
+		return b.readChunked(p)
+	case b.length == UntilClose:
+		n, err := b.src.Read(p)
+		b.complete = err == io.EOF
+		return n, err
+	}
+	if int64(len(p)) > b.left {
+		p = p[:b.left]
+	}
+	n, err := b.src.Read(p)
+	b.left -= int64(n)
+	b.complete = b.left == 0
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	if b.complete && n > 0 {
+		err = nil
+	}
+	return n, err
+}
+
+func (b *Body) readChunked(p []byte) (int, error) {
+	n, err := b.chunks.Read(p)
+	if err == io.EOF {
+		if err := b.trailer(); err != nil {
+			return n, err
+		}
+		b.complete = true
+	}
+	return n, err
+}
+
+// trailer reads the fields after the last chunk, which are dropped.
+func (b *Body) trailer() error {
+	for {
+		line, err := b.src.ReadSlice('\n')
+		if err != nil {
+			return io.ErrUnexpectedEOF
+		}
+		if len(line) < 2 || line[len(line)-2] != '\r' {
+			return errors.Wrap(ErrMalformed, "bare line feed in the trailer")
+		}
+		if len(line) == 2 {
+			return nil
+		}
+	}
+}
+
+// ReadAll reads a whole body of at most limit bytes.
+func (b *Body) ReadAll(limit int64) ([]byte, error) {
+	if b.length > limit {
+		return nil, ErrBodyTooBig
+	}
+	if b.length >= 0 {
+		data := make([]byte, b.length)
+		_, err := io.ReadFull(b, data)
+		if err == io.EOF && b.length == 0 {
+			err = nil
+		}
+		return data, err
+	}
+	data, err := io.ReadAll(io.LimitReader(b, limit+1))
+	if int64(len(data)) > limit {
+		return nil, ErrBodyTooBig
+	}
+	return data, err
+}
--- /dev/null
+++ b/connection/h1/head.go
@@ -0,0 +1,291 @@
+package h1
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Body lengths that are not a number of bytes.
+const (
+	Chunked    int64 = -1
+	UntilClose int64 = -2 // answers only: the body ends with the connection
+)
+
+// Errors of reading a head.
+var (
+	ErrMalformed  = errors.New("malformed HTTP message")
+	ErrHeadTooBig = errors.New("HTTP head over the limit")
+)
+
+// Field is one header field as received.
+type Field struct{ Name, Value string }
+
+// Head is the start line and the header fields of a message.
+type Head struct {
+	Method string // requests
+	Target string // requests: path and query as received
+	Status int    // answers
+	Reason string // answers
+	Minor  int    // minor version of HTTP/1
+	Fields []Field
+
+	Length int64         // of the body, in bytes, or Chunked or UntilClose
+	Close  bool          // the sender closes the connection after this message
+	Idle   time.Duration // how long the sender keeps an idle connection; 0 is unknown
+}
+
+// Get returns the first value of a field, or "".
+func (h *Head) Get(name string) string {
+	for i := range h.Fields {
+		if len(h.Fields[i].Name) == len(name) && strings.EqualFold(h.Fields[i].Name, name) {
+			return h.Fields[i].Value
+		}
+	}
+	return ""
+}
+
+// Count returns how often a field occurs.
+func (h *Head) Count(name string) int {
+	n := 0
+	for i := range h.Fields {
+		if strings.EqualFold(h.Fields[i].Name, name) {
+			n++
+		}
+	}
+	return n
+}
+
+// ReadRequest reads the head of a request of at most limit bytes.
+func ReadRequest(r *bufio.Reader, limit int) (*Head, error) {
+	h, err := readHead(r, limit, true)
+	if err != nil {
+		return nil, err
+	}
+	if h.Count("Host") != 1 && h.Minor > 0 {
+		return nil, errors.Wrap(ErrMalformed, "not one Host field")
+	}
+	return h, h.frame(true, "")
+}
+
+// ReadAnswer reads the head of the answer to a request with the given method.
+// Interim answers (1xx) are skipped.
+func ReadAnswer(r *bufio.Reader, limit int, method string) (*Head, error) {
+	for {
+		h, err := readHead(r, limit, false)
+		if err != nil {
+			return nil, err
+		}
+		if h.Status >= 100 && h.Status < 200 && h.Status != 101 {
+			continue
+		}
+		return h, h.frame(false, method)
+	}
+}
+
+func readHead(r *bufio.Reader, limit int, request bool) (*Head, error) {
+	block, err := readBlock(r, limit)
+	if err != nil {
+		return nil, err
+	}
+	h := &Head{Fields: make([]Field, 0, 16)}
+	line, rest, _ := strings.Cut(block, "\r\n")
+	if request {
+		err = h.requestLine(line)
+	} else {
+		err = h.statusLine(line)
+	}
+	if err != nil {
+		return nil, err
+	}
+	for rest != "" {
+		line, rest, _ = strings.Cut(rest, "\r\n")
+		name, value, found := strings.Cut(line, ":")
+		value = strings.Trim(value, " \t")
+		if !found || !isToken(name) || !isFieldValue(value) {
+			return nil, errors.Wrap(ErrMalformed, "header field")
+		}
+		h.Fields = append(h.Fields, Field{Name: name, Value: value})
+	}
+	return h, nil
+}
+
+// readBlock reads up to the empty line and returns the lines before it, each
+// but the last with its CRLF.
+func readBlock(r *bufio.Reader, limit int) (string, error) {
+	var block []byte
+	for {
+		line, err := r.ReadSlice('\n')
+		if len(block)+len(line) > limit {
+			return "", ErrHeadTooBig
+		}
+		if err == bufio.ErrBufferFull {
+			block = append(block, line...)
+			continue
+		}
+		if err != nil {
+			if err == io.EOF && len(block)+len(line) > 0 {
+				err = io.ErrUnexpectedEOF
+			}
+			return "", err
+		}
+		block = append(block, line...)
+		if !bytes.HasSuffix(block, []byte("\r\n")) {
+			return "", errors.Wrap(ErrMalformed, "bare line feed")
+		}
+		if len(line) == 2 && len(block) == 2 {
+			return "", errors.Wrap(ErrMalformed, "empty start line")
+		}
+		if bytes.HasSuffix(block, []byte("\r\n\r\n")) {
+			return string(block[:len(block)-4]), nil
+		}
+	}
+}
+
+func (h *Head) requestLine(line string) error {
+	method, rest, ok := strings.Cut(line, " ")
+	target, proto, ok2 := strings.Cut(rest, " ")
+	if !ok || !ok2 || !isToken(method) || target == "" || target[0] != '/' || !isTarget(target) {
+		return errors.Wrap(ErrMalformed, "request line")
+	}
+	h.Method, h.Target = method, target
+	return h.version(proto)
+}
+
+func (h *Head) statusLine(line string) error {
+	proto, rest, _ := strings.Cut(line, " ")
+	code, reason, _ := strings.Cut(rest, " ")
+	status, err := strconv.Atoi(code)
+	if err != nil || len(code) != 3 || status < 100 {
+		return errors.Wrap(ErrMalformed, "status line")
+	}
+	h.Status, h.Reason = status, reason
+	return h.version(proto)
+}
+
+func (h *Head) version(proto string) error {
+	switch proto {
+	case "HTTP/1.1":
+		h.Minor = 1
+	case "HTTP/1.0":
+		h.Minor = 0
+	default:
+		return errors.Wrap(ErrMalformed, "protocol version")
+	}
+	return nil
+}
+
+// frame works out how the body is delimited and whether the connection stays.
+func (h *Head) frame(request bool, method string) error {
+	length, coding := int64(-1), ""
+	h.Close = h.Minor == 0
+	for _, f := range h.Fields {
+		switch {
+		case strings.EqualFold(f.Name, "Content-Length"):
+			n, err := strconv.ParseUint(f.Value, 10, 62)
+			if err != nil || length >= 0 || f.Value[0] == '+' {
+				return errors.Wrap(ErrMalformed, "Content-Length")
+			}
+			length = int64(n)
+		case strings.EqualFold(f.Name, "Transfer-Encoding"):
+			if coding != "" {
+				return errors.Wrap(ErrMalformed, "two Transfer-Encoding fields")
+			}
+			coding = f.Value
+		case strings.EqualFold(f.Name, "Connection"):
+			for _, option := range strings.Split(f.Value, ",") {
+				switch strings.ToLower(strings.TrimSpace(option)) {
+				case "close":
+					h.Close = true
+				case "keep-alive":
+					h.Close = false
+				}
+			}
+		case strings.EqualFold(f.Name, "Keep-Alive"):
+			h.Idle = idleTimeout(f.Value)
+		}
+	}
+	if coding != "" && (!strings.EqualFold(coding, "chunked") || length >= 0 || h.Minor == 0) {
+		return errors.Wrap(ErrMalformed, "ambiguous framing")
+	}
+	switch {
+	case !request && (h.Status == 204 || h.Status == 304 || method == "HEAD"):
+		h.Length = 0
+	case coding != "":
+		h.Length = Chunked
+	case length >= 0:
+		h.Length = length
+	case request:
+		h.Length = 0
+	default:
+		h.Length, h.Close = UntilClose, true
+	}
+	return nil
+}
+
+func idleTimeout(value string) time.Duration {
+	for _, part := range strings.Split(value, ",") {
+		name, text, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if strings.EqualFold(name, "timeout") {
+			if s, err := strconv.ParseFloat(text, 64); err == nil && s > 0 && s < 1e6 {
+				return time.Duration(s * float64(time.Second))
+			}
+		}
+	}
+	return 0
+}
+
+// Hop reports whether a field concerns one connection only. listed holds the
+// value of the message's Connection field.
+func Hop(name, listed string) bool {
+	switch strings.ToLower(name) {
+	case "connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization",
+		"te", "trailer", "transfer-encoding", "upgrade", "content-length", "expect":
+		return true
+	}
+	if listed == "" {
+		return false
+	}
+	for _, option := range strings.Split(listed, ",") {
+		if strings.EqualFold(strings.TrimSpace(option), name) {
+			return true
+		}
+	}
+	return false
+}
+
+func isToken(s string) bool {
+	if s == "" {
+		return false
+	}
+	for i := 0; i < len(s); i++ {
+		c := s[i]
+		if c <= ' ' || c >= 0x7f || strings.IndexByte("()<>@,;:\\\"/[]?={}", c) >= 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func isFieldValue(s string) bool {
+	for i := 0; i < len(s); i++ {
+		if c := s[i]; c < ' ' && c != '\t' || c == 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+func isTarget(s string) bool {
+	for i := 0; i < len(s); i++ {
+		if c := s[i]; c <= ' ' || c == 0x7f {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/connection/h1/pool.go
@@ -0,0 +1,189 @@
+package h1
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	readBufferBytes = 4 << 10
+	// keepAliveProbe is the time without traffic after which TCP probes the
+	// other end, and the pause between probes.
+	keepAliveProbe  = time.Second
+	keepAliveProbes = 3
+	// idleMargin is kept before the other end's idle timeout, so that a request
+	// does not meet its close.
+	idleMargin = 800 * time.Millisecond
+	// defaultIdle is how long a connection is kept whose other end names no
+	// timeout.
+	defaultIdle = 3 * time.Second
+)
+
+// Conn is a connection to an endpoint.
+type Conn struct {
+	net.Conn
+	R       *bufio.Reader
+	Reused  bool // an earlier request was answered on it
+	addr    string
+	expires time.Time
+}
+
+// Pool keeps idle connections to endpoints, newest first. It is safe for
+// concurrent use; Pool.mu is a leaf.
+type Pool struct {
+	unsent time.Duration // after which unacknowledged bytes end a connection
+
+	mu   sync.Mutex
+	idle map[string][]*Conn
+}
+
+// NewPool returns an empty pool. A connection whose other end acknowledges
+// nothing for the time unsent is closed.
+func NewPool(unsent time.Duration) *Pool {
+	return &Pool{unsent: unsent, idle: make(map[string][]*Conn)}
+}
+
+// Get returns an idle connection to addr that holds no unread bytes, or nil.
+func (p *Pool) Get(addr string, now time.Time) *Conn {
+	for {
+		c := p.pop(addr)
+		if c == nil {
+			return nil
+		}
+		if now.Before(c.expires) && quiet(c) {
+			return c
+		}
+		_ = c.Close() // the close of an unused connection has no result that matters
+	}
+}
+
+func (p *Pool) pop(addr string) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[addr]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[addr] = list[:len(list)-1]
+	return c
+}
+
+// Dial opens a connection to addr.
+func (p *Pool) Dial(ctx context.Context, addr string, timeout time.Duration) (*Conn, error) {
+	d := net.Dialer{Timeout: timeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveProbe, Interval: keepAliveProbe, Count: keepAliveProbes}}
+	conn, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, errors.Wrap(err, "connect")
+	}
+	SetUserTimeout(conn, p.unsent)
+	return &Conn{Conn: conn, R: bufio.NewReaderSize(conn, readBufferBytes), addr: addr}, nil
+}
+
+// Put keeps a connection on which the last answer was read to its end. idle
+// is the other end's idle timeout, or 0.
+func (p *Pool) Put(c *Conn, now time.Time, idle time.Duration, most int) {
+	keep := defaultIdle
+	if idle > 0 {
+		keep = idle - idleMargin
+	}
+	if keep <= 0 || c.R.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
+		_ = c.Close()
+		return
+	}
+	c.Reused, c.expires = true, now.Add(keep)
+	p.mu.Lock()
+	list := p.idle[c.addr]
+	var old *Conn
+	if len(list) >= most && len(list) > 0 {
+		old, list = list[0], list[1:]
+	}
+	p.idle[c.addr] = append(list, c)
+	p.mu.Unlock()
+	if old != nil {
+		_ = old.Close()
+	}
+}
+
+// Drop closes the idle connections to addr.
+func (p *Pool) Drop(addr string) {
+	p.mu.Lock()
+	list := p.idle[addr]
+	delete(p.idle, addr)
+	p.mu.Unlock()
+	for _, c := range list {
+		_ = c.Close()
+	}
+}
+
+// Expire closes idle connections past their time.
+func (p *Pool) Expire(now time.Time) {
+	var old []*Conn
+	p.mu.Lock()
+	for addr, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now.Before(c.expires) {
+				kept = append(kept, c)
+			} else {
+				old = append(old, c)
+			}
+		}
+		if len(kept) == 0 {
+			delete(p.idle, addr)
+			continue
+		}
+		p.idle[addr] = kept
+	}
+	p.mu.Unlock()
+	for _, c := range old {
+		_ = c.Close()
+	}
+}
+
+// quiet reports whether an idle connection is open and holds no unread bytes.
+// Bytes that nobody asked for would be taken for the next answer.
+func quiet(c *Conn) bool {
+	if c.R.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var peek error
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, peek = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	return err == nil && (peek == unix.EAGAIN || peek == unix.EWOULDBLOCK)
+}
+
+// SetUserTimeout closes a TCP connection when sent bytes stay unacknowledged
+// for d. Other connections are left as they are.
+func SetUserTimeout(conn net.Conn, d time.Duration) {
+	sc, ok := conn.(syscall.Conn)
+	if !ok || d <= 0 {
+		return
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return
+	}
+	// A kernel without the option leaves the keep-alive probes to find a dead peer.
+	_ = raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+	})
+}
--- /dev/null
+++ b/process/observe/requests.go
@@ -0,0 +1,164 @@
+package observe
+
+import (
+	"expvar"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/go-logr/logr"
+
+	"github.com/stoatmount/stoatmount/connection/forward"
+	"github.com/stoatmount/stoatmount/request/outcome"
+)
+
+const (
+	// servedLines and failedLines bound the log lines a second of requests that
+	// were served at once, and of all others.
+	servedLines = 60
+	failedLines = 120
+
+	histogramLowest  = 1       // ms
+	histogramHighest = 120_000 // ms
+	histogramDigits  = 2
+)
+
+// Requests observes requests. It is safe for concurrent use.
+type Requests struct {
+	log logr.Logger
+
+	results  *expvar.Map // by result code
+	failures *expvar.Map // failed attempts by kind of failure
+	repeats  expvar.Int
+	resumed  expvar.Int
+	dials    expvar.Int
+	strays   expvar.Int
+	omitted  expvar.Int // log lines over the budget
+
+	mu     sync.Mutex
+	first  *hdrhistogram.Histogram // ms until the first byte
+	whole  *hdrhistogram.Histogram // ms until the end of the answer
+	second int64
+	served int
+	failed int
+	left   int // lines over the budget in this second
+}
+
+// NewRequests returns an observer that publishes its metrics under the names
+// of docs/METRICS.md. publish is expvar.Publish, but in tests.
+func NewRequests(log logr.Logger, publish func(name string, v expvar.Var)) *Requests {
+	r := &Requests{log: log, results: new(expvar.Map).Init(), failures: new(expvar.Map).Init(),
+		first: hdrhistogram.New(histogramLowest, histogramHighest, histogramDigits),
+		whole: hdrhistogram.New(histogramLowest, histogramHighest, histogramDigits)}
+	publish("requests_by_result", r.results)
+	publish("attempts_failed", r.failures)
+	publish("requests_repeated", &r.repeats)
+	publish("streams_resumed", &r.resumed)
+	publish("endpoint_connections_opened", &r.dials)
+	publish("answers_to_other_requests", &r.strays)
+	publish("log_lines_over_budget", &r.omitted)
+	publish("first_byte_ms", expvar.Func(func() any { return r.quantiles(r.first) }))
+	publish("answer_ms", expvar.Func(func() any { return r.quantiles(r.whole) }))
+	return r
+}
+
+// Quantiles summarise a histogram, in ms.
+type Quantiles struct {
+	Count              int64
+	P50, P90, P99, Max int64
+}
+
+func (r *Requests) quantiles(h *hdrhistogram.Histogram) Quantiles {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return Quantiles{Count: h.TotalCount(), P50: h.ValueAtQuantile(50), P90: h.ValueAtQuantile(90), P99: h.ValueAtQuantile(99), Max: h.Max()}
+}
+
+// Request implements forward.Observer.
+func (r *Requests) Request(rec *forward.Record) {
+	r.results.Add(rec.Code.String(), 1)
+	for _, f := range rec.Failed {
+		r.failures.Add(f.Failure.String(), 1)
+	}
+	if n := len(rec.Endpoints); n > 1 {
+		r.repeats.Add(int64(n - 1))
+	}
+	r.resumed.Add(int64(rec.Resumed))
+	r.dials.Add(int64(rec.Dials))
+	r.strays.Add(int64(rec.Strays))
+	plain := rec.Code == outcome.OK && len(rec.Failed) == 0
+	if r.count(rec, plain) {
+		r.line(rec)
+	}
+}
+
+// count adds the request to the histograms and reports whether its line is
+// within the budget.
+func (r *Requests) count(rec *forward.Record, plain bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if rec.First > 0 {
+		record(r.first, rec.First)
+		record(r.whole, rec.Took)
+	}
+	now := rec.Arrived.Add(rec.Took).Unix()
+	if now != r.second {
+		if r.left > 0 {
+			r.log.Info("log lines left out", "reason", "budget of a second", "lines", r.left)
+		}
+		r.second, r.served, r.failed, r.left = now, 0, 0, 0
+	}
+	used, most := &r.failed, failedLines
+	if plain {
+		used, most = &r.served, servedLines
+	}
+	if *used >= most {
+		r.left++
+		r.omitted.Add(1)
+		return false
+	}
+	*used++
+	return true
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	ms := min(max(d.Milliseconds(), histogramLowest), histogramHighest)
+	_ = h.RecordValue(ms) // within the range
+}
+
+// line writes what was decided about a request and on which inputs.
+func (r *Requests) line(rec *forward.Record) {
+	kv := make([]any, 0, 40)
+	kv = append(kv, "request", rec.ID, "route", rec.Route, "config", rec.Version, "result", rec.Code.String(), "code", int(rec.Code),
+		"status", rec.Status, "took_ms", rec.Took.Milliseconds())
+	if rec.First > 0 {
+		kv = append(kv, "first_ms", rec.First.Milliseconds())
+	}
+	if len(rec.Endpoints) > 0 {
+		kv = append(kv, "endpoints", rec.Endpoints, "running", rec.Choice.Running, "entry_age_ms", rec.Choice.Age.Milliseconds())
+		if rec.Choice.Cold {
+			kv = append(kv, "cold", true)
+		}
+		if rec.Choice.FetchFrom != "" {
+			kv = append(kv, "fetch_from", rec.Choice.FetchFrom)
+		}
+	} else {
+		kv = append(kv, "method", rec.Method, "target", rec.Target)
+	}
+	if rec.RetryAfter > 0 {
+		kv = append(kv, "retry_after_ms", rec.RetryAfter.Milliseconds())
+	}
+	if rec.Events > 0 {
+		kv = append(kv, "events", rec.Events)
+	}
+	if rec.LeftOut != "" {
+		kv = append(kv, "left_out", rec.LeftOut)
+	}
+	if rec.Error != "" {
+		kv = append(kv, "error", rec.Error)
+	}
+	if len(rec.Failed) > 0 {
+		kv = append(kv, "failed", rec.Failed)
+	}
+	r.log.Info("request", kv...)
+}
--- /dev/null
+++ b/process/router/adapter.go
@@ -0,0 +1,49 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/stoatmount/stoatmount/connection/forward"
+	"github.com/stoatmount/stoatmount/process/feed"
+	"github.com/stoatmount/stoatmount/process/peers"
+	"github.com/stoatmount/stoatmount/process/upstream"
+	"github.com/stoatmount/stoatmount/version/routing"
+)
+
+// Topic is one of the keyed topics that a router follows.
+type Topic int
+
+// The topics.
+const (
+	Operators Topic = iota // configuration and zones out of service
+	Endpoints
+	Routers
+)
+
+// OperatorChange is a record of the operators: a configuration, or a zone that
+// is taken out of service or brought back.
+type OperatorChange struct {
+	Table *routing.Table // nil if the record is about a zone
+	Zone  string
+	Out   bool
+}
+
+// AddressQuery is a caller's question for addresses.
+type AddressQuery struct{ Host, Zone, Region string }
+
+// Adapter translates the platform's formats and calls.
+type Adapter interface {
+	Codec() forward.Codec
+	Topic(t Topic) feed.Source
+	// Register writes this router's own record; nil removes it.
+	Register(ctx context.Context, name string, r *peers.Registration) error
+	DecodeOperator(r feed.Record) (OperatorChange, error)
+	DecodeEndpoint(r feed.Record) (upstream.Change, error)
+	DecodeRouter(r feed.Record) (peers.Registration, bool, error)
+	// DirectoryHandler answers callers with the addresses and the time for which
+	// they may be kept. No addresses are an answer that nothing can be named.
+	DirectoryHandler(answer func(AddressQuery) ([]string, time.Duration)) http.Handler
+	ReadyHandler(ready func() bool) http.Handler
+}
--- /dev/null
+++ b/process/router/follow.go
@@ -0,0 +1,141 @@
+package router
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/stoatmount/stoatmount/process/feed"
+	"github.com/stoatmount/stoatmount/process/peers"
+	"github.com/stoatmount/stoatmount/process/upstream"
+	"github.com/stoatmount/stoatmount/version/routing"
+)
+
+const (
+	// endpointPace is the pause between reads of the endpoints' entries, which
+	// change with every heartbeat. It stays well under the time within which a
+	// leaving endpoint must get no new requests.
+	endpointPace = 1100 * time.Millisecond
+	// watchWait is how long a read of a topic that rarely changes waits at the store.
+	watchWait = 20 * time.Second
+	// storeTimeout ends a call to the store.
+	storeTimeout = 2 * time.Second
+	// registerPause is the pause between tries to write the own record.
+	registerPause = 500 * time.Millisecond
+)
+
+// follow starts to follow the topics of the store.
+func (r *Router) follow(ctx context.Context) {
+	watch := func(name string, t Topic, cfg feed.Config, apply func(feed.Batch)) {
+		cfg.Name, cfg.Timeout = name, storeTimeout
+		f := feed.New(cfg, r.adapter.Topic(t), r.log, apply)
+		r.group.Go(func() { f.Run(ctx) })
+	}
+	watch("operators", Operators, feed.Config{Wait: watchWait}, r.applyOperators)
+	watch("endpoints", Endpoints, feed.Config{Pace: endpointPace}, r.applyEndpoints)
+	watch("routers", Routers, feed.Config{Wait: watchWait}, r.applyRouters)
+	r.group.Go(func() { r.register(ctx) })
+}
+
+// register writes this router's record until that succeeds.
+func (r *Router) register(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := r.writeRecord(ctx, &peers.Registration{Name: r.s.Name, Addr: r.s.Peer})
+		if err == nil {
+			return
+		}
+		r.log.Info("own record not written", "error", err.Error())
+		select {
+		case <-ctx.Done():
+		case <-time.After(registerPause):
+		}
+	}
+}
+
+func (r *Router) writeRecord(ctx context.Context, reg *peers.Registration) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return r.adapter.Register(ctx, r.s.Name, reg)
+}
+
+func (r *Router) applyOperators(b feed.Batch) {
+	r.zonesMu.Lock()
+	defer r.zonesMu.Unlock()
+	for _, record := range b.Records {
+		change, err := r.adapter.DecodeOperator(record)
+		if err != nil {
+			r.log.Info("operators' record left out", "key", record.Key, "offset", record.Offset, "error", err.Error())
+			continue
+		}
+		if change.Table != nil {
+			r.adopt(change.Table, record.Offset)
+			continue
+		}
+		if r.zones[change.Zone] != change.Out {
+			r.log.Info("zone changed", "zone", change.Zone, "out", change.Out, "offset", record.Offset)
+		}
+		if change.Out {
+			r.zones[change.Zone] = true
+		} else {
+			delete(r.zones, change.Zone)
+		}
+	}
+	out := make([]string, 0, len(r.zones))
+	for z := range r.zones {
+		out = append(out, z)
+	}
+	sort.Strings(out)
+	r.endpoints.SetZonesOut(out)
+}
+
+// adopt puts a configuration in force unless it is older than the one in force.
+func (r *Router) adopt(t *routing.Table, offset int64) {
+	old := r.table.Load()
+	if old != nil && t.Version <= old.Version {
+		r.log.Info("configuration left out", "version", t.Version, "in_force", old.Version, "offset", offset)
+		return
+	}
+	rates := make(map[string]float64)
+	t.EachService(func(s *routing.Service) {
+		if s.ColdRate > 0 {
+			rates[s.Name] = s.ColdRate
+		}
+	})
+	r.endpoints.SetColdRates(rates)
+	r.table.Store(t)
+	r.log.Info("configuration in force", "version", t.Version, "routes", t.Routes, "offset", offset)
+}
+
+func (r *Router) applyEndpoints(b feed.Batch) {
+	changes := make([]upstream.Change, 0, len(b.Records))
+	for _, record := range b.Records {
+		c, err := r.adapter.DecodeEndpoint(record)
+		if err != nil {
+			// The record may have replaced an entry: that endpoint is no longer named.
+			r.log.Info("endpoint's record left out", "key", record.Key, "offset", record.Offset, "error", err.Error())
+			c = upstream.Change{ID: record.Key}
+		}
+		changes = append(changes, c)
+	}
+	for _, note := range r.endpoints.Apply(time.Now(), changes, b.Gap) {
+		r.log.Info("endpoint "+note.What, "endpoint", note.ID, "service", note.Service, "zone", note.Zone,
+			"cold_ms", note.Cold.Milliseconds(), "after_gap", b.Gap)
+	}
+	r.endpointsRead.Store(true)
+}
+
+func (r *Router) applyRouters(b feed.Batch) {
+	now := time.Now()
+	for _, record := range b.Records {
+		reg, there, err := r.adapter.DecodeRouter(record)
+		switch {
+		case err != nil:
+			r.log.Info("router's record left out", "key", record.Key, "offset", record.Offset, "error", err.Error())
+		case there:
+			r.peers.Register(now, reg)
+		default:
+			r.peers.Remove(reg.Name)
+		}
+	}
+	r.heard(now)
+}
--- /dev/null
+++ b/process/router/leave.go
@@ -0,0 +1,78 @@
+package router
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// answerTTL is how long callers keep addresses. Some keep them three times
+	// as long.
+	answerTTL = time.Second
+	// heldLonger is how many times its TTL an answer may be used.
+	heldLonger = 3
+	// closeBefore is the time before the end of the grace at which connections
+	// without a request are closed and no new ones are accepted.
+	closeBefore = 1200 * time.Millisecond
+	// endBefore is the time before the end of the grace at which the process ends.
+	endBefore = 400 * time.Millisecond
+	// leavePoll is the pause between looks at what is still open.
+	leavePoll = 50 * time.Millisecond
+)
+
+// addresses names the routers that take requests.
+func (r *Router) addresses(AddressQuery) ([]string, time.Duration) {
+	var list []string
+	if r.Ready() {
+		list = append(list, r.s.Front)
+	}
+	for _, m := range r.peers.Ready(time.Now()) {
+		list = append(list, m.Front)
+	}
+	ttl := answerTTL
+	if r.s.AnswerTTLMax > 0 {
+		ttl = min(ttl, r.s.AnswerTTLMax)
+	}
+	return list, ttl
+}
+
+// Leave ends the process without cutting off requests: it is named to nobody
+// from now on, serves what still arrives, and returns when nothing is open or
+// the grace is nearly over.
+func (r *Router) Leave() {
+	began := time.Now()
+	r.leaving.Store(true)
+	r.front.Leave()
+	open, busy := r.front.Open()
+	r.log.Info("leaving", "open", open, "busy", busy, "grace_ms", r.s.Grace.Milliseconds())
+	if r.exchange != nil {
+		select {
+		case r.exchange.Kick <- struct{}{}:
+		default:
+		}
+	}
+	if err := r.writeRecord(context.Background(), nil); err != nil {
+		r.log.Info("own record not removed", "error", err.Error())
+	}
+	unused := began.Add(heldLonger*answerTTL + time.Second)
+	last := began.Add(r.s.Grace - closeBefore)
+	for time.Now().Before(last) {
+		open, _ := r.front.Open()
+		if open == 0 && time.Now().After(unused) {
+			break
+		}
+		time.Sleep(leavePoll)
+	}
+	_ = r.listeners.front.Close() // callers that still connect are refused at once and go elsewhere
+	r.front.CloseIdle()
+	end := began.Add(r.s.Grace - endBefore)
+	for time.Now().Before(end) {
+		if open, _ = r.front.Open(); open == 0 {
+			break
+		}
+		time.Sleep(leavePoll)
+	}
+	r.stop()
+	open, busy = r.front.Open()
+	r.log.Info("ended", "open", open, "busy", busy, "took_ms", time.Since(began).Milliseconds())
+}
--- /dev/null
+++ b/process/router/router.go
@@ -0,0 +1,215 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/stoatmount/stoatmount/connection/forward"
+	"github.com/stoatmount/stoatmount/connection/front"
+	"github.com/stoatmount/stoatmount/connection/h1"
+	"github.com/stoatmount/stoatmount/process/peers"
+	"github.com/stoatmount/stoatmount/process/upstream"
+	"github.com/stoatmount/stoatmount/request/placing"
+	"github.com/stoatmount/stoatmount/request/retry"
+	"github.com/stoatmount/stoatmount/version/routing"
+)
+
+const (
+	// unsentToEndpoint closes a connection to an endpoint that acknowledges nothing.
+	unsentToEndpoint = 2 * time.Second
+	// removalGrace is how long entries of endpoints are kept that lapsed while the
+	// store was away; the platform promises them back within two seconds.
+	removalGrace = 2200 * time.Millisecond
+	// housekeeping is the pause between sweeps of tables and idle connections.
+	housekeeping = time.Second
+	// memoryShare of the host's limit is the Go runtime's soft limit.
+	memoryShare = 0.7
+)
+
+// loadBound is how far an engine's running requests may lie above the mean.
+var loadBound = placing.Bound{Factor: 1.4, Extra: 1}
+
+// Router is the process of an entry host.
+type Router struct {
+	s       Settings
+	log     logr.Logger
+	adapter Adapter
+
+	table     atomic.Pointer[routing.Table]
+	endpoints *upstream.Table
+	peers     *peers.Table
+	pool      *h1.Pool
+	front     *front.Server
+	exchange  *peers.Exchange
+	boot      int64
+
+	endpointsRead atomic.Bool // the registry was read at least once
+	leaving       atomic.Bool
+
+	zonesMu sync.Mutex // guards zones; a leaf but for upstream.Table.mu
+	zones   map[string]bool
+
+	listeners listeners
+	group     conc.WaitGroup
+	stop      context.CancelFunc
+}
+
+// New returns a router that is not started.
+func New(s Settings, adapter Adapter, observer forward.Observer, log logr.Logger) (*Router, error) {
+	if err := s.Validate(); err != nil {
+		return nil, err
+	}
+	s = s.withDefaults()
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	}
+	r := &Router{s: s, log: log, adapter: adapter, boot: time.Now().UnixNano(), zones: make(map[string]bool)}
+	r.endpoints = upstream.New(upstream.Config{Zone: s.Zone, RemovalGrace: removalGrace, Bound: loadBound,
+		ColdOver: s.ColdOver, ColdSlack: s.ColdSlack}, rand.Float64)
+	r.peers = peers.New(s.Name, peers.DeadAfter(1))
+	r.pool = h1.NewPool(unsentToEndpoint)
+	repeats := retry.NewWindow(retry.WindowConfig{Span: s.RetryWindow, Ratio: s.RetryRatio, Slack: s.RetrySlack})
+	handler := &forward.Server{Codec: adapter.Codec(), Table: r.table.Load, Endpoints: r.endpoints, Pool: r.pool,
+		Repeats: sharedRepeats{repeats, r.members}, Observer: observer, Members: r.members}
+	r.front = &front.Server{Handler: handler, Limits: r.limits, Log: log}
+	return r, nil
+}
+
+// sharedRepeats divides the slack of the repeats among the routers.
+type sharedRepeats struct {
+	window  *retry.Window
+	members func() int
+}
+
+func (s sharedRepeats) Request(now time.Time, service string) { s.window.Request(now, service) }
+
+func (s sharedRepeats) Take(now time.Time, service string) bool {
+	return s.window.Take(now, service, s.members())
+}
+
+func (r *Router) members() int { return r.peers.Count(time.Now()) }
+
+func (r *Router) limits() front.Limits {
+	t := r.table.Load()
+	if t == nil {
+		return front.Limits{}
+	}
+	return front.Limits{HeaderBytes: t.Limits.HeaderBytes, BodyBytes: t.Limits.BodyBytes,
+		HeaderTimeout: t.Limits.HeaderTimeout, IdleTimeout: t.Limits.IdleTimeout}
+}
+
+// Ready reports whether the router takes requests.
+func (r *Router) Ready() bool {
+	return !r.leaving.Load() && r.table.Load() != nil && r.endpointsRead.Load()
+}
+
+// listeners are the sockets of a process.
+type listeners struct {
+	front net.Listener
+	http  []*http.Server
+	peer  net.PacketConn
+}
+
+// Start opens the sockets and starts to follow the store.
+func (r *Router) Start() error {
+	l, err := net.Listen("tcp", r.s.Front)
+	if err != nil {
+		return errors.Wrap(err, "front")
+	}
+	r.listeners.front = l
+	if err := r.serveHTTP("ready", r.s.Ready, r.adapter.ReadyHandler(r.Ready)); err != nil {
+		return err
+	}
+	if err := r.serveHTTP("directory", r.s.Directory, r.adapter.DirectoryHandler(r.addresses)); err != nil {
+		return err
+	}
+	if r.s.Metrics != "" {
+		if err := r.serveHTTP("metrics", r.s.Metrics, http.DefaultServeMux); err != nil {
+			return err
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r.stop = cancel
+	if err := r.startPeers(ctx); err != nil {
+		cancel()
+		return err
+	}
+	r.follow(ctx)
+	r.group.Go(func() { r.keepHouse(ctx) })
+	r.group.Go(func() {
+		if err := r.front.Serve(l); err != nil {
+			r.log.Error(err, "front listener ended")
+		}
+	})
+	r.log.Info("started", "host", r.s.Name, "zone", r.s.Zone, "front", r.s.Front, "boot", r.boot)
+	return nil
+}
+
+const httpHeaderTimeout = 3 * time.Second
+
+func (r *Router) serveHTTP(what, addr string, h http.Handler) error {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return errors.Wrap(err, what)
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: httpHeaderTimeout, ErrorLog: nil}
+	r.listeners.http = append(r.listeners.http, srv)
+	r.group.Go(func() {
+		if err := srv.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			r.log.Error(err, "listener ended", "serves", what)
+		}
+	})
+	return nil
+}
+
+func (r *Router) startPeers(ctx context.Context) error {
+	if r.s.Peer == "" {
+		r.log.Info("no address for beats; routers are not told of one another")
+		return nil
+	}
+	conn, err := net.ListenPacket("udp", r.s.Peer)
+	if err != nil {
+		return errors.Wrap(err, "peers")
+	}
+	r.exchange = &peers.Exchange{Table: r.peers, Conn: conn, Log: r.log, Self: r.beat, Heard: r.heard, Kick: make(chan struct{}, 1)}
+	r.group.Go(func() { r.exchange.Run(ctx) })
+	return nil
+}
+
+func (r *Router) beat() peers.Beat {
+	return peers.Beat{Name: r.s.Name, Boot: r.boot, Front: r.s.Front, Zone: r.s.Zone, Ready: r.Ready(), Running: r.endpoints.Running()}
+}
+
+// heard passes on what the other routers told.
+func (r *Router) heard(now time.Time) {
+	members := r.peers.Count(now)
+	r.peers.SetDeadAfter(peers.DeadAfter(members))
+	r.endpoints.SetPeers(members, r.peers.Running(now))
+}
+
+// keepHouse drops what has become old.
+func (r *Router) keepHouse(ctx context.Context) {
+	tick := time.NewTicker(housekeeping)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			now := time.Now()
+			r.pool.Expire(now)
+			r.endpoints.Sweep(now)
+			r.heard(now)
+		}
+	}
+}
--- a/process/run/run.go
+++ b/process/run/run.go
@@ -26,8 +26,13 @@
 	exitUsage  = 2
 )
 
-// arguments are the flags of the command.
+// arguments are the commands and their flags.
 type arguments struct {
+	Serve    serveArguments    `cmd:"" default:"withargs" help:"Serve with settings of the product's own format."`
+	Platform platformArguments `cmd:"" help:"Serve on the users' platform, with its settings file."`
+}
+
+type serveArguments struct {
 	Settings string        `short:"s" help:"Settings file in TOML." default:"/etc/stoatmount/settings.toml" env:"STOATMOUNT_SETTINGS" placeholder:"FILE"`
 	Check    bool          `help:"Check the settings and end."`
 	Level    string        `help:"Log level: error, info or debug. Overrides the settings." env:"STOATMOUNT_LOG_LEVEL" placeholder:"LEVEL"`
@@ -52,9 +57,18 @@
 		_, _ = parser.Parse(args)
 		return exitDone
 	}
-	if _, err := parser.Parse(args); err != nil {
+	command, err := parser.Parse(args)
+	if err != nil {
 		return fail(stderr, exitUsage, err)
 	}
+	if command.Command() == "platform" {
+		return servePlatform(a.Platform, stdout, stderr)
+	}
+	return serveOwn(a.Serve, stdout, stderr)
+}
+
+// serveOwn runs the process with settings of the product's own format.
+func serveOwn(a serveArguments, stdout, stderr io.Writer) int {
 	s, err := settings.Load(a.Settings)
 	if err != nil {
 		return fail(stderr, exitFailed, err)
--- /dev/null
+++ b/process/upstream/lease.go
@@ -0,0 +1,184 @@
+package upstream
+
+import (
+	"sort"
+	"time"
+
+	"github.com/stoatmount/stoatmount/request/outcome"
+	"github.com/stoatmount/stoatmount/request/placing"
+)
+
+const (
+	coldWindow   = time.Second
+	retryNone    = 500 * time.Millisecond // registry entries and restarts take about this long to show
+	coldFraction = 0.85                   // of the bound that is shared out; the rest covers routers unknown yet
+)
+
+// Acquire lends an endpoint. All marks are read under the lock in which the
+// request is counted, so that nothing leaves for an endpoint that is out.
+func (t *Table) Acquire(now time.Time, w placing.Want) (*placing.Grant, *placing.Refusal) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	eps, refusal := t.usable(now, w)
+	if refusal != nil {
+		return nil, refusal
+	}
+	list := t.candidates(now, eps)
+	chosen, fetch := -1, ""
+	if w.HasKey {
+		chosen, fetch = t.placeKey(now, w.Key, eps, list)
+	} else {
+		chosen = placing.LeastBusy(list, t.draw())
+	}
+	ep := eps[chosen]
+	cold := t.coldNow(now, ep)
+	if cold {
+		ep.coldSends = append(ep.coldSends, now)
+	}
+	running := ep.running + ep.peers
+	ep.running++
+	return &placing.Grant{ID: ep.ID, Started: ep.Started, Addr: ep.Addr, Zone: ep.Zone, Service: ep.Service,
+		FetchFrom: fetch, Running: running, Cold: cold, Age: now.Sub(ep.readAt)}, nil
+}
+
+// usable returns the endpoints that may get the request, in the order of
+// their ids.
+func (t *Table) usable(now time.Time, w placing.Want) ([]*endpoint, *placing.Refusal) {
+	var sound, ailing []*endpoint
+	known, cold := 0, 0
+	for _, ep := range t.byID {
+		if ep.Service != w.Service || ep.Leaving || t.out[ep.Zone] {
+			continue
+		}
+		known++
+		switch {
+		case contains(w.Exclude, ep.ID):
+		case t.coldNow(now, ep) && !t.coldRoom(now, ep):
+			cold++
+		case now.Before(ep.health.outUntil):
+			ailing = append(ailing, ep)
+		default:
+			sound = append(sound, ep)
+		}
+	}
+	if len(sound) == 0 {
+		sound = ailing // a doubtful endpoint is better than none
+	}
+	if len(sound) == 0 {
+		code := outcome.NoEndpoint
+		if cold > 0 {
+			code = outcome.EndpointCold
+		}
+		return nil, &placing.Refusal{Code: code, After: retryNone}
+	}
+	sort.Slice(sound, func(i, j int) bool { return sound[i].ID < sound[j].ID })
+	return sound, nil
+}
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *Table) candidates(now time.Time, eps []*endpoint) []placing.Candidate {
+	median := medianLatency(eps)
+	list := make([]placing.Candidate, len(eps))
+	for i, ep := range eps {
+		list[i] = placing.Candidate{ID: ep.ID, Running: float64(ep.running + ep.peers), Slots: ep.Slots,
+			Latency: ep.health.latency, Local: ep.Zone == t.cfg.Zone,
+			Slow: ep.health.slow(now, median), Cold: t.coldNow(now, ep)}
+	}
+	return list
+}
+
+func medianLatency(eps []*endpoint) time.Duration {
+	var all []time.Duration
+	for _, ep := range eps {
+		if ep.health.latencyN >= fewestSamples {
+			all = append(all, ep.health.latency)
+		}
+	}
+	if len(all) < 2 {
+		return 0
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i] < all[j] })
+	return all[(len(all)-1)/2]
+}
+
+func (t *Table) coldNow(now time.Time, ep *endpoint) bool {
+	return t.coldRate[ep.Service] > 0 && (now.Before(ep.coldUntil) || ep.health.unproven)
+}
+
+// coldRoom reports whether this router's share of a cold endpoint's rate has
+// room in the second that ends now.
+func (t *Table) coldRoom(now time.Time, ep *endpoint) bool {
+	kept := ep.coldSends[:0]
+	for _, at := range ep.coldSends {
+		if now.Sub(at) < coldWindow {
+			kept = append(kept, at)
+		}
+	}
+	ep.coldSends = kept
+	share := (t.coldRate[ep.Service]*t.cfg.ColdOver + t.cfg.ColdSlack) * coldFraction / float64(t.members)
+	return float64(len(kept)+1) <= max(share, 1)
+}
+
+// placeKey chooses the endpoint of a prompt key and the endpoint from which it
+// may fetch cache entries.
+func (t *Table) placeKey(now time.Time, key uint64, eps []*endpoint, list []placing.Candidate) (int, string) {
+	chosen, first := placing.Affinity(key, list, t.cfg.Bound)
+	ep := eps[chosen]
+	before := t.holders.swap(now, key, ep.ID)
+	source := before
+	if source == "" || source == ep.ID {
+		source = eps[first].ID
+	}
+	if source == ep.ID {
+		return chosen, ""
+	}
+	from := t.byID[source]
+	if from == nil || from.Service != ep.Service || now.Before(from.health.outUntil) {
+		return chosen, ""
+	}
+	return chosen, from.Addr
+}
+
+// Release ends the use of an endpoint and notes how it did. latency is the
+// time to the first byte of the answer; 0 if there was none. It reports whether
+// the endpoint is left out from now on.
+func (t *Table) Release(now time.Time, g *placing.Grant, f placing.Failure, latency time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ep := t.byID[g.ID]
+	if ep == nil {
+		return false
+	}
+	ep.running = max(0, ep.running-1)
+	if ep.Started != g.Started {
+		return false
+	}
+	was := now.Before(ep.health.outUntil)
+	ep.health.record(now, f, latency)
+	if f == placing.Erred || f == placing.Broken || f == placing.TimedOut {
+		ep.health.checkErring(now, t.othersErrorRate(ep))
+	}
+	return !was && now.Before(ep.health.outUntil)
+}
+
+func (t *Table) othersErrorRate(self *endpoint) float64 {
+	sum, n := 0.0, 0
+	for _, ep := range t.byID {
+		if ep != self && ep.Service == self.Service && !ep.Leaving {
+			sum += ep.health.errorRate
+			n++
+		}
+	}
+	if n == 0 {
+		return 1
+	}
+	return sum / float64(n)
+}
--- /dev/null
+++ b/process/upstream/table.go
@@ -0,0 +1,195 @@
+package upstream
+
+import (
+	"sync"
+	"time"
+
+	"github.com/stoatmount/stoatmount/request/placing"
+)
+
+// Entry is what the registry says of an endpoint.
+type Entry struct {
+	ID      string
+	Service string
+	Addr    string // host:port
+	Zone    string
+	Slots   int
+	Leaving bool          // takes no new requests
+	Cold    time.Duration // how much longer it is cold, when the entry was read
+	Started int64         // Unix time of its start, in ms; a new value is a new process
+}
+
+// Change is one record of the registry. A nil Entry removes the endpoint.
+type Change struct {
+	ID    string
+	Entry *Entry
+}
+
+// Config holds what the table does not learn from the registry.
+type Config struct {
+	Zone string // of this router
+	// RemovalGrace is how long an endpoint stays whose entry went missing while
+	// the registry was away.
+	RemovalGrace time.Duration
+	Bound        placing.Bound // of the running requests of an engine
+	ColdOver     float64       // times its rate that a cold endpoint bears in one second
+	ColdSlack    float64       // requests on top of that
+}
+
+// endpoint is an entry with what requests showed of it.
+type endpoint struct {
+	Entry
+	readAt    time.Time // when the entry was read
+	coldUntil time.Time
+	removeAt  time.Time // zero: in the registry
+	running   int       // own requests
+	peers     int       // requests of the other routers
+	coldSends []time.Time
+	health    health
+}
+
+// Table holds all endpoints. It is safe for concurrent use.
+type Table struct {
+	cfg Config
+
+	mu       sync.Mutex
+	byID     map[string]*endpoint
+	out      map[string]bool // zones out of service
+	members  int             // routers that may send, at least 1
+	coldRate map[string]float64
+	holders  holders
+	draw     func() float64
+}
+
+// New returns an empty table. draw returns random numbers in [0,1).
+func New(cfg Config, draw func() float64) *Table {
+	return &Table{cfg: cfg, byID: make(map[string]*endpoint), out: make(map[string]bool),
+		members: 1, coldRate: make(map[string]float64), holders: newHolders(), draw: draw}
+}
+
+// Apply folds records of the registry in their order. gap says that the
+// registry was out of reach before: entries may have lapsed meanwhile, so a
+// removal waits for RemovalGrace.
+func (t *Table) Apply(now time.Time, changes []Change, gap bool) []Note {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var notes []Note
+	for _, c := range changes {
+		var note *Note
+		if c.Entry != nil {
+			note = t.put(now, *c.Entry)
+		} else {
+			note = t.remove(now, c.ID, gap)
+		}
+		if note != nil {
+			notes = append(notes, *note)
+		}
+	}
+	t.sweep(now)
+	return notes
+}
+
+// Note is a change of what the table holds of an endpoint, for the log.
+type Note struct {
+	What string // "added", "leaving", "removed", "kept"
+	Entry
+}
+
+func (t *Table) put(now time.Time, e Entry) *Note {
+	var note *Note
+	ep := t.byID[e.ID]
+	if ep == nil || ep.Started != e.Started || ep.Addr != e.Addr || ep.Service != e.Service {
+		fresh := &endpoint{}
+		if ep != nil {
+			fresh.running = ep.running // requests of the old process are released by id
+		}
+		ep = fresh
+		t.byID[e.ID] = ep
+		note = &Note{What: "added", Entry: e}
+	} else if e.Leaving && !ep.Leaving {
+		note = &Note{What: "leaving", Entry: e}
+	}
+	ep.Entry, ep.readAt, ep.removeAt = e, now, time.Time{}
+	ep.coldUntil = now.Add(e.Cold)
+	ep.health.seen(now)
+	return note
+}
+
+func (t *Table) remove(now time.Time, id string, gap bool) *Note {
+	ep := t.byID[id]
+	switch {
+	case ep == nil:
+		return nil
+	case !gap || ep.Leaving:
+		delete(t.byID, id)
+		return &Note{What: "removed", Entry: ep.Entry}
+	case ep.removeAt.IsZero():
+		ep.removeAt = now.Add(t.cfg.RemovalGrace)
+		return &Note{What: "kept", Entry: ep.Entry}
+	}
+	return nil
+}
+
+// Sweep removes the endpoints whose grace has passed.
+func (t *Table) Sweep(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sweep(now)
+}
+
+func (t *Table) sweep(now time.Time) {
+	for id, ep := range t.byID {
+		if !ep.removeAt.IsZero() && !now.Before(ep.removeAt) {
+			delete(t.byID, id)
+		}
+	}
+}
+
+// SetZonesOut sets the zones whose endpoints get no new requests.
+func (t *Table) SetZonesOut(zones []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.out = make(map[string]bool, len(zones))
+	for _, z := range zones {
+		t.out[z] = true
+	}
+}
+
+// SetColdRates sets the requests a second that a cold endpoint of a service
+// bears from all routers together.
+func (t *Table) SetColdRates(rates map[string]float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.coldRate = rates
+}
+
+// SetPeers sets the number of routers that may send, this one included, and
+// the requests that the others run, by endpoint.
+func (t *Table) SetPeers(members int, running map[string]int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.members = max(1, members)
+	for id, ep := range t.byID {
+		ep.peers = running[id]
+	}
+}
+
+// Running returns this router's requests by endpoint, without the idle ones.
+func (t *Table) Running() map[string]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	counts := make(map[string]int)
+	for id, ep := range t.byID {
+		if ep.running > 0 {
+			counts[id] = ep.running
+		}
+	}
+	return counts
+}
+
+// Count returns the number of endpoints in the table.
+func (t *Table) Count() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.byID)
+}
--- /dev/null
+++ b/request/placing/grant.go
@@ -0,0 +1,57 @@
+package placing
+
+import (
+	"time"
+
+	"github.com/stoatmount/stoatmount/request/outcome"
+)
+
+// Want describes the endpoint that a request needs.
+type Want struct {
+	Service string
+	Key     uint64 // of the prompt's shared parts
+	HasKey  bool
+	Exclude []string // endpoints that the request has tried
+}
+
+// Grant is an endpoint that was chosen for a request and counts it until the
+// request is released.
+type Grant struct {
+	ID        string
+	Started   int64 // tells processes of the same id apart
+	Addr      string
+	Zone      string
+	Service   string
+	FetchFrom string        // address of an endpoint that may cache more of the prompt
+	Running   int           // requests known to run there when it was chosen
+	Cold      bool          // it was in a cold start
+	Age       time.Duration // since the registry's entry was read
+}
+
+// Refusal says why no endpoint can be chosen and when to ask again.
+type Refusal struct {
+	Code  outcome.Code
+	After time.Duration
+}
+
+// Failure says how an endpoint failed a request.
+type Failure uint8
+
+// The results that count for or against an endpoint.
+const (
+	NoFailure  Failure = iota
+	NotReached         // no connection was established
+	Broken             // the connection ended, or its bytes were no whole answer
+	Erred              // an answer with a server error
+	Shed               // refused without running it
+	TimedOut           // no answer within the time that the request had
+	Abandoned          // the caller left or the router gave up; says nothing of the endpoint
+)
+
+var failureNames = [...]string{"none", "not_reached", "broken", "erred", "shed", "timed_out", "abandoned"}
+
+// String returns the stable identifier of f.
+func (f Failure) String() string { return failureNames[f] }
+
+// MarshalText implements encoding.TextMarshaler.
+func (f Failure) MarshalText() ([]byte, error) { return []byte(f.String()), nil }
