Let reads wait at the store and notice its silence by one sentinel

Entries of endpoints change rarely, so paced reads were wasted as well.

Change: one follower of three waits 1.8 s only and tells the others when the log falls silent or answers again; they wait up to 28 s.

--- a/process/feed/feed.go
+++ b/process/feed/feed.go
@@ -39,26 +39,27 @@
 // Config says how a topic is read.
 type Config struct {
 	Name string
-	// Pace is the pause between reads of a topic that changes all the time. With
-	// 0 a read waits at the log for the next record.
-	Pace time.Duration
-	// Wait is how long a read waits at the log when Pace is 0.
+	// Wait is how long a read waits at the log for the next record.
 	Wait time.Duration
 	// Timeout ends a read, beyond the time that it waits at the log.
 	Timeout time.Duration
+	// Pause is the least time between two reads, so that records which come one
+	// by one are read together.
+	Pause time.Duration
+	// Sentinel makes the follower find out for all others whether the log is in
+	// reach. Its Wait bounds how long a silent log goes unnoticed.
+	Sentinel bool
 }
 
 const (
 	retryFirst = 100 * time.Millisecond
-	retryMost  = time.Second
-	// gapAfter is the time without a good read after which entries may have
-	// lapsed unseen.
-	gapAfter = 2500 * time.Millisecond
+	retryMost  = 800 * time.Millisecond
 )
 
 // Follower follows one topic.
 type Follower struct {
 	cfg    Config
+	link   *Link
 	source Source
 	apply  func(Batch)
 	log    logr.Logger
@@ -67,30 +68,34 @@
 	offsets map[string]int64 // newest offset seen of each key
 	loaded  bool             // the newest records were read once
 	goodAt  time.Time        // last good read
-	lost    bool
+	lost    bool             // the last read failed
 }
 
-// New returns a follower that hands each batch to apply.
-func New(cfg Config, source Source, log logr.Logger, apply func(Batch)) *Follower {
-	return &Follower{cfg: cfg, source: source, apply: apply, log: log.WithValues("topic", cfg.Name), offsets: make(map[string]int64)}
+// New returns a follower that hands each batch to apply. Followers of one log
+// share its link.
+func New(cfg Config, link *Link, source Source, log logr.Logger, apply func(Batch)) *Follower {
+	return &Follower{cfg: cfg, link: link, source: source, apply: apply, log: log.WithValues("topic", cfg.Name),
+		offsets: make(map[string]int64)}
 }
 
 // Run follows the topic until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	pause := retryFirst
-	reload := true
 	for ctx.Err() == nil {
-		err := f.step(ctx, reload)
+		if !f.cfg.Sentinel {
+			f.link.await(ctx)
+		}
+		err := f.step(ctx)
 		switch {
 		case ctx.Err() != nil:
 			return
 		case err == nil:
-			reload, pause = false, retryFirst
+			pause = retryFirst
 			f.regained()
-			sleep(ctx, f.cfg.Pace)
+			sleep(ctx, f.cfg.Pause)
 		case errors.Is(err, ErrExpired):
 			f.log.Info("records expired; reading the newest", "from", f.next)
-			reload = true
+			f.loaded = false
 		default:
 			f.failed(err)
 			sleep(ctx, pause)
@@ -99,12 +104,11 @@
 	}
 }
 
-func (f *Follower) step(ctx context.Context, reload bool) error {
-	gap := f.loaded && time.Since(f.goodAt) > gapAfter+f.cfg.Wait
-	if f.cfg.Pace > 0 {
-		gap = f.loaded && time.Since(f.goodAt) > gapAfter
-	}
-	if reload {
+// step makes one read. After a failed one it does not wait at the log, so that
+// it learns soon whether the log answers again.
+func (f *Follower) step(ctx context.Context) error {
+	gap := f.lost
+	if !f.loaded {
 		ctx, cancel := context.WithTimeout(ctx, f.cfg.Timeout)
 		defer cancel()
 		records, next, err := f.source.Newest(ctx)
@@ -115,11 +119,16 @@
 		return nil
 	}
 	wait := f.cfg.Wait
-	if f.cfg.Pace > 0 {
+	if f.lost {
 		wait = 0
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+f.cfg.Timeout)
 	defer cancel()
+	if !f.cfg.Sentinel {
+		up, done := f.link.whileUp(ctx)
+		defer done()
+		ctx = up
+	}
 	records, next, err := f.source.Read(ctx, f.next, wait)
 	if err != nil {
 		return err
@@ -154,6 +163,9 @@
 }
 
 func (f *Follower) failed(err error) {
+	if f.cfg.Sentinel {
+		f.link.set(true)
+	}
 	if !f.lost {
 		f.lost = true
 		f.log.Info("lost the store", "error", err.Error(), "next", f.next, "last_read_ms", time.Since(f.goodAt).Milliseconds())
@@ -161,6 +173,9 @@
 }
 
 func (f *Follower) regained() {
+	if f.cfg.Sentinel {
+		f.link.set(false)
+	}
 	if f.lost {
 		f.lost = false
 		f.log.Info("reached the store again", "next", f.next)
--- /dev/null
+++ b/process/feed/link.go
@@ -0,0 +1,66 @@
+package feed
+
+import (
+	"context"
+	"sync"
+)
+
+// Link says whether the log is in reach. One follower, the sentinel, finds that
+// out with short reads; the others can then wait at the log for long and are
+// woken when the log falls silent, which a waiting read cannot tell from a
+// topic without news. It is safe for concurrent use; Link.mu is a leaf.
+type Link struct {
+	mu      sync.Mutex
+	down    bool
+	changed chan struct{} // closed at the next change
+}
+
+// NewLink returns a link that is up.
+func NewLink() *Link { return &Link{changed: make(chan struct{})} }
+
+// set notes whether the log answers.
+func (l *Link) set(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down == down {
+		return
+	}
+	l.down = down
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+func (l *Link) state() (down bool, changed <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.down, l.changed
+}
+
+// await blocks until the log is in reach or ctx ends.
+func (l *Link) await(ctx context.Context) {
+	for {
+		down, changed := l.state()
+		if !down {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// whileUp returns a context that ends when the log falls silent.
+func (l *Link) whileUp(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	_, changed := l.state()
+	go func() {
+		select {
+		case <-changed:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
--- a/process/router/follow.go
+++ b/process/router/follow.go
@@ -12,28 +12,33 @@
 )
 
 const (
-	// endpointPace is the pause between reads of the endpoints' entries, which
-	// change with every heartbeat. It stays well under the time within which a
-	// leaving endpoint must get no new requests.
-	endpointPace = 1100 * time.Millisecond
-	// watchWait is how long a read of a topic that rarely changes waits at the store.
-	watchWait = 20 * time.Second
+	// sentinelWait is how long a read of the operators' records waits at the
+	// store. A store that falls silent is noticed within this time and
+	// storeTimeout, well before the bounds hold again after its return.
+	sentinelWait = 1800 * time.Millisecond
+	// watchWait is how long other reads wait at the store, near the longest that
+	// the platform allows.
+	watchWait = 28 * time.Second
+	// endpointPause lets entries that change together be read together. It stays
+	// well under the time within which a leaving endpoint must get no new requests.
+	endpointPause = 200 * time.Millisecond
 	// storeTimeout ends a call to the store.
-	storeTimeout = 2 * time.Second
+	storeTimeout = time.Second
 	// registerPause is the pause between tries to write the own record.
 	registerPause = 500 * time.Millisecond
 )
 
 // follow starts to follow the topics of the store.
 func (r *Router) follow(ctx context.Context) {
-	watch := func(name string, t Topic, cfg feed.Config, apply func(feed.Batch)) {
-		cfg.Name, cfg.Timeout = name, storeTimeout
-		f := feed.New(cfg, r.adapter.Topic(t), r.log, apply)
+	link := feed.NewLink()
+	watch := func(t Topic, cfg feed.Config, apply func(feed.Batch)) {
+		cfg.Timeout = storeTimeout
+		f := feed.New(cfg, link, r.adapter.Topic(t), r.log, apply)
 		r.group.Go(func() { f.Run(ctx) })
 	}
-	watch("operators", Operators, feed.Config{Wait: watchWait}, r.applyOperators)
-	watch("endpoints", Endpoints, feed.Config{Pace: endpointPace}, r.applyEndpoints)
-	watch("routers", Routers, feed.Config{Wait: watchWait}, r.applyRouters)
+	watch(Operators, feed.Config{Name: "operators", Wait: sentinelWait, Sentinel: true}, r.applyOperators)
+	watch(Endpoints, feed.Config{Name: "endpoints", Wait: watchWait, Pause: endpointPause}, r.applyEndpoints)
+	watch(Routers, feed.Config{Name: "routers", Wait: watchWait}, r.applyRouters)
 	r.group.Go(func() { r.register(ctx) })
 }
 
--- a/process/upstream/health.go
+++ b/process/upstream/health.go
@@ -32,16 +32,22 @@
 	latency   time.Duration
 	latencyN  int
 	latencyAt time.Time
-	failedAt  time.Time // last failure that may have been a crash
-	unproven  bool      // may have started again and be cold; its entry is older than the failure
+	unproven  bool      // may have started again and be cold, which its entry does not tell yet
+	provenAt  time.Time // when its entry would tell; zero before its first answer
 }
 
-// entryLag is how old an entry of the registry can be when it is read.
-const entryLag = 1500 * time.Millisecond
+// coldKnown is the time after its first answer by which the registry tells
+// whether an endpoint has started again and is cold.
+const coldKnown = 1500 * time.Millisecond
 
-// seen notes that the registry showed the endpoint alive.
-func (h *health) seen(now time.Time) {
-	if h.unproven && now.Sub(h.failedAt) > entryLag {
+// answered notes that the endpoint answered after it may have crashed.
+func (h *health) answered(now time.Time) {
+	if !h.unproven {
+		return
+	}
+	if h.provenAt.IsZero() {
+		h.provenAt = now.Add(coldKnown)
+	} else if now.After(h.provenAt) {
 		h.unproven = false
 	}
 }
@@ -49,15 +55,14 @@
 func (h *health) record(now time.Time, f placing.Failure, latency time.Duration) {
 	switch f {
 	case placing.NotReached:
-		h.failedAt, h.unproven = now, true
+		h.unproven, h.provenAt = true, time.Time{}
 		h.takeOut(now, unreachedOut)
 		return
 	case placing.Broken:
-		h.failedAt = now
 		h.inRow++
 		h.sample(1)
 		if h.inRow >= brokenInRow {
-			h.unproven = true
+			h.unproven, h.provenAt = true, time.Time{}
 			h.takeOut(now, brokenOut)
 		}
 		return
@@ -77,6 +82,7 @@
 		h.outs = 0
 	}
 	h.inRow = 0
+	h.answered(now)
 	if latency > 0 {
 		h.addLatency(now, latency)
 	}
--- a/process/upstream/table.go
+++ b/process/upstream/table.go
@@ -111,7 +111,6 @@
 	}
 	ep.Entry, ep.readAt, ep.removeAt = e, now, time.Time{}
 	ep.coldUntil = now.Add(e.Cold)
-	ep.health.seen(now)
 	return note
 }
 
