Keep a prompt key with the endpoints that had its last requests

Cause: parts read again and cache entries moved were the largest prices: each router knew only its own placements, so a key changed its endpoint without a fetch, and the tight load bound moved keys without need.

Change: beats tell which key went to which endpoint; a key stays with its holders while they are within 1.7 x mean + 2.2, else the least loaded endpoint fetches from a holder. The load is bounded by the mean over all endpoints of the service, as those of an evacuated zone count there too. Reads of entries are batched over 0.9 s.

--- a/process/peers/exchange.go
+++ b/process/peers/exchange.go
@@ -34,9 +34,9 @@
 	Table *Table
 	Conn  net.PacketConn
 	Log   logr.Logger
-	Self  func() Beat         // this router now; Number is set by Run
-	Heard func(now time.Time) // called after a beat changed the table
-	Kick  chan struct{}       // sends a beat at once
+	Self  func() Beat                 // this router now; Number is set by Run
+	Heard func(now time.Time, b Beat) // called after a beat changed the table
+	Kick  chan struct{}               // sends a beat at once
 
 	number int64
 }
@@ -104,7 +104,7 @@
 		if e.Table.Hear(now, b, from.String()) {
 			e.Log.Info("router found", "router", b.Name, "from", from.String())
 		}
-		e.Heard(now)
+		e.Heard(now, b)
 	}
 }
 
--- a/process/peers/table.go
+++ b/process/peers/table.go
@@ -15,6 +15,13 @@
 	Zone    string         `json:"zone"`
 	Ready   bool           `json:"ready"`
 	Running map[string]int `json:"running,omitempty"` // requests by endpoint
+	Placed  []Placed       `json:"placed,omitempty"`  // since the beats before
+}
+
+// Placed says that a prompt key went to an endpoint, which caches its parts now.
+type Placed struct {
+	Key      uint64 `json:"k"`
+	Endpoint string `json:"e"`
 }
 
 // Registration is where the store says that a router can be reached.
--- a/process/router/follow.go
+++ b/process/router/follow.go
@@ -15,13 +15,13 @@
 	// sentinelWait is how long a read of the operators' records waits at the
 	// store. A store that falls silent is noticed within this time and
 	// storeTimeout, well before the bounds hold again after its return.
-	sentinelWait = 1800 * time.Millisecond
+	sentinelWait = 2200 * time.Millisecond
 	// watchWait is how long other reads wait at the store, near the longest that
 	// the platform allows.
 	watchWait = 28 * time.Second
 	// endpointPause lets entries that change together be read together. It stays
 	// well under the time within which a leaving endpoint must get no new requests.
-	endpointPause = 200 * time.Millisecond
+	endpointPause = 900 * time.Millisecond
 	// storeTimeout ends a call to the store.
 	storeTimeout = time.Second
 	// registerPause is the pause between tries to write the own record.
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -36,8 +36,16 @@
 	memoryShare = 0.7
 )
 
+// The platform bounds the load of an endpoint by LoadCap times the mean and
+// three requests more. Counts of other routers are up to a beat old, so a part
+// of that is kept free.
+const (
+	capShare = 0.85
+	capExtra = 2
+)
+
 // loadBound is how far an engine's running requests may lie above the mean.
-var loadBound = placing.Bound{Factor: 1.4, Extra: 1}
+var loadBound = placing.Bound{Factor: 1.7, Extra: 2.2}
 
 // Router is the process of an entry host.
 type Router struct {
@@ -75,7 +83,7 @@
 	}
 	r := &Router{s: s, log: log, adapter: adapter, boot: time.Now().UnixNano(), zones: make(map[string]bool)}
 	r.endpoints = upstream.New(upstream.Config{Zone: s.Zone, RemovalGrace: removalGrace, Bound: loadBound,
-		ColdOver: s.ColdOver, ColdSlack: s.ColdSlack}, rand.Float64)
+		CapFactor: capShare * s.LoadCap, CapExtra: capExtra, ColdOver: s.ColdOver, ColdSlack: s.ColdSlack}, rand.Float64)
 	r.peers = peers.New(s.Name, peers.DeadAfter(1))
 	r.pool = h1.NewPool(unsentToEndpoint)
 	repeats := retry.NewWindow(retry.WindowConfig{Span: s.RetryWindow, Ratio: s.RetryRatio, Slack: s.RetrySlack})
@@ -181,13 +189,25 @@
 	if err != nil {
 		return errors.Wrap(err, "peers")
 	}
-	r.exchange = &peers.Exchange{Table: r.peers, Conn: conn, Log: r.log, Self: r.beat, Heard: r.heard, Kick: make(chan struct{}, 1)}
+	r.exchange = &peers.Exchange{Table: r.peers, Conn: conn, Log: r.log, Self: r.beat, Heard: r.hear, Kick: make(chan struct{}, 1)}
 	r.group.Go(func() { r.exchange.Run(ctx) })
 	return nil
 }
 
 func (r *Router) beat() peers.Beat {
-	return peers.Beat{Name: r.s.Name, Boot: r.boot, Front: r.s.Front, Zone: r.s.Zone, Ready: r.Ready(), Running: r.endpoints.Running()}
+	b := peers.Beat{Name: r.s.Name, Boot: r.boot, Front: r.s.Front, Zone: r.s.Zone, Ready: r.Ready(), Running: r.endpoints.Running()}
+	for key, id := range r.endpoints.TakePlaced() {
+		b.Placed = append(b.Placed, peers.Placed{Key: key, Endpoint: id})
+	}
+	return b
+}
+
+// hear takes what one router told.
+func (r *Router) hear(now time.Time, b peers.Beat) {
+	for _, p := range b.Placed {
+		r.endpoints.NotePlaced(now, p.Key, p.Endpoint)
+	}
+	r.heard(now)
 }
 
 // heard passes on what the other routers told.
--- a/process/upstream/holders.go
+++ b/process/upstream/holders.go
@@ -3,50 +3,119 @@
 import "time"
 
 const (
-	// holderEntries bounds the prompt keys that are remembered.
-	holderEntries = 4096
+	// holderKeys bounds the prompt keys that are remembered.
+	holderKeys = 8192
 	// holderMemory is how long an engine is expected to keep cache entries that
 	// nobody asks for.
-	holderMemory = 30 * time.Second
+	holderMemory = 2 * time.Minute
+	// tellAgain is the time after which the other routers are told again of a key
+	// that stayed where it was, for those that started meanwhile.
+	tellAgain = 5 * time.Second
 )
 
-// holders remembers which endpoint got the last request of a prompt key.
+// holders remembers which endpoints had the last requests of each prompt key,
+// as far as this router or others placed them.
 type holders struct {
-	byKey map[uint64]holder
+	byKey map[uint64]map[string]time.Time // endpoint and time of the last request
+	told  map[uint64]told
+	fresh map[uint64]string // to tell with the next beat
+	last  map[uint64]string // told with the last beat; told twice, as beats get lost
 }
 
-type holder struct {
+// told is what the other routers heard last of a key.
+type told struct {
 	id string
 	at time.Time
 }
 
-func newHolders() holders { return holders{byKey: make(map[uint64]holder)} }
+func newHolders() holders {
+	return holders{byKey: make(map[uint64]map[string]time.Time), told: make(map[uint64]told), fresh: make(map[uint64]string)}
+}
+
+// of returns the endpoints that hold a key.
+func (h *holders) of(now time.Time, key uint64) map[string]time.Time {
+	list := h.byKey[key]
+	for id, at := range list {
+		if now.Sub(at) > holderMemory {
+			delete(list, id)
+		}
+	}
+	return list
+}
+
+// note remembers that a request of key went to an endpoint. own says that this
+// router sent it.
+func (h *holders) note(now time.Time, key uint64, id string, own bool) {
+	list := h.byKey[key]
+	if list == nil {
+		if len(h.byKey) >= holderKeys {
+			h.forget(now)
+		}
+		list = make(map[string]time.Time, 1)
+		h.byKey[key] = list
+	}
+	list[id] = now
+	t := h.told[key]
+	if t.id == id && now.Sub(t.at) < tellAgain {
+		return
+	}
+	h.told[key] = told{id, now}
+	if own {
+		h.fresh[key] = id
+	}
+}
 
-// swap notes that id gets key now and returns the endpoint that had it before,
-// or "".
-func (h *holders) swap(now time.Time, key uint64, id string) string {
-	old, ok := h.byKey[key]
-	if len(h.byKey) >= holderEntries && !ok {
-		h.forget(now)
+// take returns what is to be told with the next beat.
+func (h *holders) take() map[uint64]string {
+	all := make(map[uint64]string, len(h.fresh)+len(h.last))
+	for key, id := range h.last {
+		all[key] = id
 	}
-	h.byKey[key] = holder{id: id, at: now}
-	if !ok || now.Sub(old.at) > holderMemory {
-		return ""
+	for key, id := range h.fresh {
+		all[key] = id
 	}
-	return old.id
+	h.last, h.fresh = h.fresh, make(map[uint64]string)
+	return all
 }
 
 // forget drops old keys, and any keys if none is old.
 func (h *holders) forget(now time.Time) {
-	for key, e := range h.byKey {
-		if now.Sub(e.at) > holderMemory {
-			delete(h.byKey, key)
+	for key := range h.byKey {
+		if len(h.of(now, key)) == 0 {
+			h.drop(key)
 		}
 	}
 	for key := range h.byKey {
-		if len(h.byKey) < holderEntries {
+		if len(h.byKey) < holderKeys {
 			return
 		}
-		delete(h.byKey, key)
+		h.drop(key)
+	}
+}
+
+func (h *holders) drop(key uint64) {
+	delete(h.byKey, key)
+	delete(h.told, key)
+}
+
+// forgetEndpoint drops what an endpoint held that has started again.
+func (h *holders) forgetEndpoint(id string) {
+	for _, list := range h.byKey {
+		delete(list, id)
 	}
 }
+
+// TakePlaced returns the prompt keys that this router placed since the last
+// call, with their endpoints.
+func (t *Table) TakePlaced() map[uint64]string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.holders.take()
+}
+
+// NotePlaced remembers that another router placed a prompt key.
+func (t *Table) NotePlaced(now time.Time, key uint64, id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.holders.note(now, key, id, false)
+}
--- a/process/upstream/lease.go
+++ b/process/upstream/lease.go
@@ -26,7 +26,7 @@
 	list := t.candidates(now, eps)
 	chosen, fetch := -1, ""
 	if w.HasKey {
-		chosen, fetch = t.placeKey(now, w.Key, eps, list)
+		chosen, fetch = t.placeKey(now, w, eps, list)
 	} else {
 		chosen = placing.LeastBusy(list, t.draw())
 	}
@@ -129,24 +129,58 @@
 
 // placeKey chooses the endpoint of a prompt key and the endpoint from which it
 // may fetch cache entries.
-func (t *Table) placeKey(now time.Time, key uint64, eps []*endpoint, list []placing.Candidate) (int, string) {
-	chosen, first := placing.Affinity(key, list, t.cfg.Bound)
+func (t *Table) placeKey(now time.Time, w placing.Want, eps []*endpoint, list []placing.Candidate) (int, string) {
+	holders := t.holders.of(now, w.Key)
+	for i := range list {
+		_, list[i].Holds = holders[list[i].ID]
+	}
+	chosen := placing.Affinity(w.Key, list, t.cfg.Bound, t.most(w.Service))
 	ep := eps[chosen]
-	before := t.holders.swap(now, key, ep.ID)
-	source := before
-	if source == "" || source == ep.ID {
-		source = eps[first].ID
+	fetch := ""
+	if !list[chosen].Holds {
+		fetch = t.source(now, ep, holders)
 	}
-	if source == ep.ID {
-		return chosen, ""
+	t.holders.note(now, w.Key, ep.ID, true)
+	return chosen, fetch
+}
+
+// most returns the most requests that one endpoint of a service may run. The
+// mean includes endpoints that get no requests.
+func (t *Table) most(service string) float64 {
+	sum, n := 0, 0
+	for _, ep := range t.byID {
+		if ep.Service == service {
+			sum += ep.running + ep.peers
+			n++
+		}
 	}
-	from := t.byID[source]
-	if from == nil || from.Service != ep.Service || now.Before(from.health.outUntil) {
-		return chosen, ""
+	if n == 0 || t.cfg.CapFactor <= 0 {
+		return 0
 	}
-	return chosen, from.Addr
+	return t.cfg.CapFactor*float64(sum)/float64(n) + t.cfg.CapExtra
 }
 
+// source returns the address of the least loaded endpoint that holds the key
+// and can be reached, or "".
+func (t *Table) source(now time.Time, to *endpoint, holders map[string]time.Time) string {
+	var best *endpoint
+	for id := range holders {
+		from := t.byID[id]
+		if from == nil || from == to || from.Service != to.Service || now.Before(from.health.outUntil) || from.health.unproven {
+			continue
+		}
+		if best == nil || from.load() < best.load() || from.load() == best.load() && from.ID < best.ID {
+			best = from
+		}
+	}
+	if best == nil {
+		return ""
+	}
+	return best.Addr
+}
+
+func (e *endpoint) load() int { return e.running + e.peers }
+
 // Release ends the use of an endpoint and notes how it did. latency is the
 // time to the first byte of the answer; 0 if there was none. It reports whether
 // the endpoint is left out from now on.
--- a/process/upstream/table.go
+++ b/process/upstream/table.go
@@ -32,6 +32,8 @@
 	// the registry was away.
 	RemovalGrace time.Duration
 	Bound        placing.Bound // of the running requests of an engine
+	CapFactor    float64       // times the mean of all endpoints that one may run; 0 does not bound
+	CapExtra     float64       // requests on top
 	ColdOver     float64       // times its rate that a cold endpoint bears in one second
 	ColdSlack    float64       // requests on top of that
 }
@@ -105,6 +107,7 @@
 		}
 		ep = fresh
 		t.byID[e.ID] = ep
+		t.holders.forgetEndpoint(e.ID)
 		note = &Note{What: "added", Entry: e}
 	} else if e.Leaving && !ep.Leaving {
 		note = &Note{What: "leaving", Entry: e}
--- a/request/placing/placing.go
+++ b/request/placing/placing.go
@@ -15,6 +15,7 @@
 	Local   bool          // in the router's availability zone
 	Slow    bool          // much slower than its peers
 	Cold    bool          // in a cold start
+	Holds   bool          // had the last requests of the key, so that it caches their parts
 }
 
 // Bound is how far an endpoint's running requests may lie above the mean.
@@ -23,6 +24,16 @@
 	Extra  float64 // requests on top
 }
 
+// limit returns the most requests that an endpoint may run. most bounds it
+// from outside; 0 does not.
+func (b Bound) limit(list []Candidate, most float64) float64 {
+	limit := mean(list)*b.Factor + b.Extra
+	if most > 0 {
+		limit = min(limit, most)
+	}
+	return limit
+}
+
 // Rank returns the rendezvous weight of an endpoint for a key; the highest is
 // first.
 func Rank(key uint64, id string) uint64 {
@@ -34,30 +45,34 @@
 	return x ^ x>>33
 }
 
-// Affinity returns the index of the candidate for a key, and the index of the
-// one that the key ranks first, which is likely to hold its cache entries.
-// Both are -1 without candidates.
-func Affinity(key uint64, list []Candidate, bound Bound) (chosen, first int) {
-	limit := mean(list)*bound.Factor + bound.Extra
-	chosen, first = -1, -1
-	var chosenRank, firstRank uint64
+// Affinity returns the index of the candidate for a key: the least loaded of
+// those that hold the key and are within the bound; without a holder the first
+// by rendezvous hashing within the bound; otherwise the least loaded. It returns
+// -1 without candidates.
+func Affinity(key uint64, list []Candidate, bound Bound, most float64) int {
+	limit := bound.limit(list, most)
+	held, holder, ranked := false, -1, -1
+	var best uint64
 	for i := range list {
 		c := &list[i]
-		rank := Rank(key, c.ID)
-		if first < 0 || rank > firstRank {
-			first, firstRank = i, rank
-		}
+		held = held || c.Holds
 		if c.Slow || c.Running+1 > limit || c.Slots > 0 && c.Running >= float64(c.Slots) {
 			continue
 		}
-		if chosen < 0 || rank > chosenRank {
-			chosen, chosenRank = i, rank
+		if c.Holds && (holder < 0 || c.Running < list[holder].Running) {
+			holder = i
+		}
+		if rank := Rank(key, c.ID); ranked < 0 || rank > best {
+			ranked, best = i, rank
 		}
 	}
-	if chosen < 0 {
-		chosen = leastRunning(list)
+	switch {
+	case holder >= 0:
+		return holder
+	case !held && ranked >= 0:
+		return ranked
 	}
-	return chosen, first
+	return leastRunning(list)
 }
 
 func mean(list []Candidate) float64 {
