Keep placements of prompt keys in the store for processes that start alone

Cause: after a kill of all routers the first requests went by rendezvous hashing to endpoints that did not hold the key.

An endpoint that announced its leaving serves as a source of cache entries for a second after its entry is gone.

--- a/process/router/adapter.go
+++ b/process/router/adapter.go
@@ -22,6 +22,9 @@
 	Routers
 )
 
+// Placements are prompt keys with the endpoints that hold them.
+type Placements map[uint64][]string
+
 // OperatorChange is a record of the operators: a configuration, or a zone that
 // is taken out of service or brought back.
 type OperatorChange struct {
@@ -39,6 +42,10 @@
 	Topic(t Topic) feed.Source
 	// Register writes this router's own record; nil removes it.
 	Register(ctx context.Context, name string, r *peers.Registration) error
+	// SavePlacements and LoadPlacements keep the placements for processes that
+	// start when no other router is left to ask.
+	SavePlacements(ctx context.Context, p Placements) error
+	LoadPlacements(ctx context.Context) (Placements, error)
 	DecodeOperator(r feed.Record) (OperatorChange, error)
 	DecodeEndpoint(r feed.Record) (upstream.Change, error)
 	DecodeRouter(r feed.Record) (peers.Registration, bool, error)
--- a/process/router/follow.go
+++ b/process/router/follow.go
@@ -40,6 +40,7 @@
 	watch(Endpoints, feed.Config{Name: "endpoints", Wait: watchWait, Pause: endpointPause}, r.applyEndpoints)
 	watch(Routers, feed.Config{Name: "routers", Wait: watchWait}, r.applyRouters)
 	r.group.Go(func() { r.register(ctx) })
+	r.group.Go(func() { r.keepPlacements(ctx) })
 }
 
 // register writes this router's record until that succeeds.
--- a/process/upstream/holders.go
+++ b/process/upstream/holders.go
@@ -119,3 +119,35 @@
 	defer t.mu.Unlock()
 	t.holders.note(now, key, id, false)
 }
+
+// Placements returns the keys that were placed since a time, each with the
+// endpoints that hold it.
+func (t *Table) Placements(since time.Time) map[uint64][]string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	all := make(map[uint64][]string)
+	for key, list := range t.holders.byKey {
+		for id, at := range list {
+			if ep := t.byID[id]; ep != nil && !ep.Leaving && !at.Before(since) {
+				all[key] = append(all[key], id)
+			}
+		}
+	}
+	return all
+}
+
+// Recall remembers placements of an earlier process. What is known of a key
+// already goes before them.
+func (t *Table) Recall(now time.Time, placements map[uint64][]string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for key, ids := range placements {
+		if len(t.holders.byKey[key]) > 0 {
+			continue
+		}
+		for _, id := range ids {
+			t.holders.note(now, key, id, false)
+		}
+		delete(t.holders.told, key)
+	}
+}
--- a/process/upstream/lease.go
+++ b/process/upstream/lease.go
@@ -166,7 +166,10 @@
 	var best *endpoint
 	for id := range holders {
 		from := t.byID[id]
-		if from == nil || from == to || from.Service != to.Service || now.Before(from.health.outUntil) || from.health.unproven {
+		if from == nil {
+			from = t.gone[id] // it goes on serving for a while after its entry is removed
+		}
+		if from == nil || from == to || from.Service != to.Service || from.health.unproven {
 			continue
 		}
 		if best == nil || from.load() < best.load() || from.load() == best.load() && from.ID < best.ID {
--- a/process/upstream/table.go
+++ b/process/upstream/table.go
@@ -38,6 +38,10 @@
 	ColdSlack    float64       // requests on top of that
 }
 
+// leftServes is how long an endpoint that announced its leaving still hands out
+// cache entries after its entry was removed.
+const leftServes = time.Second
+
 // endpoint is an entry with what requests showed of it.
 type endpoint struct {
 	Entry
@@ -56,8 +60,9 @@
 
 	mu       sync.Mutex
 	byID     map[string]*endpoint
-	out      map[string]bool // zones out of service
-	members  int             // routers that may send, at least 1
+	gone     map[string]*endpoint // left as announced; removeAt is when they are forgotten
+	out      map[string]bool      // zones out of service
+	members  int                  // routers that may send, at least 1
 	coldRate map[string]float64
 	holders  holders
 	draw     func() float64
@@ -65,7 +70,7 @@
 
 // New returns an empty table. draw returns random numbers in [0,1).
 func New(cfg Config, draw func() float64) *Table {
-	return &Table{cfg: cfg, byID: make(map[string]*endpoint), out: make(map[string]bool),
+	return &Table{cfg: cfg, byID: make(map[string]*endpoint), gone: make(map[string]*endpoint), out: make(map[string]bool),
 		members: 1, coldRate: make(map[string]float64), holders: newHolders(), draw: draw}
 }
 
@@ -124,6 +129,10 @@
 		return nil
 	case !gap || ep.Leaving:
 		delete(t.byID, id)
+		if ep.Leaving {
+			ep.removeAt = now.Add(leftServes)
+			t.gone[id] = ep
+		}
 		return &Note{What: "removed", Entry: ep.Entry}
 	case ep.removeAt.IsZero():
 		ep.removeAt = now.Add(t.cfg.RemovalGrace)
@@ -145,6 +154,11 @@
 			delete(t.byID, id)
 		}
 	}
+	for id, ep := range t.gone {
+		if !now.Before(ep.removeAt) {
+			delete(t.gone, id)
+		}
+	}
 }
 
 // SetZonesOut sets the zones whose endpoints get no new requests.
