Give up an endpoint that stays silent for twice the objective

Change: a request that may be repeated, has attempts, budget and another sound endpoint left goes there after 2 x objective without a first byte. Three broken connections in a row leave an endpoint out, and only a refused connection makes it count as restarted.

--- a/connection/forward/attempt.go
+++ b/connection/forward/attempt.go
@@ -30,15 +30,16 @@
 
 // attempt is one send of a request to an endpoint.
 type attempt struct {
-	grant   *placing.Grant
-	conn    *h1.Conn
-	stop    func() bool // ends the watch of the context
-	sentAt  time.Time
-	firstAt time.Time // first byte of the answer
-	head    *h1.Head
-	answer  Answer
-	body    *h1.Body
-	stray   bool // the connection carried an answer to another request
+	grant       *placing.Grant
+	conn        *h1.Conn
+	stop        func() bool // ends the watch of the context
+	sentAt      time.Time
+	firstAt     time.Time // first byte of the answer
+	head        *h1.Head
+	answer      Answer
+	body        *h1.Body
+	repeatTaken bool // the repeat that follows is drawn on the budget already
+	stray       bool // the connection carried an answer to another request
 
 	reached bool        // a connection was established
 	run     outcome.Run // what the failure says of the request
@@ -120,8 +121,55 @@
 	return err
 }
 
+const (
+	// patienceShare of the objective is how long the first byte of a request that
+	// may be repeated is awaited before another endpoint is tried. An endpoint that
+	// is merely slow is left to finish: a second one would read the prompt again.
+	patienceShare = 2
+)
+
+// errImpatient says that an endpoint was given up for another one.
+var errImpatient = errors.New("no first byte in time; trying another endpoint")
+
+// awaitFirst blocks until the answer begins. A request that may be repeated
+// waits only a part of its objective if another endpoint may get it.
+func (j *job) awaitFirst(a *attempt) error {
+	if !j.mayAbandon() {
+		return nil
+	}
+	patience := patienceShare * j.route.Objective
+	if time.Until(j.deadline) < 2*patience {
+		return nil
+	}
+	if err := a.conn.SetReadDeadline(a.sentAt.Add(patience)); err != nil {
+		return err
+	}
+	if err := j.ctx.Err(); err != nil {
+		return err // the deadline that its end has set was moved
+	}
+	_, err := a.conn.R.Peek(1)
+	var t net.Error
+	if errors.As(err, &t) && t.Timeout() && j.ctx.Err() == nil && j.s.Repeats.Take(time.Now(), a.grant.Service) {
+		a.repeatTaken = true
+		return errImpatient
+	}
+	if err := a.conn.SetReadDeadline(time.Time{}); err != nil {
+		return err
+	}
+	return j.ctx.Err()
+}
+
+// mayAbandon reports whether the request may run at another endpoint besides
+// this one.
+func (j *job) mayAbandon() bool {
+	return j.route.Repeatable() && j.route.Objective > 0 && j.runs < j.route.MaxAttempts && j.s.Endpoints.Alternatives(j.want(j.service())) > 0
+}
+
 // readHead reads the head of the answer to this request.
 func (j *job) readHead(a *attempt) error {
+	if err := j.awaitFirst(a); err != nil {
+		return err
+	}
 	for strays := 0; ; strays++ {
 		head, err := h1.ReadAnswer(a.conn.R, answerHeadBytes, j.x.Head.Method)
 		if err != nil {
@@ -165,7 +213,7 @@
 	if j.gone() {
 		return placing.Abandoned
 	}
-	if j.ctx.Err() != nil {
+	if j.ctx.Err() != nil || errors.Is(err, errImpatient) {
 		return placing.TimedOut
 	}
 	var t net.Error
--- a/connection/forward/server.go
+++ b/connection/forward/server.go
@@ -18,6 +18,8 @@
 // Endpoints chooses endpoints and counts their requests.
 type Endpoints interface {
 	Acquire(now time.Time, w placing.Want) (*placing.Grant, *placing.Refusal)
+	// Alternatives returns how many endpoints Acquire could choose from.
+	Alternatives(w placing.Want) int
 	// Release ends a grant and reports whether the endpoint is left out from now on.
 	Release(now time.Time, g *placing.Grant, f placing.Failure, latency time.Duration) bool
 }
@@ -186,9 +188,7 @@
 func (j *job) acquire() (*placing.Grant, *placing.Refusal) {
 	refusal := &placing.Refusal{Code: outcome.NoEndpoint, After: retryRefused}
 	for i, name := range j.route.Services(xxhash.Sum64String(j.req.ID)) {
-		w := placing.Want{Service: name, Exclude: j.tried}
-		w.Key, w.HasKey = promptKey(j.req.Parts)
-		g, r := j.s.Endpoints.Acquire(time.Now(), w)
+		g, r := j.s.Endpoints.Acquire(time.Now(), j.want(name))
 		if r == nil {
 			return g, nil
 		}
@@ -199,6 +199,13 @@
 	return nil, refusal
 }
 
+// want describes the endpoint of a service that the request needs.
+func (j *job) want(service string) placing.Want {
+	w := placing.Want{Service: service, Exclude: j.tried}
+	w.Key, w.HasKey = promptKey(j.req.Parts)
+	return w
+}
+
 // promptKey returns the key of the parts that a prompt shares with others: all
 // but the last, which is the request's own.
 func promptKey(parts []Part) (uint64, bool) {
@@ -236,7 +243,7 @@
 			return outcome.EndpointFailed
 		}
 	}
-	if !j.s.Repeats.Take(time.Now(), a.grant.Service) {
+	if !a.repeatTaken && !j.s.Repeats.Take(time.Now(), a.grant.Service) {
 		return outcome.RetryBudgetSpent
 	}
 	return outcome.OK
--- a/process/upstream/health.go
+++ b/process/upstream/health.go
@@ -11,7 +11,7 @@
 	brokenOut     = 2 * time.Second
 	erringOut     = 3 * time.Second
 	longestOut    = 10 * time.Second
-	brokenInRow   = 2    // broken connections in a row that take an endpoint out
+	brokenInRow   = 3    // broken connections in a row that take an endpoint out
 	errorWeight   = 0.12 // of the newest result in the smoothed error rate
 	latencyWeight = 0.2  // of the newest sample in the smoothed latency
 	erringOver    = 0.28 // error rate above that of the other endpoints that takes one out
@@ -62,7 +62,6 @@
 		h.inRow++
 		h.sample(1)
 		if h.inRow >= brokenInRow {
-			h.unproven, h.provenAt = true, time.Time{}
 			h.takeOut(now, brokenOut)
 		}
 		return
--- a/process/upstream/lease.go
+++ b/process/upstream/lease.go
@@ -75,6 +75,21 @@
 	return sound, nil
 }
 
+// Alternatives returns how many sound endpoints a request could get.
+func (t *Table) Alternatives(w placing.Want) int {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, ep := range t.byID {
+		if ep.Service == w.Service && !ep.Leaving && !t.out[ep.Zone] && !contains(w.Exclude, ep.ID) &&
+			!now.Before(ep.health.outUntil) && !t.coldNow(now, ep) {
+			n++
+		}
+	}
+	return n
+}
+
 func contains(list []string, s string) bool {
 	for _, x := range list {
 		if x == s {
