Keep recalled placements when the endpoints' entries are read after them

Cause: a process that read the placements before the entries dropped them again, as every new entry was taken for a restarted endpoint.

Change: only an entry of a process other than the known one drops what its endpoint held. Readiness waits for the placements; they are saved every 2.5 s.

--- a/connection/forward/record.go
+++ b/connection/forward/record.go
@@ -20,6 +20,8 @@
 	Code       outcome.Code
 	Status     int
 	RetryAfter time.Duration
+	Key        uint64        // of the prompt's shared parts; 0 without
+	Shared     int           // tokens of these parts
 	Endpoints  []string      // that it was sent to, in order
 	Choice     placing.Grant // the last one
 	Failed     []FailedAttempt
--- a/connection/forward/server.go
+++ b/connection/forward/server.go
@@ -101,6 +101,9 @@
 	rec.Route = route.Name
 	j := &job{s: s, x: x, req: req, route: route, table: table, rec: rec, lastEvent: req.LastEventID}
 	j.urgency = route.Priority
+	if key, ok := promptKey(req.Parts); ok {
+		rec.Key, rec.Shared = key, sharedTokens(req.Parts)
+	}
 	if table.Keyed && !route.Public {
 		w, ok := table.Workspace(req.Key)
 		if !ok {
@@ -219,6 +222,17 @@
 	}
 }
 
+// sharedTokens returns the tokens of the parts that a prompt shares.
+func sharedTokens(parts []Part) int {
+	sum := 0
+	for i, p := range parts {
+		if i < len(parts)-1 || len(parts) == 1 {
+			sum += p.Tokens
+		}
+	}
+	return sum
+}
+
 // mayRepeat reports whether the request may go to another endpoint after a
 // failed attempt.
 func (j *job) mayRepeat(a *attempt) outcome.Code {
--- a/process/observe/requests.go
+++ b/process/observe/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"expvar"
+	"strconv"
 	"sync"
 	"time"
 
@@ -128,7 +129,7 @@
 
 // line writes what was decided about a request and on which inputs.
 func (r *Requests) line(rec *forward.Record) {
-	kv := make([]any, 0, 40)
+	kv := make([]any, 0, 48)
 	kv = append(kv, "request", rec.ID, "route", rec.Route, "config", rec.Version, "result", rec.Code.String(), "code", int(rec.Code),
 		"status", rec.Status, "took_ms", rec.Took.Milliseconds())
 	if rec.First > 0 {
@@ -139,6 +140,9 @@
 		if rec.Choice.Cold {
 			kv = append(kv, "cold", true)
 		}
+		if rec.Key != 0 {
+			kv = append(kv, "key", strconv.FormatUint(rec.Key, 16), "shared_tokens", rec.Shared, "held", rec.Choice.Held, "holders", rec.Choice.Holders)
+		}
 		if rec.Choice.FetchFrom != "" {
 			kv = append(kv, "fetch_from", rec.Choice.FetchFrom)
 		}
--- a/process/router/placements.go
+++ b/process/router/placements.go
@@ -7,11 +7,12 @@
 
 const (
 	// saveEvery is the pause between records of the placements.
-	saveEvery = 4 * time.Second
+	saveEvery = 2500 * time.Millisecond
 	// saveSince bounds the placements that are saved to those of recent requests.
 	saveSince = 30 * time.Second
-	// loadTries bounds the reads of the placements at the start.
-	loadTries = 3
+	// loadTries bounds the reads of the placements at the start, for which
+	// readiness waits.
+	loadTries = 2
 )
 
 // keepPlacements reads the placements that an earlier process left and then
@@ -19,6 +20,7 @@
 // hints: two routers that save, or none, cost cache reuse only.
 func (r *Router) keepPlacements(ctx context.Context) {
 	r.loadPlacements(ctx)
+	r.placementsAsked.Store(true)
 	tick := time.NewTicker(saveEvery)
 	defer tick.Stop()
 	for {
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -61,8 +61,9 @@
 	exchange  *peers.Exchange
 	boot      int64
 
-	endpointsRead atomic.Bool // the registry was read at least once
-	leaving       atomic.Bool
+	endpointsRead   atomic.Bool // the registry was read at least once
+	placementsAsked atomic.Bool // the placements were read, or could not be
+	leaving         atomic.Bool
 
 	zonesMu sync.Mutex // guards zones; a leaf but for upstream.Table.mu
 	zones   map[string]bool
@@ -118,7 +119,7 @@
 
 // Ready reports whether the router takes requests.
 func (r *Router) Ready() bool {
-	return !r.leaving.Load() && r.table.Load() != nil && r.endpointsRead.Load()
+	return !r.leaving.Load() && r.table.Load() != nil && r.endpointsRead.Load() && r.placementsAsked.Load()
 }
 
 // listeners are the sockets of a process.
--- a/process/upstream/lease.go
+++ b/process/upstream/lease.go
@@ -24,8 +24,9 @@
 		return nil, refusal
 	}
 	list := t.candidates(now, eps)
-	chosen, fetch := -1, ""
+	chosen, fetch, holders := -1, "", 0
 	if w.HasKey {
+		holders = len(t.holders.of(now, w.Key))
 		chosen, fetch = t.placeKey(now, w, eps, list)
 	} else {
 		chosen = placing.LeastBusy(list, t.draw())
@@ -38,7 +39,7 @@
 	running := ep.running + ep.peers
 	ep.running++
 	return &placing.Grant{ID: ep.ID, Started: ep.Started, Addr: ep.Addr, Zone: ep.Zone, Service: ep.Service,
-		FetchFrom: fetch, Running: running, Cold: cold, Age: now.Sub(ep.readAt)}, nil
+		FetchFrom: fetch, Held: list[chosen].Holds, Holders: holders, Running: running, Cold: cold, Age: now.Sub(ep.readAt)}, nil
 }
 
 // usable returns the endpoints that may get the request, in the order of
--- a/process/upstream/table.go
+++ b/process/upstream/table.go
@@ -109,10 +109,10 @@
 		fresh := &endpoint{}
 		if ep != nil {
 			fresh.running = ep.running // requests of the old process are released by id
+			t.holders.forgetEndpoint(e.ID)
 		}
 		ep = fresh
 		t.byID[e.ID] = ep
-		t.holders.forgetEndpoint(e.ID)
 		note = &Note{What: "added", Entry: e}
 	} else if e.Leaving && !ep.Leaving {
 		note = &Note{What: "leaving", Entry: e}
--- a/request/placing/grant.go
+++ b/request/placing/grant.go
@@ -23,6 +23,8 @@
 	Zone      string
 	Service   string
 	FetchFrom string        // address of an endpoint that may cache more of the prompt
+	Held      bool          // it was known to hold the prompt key
+	Holders   int           // endpoints known to hold it
 	Running   int           // requests known to run there when it was chosen
 	Cold      bool          // it was in a cold start
 	Age       time.Duration // since the registry's entry was read
