Fetch cache entries from endpoints whose entry was just removed

Cause: some endpoints leave without announcing it: their entry goes and they serve on for some seconds; their keys were read again elsewhere.

--- a/process/upstream/table.go
+++ b/process/upstream/table.go
@@ -38,9 +38,9 @@
 	ColdSlack    float64       // requests on top of that
 }
 
-// leftServes is how long an endpoint that announced its leaving still hands out
-// cache entries after its entry was removed.
-const leftServes = time.Second
+// leftServes is how long an endpoint still hands out cache entries after its
+// entry was removed. Some leave without announcing it and serve on meanwhile.
+const leftServes = 2500 * time.Millisecond
 
 // endpoint is an entry with what requests showed of it.
 type endpoint struct {
@@ -60,7 +60,7 @@
 
 	mu       sync.Mutex
 	byID     map[string]*endpoint
-	gone     map[string]*endpoint // left as announced; removeAt is when they are forgotten
+	gone     map[string]*endpoint // entry removed; removeAt is when they are forgotten
 	out      map[string]bool      // zones out of service
 	members  int                  // routers that may send, at least 1
 	coldRate map[string]float64
@@ -129,10 +129,8 @@
 		return nil
 	case !gap || ep.Leaving:
 		delete(t.byID, id)
-		if ep.Leaving {
-			ep.removeAt = now.Add(leftServes)
-			t.gone[id] = ep
-		}
+		ep.removeAt = now.Add(leftServes)
+		t.gone[id] = ep
 		return &Note{What: "removed", Entry: ep.Entry}
 	case ep.removeAt.IsZero():
 		ep.removeAt = now.Add(t.cfg.RemovalGrace)
