Let two routers read the store for all and divide cold rates by rank

Change: the first two routers by name read the topics and relay the records by datagram; beats carry offsets, so that a router that missed some reads them itself. Routers meet by reading the registrations once. A cold endpoint's rate is divided in whole requests, the remainder by rendezvous rank.

--- a/process/feed/feed.go
+++ b/process/feed/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -11,9 +12,9 @@
 // Record is the newest value of a key. A nil Value says that the key was
 // removed.
 type Record struct {
-	Key    string
-	Value  []byte
-	Offset int64
+	Key    string `json:"k"`
+	Value  []byte `json:"v,omitempty"`
+	Offset int64  `json:"o"`
 }
 
 // ErrExpired is returned by Read when the records asked for are gone.
@@ -31,9 +32,11 @@
 
 // Batch is what one read brought.
 type Batch struct {
-	Records []Record
-	Whole   bool // Records holds all keys; others were removed
-	Gap     bool // the log was out of reach before
+	From    int64    `json:"from"` // offset that the read began at
+	Next    int64    `json:"next"` // offset to read on from
+	Records []Record `json:"records"`
+	Whole   bool     `json:"whole,omitempty"` // Records holds all keys; others were removed
+	Gap     bool     `json:"gap,omitempty"`   // the log was out of reach before
 }
 
 // Config says how a topic is read.
@@ -46,36 +49,50 @@
 	// Pause is the least time between two reads, so that records which come one
 	// by one are read together.
 	Pause time.Duration
-	// Sentinel makes the follower find out for all others whether the log is in
-	// reach. Its Wait bounds how long a silent log goes unnoticed.
+	// Sentinel makes the follower find out for all others of the process whether
+	// the log is in reach. Its Wait bounds how long a silent log goes unnoticed.
 	Sentinel bool
+	// Reads says whether this process reads the log for others. One that does not
+	// takes what it is offered and reads only what it missed. nil is always.
+	Reads func() bool
+	// Publish hands on what was read, to be offered to other processes. May be nil.
+	Publish func(Batch)
 }
 
 const (
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
+	// rolePause is the pause between looks at whether this process reads.
+	rolePause = 250 * time.Millisecond
+	// missedAfter is how long a record that another process has is awaited
+	// before it is read at the log.
+	missedAfter = 300 * time.Millisecond
 )
 
-// Follower follows one topic.
+// Follower follows one topic. Its methods are safe for concurrent use.
+// Follower.mu is held while a batch is applied.
 type Follower struct {
 	cfg    Config
 	link   *Link
 	source Source
 	apply  func(Batch)
 	log    logr.Logger
+	behind chan struct{} // another process has records that this one lacks
 
+	mu      sync.Mutex
 	next    int64
 	offsets map[string]int64 // newest offset seen of each key
-	loaded  bool             // the newest records were read once
+	loaded  bool             // the newest records were read
 	goodAt  time.Time        // last good read
 	lost    bool             // the last read failed
+	lateAt  time.Time        // since when another process has newer records; zero if none
 }
 
 // New returns a follower that hands each batch to apply. Followers of one log
 // share its link.
 func New(cfg Config, link *Link, source Source, log logr.Logger, apply func(Batch)) *Follower {
 	return &Follower{cfg: cfg, link: link, source: source, apply: apply, log: log.WithValues("topic", cfg.Name),
-		offsets: make(map[string]int64)}
+		behind: make(chan struct{}, 1), offsets: make(map[string]int64)}
 }
 
 // Run follows the topic until ctx ends.
@@ -85,6 +102,9 @@
 		if !f.cfg.Sentinel {
 			f.link.await(ctx)
 		}
+		if !f.due(ctx) {
+			continue
+		}
 		err := f.step(ctx)
 		switch {
 		case ctx.Err() != nil:
@@ -94,8 +114,10 @@
 			f.regained()
 			sleep(ctx, f.cfg.Pause)
 		case errors.Is(err, ErrExpired):
-			f.log.Info("records expired; reading the newest", "from", f.next)
+			f.log.Info("records expired; reading the newest", "from", f.Next())
+			f.mu.Lock()
 			f.loaded = false
+			f.mu.Unlock()
 		default:
 			f.failed(err)
 			sleep(ctx, pause)
@@ -104,45 +126,114 @@
 	}
 }
 
-// step makes one read. After a failed one it does not wait at the log, so that
-// it learns soon whether the log answers again.
-func (f *Follower) step(ctx context.Context) error {
-	gap := f.lost
-	if !f.loaded {
-		ctx, cancel := context.WithTimeout(ctx, f.cfg.Timeout)
-		defer cancel()
-		records, next, err := f.source.Newest(ctx)
-		if err != nil {
-			return err
+// due reports whether to read the log now. A process that does not read for
+// others blocks here until it is behind them.
+func (f *Follower) due(ctx context.Context) bool {
+	if f.cfg.Reads == nil || f.cfg.Reads() || f.mustRead(time.Now()) {
+		return true
+	}
+	select {
+	case <-ctx.Done():
+	case <-f.behind:
+	case <-time.After(rolePause):
+	}
+	return f.mustRead(time.Now())
+}
+
+// mustRead reports whether this process has to read whoever else does.
+func (f *Follower) mustRead(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.loaded || f.lost || !f.lateAt.IsZero() && now.Sub(f.lateAt) >= missedAfter
+}
+
+// Next returns the offset to read on from.
+func (f *Follower) Next() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.next
+}
+
+// Reached reports whether the last read of the log, if any, was good.
+func (f *Follower) Reached() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.loaded && !f.lost
+}
+
+// Offer takes a batch that another process read. One that does not continue
+// what is known here is left out; Announce then leads to a read.
+func (f *Follower) Offer(b Batch) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.loaded || b.Whole || b.From > f.next || b.Next <= f.next {
+		return
+	}
+	f.take(b, false)
+}
+
+// Announce says that another process has all records before next.
+func (f *Follower) Announce(now time.Time, next int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case next <= f.next:
+		return
+	case f.lateAt.IsZero():
+		f.lateAt = now
+	case now.Sub(f.lateAt) >= missedAfter:
+		select {
+		case f.behind <- struct{}{}:
+		default:
 		}
-		f.take(records, next, true, gap)
-		return nil
 	}
+}
+
+// step makes one read. After a failed one, or to catch up, it does not wait at
+// the log.
+func (f *Follower) step(ctx context.Context) error {
+	f.mu.Lock()
+	from, loaded, gap := f.next, f.loaded, f.lost
 	wait := f.cfg.Wait
-	if f.lost {
+	if gap || f.cfg.Reads != nil && !f.cfg.Reads() {
 		wait = 0
 	}
+	f.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, wait+f.cfg.Timeout)
 	defer cancel()
-	if !f.cfg.Sentinel {
-		up, done := f.link.whileUp(ctx)
-		defer done()
-		ctx = up
+	b := Batch{From: from, Whole: !loaded, Gap: gap}
+	var err error
+	if loaded {
+		if !f.cfg.Sentinel {
+			up, done := f.link.whileUp(ctx)
+			defer done()
+			ctx = up
+		}
+		b.Records, b.Next, err = f.source.Read(ctx, from, wait)
+	} else {
+		b.Records, b.Next, err = f.source.Newest(ctx)
 	}
-	records, next, err := f.source.Read(ctx, f.next, wait)
 	if err != nil {
 		return err
 	}
-	f.take(records, next, false, gap)
+	f.mu.Lock()
+	f.take(b, true)
+	f.mu.Unlock()
+	if f.cfg.Publish != nil && !b.Whole && len(b.Records) > 0 {
+		f.cfg.Publish(b)
+	}
 	return nil
 }
 
-// take hands on the records that are newer than those seen before.
-func (f *Follower) take(records []Record, next int64, whole, gap bool) {
-	f.goodAt, f.loaded = time.Now(), true
-	fresh := make([]Record, 0, len(records))
-	present := make(map[string]bool, len(records))
-	for _, r := range records {
+// take hands on the records that are newer than those seen before. own says
+// that this process read them.
+func (f *Follower) take(b Batch, own bool) {
+	if own {
+		f.goodAt, f.loaded = time.Now(), true
+	}
+	fresh := make([]Record, 0, len(b.Records))
+	present := make(map[string]bool, len(b.Records))
+	for _, r := range b.Records {
 		present[r.Key] = true
 		if seen, ok := f.offsets[r.Key]; ok && r.Offset <= seen {
 			continue
@@ -150,22 +241,29 @@
 		f.offsets[r.Key] = r.Offset
 		fresh = append(fresh, r)
 	}
-	if whole {
+	if b.Whole {
 		for key, seen := range f.offsets {
-			if !present[key] && seen < next {
-				fresh = append(fresh, Record{Key: key, Offset: next})
+			if !present[key] && seen < b.Next {
+				fresh = append(fresh, Record{Key: key, Offset: b.Next})
 				delete(f.offsets, key)
 			}
 		}
 	}
-	f.next = max(f.next, next)
-	f.apply(Batch{Records: fresh, Whole: whole, Gap: gap})
+	f.next = max(f.next, b.Next)
+	f.lateAt = time.Time{}
+	if len(fresh) == 0 && !b.Whole {
+		return
+	}
+	b.Records = fresh
+	f.apply(b)
 }
 
 func (f *Follower) failed(err error) {
 	if f.cfg.Sentinel {
 		f.link.set(true)
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if !f.lost {
 		f.lost = true
 		f.log.Info("lost the store", "error", err.Error(), "next", f.next, "last_read_ms", time.Since(f.goodAt).Milliseconds())
@@ -176,6 +274,8 @@
 	if f.cfg.Sentinel {
 		f.link.set(false)
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if f.lost {
 		f.lost = false
 		f.log.Info("reached the store again", "next", f.next)
--- a/process/peers/exchange.go
+++ b/process/peers/exchange.go
@@ -17,9 +17,9 @@
 	leastInterval = 250 * time.Millisecond
 	// beatsEach bounds the beats that a router sends a second, by longer pauses
 	// in a large fleet.
-	beatsEach = 28
+	beatsEach = 60
 	// beatsLost is how many beats in a row a live router may lose.
-	beatsLost = 6
+	beatsLost = 3
 	// farewells is how often a router says that it leaves, as datagrams get lost.
 	farewells = 3
 )
@@ -34,9 +34,10 @@
 	Table *Table
 	Conn  net.PacketConn
 	Log   logr.Logger
-	Self  func() Beat                 // this router now; Number is set by Run
-	Heard func(now time.Time, b Beat) // called after a beat changed the table
-	Kick  chan struct{}               // sends a beat at once
+	Self  func() Beat                  // this router now; Number is set by Run
+	Heard func(now time.Time, b Beat)  // called after a beat changed the table
+	Take  func(now time.Time, r Relay) // called with records that another router read
+	Kick  chan struct{}                // sends a beat at once
 
 	number int64
 }
@@ -65,14 +66,33 @@
 	<-done
 }
 
+// Now sends a beat before its time.
+func (e *Exchange) Now() {
+	select {
+	case e.Kick <- struct{}{}:
+	default:
+	}
+}
+
 // send sends one beat to every known router.
 func (e *Exchange) send() {
 	b := e.Self()
 	e.number++
 	b.Number = e.number
-	data, err := json.Marshal(b)
+	e.broadcast(message{Beat: &b})
+}
+
+// Relay sends records to every known router. Those that do not fit into a
+// datagram are left for the others to read.
+func (e *Exchange) Relay(r Relay) { e.broadcast(message{Relay: &r}) }
+
+func (e *Exchange) broadcast(m message) {
+	data, err := json.Marshal(m)
 	if err != nil {
-		e.Log.Error(err, "beat not encoded")
+		e.Log.Error(err, "datagram not encoded")
+		return
+	}
+	if len(data) > datagramBytes {
 		return
 	}
 	for _, addr := range e.Table.Addresses() {
@@ -95,22 +115,31 @@
 		if err != nil {
 			continue // an earlier datagram found no receiver
 		}
-		var b Beat
-		if err := json.Unmarshal(buf[:n], &b); err != nil {
+		var m message
+		if err := json.Unmarshal(buf[:n], &m); err != nil {
 			e.Log.V(1).Info("datagram left out", "from", from.String(), "error", err.Error())
 			continue
 		}
-		now := time.Now()
-		if e.Table.Hear(now, b, from.String()) {
-			e.Log.Info("router found", "router", b.Name, "from", from.String())
-		}
-		e.Heard(now, b)
+		e.handle(time.Now(), m, from.String())
+	}
+}
+
+func (e *Exchange) handle(now time.Time, m message, from string) {
+	if m.Relay != nil {
+		e.Take(now, *m.Relay)
+	}
+	if m.Beat == nil {
+		return
+	}
+	if e.Table.Hear(now, *m.Beat, from) {
+		e.Log.Info("router found", "router", m.Beat.Name, "from", from)
 	}
+	e.Heard(now, *m.Beat)
 }
 
 // DeadAfter returns the time after which a silent router among n is not named
 // to callers.
 func DeadAfter(n int) time.Duration {
 	const least = 2 * time.Second
-	return max(least, beatsLost*Interval(n)/2)
+	return max(least, beatsLost*Interval(n))
 }
--- a/process/peers/table.go
+++ b/process/peers/table.go
@@ -4,6 +4,8 @@
 	"sort"
 	"sync"
 	"time"
+
+	"github.com/stoatmount/stoatmount/process/feed"
 )
 
 // Beat is what a router tells the others of itself.
@@ -16,6 +18,21 @@
 	Ready   bool           `json:"ready"`
 	Running map[string]int `json:"running,omitempty"` // requests by endpoint
 	Placed  []Placed       `json:"placed,omitempty"`  // since the beats before
+	Leaving bool           `json:"leaving,omitempty"` // the process is about to end
+	Store   bool           `json:"store"`             // it reaches the platform's store
+	Offsets []int64        `json:"offsets,omitempty"` // up to which it has the records of each topic
+}
+
+// Relay carries records that one router read for all.
+type Relay struct {
+	Topic int        `json:"topic"`
+	Batch feed.Batch `json:"batch"`
+}
+
+// message is what one datagram holds.
+type message struct {
+	Beat  *Beat  `json:"beat,omitempty"`
+	Relay *Relay `json:"relay,omitempty"`
 }
 
 // Placed says that a prompt key went to an endpoint, which caches its parts now.
@@ -109,6 +126,20 @@
 	return !known
 }
 
+// Before returns how many ready routers with a name before the own one reach
+// the store.
+func (t *Table) Before(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for name, p := range t.peers {
+		if name < t.self && p.beat.Store && p.beat.Ready && now.Sub(p.heardAt) < t.deadAfter {
+			n++
+		}
+	}
+	return n
+}
+
 // Addresses returns where beats go.
 func (t *Table) Addresses() []string {
 	t.mu.Lock()
@@ -144,13 +175,30 @@
 	defer t.mu.Unlock()
 	n := 1
 	for _, p := range t.peers {
-		if now.Sub(p.heardAt) < memberMemory || now.Sub(p.known) < memberMemory {
+		if p.counts(now) {
 			n++
 		}
 	}
 	return n
 }
 
+func (p *peer) counts(now time.Time) bool {
+	return !p.beat.Leaving && (now.Sub(p.heardAt) < memberMemory || now.Sub(p.known) < memberMemory)
+}
+
+// Names returns the names of the routers that Count counts but this one.
+func (t *Table) Names(now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var names []string
+	for name, p := range t.peers {
+		if p.counts(now) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // Running adds up the requests that the other routers run, by endpoint. The
 // word of a router that went silent does not count.
 func (t *Table) Running(now time.Time) map[string]int {
--- a/process/router/follow.go
+++ b/process/router/follow.go
@@ -26,31 +26,65 @@
 	storeTimeout = time.Second
 	// registerPause is the pause between tries to write the own record.
 	registerPause = 500 * time.Millisecond
+	// storeReaders is how many routers read the store for all. The second one
+	// covers the time until the loss of the first is noticed.
+	storeReaders = 2
+	// followed is the number of topics that are followed; the routers' own is
+	// read once, as routers then hear of one another by beats.
+	followed = 2
 )
 
+func (r *Router) prepareFollowers() {
+	link := feed.NewLink()
+	follower := func(t Topic, cfg feed.Config, apply func(feed.Batch)) {
+		cfg.Timeout, cfg.Reads = storeTimeout, r.readsStore
+		cfg.Publish = func(b feed.Batch) { r.relay(t, b) }
+		r.followers[t] = feed.New(cfg, link, r.adapter.Topic(t), r.log, apply)
+	}
+	follower(Operators, feed.Config{Name: "operators", Wait: sentinelWait, Sentinel: true}, r.applyOperators)
+	follower(Endpoints, feed.Config{Name: "endpoints", Wait: watchWait, Pause: endpointPause}, r.applyEndpoints)
+}
+
 // follow starts to follow the topics of the store.
 func (r *Router) follow(ctx context.Context) {
-	link := feed.NewLink()
-	watch := func(t Topic, cfg feed.Config, apply func(feed.Batch)) {
-		cfg.Timeout = storeTimeout
-		f := feed.New(cfg, link, r.adapter.Topic(t), r.log, apply)
+	for _, f := range r.followers {
 		r.group.Go(func() { f.Run(ctx) })
 	}
-	watch(Operators, feed.Config{Name: "operators", Wait: sentinelWait, Sentinel: true}, r.applyOperators)
-	watch(Endpoints, feed.Config{Name: "endpoints", Wait: watchWait, Pause: endpointPause}, r.applyEndpoints)
-	watch(Routers, feed.Config{Name: "routers", Wait: watchWait}, r.applyRouters)
-	r.group.Go(func() { r.register(ctx) })
+	r.group.Go(func() { r.meet(ctx) })
 	r.group.Go(func() { r.keepPlacements(ctx) })
 }
 
-// register writes this router's record until that succeeds.
-func (r *Router) register(ctx context.Context) {
+// readsStore reports whether this router reads the store for the others.
+func (r *Router) readsStore() bool {
+	return r.exchange == nil || r.peers.Before(time.Now()) < storeReaders
+}
+
+// relay offers the others what this router read.
+func (r *Router) relay(t Topic, b feed.Batch) {
+	if r.exchange != nil && r.readsStore() {
+		r.exchange.Relay(peers.Relay{Topic: int(t), Batch: b})
+	}
+}
+
+// takeRelay takes what another router read.
+func (r *Router) takeRelay(_ time.Time, m peers.Relay) {
+	if m.Topic >= 0 && m.Topic < len(r.followers) {
+		r.followers[m.Topic].Offer(m.Batch)
+	}
+}
+
+// meet writes this router's record and then reads those of the others, in this
+// order, so that of two routers that start together one finds the other.
+func (r *Router) meet(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := r.writeRecord(ctx, &peers.Registration{Name: r.s.Name, Addr: r.s.Peer})
+		if err == nil {
+			err = r.readRouters(ctx)
+		}
 		if err == nil {
 			return
 		}
-		r.log.Info("own record not written", "error", err.Error())
+		r.log.Info("own record not written or the others' not read", "error", err.Error())
 		select {
 		case <-ctx.Done():
 		case <-time.After(registerPause):
@@ -58,6 +92,30 @@
 	}
 }
 
+func (r *Router) readRouters(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	records, _, err := r.adapter.Topic(Routers).Newest(ctx)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	for _, record := range records {
+		reg, there, err := r.adapter.DecodeRouter(record)
+		switch {
+		case err != nil:
+			r.log.Info("router's record left out", "key", record.Key, "offset", record.Offset, "error", err.Error())
+		case there:
+			r.peers.Register(now, reg)
+		}
+	}
+	r.heard(now)
+	if r.exchange != nil {
+		r.exchange.Now()
+	}
+	return nil
+}
+
 func (r *Router) writeRecord(ctx context.Context, reg *peers.Registration) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -129,19 +187,3 @@
 	}
 	r.endpointsRead.Store(true)
 }
-
-func (r *Router) applyRouters(b feed.Batch) {
-	now := time.Now()
-	for _, record := range b.Records {
-		reg, there, err := r.adapter.DecodeRouter(record)
-		switch {
-		case err != nil:
-			r.log.Info("router's record left out", "key", record.Key, "offset", record.Offset, "error", err.Error())
-		case there:
-			r.peers.Register(now, reg)
-		default:
-			r.peers.Remove(reg.Name)
-		}
-	}
-	r.heard(now)
-}
--- a/process/router/leave.go
+++ b/process/router/leave.go
@@ -46,10 +46,7 @@
 	open, busy := r.front.Open()
 	r.log.Info("leaving", "open", open, "busy", busy, "grace_ms", r.s.Grace.Milliseconds())
 	if r.exchange != nil {
-		select {
-		case r.exchange.Kick <- struct{}{}:
-		default:
-		}
+		r.exchange.Now()
 	}
 	if err := r.writeRecord(context.Background(), nil); err != nil {
 		r.log.Info("own record not removed", "error", err.Error())
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -17,6 +17,7 @@
 	"github.com/stoatmount/stoatmount/connection/forward"
 	"github.com/stoatmount/stoatmount/connection/front"
 	"github.com/stoatmount/stoatmount/connection/h1"
+	"github.com/stoatmount/stoatmount/process/feed"
 	"github.com/stoatmount/stoatmount/process/peers"
 	"github.com/stoatmount/stoatmount/process/upstream"
 	"github.com/stoatmount/stoatmount/request/placing"
@@ -59,6 +60,7 @@
 	pool      *h1.Pool
 	front     *front.Server
 	exchange  *peers.Exchange
+	followers [followed]*feed.Follower // by topic
 	boot      int64
 
 	endpointsRead   atomic.Bool // the registry was read at least once
@@ -126,7 +128,6 @@
 type listeners struct {
 	front net.Listener
 	http  []*http.Server
-	peer  net.PacketConn
 }
 
 // Start opens the sockets and starts to follow the store.
@@ -149,6 +150,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r.stop = cancel
+	r.prepareFollowers()
 	if err := r.startPeers(ctx); err != nil {
 		cancel()
 		return err
@@ -190,13 +192,18 @@
 	if err != nil {
 		return errors.Wrap(err, "peers")
 	}
-	r.exchange = &peers.Exchange{Table: r.peers, Conn: conn, Log: r.log, Self: r.beat, Heard: r.hear, Kick: make(chan struct{}, 1)}
+	r.exchange = &peers.Exchange{Table: r.peers, Conn: conn, Log: r.log, Self: r.beat, Heard: r.hear, Take: r.takeRelay, Kick: make(chan struct{}, 1)}
 	r.group.Go(func() { r.exchange.Run(ctx) })
 	return nil
 }
 
 func (r *Router) beat() peers.Beat {
-	b := peers.Beat{Name: r.s.Name, Boot: r.boot, Front: r.s.Front, Zone: r.s.Zone, Ready: r.Ready(), Running: r.endpoints.Running()}
+	b := peers.Beat{Name: r.s.Name, Boot: r.boot, Front: r.s.Front, Zone: r.s.Zone, Ready: r.Ready(), Running: r.endpoints.Running(),
+		Leaving: r.leaving.Load(), Store: true}
+	for _, f := range r.followers {
+		b.Store = b.Store && f.Reached()
+		b.Offsets = append(b.Offsets, f.Next())
+	}
 	for key, id := range r.endpoints.TakePlaced() {
 		b.Placed = append(b.Placed, peers.Placed{Key: key, Endpoint: id})
 	}
@@ -205,6 +212,9 @@
 
 // hear takes what one router told.
 func (r *Router) hear(now time.Time, b peers.Beat) {
+	for i, next := range b.Offsets[:min(len(b.Offsets), len(r.followers))] {
+		r.followers[i].Announce(now, next)
+	}
 	for _, p := range b.Placed {
 		r.endpoints.NotePlaced(now, p.Key, p.Endpoint)
 	}
@@ -215,7 +225,7 @@
 func (r *Router) heard(now time.Time) {
 	members := r.peers.Count(now)
 	r.peers.SetDeadAfter(peers.DeadAfter(members))
-	r.endpoints.SetPeers(members, r.peers.Running(now))
+	r.endpoints.SetPeers(r.s.Name, r.peers.Names(now), r.peers.Running(now))
 }
 
 // keepHouse drops what has become old.
--- a/process/upstream/lease.go
+++ b/process/upstream/lease.go
@@ -4,6 +4,8 @@
 	"sort"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/stoatmount/stoatmount/request/outcome"
 	"github.com/stoatmount/stoatmount/request/placing"
 )
@@ -139,8 +141,28 @@
 		}
 	}
 	ep.coldSends = kept
-	share := (t.coldRate[ep.Service]*t.cfg.ColdOver + t.cfg.ColdSlack) * coldFraction / float64(t.members)
-	return float64(len(kept)+1) <= max(share, 1)
+	return len(kept) < t.coldShare(ep)
+}
+
+// coldShare returns the requests a second that this router may send to a cold
+// endpoint. The bound is divided into whole requests; those that remain go to
+// the routers that rendezvous hashing ranks first for the endpoint, so that all
+// routers divide it the same way without a message.
+func (t *Table) coldShare(ep *endpoint) int {
+	all := int((t.coldRate[ep.Service]*t.cfg.ColdOver + t.cfg.ColdSlack) * coldFraction)
+	members := len(t.others) + 1
+	share := all / members
+	seed := xxhash.Sum64String(ep.ID)
+	own, before := placing.Rank(seed, t.self), 0
+	for _, name := range t.others {
+		if placing.Rank(seed, name) > own {
+			before++
+		}
+	}
+	if before < all%members {
+		share++
+	}
+	return share
 }
 
 // placeKey chooses the endpoint of a prompt key and the endpoint from which it
--- a/process/upstream/table.go
+++ b/process/upstream/table.go
@@ -62,7 +62,8 @@
 	byID     map[string]*endpoint
 	gone     map[string]*endpoint // entry removed; removeAt is when they are forgotten
 	out      map[string]bool      // zones out of service
-	members  int                  // routers that may send, at least 1
+	self     string               // name of this router
+	others   []string             // names of the other routers that may send
 	coldRate map[string]float64
 	holders  holders
 	draw     func() float64
@@ -71,7 +72,7 @@
 // New returns an empty table. draw returns random numbers in [0,1).
 func New(cfg Config, draw func() float64) *Table {
 	return &Table{cfg: cfg, byID: make(map[string]*endpoint), gone: make(map[string]*endpoint), out: make(map[string]bool),
-		members: 1, coldRate: make(map[string]float64), holders: newHolders(), draw: draw}
+		coldRate: make(map[string]float64), holders: newHolders(), draw: draw}
 }
 
 // Apply folds records of the registry in their order. gap says that the
@@ -177,12 +178,12 @@
 	t.coldRate = rates
 }
 
-// SetPeers sets the number of routers that may send, this one included, and
-// the requests that the others run, by endpoint.
-func (t *Table) SetPeers(members int, running map[string]int) {
+// SetPeers sets the other routers that may send, by name, and the requests that
+// they run, by endpoint.
+func (t *Table) SetPeers(self string, others []string, running map[string]int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.members = max(1, members)
+	t.self, t.others = self, others
 	for id, ep := range t.byID {
 		ep.peers = running[id]
 	}
