Take the load that endpoints tell and draw among the least loaded

Change: the load in an endpoint's answer goes before the beats for 0.3 s, and work without room at its holders goes to the best of four that are drawn.

--- a/connection/forward/attempt.go
+++ b/connection/forward/attempt.go
@@ -180,6 +180,9 @@
 		body := h1.NewBody(a.conn.R, head.Length)
 		if answer.RequestID == "" || answer.RequestID == j.req.ID {
 			a.head, a.answer, a.body = head, answer, body
+			if answer.HasLoad {
+				j.s.Endpoints.Loaded(a.firstAt, a.grant, answer.Load.Running+answer.Load.Waiting)
+			}
 			return j.checkHead(a)
 		}
 		a.stray = true
--- a/process/upstream/lease.go
+++ b/process/upstream/lease.go
@@ -38,7 +38,7 @@
 	if cold {
 		ep.coldSends = append(ep.coldSends, now)
 	}
-	running := ep.running + ep.peers
+	running := ep.load(now)
 	ep.running++
 	return &placing.Grant{ID: ep.ID, Started: ep.Started, Addr: ep.Addr, Zone: ep.Zone, Service: ep.Service,
 		FetchFrom: fetch, Held: list[chosen].Holds, Holders: holders, Running: running, Cold: cold, Age: now.Sub(ep.readAt)}, nil
@@ -106,7 +106,7 @@
 	median := medianLatency(eps)
 	list := make([]placing.Candidate, len(eps))
 	for i, ep := range eps {
-		list[i] = placing.Candidate{ID: ep.ID, Running: float64(ep.running + ep.peers), Slots: ep.Slots,
+		list[i] = placing.Candidate{ID: ep.ID, Running: float64(ep.load(now)), Slots: ep.Slots,
 			Latency: ep.health.latency, Local: ep.Zone == t.cfg.Zone,
 			Slow: ep.health.slow(now, median), Cold: t.coldNow(now, ep)}
 	}
@@ -172,7 +172,7 @@
 	for i := range list {
 		_, list[i].Holds = holders[list[i].ID]
 	}
-	chosen := placing.Affinity(w.Key, list, t.cfg.Bound, t.most(w.Service))
+	chosen := placing.Affinity(w.Key, list, t.cfg.Bound, t.most(now, w.Service), t.draw)
 	ep := eps[chosen]
 	fetch := ""
 	if !list[chosen].Holds {
@@ -184,11 +184,11 @@
 
 // most returns the most requests that one endpoint of a service may run. The
 // mean includes endpoints that get no requests.
-func (t *Table) most(service string) float64 {
+func (t *Table) most(now time.Time, service string) float64 {
 	sum, n := 0, 0
 	for _, ep := range t.byID {
 		if ep.Service == service {
-			sum += ep.running + ep.peers
+			sum += ep.load(now)
 			n++
 		}
 	}
@@ -210,7 +210,7 @@
 		if from == nil || from == to || from.Service != to.Service || from.health.unproven {
 			continue
 		}
-		if best == nil || from.load() < best.load() || from.load() == best.load() && from.ID < best.ID {
+		if best == nil || from.load(now) < best.load(now) || from.load(now) == best.load(now) && from.ID < best.ID {
 			best = from
 		}
 	}
@@ -220,7 +220,26 @@
 	return best.Addr
 }
 
-func (e *endpoint) load() int { return e.running + e.peers }
+// toldFresh is how long the load that an endpoint tells goes before what the
+// other routers told, which is up to a beat old.
+const toldFresh = 300 * time.Millisecond
+
+// load returns the requests that an endpoint is known to have.
+func (e *endpoint) load(now time.Time) int {
+	if now.Sub(e.toldAt) < toldFresh {
+		return e.running + e.told
+	}
+	return e.running + e.peers
+}
+
+// Loaded notes how many requests an endpoint said that it runs and queues.
+func (t *Table) Loaded(now time.Time, g *placing.Grant, requests int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if ep := t.byID[g.ID]; ep != nil && ep.Started == g.Started {
+		ep.told, ep.toldAt = max(0, requests-ep.running), now
+	}
+}
 
 // Release ends the use of an endpoint and notes how it did. latency is the
 // time to the first byte of the answer; 0 if there was none. It reports whether
--- a/process/upstream/table.go
+++ b/process/upstream/table.go
@@ -49,7 +49,9 @@
 	coldUntil time.Time
 	removeAt  time.Time // zero: in the registry
 	running   int       // own requests
-	peers     int       // requests of the other routers
+	peers     int       // requests of the other routers, by their beats
+	told      int       // requests of the other routers, by the endpoint's last answer
+	toldAt    time.Time
 	coldSends []time.Time
 	health    health
 }
--- a/request/placing/placing.go
+++ b/request/placing/placing.go
@@ -47,9 +47,10 @@
 
 // Affinity returns the index of the candidate for a key: the least loaded of
 // those that hold the key and are within the bound; without a holder the first
-// by rendezvous hashing within the bound; otherwise the least loaded. It returns
-// -1 without candidates.
-func Affinity(key uint64, list []Candidate, bound Bound, most float64) int {
+// by rendezvous hashing within the bound; otherwise the least loaded of a few
+// that are drawn, so that routers with the same old counts do not all choose
+// the same one. It returns -1 without candidates. draw returns numbers in [0,1).
+func Affinity(key uint64, list []Candidate, bound Bound, most float64, draw func() float64) int {
 	limit := bound.limit(list, most)
 	held, holder, ranked := false, -1, -1
 	var best uint64
@@ -72,7 +73,7 @@
 	case !held && ranked >= 0:
 		return ranked
 	}
-	return leastRunning(list)
+	return leastRunning(list, draw)
 }
 
 func mean(list []Candidate) float64 {
@@ -86,9 +87,14 @@
 	return sum / float64(len(list))
 }
 
-func leastRunning(list []Candidate) int {
+// draws is how many candidates compete for work that its holders have no room
+// for.
+const draws = 4
+
+func leastRunning(list []Candidate, draw func() float64) int {
 	best := -1
-	for i := range list {
+	for range min(draws, len(list)) {
+		i := min(int(draw()*float64(len(list))), len(list)-1)
 		if best < 0 || better(&list[i], &list[best]) {
 			best = i
 		}
