--- a/connection/forward/attempt.go
+++ b/connection/forward/attempt.go
@@ -162,7 +162,7 @@
 // mayAbandon reports whether the request may run at another endpoint besides
 // this one.
 func (j *job) mayAbandon() bool {
-	return j.route.Repeatable() && j.route.Objective > 0 && j.runs < j.route.MaxAttempts && j.s.Endpoints.Alternatives(j.want(j.service())) > 0
+	return j.route.Repeatable() && j.route.Objective > 0 && j.runs < j.route.MaxAttempts && j.s.Endpoints.Alternatives(time.Now(), j.want(j.service())) > 0
 }
 
 // readHead reads the head of the answer to this request.
--- a/connection/forward/server.go
+++ b/connection/forward/server.go
@@ -19,7 +19,7 @@
 type Endpoints interface {
 	Acquire(now time.Time, w placing.Want) (*placing.Grant, *placing.Refusal)
 	// Alternatives returns how many endpoints Acquire could choose from.
-	Alternatives(w placing.Want) int
+	Alternatives(now time.Time, w placing.Want) int
 	// Loaded notes how many requests an endpoint said that it runs and queues.
 	Loaded(now time.Time, g *placing.Grant, requests int)
 	// Release ends a grant and reports whether the endpoint is left out from now on.
--- a/connection/front/server.go
+++ b/connection/front/server.go
@@ -134,5 +134,12 @@
 	}
 }
 
-// Wait blocks until every connection has ended.
-func (s *Server) Wait() { s.group.Wait() }
+// Close closes all connections and waits until they are no longer served.
+func (s *Server) Close() {
+	s.mu.Lock()
+	for c := range s.conns {
+		_ = c.nc.Close()
+	}
+	s.mu.Unlock()
+	s.group.Wait()
+}
--- /dev/null
+++ b/connection/h1/head_test.go
@@ -0,0 +1,130 @@
+package h1
+
+import (
+	"bufio"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func reader(s string) *bufio.Reader { return bufio.NewReaderSize(strings.NewReader(s), 64) }
+
+func TestReadRequest(t *testing.T) {
+	c := qt.New(t)
+	h, err := ReadRequest(reader("POST /a?b HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nConnection: close\r\n\r\nabc"), 1<<10)
+	c.Assert(err, qt.IsNil)
+	c.Assert(h.Method, qt.Equals, "POST")
+	c.Assert(h.Target, qt.Equals, "/a?b")
+	c.Assert(h.Length, qt.Equals, int64(3))
+	c.Assert(h.Close, qt.IsTrue)
+	for name, bad := range map[string]string{
+		"no host":            "GET / HTTP/1.1\r\n\r\n",
+		"two hosts":          "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+		"length and chunked": "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"two lengths":        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\n",
+		"list of lengths":    "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1, 1\r\n\r\n",
+		"signed length":      "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: +1\r\n\r\n",
+		"other coding":       "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+		"bare line feed":     "GET / HTTP/1.1\nHost: a\n\n",
+		"mixed line feed":    "GET / HTTP/1.1\r\nHost: a\nX: y\r\n\r\n",
+		"folding":            "GET / HTTP/1.1\r\nHost: a\r\n X: y\r\n\r\n",
+		"space in name":      "GET / HTTP/1.1\r\nHost : a\r\n\r\n",
+		"carriage return":    "GET / HTTP/1.1\r\nHost: a\r\nX: a\rb\r\n\r\n",
+		"absolute target":    "GET http://h/ HTTP/1.1\r\nHost: a\r\n\r\n",
+		"space in target":    "GET /a b HTTP/1.1\r\nHost: a\r\n\r\n",
+		"old protocol":       "GET / HTTP/0.9\r\nHost: a\r\n\r\n",
+		"chunked in 1.0":     "POST / HTTP/1.0\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"empty line first":   "\r\nGET / HTTP/1.1\r\nHost: a\r\n\r\n",
+	} {
+		_, err := ReadRequest(reader(bad), 1<<10)
+		c.Assert(err, qt.ErrorIs, ErrMalformed, qt.Commentf("%s", name))
+	}
+	_, err = ReadRequest(reader("GET / HTTP/1.1\r\nHost: "+strings.Repeat("a", 2000)+"\r\n\r\n"), 1<<10)
+	c.Assert(err, qt.ErrorIs, ErrHeadTooBig)
+	_, err = ReadRequest(reader("GET / HT"), 1<<10)
+	c.Assert(err, qt.ErrorIs, io.ErrUnexpectedEOF)
+}
+
+func TestReadAnswer(t *testing.T) {
+	c := qt.New(t)
+	h, err := ReadAnswer(reader("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nKeep-Alive: timeout=5, max=3\r\nTransfer-Encoding: chunked\r\n\r\n"), 1<<10, "GET")
+	c.Assert(err, qt.IsNil)
+	c.Assert(h.Length, qt.Equals, Chunked)
+	c.Assert(h.Idle, qt.Equals, 5*time.Second)
+	h, err = ReadAnswer(reader("HTTP/1.1 200 OK\r\n\r\n"), 1<<10, "GET")
+	c.Assert(err, qt.IsNil)
+	c.Assert(h.Length, qt.Equals, UntilClose)
+	c.Assert(h.Close, qt.IsTrue)
+	h, err = ReadAnswer(reader("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n"), 1<<10, "HEAD")
+	c.Assert(err, qt.IsNil)
+	c.Assert(h.Length, qt.Equals, int64(0))
+	for _, bad := range []string{"hello\r\n\r\n", "HTTP/1.1 20 OK\r\n\r\n", "HTTP/2 200 OK\r\n\r\n", "\x00\x01\r\n\r\n"} {
+		_, err := ReadAnswer(reader(bad), 1<<10, "GET")
+		c.Assert(err, qt.ErrorIs, ErrMalformed, qt.Commentf("%q", bad))
+	}
+}
+
+func TestBody(t *testing.T) {
+	c := qt.New(t)
+	read := func(text string, length int64) (string, bool, error) {
+		b := NewBody(reader(text), length)
+		data, err := b.ReadAll(1 << 10)
+		return string(data), b.Complete(), err
+	}
+	for _, good := range []struct {
+		text   string
+		length int64
+	}{{"abcde", 5}, {"3\r\nabc\r\n2\r\nde\r\n0\r\nTrailer: x\r\n\r\n", Chunked}, {"abcde", UntilClose}} {
+		data, complete, err := read(good.text, good.length)
+		c.Assert(err, qt.IsNil)
+		c.Assert(data, qt.Equals, "abcde")
+		c.Assert(complete, qt.IsTrue)
+	}
+	for _, bad := range []struct {
+		text   string
+		length int64
+	}{{"abc", 5}, {"3\r\nabc\r\n", Chunked}, {"3\r\nabc\r\n0\r\n", Chunked}, {"3\r\nabcX2\r\nde\r\n0\r\n\r\n", Chunked}, {"zz\r\n", Chunked}, {"3\nabc\r\n0\r\n\r\n", Chunked}} {
+		_, complete, err := read(bad.text, bad.length)
+		c.Assert(err, qt.Not(qt.IsNil), qt.Commentf("%q", bad.text))
+		c.Assert(complete, qt.IsFalse)
+	}
+	_, _, err := read(strings.Repeat("a", 2000), UntilClose)
+	c.Assert(err, qt.ErrorIs, ErrBodyTooBig)
+	_, _, err = read("", 2000)
+	c.Assert(err, qt.ErrorIs, ErrBodyTooBig)
+}
+
+func FuzzReadRequest(f *testing.F) {
+	f.Add("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc")
+	f.Add("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		r := reader(text)
+		h, err := ReadRequest(r, 1<<10)
+		if err != nil {
+			return
+		}
+		if h.Length < Chunked || h.Length >= 0 && h.Count("Transfer-Encoding") > 0 || h.Count("Content-Length") > 1 {
+			t.Fatalf("framing of %q: %d", text, h.Length)
+		}
+		_, _ = NewBody(r, h.Length).ReadAll(1 << 10)
+	})
+}
+
+func FuzzReadAnswer(f *testing.F) {
+	f.Add("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc")
+	f.Fuzz(func(t *testing.T, text string) {
+		r := reader(text)
+		h, err := ReadAnswer(r, 1<<10, "GET")
+		if err != nil {
+			return
+		}
+		b := NewBody(r, h.Length)
+		data, err := b.ReadAll(1 << 10)
+		if err == nil && h.Length >= 0 && int64(len(data)) != h.Length {
+			t.Fatalf("%d bytes of %d", len(data), h.Length)
+		}
+	})
+}
--- /dev/null
+++ b/connection/h1/pool_test.go
@@ -0,0 +1,80 @@
+package h1
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// pair returns a pooled connection and its other end.
+func pair(c *qt.C, p *Pool) (*Conn, net.Conn) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = l.Close() }()
+	conn, err := p.Dial(context.Background(), l.Addr().String(), time.Second)
+	c.Assert(err, qt.IsNil)
+	other, err := l.Accept()
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = other.Close() })
+	return conn, other
+}
+
+func eventually(c *qt.C, f func() bool) {
+	for range 1000 {
+		if f() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	c.Fatal("condition not met")
+}
+
+func TestPoolKeepsOnlyQuietConnections(t *testing.T) {
+	c := qt.New(t)
+	p := NewPool(time.Second)
+	now := time.Now()
+	conn, _ := pair(c, p)
+	p.Put(conn, now, 5*time.Second, 4)
+	c.Assert(p.Get(conn.addr, now), qt.Equals, conn)
+	c.Assert(conn.Reused, qt.IsTrue)
+	p.Put(conn, now, 5*time.Second, 4)
+	c.Assert(p.Get(conn.addr, now.Add(5*time.Second)), qt.IsNil) // near the other end's timeout
+
+	closed, other := pair(c, p)
+	p.Put(closed, now, 0, 4)
+	c.Assert(other.Close(), qt.IsNil)
+	eventually(c, func() bool { return !quiet(closed) })
+	c.Assert(p.Get(closed.addr, now), qt.IsNil)
+
+	stray, other := pair(c, p)
+	p.Put(stray, now, 0, 4)
+	_, err := other.Write([]byte("HTTP/1.1 200 OK\r\n\r\n"))
+	c.Assert(err, qt.IsNil)
+	eventually(c, func() bool { return !quiet(stray) })
+	c.Assert(p.Get(stray.addr, now), qt.IsNil)
+}
+
+func TestPoolIsBounded(t *testing.T) {
+	c := qt.New(t)
+	p := NewPool(time.Second)
+	now := time.Now()
+	var conns []*Conn
+	for range 3 {
+		conn, _ := pair(c, p)
+		conn.addr = "same"
+		p.Put(conn, now, 5*time.Second, 2)
+		conns = append(conns, conn)
+	}
+	c.Assert(p.Get("same", now), qt.Equals, conns[2])
+	c.Assert(p.Get("same", now), qt.Equals, conns[1])
+	c.Assert(p.Get("same", now), qt.IsNil)
+	p.Put(conns[1], now, 2*time.Second, 2)
+	p.Expire(now.Add(3 * time.Second))
+	c.Assert(p.Get("same", now), qt.IsNil)
+	p.Put(conns[2], now, 2*time.Second, 2)
+	p.Drop("same")
+	c.Assert(p.Get("same", now), qt.IsNil)
+}
--- /dev/null
+++ b/process/feed/feed_test.go
@@ -0,0 +1,279 @@
+package feed
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+)
+
+// log is a topic within the process.
+type log struct {
+	mu      sync.Mutex
+	records []Record
+	first   int64
+	fault   func(ctx context.Context) error
+	reads   int
+	changed chan struct{}
+}
+
+func newLog() *log { return &log{changed: make(chan struct{})} }
+
+func (l *log) put(key, value string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := Record{Key: key, Offset: l.first + int64(len(l.records))}
+	if value != "" {
+		r.Value = []byte(value)
+	}
+	l.records = append(l.records, r)
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+func (l *log) set(fault func(ctx context.Context) error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fault = fault
+}
+
+func (l *log) begin(ctx context.Context) error {
+	l.mu.Lock()
+	l.reads++
+	fault := l.fault
+	l.mu.Unlock()
+	if fault != nil {
+		return fault(ctx)
+	}
+	return nil
+}
+
+func (l *log) Newest(ctx context.Context) ([]Record, int64, error) {
+	if err := l.begin(ctx); err != nil {
+		return nil, 0, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	newest := make(map[string]Record)
+	for _, r := range l.records {
+		newest[r.Key] = r
+	}
+	var list []Record
+	for _, r := range newest {
+		if r.Value != nil {
+			list = append(list, r)
+		}
+	}
+	return list, l.first + int64(len(l.records)), nil
+}
+
+func (l *log) Read(ctx context.Context, from int64, wait time.Duration) ([]Record, int64, error) {
+	if err := l.begin(ctx); err != nil {
+		return nil, 0, err
+	}
+	deadline := time.After(wait)
+	for {
+		l.mu.Lock()
+		end, changed := l.first+int64(len(l.records)), l.changed
+		if from < l.first {
+			l.mu.Unlock()
+			return nil, 0, ErrExpired
+		}
+		if from < end || wait == 0 {
+			list := append([]Record(nil), l.records[from-l.first:]...)
+			l.mu.Unlock()
+			return list, end, nil
+		}
+		l.mu.Unlock()
+		select {
+		case <-changed:
+		case <-deadline:
+			return nil, end, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+// view holds what a follower handed on.
+type view struct {
+	mu   sync.Mutex
+	keys map[string]string
+	gaps int
+}
+
+func (v *view) apply(b Batch) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.keys == nil {
+		v.keys = make(map[string]string)
+	}
+	if b.Gap {
+		v.gaps++
+	}
+	for _, r := range b.Records {
+		if r.Value == nil {
+			delete(v.keys, r.Key)
+		} else {
+			v.keys[r.Key] = string(r.Value)
+		}
+	}
+}
+
+func (v *view) get(key string) string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.keys[key]
+}
+
+func eventually(c *qt.C, f func() bool) {
+	c.Helper()
+	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(2 * time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	c.Fatal("condition not met")
+}
+
+func run(c *qt.C, f *Follower) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { f.Run(ctx); close(done) }()
+	c.Cleanup(func() { cancel(); <-done })
+}
+
+func TestFollows(t *testing.T) {
+	c := qt.New(t)
+	l, v := newLog(), &view{}
+	l.put("a", "1")
+	run(c, New(Config{Name: "x", Wait: time.Minute, Timeout: time.Second, Sentinel: true}, NewLink(), l, logr.Discard(), v.apply))
+	eventually(c, func() bool { return v.get("a") == "1" })
+	l.put("a", "2")
+	l.put("b", "1")
+	eventually(c, func() bool { return v.get("a") == "2" && v.get("b") == "1" })
+	l.put("b", "")
+	eventually(c, func() bool { return v.get("b") == "" })
+}
+
+// A log that falls silent during a read that waits is noticed by the sentinel,
+// which wakes the others; nobody waits on after its return.
+func TestSilentLog(t *testing.T) {
+	c := qt.New(t)
+	l, other := newLog(), newLog()
+	v, w := &view{}, &view{}
+	link := NewLink()
+	run(c, New(Config{Name: "x", Wait: 100 * time.Millisecond, Timeout: 100 * time.Millisecond, Sentinel: true}, link, l, logr.Discard(), v.apply))
+	run(c, New(Config{Name: "y", Wait: time.Hour, Timeout: 100 * time.Millisecond}, link, other, logr.Discard(), w.apply))
+	l.put("a", "1")
+	eventually(c, func() bool { return v.get("a") == "1" })
+	other.put("b", "0")
+	eventually(c, func() bool { return w.get("b") == "0" })
+	silent := func(ctx context.Context) error { <-ctx.Done(); return ctx.Err() }
+	l.set(silent)
+	other.set(silent) // the read that waits already is answered no more, either
+	other.mu.Lock()
+	other.changed = make(chan struct{})
+	other.mu.Unlock()
+	time.Sleep(400 * time.Millisecond)
+	l.set(nil)
+	other.set(nil)
+	l.put("a", "2")
+	other.put("b", "1")
+	back := time.Now()
+	eventually(c, func() bool { return v.get("a") == "2" && w.get("b") == "1" })
+	c.Assert(time.Since(back) < 3*time.Second, qt.IsTrue)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	c.Assert(v.gaps > 0, qt.IsTrue)
+}
+
+// After the history expired the newest records replace everything; a key does
+// not go back to an older record, and what is missing was removed.
+func TestExpiredAndStale(t *testing.T) {
+	c := qt.New(t)
+	v := &view{}
+	f := New(Config{Name: "x", Timeout: time.Second, Sentinel: true}, NewLink(), nil, logr.Discard(), v.apply)
+	f.take(Batch{Whole: true, Next: 10, Records: []Record{{Key: "a", Value: []byte("new"), Offset: 9}, {Key: "b", Value: []byte("x"), Offset: 3}}}, true)
+	f.take(Batch{Whole: true, Next: 6, Records: []Record{{Key: "a", Value: []byte("old"), Offset: 4}, {Key: "b", Value: []byte("x"), Offset: 3}}}, true)
+	c.Assert(v.get("a"), qt.Equals, "new")
+	c.Assert(f.Next(), qt.Equals, int64(10))
+	f.take(Batch{Whole: true, Next: 12, Records: []Record{{Key: "a", Value: []byte("new"), Offset: 9}}}, true)
+	c.Assert(v.get("b"), qt.Equals, "")
+
+	l, w := newLog(), &view{}
+	l.put("a", "1")
+	g := New(Config{Name: "x", Wait: 20 * time.Millisecond, Timeout: time.Second, Sentinel: true}, NewLink(), l, logr.Discard(), w.apply)
+	run(c, g)
+	eventually(c, func() bool { return w.get("a") == "1" })
+	l.mu.Lock()
+	l.first, l.records = 50, []Record{{Key: "c", Value: []byte("3"), Offset: 50}}
+	l.mu.Unlock()
+	eventually(c, func() bool { return w.get("c") == "3" && w.get("a") == "" })
+}
+
+// A process that does not read takes what it is offered, and reads what it
+// missed.
+func TestRelayedRecords(t *testing.T) {
+	c := qt.New(t)
+	l := newLog()
+	l.put("a", "1")
+	v, w := &view{}, &view{}
+	no := func() bool { return false }
+	var follower *Follower
+	relay := true
+	var mu sync.Mutex
+	reader := New(Config{Name: "x", Wait: time.Minute, Timeout: time.Second, Sentinel: true, Publish: func(b Batch) {
+		mu.Lock()
+		defer mu.Unlock()
+		if relay {
+			follower.Offer(b)
+		}
+	}}, NewLink(), l, logr.Discard(), v.apply)
+	follower = New(Config{Name: "x", Wait: time.Minute, Timeout: time.Second, Sentinel: true, Reads: no}, NewLink(), l, logr.Discard(), w.apply)
+	run(c, follower)
+	run(c, reader)
+	eventually(c, func() bool { return v.get("a") == "1" && w.get("a") == "1" })
+	l.mu.Lock()
+	before := l.reads
+	l.mu.Unlock()
+	l.put("a", "2")
+	eventually(c, func() bool { return w.get("a") == "2" })
+	l.mu.Lock()
+	c.Assert(l.reads-before <= 2, qt.IsTrue)
+	l.mu.Unlock()
+	mu.Lock()
+	relay = false // lost datagrams
+	mu.Unlock()
+	l.put("a", "3")
+	l.put("b", "1")
+	eventually(c, func() bool { return v.get("b") == "1" })
+	c.Assert(w.get("a"), qt.Equals, "2")
+	eventually(c, func() bool {
+		follower.Announce(time.Now(), reader.Next())
+		return w.get("a") == "3" && w.get("b") == "1"
+	})
+	follower.Offer(Batch{From: 100, Next: 101, Records: []Record{{Key: "z", Value: []byte("1"), Offset: 100}}})
+	c.Assert(w.get("z"), qt.Equals, "") // does not continue what is known
+}
+
+// A read that fails is repeated with pauses, and said once.
+func TestFailingLog(t *testing.T) {
+	c := qt.New(t)
+	l, v := newLog(), &view{}
+	l.set(func(context.Context) error { return errors.New("refused") })
+	f := New(Config{Name: "x", Wait: time.Minute, Timeout: time.Second, Sentinel: true}, NewLink(), l, logr.Discard(), v.apply)
+	run(c, f)
+	time.Sleep(500 * time.Millisecond)
+	l.mu.Lock()
+	c.Assert(l.reads > 1 && l.reads < 6, qt.IsTrue)
+	l.mu.Unlock()
+	c.Assert(f.Reached(), qt.IsFalse)
+	l.put("a", "1")
+	l.set(nil)
+	eventually(c, func() bool { return v.get("a") == "1" && f.Reached() })
+}
--- a/process/logging/async.go
+++ b/process/logging/async.go
@@ -45,11 +45,12 @@
 		a.dropped.Add(1)
 		return len(line), nil
 	}
+	wasEmpty := len(a.waiting) == 0
 	if a.lost > 0 {
 		a.waiting = fmt.Appendf(a.waiting, "{\"level\":\"info\",\"msg\":\"log lines left out\",\"reason\":\"slow reader\",\"lines\":%d}\n", a.lost)
 		a.lost = 0
 	}
-	if len(a.waiting) == 0 {
+	if wasEmpty {
 		select {
 		case a.wake <- struct{}{}:
 		default:
--- /dev/null
+++ b/process/logging/async_test.go
@@ -0,0 +1,73 @@
+package logging
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// stuck is a reader that stops until it is let go.
+type stuck struct {
+	mu   sync.Mutex
+	data bytes.Buffer
+	wait chan struct{}
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.wait
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.data.Write(p)
+}
+
+// A reader that stops blocks nobody, memory stays bounded, and what was left
+// out is said afterwards.
+func TestAsyncWithStuckReader(t *testing.T) {
+	c := qt.New(t)
+	out := &stuck{wait: make(chan struct{})}
+	a := NewAsync(out)
+	log := New(a, "info")
+	began := time.Now()
+	const lines = 20_000
+	for n := range lines {
+		log.Info("request", "number", n, "padding", strings.Repeat("x", 60))
+	}
+	c.Assert(time.Since(began) < 5*time.Second, qt.IsTrue)
+	c.Assert(a.Dropped() > lines/2, qt.IsTrue)
+	a.mu.Lock()
+	c.Assert(len(a.waiting) <= asyncBytes, qt.IsTrue)
+	a.mu.Unlock()
+	close(out.wait)
+	for range 1000 { // until there is room again
+		a.mu.Lock()
+		n := len(a.waiting)
+		a.mu.Unlock()
+		if n == 0 {
+			break
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	log.Info("after")
+	a.Close(5 * time.Second)
+	text := out.data.String()
+	c.Assert(strings.Contains(text, `"log lines left out","reason":"slow reader","lines":`), qt.IsTrue)
+	c.Assert(strings.HasSuffix(text, "\"msg\":\"after\"}\n"), qt.IsTrue)
+	for _, line := range strings.Split(strings.TrimSpace(text), "\n") {
+		c.Assert(strings.HasPrefix(line, "{") && strings.HasSuffix(line, "}"), qt.IsTrue)
+	}
+}
+
+func TestAsyncClosesBehindStuckReader(t *testing.T) {
+	c := qt.New(t)
+	out := &stuck{wait: make(chan struct{})}
+	a := NewAsync(out)
+	_, _ = a.Write([]byte("{}\n"))
+	began := time.Now()
+	a.Close(50 * time.Millisecond)
+	c.Assert(time.Since(began) < 5*time.Second, qt.IsTrue)
+	close(out.wait)
+}
--- /dev/null
+++ b/process/observe/observe_test.go
@@ -0,0 +1,70 @@
+package observe
+
+import (
+	"bytes"
+	"encoding/json"
+	"expvar"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/stoatmount/stoatmount/connection/forward"
+	"github.com/stoatmount/stoatmount/process/logging"
+	"github.com/stoatmount/stoatmount/request/outcome"
+	"github.com/stoatmount/stoatmount/request/placing"
+)
+
+func served(n int, code outcome.Code) *forward.Record {
+	return &forward.Record{ID: fmt.Sprintf("r%d", n), Route: "route", Version: 7, Arrived: time.Unix(1_700_000_000, 0), Took: 30 * time.Millisecond,
+		First: 20 * time.Millisecond, Code: code, Status: 200, Endpoints: []string{"e1"}, Choice: placing.Grant{ID: "e1", Age: time.Second, Running: 3}}
+}
+
+// Each request has a line with what decided it, within a budget in which
+// failures are not crowded out by successes.
+func TestLinesAndBudget(t *testing.T) {
+	c := qt.New(t)
+	var out bytes.Buffer
+	vars := make(map[string]expvar.Var)
+	r := NewRequests(logging.New(&out, "info"), func(name string, v expvar.Var) { vars[name] = v })
+	for n := range 10 * servedLines {
+		r.Request(served(n, outcome.OK))
+	}
+	failed := served(9999, outcome.EndpointFailed)
+	failed.Failed = []forward.FailedAttempt{{Endpoint: "e1", Failure: placing.Broken, AfterMS: 12, Error: "reset"}}
+	r.Request(failed)
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	c.Assert(lines, qt.HasLen, servedLines+1)
+	var line map[string]any
+	c.Assert(json.Unmarshal([]byte(lines[servedLines]), &line), qt.IsNil)
+	c.Assert(line["request"], qt.Equals, "r9999")
+	c.Assert(line["result"], qt.Equals, "endpoint_failed")
+	c.Assert(line["config"], qt.Equals, 7.0)
+	c.Assert(line["entry_age_ms"], qt.Equals, 1000.0)
+	c.Assert(line["failed"], qt.DeepEquals, []any{map[string]any{"endpoint": "e1", "failure": "broken", "run": "unknown", "after_ms": 12.0, "error": "reset"}})
+	c.Assert(vars["log_lines_over_budget"].String(), qt.Equals, fmt.Sprint(9*servedLines))
+	c.Assert(vars["requests_by_result"].String(), qt.Equals, fmt.Sprintf(`{"endpoint_failed": 1, "ok": %d}`, 10*servedLines))
+	c.Assert(vars["first_byte_ms"].String(), qt.Equals, fmt.Sprintf(`{"Count":%d,"P50":20,"P90":20,"P99":20,"Max":20}`, 10*servedLines+1))
+	later := served(1, outcome.OK)
+	later.Took = 2 * time.Second
+	r.Request(later)
+	c.Assert(strings.Contains(out.String(), `"log lines left out","reason":"budget of a second","lines":540`), qt.IsTrue)
+}
+
+func BenchmarkRequestLine(b *testing.B) {
+	r := NewRequests(logging.New(&bytes.Buffer{}, "info"), func(string, expvar.Var) {})
+	b.Run("with", func(b *testing.B) {
+		for n := range b.N {
+			rec := served(n, outcome.OK)
+			rec.Took = time.Duration(n/servedLines) * time.Second // a fresh budget
+			r.Request(rec)
+		}
+	})
+	b.Run("without", func(b *testing.B) {
+		for n := range b.N {
+			r.Request(served(n, outcome.OK)) // over the budget
+		}
+	})
+}
--- a/process/peers/exchange.go
+++ b/process/peers/exchange.go
@@ -115,13 +115,18 @@
 		if err != nil {
 			continue // an earlier datagram found no receiver
 		}
-		var m message
-		if err := json.Unmarshal(buf[:n], &m); err != nil {
-			e.Log.V(1).Info("datagram left out", "from", from.String(), "error", err.Error())
-			continue
-		}
-		e.handle(time.Now(), m, from.String())
+		e.receiveOne(time.Now(), buf[:n], from.String())
+	}
+}
+
+// receiveOne takes one datagram. What cannot be read is left out.
+func (e *Exchange) receiveOne(now time.Time, data []byte, from string) {
+	var m message
+	if err := json.Unmarshal(data, &m); err != nil {
+		e.Log.V(1).Info("datagram left out", "from", from, "error", err.Error())
+		return
 	}
+	e.handle(now, m, from)
 }
 
 func (e *Exchange) handle(now time.Time, m message, from string) {
--- /dev/null
+++ b/process/peers/peers_test.go
@@ -0,0 +1,124 @@
+package peers
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"github.com/stoatmount/stoatmount/process/feed"
+)
+
+var t0 = time.Unix(1_700_000_000, 0)
+
+func beat(name string, boot, number int64) Beat {
+	return Beat{Name: name, Boot: boot, Number: number, Front: name + ":1", Ready: true, Store: true, Running: map[string]int{"e": 2}}
+}
+
+func TestTable(t *testing.T) {
+	c := qt.New(t)
+	table := New("b", 2*time.Second)
+	c.Assert(table.Hear(t0, beat("a", 1, 5), "1.1.1.1:1"), qt.IsTrue)
+	c.Assert(table.Hear(t0, beat("b", 1, 5), "1.1.1.1:1"), qt.IsFalse) // its own
+	old := beat("a", 1, 4)
+	old.Ready = false
+	table.Hear(t0, old, "9.9.9.9:9") // overtaken
+	c.Assert(table.Ready(t0), qt.DeepEquals, []Member{{Name: "a", Front: "a:1"}})
+	c.Assert(table.Addresses(), qt.DeepEquals, []string{"1.1.1.1:1"})
+	old = beat("a", 0, 9)
+	old.Ready = false
+	table.Hear(t0, old, "9.9.9.9:9") // of an earlier process
+	c.Assert(table.Ready(t0), qt.HasLen, 1)
+	c.Assert(table.Running(t0), qt.DeepEquals, map[string]int{"e": 2})
+	c.Assert(table.Before(t0), qt.Equals, 1)
+
+	later := t0.Add(2 * time.Second)
+	c.Assert(table.Ready(later), qt.HasLen, 0)
+	c.Assert(table.Running(later), qt.HasLen, 0)
+	c.Assert(table.Before(later), qt.Equals, 0)
+	c.Assert(table.Count(later), qt.Equals, 2) // it may be cut off and send on
+
+	table.Register(t0, Registration{Name: "c", Addr: "2.2.2.2:2"})
+	table.Register(t0, Registration{Name: "b", Addr: "self"})
+	c.Assert(table.Count(t0), qt.Equals, 3)
+	c.Assert(table.Ready(t0), qt.HasLen, 1) // c was not heard yet
+	c.Assert(table.Count(t0.Add(memberMemory)), qt.Equals, 1)
+	gone := beat("a", 1, 6)
+	gone.Leaving = true
+	table.Hear(t0, gone, "1.1.1.1:1")
+	c.Assert(table.Count(t0), qt.Equals, 2)
+	c.Assert(table.Names(t0), qt.DeepEquals, []string{"c"})
+}
+
+func TestIntervals(t *testing.T) {
+	c := qt.New(t)
+	for _, n := range []int{1, 7, 60, 330} {
+		c.Assert(float64(n)/Interval(n).Seconds() <= beatsEach+1, qt.IsTrue)
+		c.Assert(DeadAfter(n) >= beatsLost*Interval(n), qt.IsTrue)
+	}
+	c.Assert(DeadAfter(7) < 6*time.Second, qt.IsTrue)
+}
+
+// node is a router that exchanges beats.
+type node struct {
+	*Exchange
+	relayed chan Relay
+}
+
+func start(c *qt.C, name string) *node {
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	n := &node{relayed: make(chan Relay, 4)}
+	n.Exchange = &Exchange{Table: New(name, DeadAfter(3)), Conn: conn, Log: logr.Discard(), Kick: make(chan struct{}, 1),
+		Self:  func() Beat { return Beat{Name: name, Boot: 1, Ready: true} },
+		Heard: func(time.Time, Beat) {}, Take: func(_ time.Time, r Relay) { n.relayed <- r }}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { n.Run(ctx); close(done) }()
+	c.Cleanup(func() { cancel(); <-done })
+	return n
+}
+
+// One registration is enough for both to find each other; records reach the
+// other; noise is left out.
+func TestExchange(t *testing.T) {
+	c := qt.New(t)
+	a, b := start(c, "a"), start(c, "b")
+	a.Table.Register(time.Now(), Registration{Name: "b", Addr: b.Conn.LocalAddr().String()})
+	noise, err := net.Dial("udp", b.Conn.LocalAddr().String())
+	c.Assert(err, qt.IsNil)
+	for _, data := range []string{"", "{", "null", `{"beat":5}`, `{"beat":{"name":""}}`, "\x00\x01"} {
+		_, err := noise.Write([]byte(data))
+		c.Assert(err, qt.IsNil)
+	}
+	a.Now()
+	for range 1000 {
+		if len(a.Table.Ready(time.Now())) == 1 && len(b.Table.Ready(time.Now())) == 1 {
+			break
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	c.Assert(a.Table.Ready(time.Now()), qt.HasLen, 1)
+	c.Assert(b.Table.Ready(time.Now()), qt.HasLen, 1)
+	b.Relay(Relay{Topic: 1, Batch: feed.Batch{From: 3, Next: 4, Records: []feed.Record{{Key: "k", Value: []byte("v"), Offset: 3}}}})
+	got := <-a.relayed
+	c.Assert(got.Batch.Records[0].Key, qt.Equals, "k")
+	b.Relay(Relay{Batch: feed.Batch{Records: []feed.Record{{Value: make([]byte, 2*datagramBytes)}}}}) // does not fit
+	b.Relay(Relay{Topic: 2})
+	got = <-a.relayed
+	c.Assert(got.Topic, qt.Equals, 2)
+}
+
+func FuzzMessage(f *testing.F) {
+	f.Add([]byte(`{"beat":{"name":"a","boot":1,"n":2,"front":"a:1","ready":true,"running":{"e":1},"placed":[{"k":1,"e":"e"}]}}`))
+	f.Add([]byte(`{"relay":{"topic":-1,"batch":{"from":1,"next":0}}}`))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		e := &Exchange{Table: New("self", time.Second), Log: logr.Discard(), Heard: func(time.Time, Beat) {}, Take: func(time.Time, Relay) {}}
+		e.receiveOne(t0, data, "1.1.1.1:1")
+		e.Table.Ready(t0)
+		e.Table.Running(t0)
+	})
+}
--- a/process/router/leave.go
+++ b/process/router/leave.go
@@ -41,8 +41,8 @@
 // the grace is nearly over.
 func (r *Router) Leave() {
 	began := time.Now()
-	r.leaving.Store(true)
 	r.front.Leave()
+	r.leaving.Store(true)
 	open, busy := r.front.Open()
 	r.log.Info("leaving", "open", open, "busy", busy, "grace_ms", r.s.Grace.Milliseconds())
 	if r.exchange != nil {
@@ -69,7 +69,25 @@
 		}
 		time.Sleep(leavePoll)
 	}
-	r.stop()
 	open, busy = r.front.Open()
 	r.log.Info("ended", "open", open, "busy", busy, "took_ms", time.Since(began).Milliseconds())
+	r.Close()
+}
+
+// Close ends the process at once, with its connections.
+func (r *Router) Close() {
+	r.closing.Do(func() {
+		r.leaving.Store(true)
+		if r.listeners.front != nil {
+			_ = r.listeners.front.Close()
+		}
+		r.front.Close()
+		for _, s := range r.listeners.http {
+			_ = s.Close()
+		}
+		if r.stop != nil {
+			r.stop()
+		}
+		r.group.Wait()
+	})
 }
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -73,6 +73,7 @@
 	listeners listeners
 	group     conc.WaitGroup
 	stop      context.CancelFunc
+	closing   sync.Once
 }
 
 // New returns a router that is not started.
@@ -124,6 +125,14 @@
 	return !r.leaving.Load() && r.table.Load() != nil && r.endpointsRead.Load() && r.placementsAsked.Load()
 }
 
+// Version returns the version of the configuration in force, or 0.
+func (r *Router) Version() int64 {
+	if t := r.table.Load(); t != nil {
+		return t.Version
+	}
+	return 0
+}
+
 // listeners are the sockets of a process.
 type listeners struct {
 	front net.Listener
--- a/process/upstream/lease.go
+++ b/process/upstream/lease.go
@@ -79,8 +79,7 @@
 }
 
 // Alternatives returns how many sound endpoints a request could get.
-func (t *Table) Alternatives(w placing.Want) int {
-	now := time.Now()
+func (t *Table) Alternatives(now time.Time, w placing.Want) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	n := 0
--- /dev/null
+++ b/process/upstream/table_test.go
@@ -0,0 +1,284 @@
+package upstream
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/stoatmount/stoatmount/request/outcome"
+	"github.com/stoatmount/stoatmount/request/placing"
+)
+
+var t0 = time.Unix(1_700_000_000, 0)
+
+func config() Config {
+	return Config{Zone: "a", RemovalGrace: 2 * time.Second, Bound: placing.Bound{Factor: 1.7, Extra: 2}, CapFactor: 1.7, CapExtra: 2,
+		ColdOver: 1.5, ColdSlack: 5}
+}
+
+func newTable(n int) *Table {
+	rng := rand.New(rand.NewPCG(1, 2))
+	t := New(config(), rng.Float64)
+	t.SetPeers("self", nil, nil)
+	for i := range n {
+		t.Apply(t0, []Change{put(i, nil)}, false)
+	}
+	return t
+}
+
+func put(i int, change func(*Entry)) Change {
+	e := Entry{ID: fmt.Sprintf("e%d", i), Service: "s", Addr: fmt.Sprintf("10.0.0.%d:80", i+1), Zone: "a", Slots: 64, Started: 1}
+	if change != nil {
+		change(&e)
+	}
+	return Change{ID: e.ID, Entry: &e}
+}
+
+func acquire(t *Table, now time.Time, exclude ...string) (*placing.Grant, *placing.Refusal) {
+	return t.Acquire(now, placing.Want{Service: "s", Exclude: exclude})
+}
+
+func TestMarksKeepRequestsAway(t *testing.T) {
+	c := qt.New(t)
+	table := newTable(2)
+	table.Apply(t0, []Change{put(0, func(e *Entry) { e.Leaving = true })}, false)
+	for range 10 {
+		g, refusal := acquire(table, t0)
+		c.Assert(refusal, qt.IsNil)
+		c.Assert(g.ID, qt.Equals, "e1")
+	}
+	table.SetZonesOut([]string{"a"})
+	_, refusal := acquire(table, t0)
+	c.Assert(refusal.Code, qt.Equals, outcome.NoEndpoint)
+	c.Assert(refusal.After > 0, qt.IsTrue)
+	table.SetZonesOut(nil)
+	_, refusal = acquire(table, t0, "e1")
+	c.Assert(refusal, qt.Not(qt.IsNil))
+}
+
+// Entries that went missing while the registry was away are kept for a while;
+// those that were leaving, and those removed while it answered, go at once.
+func TestRemovals(t *testing.T) {
+	c := qt.New(t)
+	table := newTable(4)
+	table.Apply(t0, []Change{put(2, func(e *Entry) { e.Leaving = true })}, false)
+	table.Apply(t0, []Change{{ID: "e0"}}, false)
+	c.Assert(table.Count(), qt.Equals, 3)
+	table.Apply(t0, []Change{{ID: "e1"}, {ID: "e2"}, {ID: "e3"}}, true)
+	c.Assert(table.Count(), qt.Equals, 2)
+	table.Apply(t0.Add(time.Second), []Change{put(3, nil)}, false)
+	table.Sweep(t0.Add(3 * time.Second))
+	c.Assert(table.Count(), qt.Equals, 1)
+	g, _ := acquire(table, t0.Add(3*time.Second))
+	c.Assert(g.ID, qt.Equals, "e3")
+}
+
+// In any second all routers together send a cold endpoint no more than it
+// bears, whatever the number of routers and whichever of them get requests.
+func TestColdRateOverAllRouters(t *testing.T) {
+	c := qt.New(t)
+	for _, routers := range []int{1, 2, 7, 40, 120} {
+		names := make([]string, routers)
+		for i := range names {
+			names[i] = fmt.Sprintf("r%d", i)
+		}
+		tables := make([]*Table, routers)
+		for i := range tables {
+			tables[i] = newTable(0)
+			others := append(append([]string{}, names[:i]...), names[i+1:]...)
+			tables[i].SetPeers(names[i], others, nil)
+			tables[i].SetColdRates(map[string]float64{"s": 12})
+			tables[i].Apply(t0, []Change{put(0, func(e *Entry) { e.Cold = time.Minute })}, false)
+		}
+		var sends []time.Time
+		for ms := range 3000 {
+			now := t0.Add(time.Duration(ms) * time.Millisecond)
+			if g, _ := acquire(tables[ms%routers], now); g != nil {
+				sends = append(sends, now)
+			}
+		}
+		most := 0
+		for i := range sends {
+			n := 0
+			for _, at := range sends[i:] {
+				if at.Sub(sends[i]) < time.Second {
+					n++
+				}
+			}
+			most = max(most, n)
+		}
+		c.Assert(most <= 12*3/2+5, qt.IsTrue, qt.Commentf("%d routers sent %d", routers, most))
+		c.Assert(most >= 10, qt.IsTrue, qt.Commentf("%d routers sent only %d", routers, most))
+		_, refusal := acquire(tables[0], t0.Add(2999*time.Millisecond))
+		if refusal != nil {
+			c.Assert(refusal.Code, qt.Equals, outcome.EndpointCold)
+		}
+	}
+}
+
+// An endpoint that cannot be reached is left out, and treated as cold until the
+// registry had time to tell.
+func TestUnreachedEndpoint(t *testing.T) {
+	c := qt.New(t)
+	table := newTable(2)
+	table.SetColdRates(map[string]float64{"s": 1})
+	g, _ := table.Acquire(t0, placing.Want{Service: "s", Exclude: []string{"e1"}})
+	c.Assert(table.Release(t0, g, placing.NotReached, 0), qt.IsTrue)
+	for range 20 {
+		g, _ := acquire(table, t0.Add(time.Second))
+		c.Assert(g.ID, qt.Equals, "e1")
+	}
+	later, sent := t0.Add(2*time.Second), 0
+	for range 50 {
+		if g, _ := acquire(table, later, "e1"); g != nil {
+			sent++
+			table.Release(later, g, placing.NoFailure, time.Millisecond)
+		}
+	}
+	c.Assert(sent > 0 && sent <= 6, qt.IsTrue) // 1 x 1.5 + 5
+	later = later.Add(2 * time.Second)
+	g, _ = acquire(table, later, "e1")
+	table.Release(later, g, placing.NoFailure, time.Millisecond)
+	for range 20 {
+		g, refusal := acquire(table, later, "e1")
+		c.Assert(refusal, qt.IsNil)
+		table.Release(later, g, placing.NoFailure, time.Millisecond)
+	}
+}
+
+// The last endpoints are used however they did.
+func TestNeverLeavesOutAll(t *testing.T) {
+	c := qt.New(t)
+	table := newTable(2)
+	for _, other := range []string{"e0", "e1"} {
+		for range 5 {
+			if g, _ := acquire(table, t0, other); g != nil {
+				table.Release(t0, g, placing.Broken, 0)
+			}
+		}
+	}
+	_, refusal := acquire(table, t0)
+	c.Assert(refusal, qt.IsNil)
+	c.Assert(table.Alternatives(t0, placing.Want{Service: "s"}), qt.Equals, 0)
+}
+
+// An endpoint that fails far more than the others is left out for a while;
+// errors that all share leave out none.
+func TestErringEndpoint(t *testing.T) {
+	c := qt.New(t)
+	play := func(rates ...float64) *Table {
+		rng := rand.New(rand.NewPCG(3, 4))
+		table := newTable(len(rates))
+		for range 40 {
+			for i, rate := range rates {
+				others := make([]string, 0, len(rates))
+				for o := range rates {
+					if o != i {
+						others = append(others, fmt.Sprintf("e%d", o))
+					}
+				}
+				g, _ := acquire(table, t0, others...)
+				f := placing.NoFailure
+				if rng.Float64() < rate {
+					f = placing.Erred
+				}
+				table.Release(t0, g, f, 10*time.Millisecond)
+			}
+		}
+		return table
+	}
+	c.Assert(play(0.1, 0.1, 0.9, 0.1).Alternatives(t0, placing.Want{Service: "s"}), qt.Equals, 3)
+	c.Assert(play(0.95, 0.95, 0.95, 0.95).Alternatives(t0, placing.Want{Service: "s"}), qt.Equals, 4)
+}
+
+// A slow endpoint gets few requests, and is tried again later.
+func TestSlowEndpoint(t *testing.T) {
+	c := qt.New(t)
+	table := newTable(3)
+	counts := make(map[string]int)
+	now := t0
+	for range 300 {
+		now = now.Add(10 * time.Millisecond)
+		g, _ := acquire(table, now)
+		latency := 15 * time.Millisecond
+		if g.ID == "e0" {
+			latency = 150 * time.Millisecond
+		}
+		counts[g.ID]++
+		table.Release(now, g, placing.NoFailure, latency)
+	}
+	c.Assert(counts["e0"] < 20, qt.IsTrue, qt.Commentf("%v", counts))
+	c.Assert(counts["e1"] > 60 && counts["e2"] > 60, qt.IsTrue, qt.Commentf("%v", counts))
+}
+
+// A key stays where it is; where it must move, the new endpoint is told where
+// the cache entries are, also by routers that only heard of the placement.
+func TestKeyAndItsCacheEntries(t *testing.T) {
+	c := qt.New(t)
+	table, other := newTable(4), newTable(4)
+	want := placing.Want{Service: "s", Key: 77, HasKey: true}
+	g, _ := table.Acquire(t0, want)
+	c.Assert(g.FetchFrom, qt.Equals, "")
+	holder := g.ID
+	table.Release(t0, g, placing.NoFailure, time.Millisecond)
+	for key, id := range table.TakePlaced() {
+		other.NotePlaced(t0, key, id)
+	}
+	for range 5 {
+		g, _ := other.Acquire(t0, want)
+		c.Assert(g.ID, qt.Equals, holder)
+		c.Assert(g.Held, qt.IsTrue)
+		other.Release(t0, g, placing.NoFailure, time.Millisecond)
+	}
+	entry := *put(int(holder[1]-'0'), nil).Entry
+	other.Apply(t0, []Change{{ID: holder, Entry: &Entry{ID: holder, Service: "s", Addr: entry.Addr, Zone: "a", Slots: 64, Started: 1, Leaving: true}}}, false)
+	g, _ = other.Acquire(t0, want)
+	c.Assert(g.ID, qt.Not(qt.Equals), holder)
+	c.Assert(g.FetchFrom, qt.Equals, entry.Addr)
+
+	table.Apply(t0, []Change{{ID: holder}}, false) // it left without announcing it
+	g, _ = table.Acquire(t0.Add(time.Second), want)
+	c.Assert(g.FetchFrom, qt.Equals, entry.Addr)
+	again := newTable(4)
+	again.Recall(t0, other.Placements(t0.Add(-time.Minute)))
+	h, _ := again.Acquire(t0, want)
+	c.Assert(h.Held, qt.IsTrue)
+}
+
+// What a restarted endpoint held is forgotten, and its old requests do not
+// count against it twice.
+func TestRestartUnderTheSameID(t *testing.T) {
+	c := qt.New(t)
+	table := newTable(2)
+	want := placing.Want{Service: "s", Key: 5, HasKey: true}
+	g, _ := table.Acquire(t0, want)
+	i := int(g.ID[1] - '0')
+	table.Apply(t0, []Change{put(i, func(e *Entry) { e.Started = 2 })}, false)
+	c.Assert(table.Running(), qt.DeepEquals, map[string]int{g.ID: 1})
+	c.Assert(table.Release(t0, g, placing.NotReached, 0), qt.IsFalse)
+	c.Assert(table.Running(), qt.HasLen, 0)
+	h, _ := table.Acquire(t0, want)
+	c.Assert(h.Held, qt.IsFalse)
+}
+
+// The load that an endpoint tells goes before beats for a moment, and bounds
+// it together with endpoints that get no requests.
+func TestLoadBound(t *testing.T) {
+	c := qt.New(t)
+	table := newTable(3)
+	want := placing.Want{Service: "s", Key: 9, HasKey: true}
+	g, _ := table.Acquire(t0, want)
+	table.Loaded(t0, g, 40)
+	h, _ := table.Acquire(t0, want)
+	c.Assert(h.ID, qt.Not(qt.Equals), g.ID)
+	c.Assert(h.FetchFrom, qt.Equals, g.Addr)
+	table.Release(t0, h, placing.NoFailure, time.Millisecond)
+	later := t0.Add(time.Second)
+	busy := map[string]int{"e0": 3, "e1": 3, "e2": 3}
+	table.SetPeers("self", nil, busy)
+	h, _ = table.Acquire(later, want)
+	c.Assert(h.Held, qt.IsTrue)
+}
--- a/request/retry/window.go
+++ b/request/retry/window.go
@@ -13,8 +13,11 @@
 }
 
 const (
-	windowBuckets = 10   // of one span
-	windowUse     = 0.85 // of the bound that is used; the rest covers requests that end in another bucket
+	windowBuckets = 10 // of one span
+	// requestShare is the part of the ratio that a router's own requests earn.
+	// Callers may move from one router to another, so that the repeats of a span
+	// are earned by requests of two spans, of which only one counts.
+	requestShare = 0.5
 )
 
 // Window keeps the repeats of each service under a bound that all routers
@@ -28,12 +31,12 @@
 	services map[string]*counts
 }
 
-// counts holds requests and repeats by time, two spans long, as the requests
-// of the span before count too.
+// counts holds requests and repeats by time. A span that slides touches one
+// bucket more than it is long.
 type counts struct {
 	newest   int64
-	requests [2 * windowBuckets]int
-	repeats  [2 * windowBuckets]int
+	requests [windowBuckets + 1]int
+	repeats  [windowBuckets + 1]int
 }
 
 // NewWindow returns a Window without requests.
@@ -55,9 +58,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	c, at := w.at(now, service)
-	bound := w.cfg.Ratio*float64(c.most()) + w.cfg.Slack/float64(max(1, members))
-	// A span that slides touches one bucket more than it is long.
-	if float64(c.sum(&c.repeats, 0, windowBuckets+1)+1) > bound*windowUse {
+	bound := requestShare*w.cfg.Ratio*float64(c.sum(&c.requests, windowBuckets)) + w.cfg.Slack/float64(max(1, members))
+	if float64(c.sum(&c.repeats, windowBuckets+1)+1) > bound {
 		return false
 	}
 	c.repeats[at]++
@@ -71,7 +73,7 @@
 		w.services[service] = c
 	}
 	bucket := now.UnixNano() / int64(w.cfg.Span/windowBuckets)
-	const size = 2 * windowBuckets
+	const size = windowBuckets + 1
 	for steps := 0; c.newest < bucket && steps < size; steps++ {
 		c.newest++
 		if steps == 0 && bucket-c.newest >= size {
@@ -82,18 +84,11 @@
 	return c, int(c.newest % size)
 }
 
-// most returns the requests of the newest span or of the one before.
-func (c *counts) most() int {
-	return max(c.sum(&c.requests, 0, windowBuckets), c.sum(&c.requests, windowBuckets, 2*windowBuckets))
-}
-
-// sum adds up buckets by age, from inclusive, to exclusive.
-func (c *counts) sum(list *[2 * windowBuckets]int, from, to int64) int {
+// sum adds up the newest buckets.
+func (c *counts) sum(list *[windowBuckets + 1]int, newest int64) int {
 	total := 0
-	for age := from; age < to; age++ {
-		if c.newest >= age {
-			total += list[(c.newest-age)%int64(len(list))]
-		}
+	for age := int64(0); age < newest && age <= c.newest; age++ {
+		total += list[(c.newest-age)%int64(len(list))]
 	}
 	return total
 }
--- /dev/null
+++ b/request/retry/window_test.go
@@ -0,0 +1,87 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+// Several routers that do not hear of one another keep the shared bound in any
+// span, under steady load, bursts and pauses, with every request wanting a
+// repeat.
+func TestRoutersKeepTheSharedBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := WindowConfig{Span: 10 * time.Second, Ratio: 0.2, Slack: 54}
+		routers := rapid.IntRange(1, 9).Draw(t, "routers")
+		windows := make([]*Window, routers)
+		for i := range windows {
+			windows[i] = NewWindow(cfg)
+		}
+		now := time.Unix(1_700_000_000, int64(rapid.IntRange(0, 999_999_999).Draw(t, "offset")))
+		var requests, repeats []time.Time
+		for range rapid.IntRange(1, 30).Draw(t, "phases") {
+			rate := rapid.IntRange(0, 60).Draw(t, "rate") // a second
+			length := rapid.IntRange(1, 6).Draw(t, "seconds")
+			for range rate * length {
+				now = now.Add(time.Second / time.Duration(rate))
+				w := windows[rapid.IntRange(0, routers-1).Draw(t, "router")]
+				w.Request(now, "s")
+				requests = append(requests, now)
+				for range 2 {
+					if w.Take(now, "s", routers) {
+						repeats = append(repeats, now)
+					}
+				}
+			}
+			if rate == 0 {
+				now = now.Add(time.Duration(length) * time.Second)
+			}
+		}
+		for i, from := range repeats {
+			n := 0
+			for _, at := range repeats[i:] {
+				if at.Sub(from) < cfg.Span {
+					n++
+				}
+			}
+			if bound := cfg.Ratio*float64(mostRequests(requests, from, cfg.Span)) + cfg.Slack; float64(n) > bound {
+				t.Fatalf("%d repeats in the span from %v, bound %.1f", n, from, bound)
+			}
+		}
+	})
+}
+
+// mostRequests returns the requests of the span from a time, of the one before
+// and of the one half a span before, whichever has most.
+func mostRequests(requests []time.Time, from time.Time, span time.Duration) int {
+	most := 0
+	for _, back := range []time.Duration{0, span / 2, span} {
+		n := 0
+		for _, at := range requests {
+			if d := at.Sub(from.Add(-back)); d >= 0 && d < span {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+func TestWindowForgets(t *testing.T) {
+	c := qt.New(t)
+	w := NewWindow(WindowConfig{Span: 10 * time.Second, Slack: 4})
+	now := time.Unix(1_700_000_000, 0)
+	taken := 0
+	for range 10 {
+		if w.Take(now, "s", 1) {
+			taken++
+		}
+	}
+	c.Assert(taken, qt.Equals, 4) // the slack
+	c.Assert(w.Take(now, "other", 1), qt.IsTrue)
+	c.Assert(w.Take(now.Add(9*time.Second), "s", 1), qt.IsFalse)
+	c.Assert(w.Take(now.Add(12*time.Second), "s", 1), qt.IsTrue)
+	c.Assert(w.Take(now.Add(time.Hour), "s", 1), qt.IsTrue)
+}
