Explain requests from logs; use told load by its age; accept callers once ready

A starting process refused its first callers milliseconds before it was ready. A route with a short timeout made its endpoint look dead.

Change: told load holds for half a beat; all of up to 16 candidates compete; accepting waits up to 0.4 s for the first reads; a request that ends before its objective says nothing of the endpoint. stoatctl explain walks from an id to its cause.

--- a/connection/forward/attempt.go
+++ b/connection/forward/attempt.go
@@ -75,7 +75,7 @@
 		a.err = j.readHead(a)
 	}
 	if a.err != nil {
-		a.failure = j.classify(a.err)
+		a.failure = j.classify(a, a.err)
 		return a
 	}
 	if a.answer.NotRun {
@@ -212,11 +212,13 @@
 	return nil
 }
 
-func (j *job) classify(err error) placing.Failure {
-	if j.gone() {
+// classify says what an error means for the endpoint. A request whose time ran
+// out before the endpoint had its objective says nothing of it.
+func (j *job) classify(a *attempt, err error) placing.Failure {
+	switch {
+	case j.gone(), j.ctx.Err() != nil && time.Since(a.sentAt) < j.route.Objective:
 		return placing.Abandoned
-	}
-	if j.ctx.Err() != nil || errors.Is(err, errImpatient) {
+	case j.ctx.Err() != nil, errors.Is(err, errImpatient):
 		return placing.TimedOut
 	}
 	var t net.Error
@@ -249,7 +251,7 @@
 	}
 	data, err := a.body.ReadAll(wholeBytes)
 	if err != nil {
-		a.err, a.failure = errors.Wrap(err, "answer cut short"), j.classify(err)
+		a.err, a.failure = errors.Wrap(err, "answer cut short"), j.classify(a, err)
 		j.release(a)
 		j.note(a)
 		return false
--- a/connection/forward/record.go
+++ b/connection/forward/record.go
@@ -13,7 +13,8 @@
 	Method     string
 	Target     string
 	Route      string
-	Version    int64 // of the configuration
+	Version    int64         // of the configuration
+	Objective  time.Duration // latency objective of the route
 	Arrived    time.Time
 	Took       time.Duration
 	First      time.Duration // until the first byte of the answer; 0 if none
--- a/connection/forward/server.go
+++ b/connection/forward/server.go
@@ -100,7 +100,7 @@
 	if !ok {
 		return nil, outcome.NotFound
 	}
-	rec.Route = route.Name
+	rec.Route, rec.Objective = route.Name, route.Objective
 	j := &job{s: s, x: x, req: req, route: route, table: table, rec: rec, lastEvent: req.LastEventID}
 	j.urgency = route.Priority
 	if key, ok := promptKey(req.Parts); ok {
@@ -131,6 +131,9 @@
 // not run, unless the code says otherwise.
 func (s *Server) refuse(x *front.Exchange, rec *Record, code outcome.Code, after time.Duration) {
 	info := code.Info()
+	if info.Status != http.StatusServiceUnavailable {
+		after = 0 // only a request that has not run may come back as it is
+	}
 	rec.Code, rec.Status, rec.RetryAfter = code, info.Status, after
 	fields := s.Codec.EncodeRefusal(rec.ID, after)
 	body := []byte(info.Text + "\n")
--- a/connection/forward/stream.go
+++ b/connection/forward/stream.go
@@ -31,7 +31,7 @@
 		j.x.Cut()
 		return true
 	}
-	a.failure = j.classify(err)
+	a.failure = j.classify(a, err)
 	j.release(a)
 	j.note(a)
 	return false
--- a/operate/cli.go
+++ b/operate/cli.go
@@ -9,6 +9,7 @@
 	Endpoint  EndpointCmd  `cmd:"" help:"Take an endpoint out of service or bring it back."`
 	Report    ReportCmd    `cmd:"" help:"Report on service-level burn."`
 	Status    StatusCmd    `cmd:"" help:"Show the fleet at a glance."`
+	Explain   ExplainCmd   `cmd:"" help:"Find in collected logs why a request ended as it did."`
 	Capacity  CapacityCmd  `cmd:"" help:"Work out what each role needs at the size to design for."`
 	Settings  SettingsCmd  `cmd:"" help:"Write and check the settings files of routers."`
 	Codes     CodesCmd     `cmd:"" help:"List the numbered result codes."`
--- /dev/null
+++ b/operate/explain/explain.go
@@ -0,0 +1,231 @@
+package explain
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/stoatmount/stoatmount/request/outcome"
+)
+
+// lineBytes bounds a log line.
+const lineBytes = 1 << 20
+
+// Line is a log line of a router.
+type Line struct {
+	Time    time.Time `json:"time"`
+	Host    string    `json:"host"`
+	Message string    `json:"msg"`
+
+	Request   string          `json:"request"`
+	Route     string          `json:"route"`
+	Config    int64           `json:"config"`
+	Code      int             `json:"code"`
+	Result    string          `json:"result"`
+	Status    int             `json:"status"`
+	TookMS    int64           `json:"took_ms"`
+	FirstMS   int64           `json:"first_ms"`
+	Objective int64           `json:"objective_ms"`
+	Endpoints []string        `json:"endpoints"`
+	Running   int             `json:"running"`
+	EntryAge  int64           `json:"entry_age_ms"`
+	Cold      bool            `json:"cold"`
+	Events    int             `json:"events"`
+	RetryMS   int64           `json:"retry_after_ms"`
+	LeftOut   string          `json:"left_out"`
+	Failed    []FailedAttempt `json:"failed"`
+	Error     string          `json:"error"`
+
+	Endpoint string `json:"endpoint"`
+	Zone     string `json:"zone"`
+	Out      bool   `json:"out"`
+	Topic    string `json:"topic"`
+	Version  int64  `json:"version"`
+}
+
+// FailedAttempt is a send that brought no answer for the caller.
+type FailedAttempt struct {
+	Endpoint string `json:"endpoint"`
+	Failure  string `json:"failure"`
+	Run      string `json:"run"`
+	Status   int    `json:"status"`
+	AfterMS  int64  `json:"after_ms"`
+	Error    string `json:"error"`
+}
+
+// Read returns the log lines of r. What stands before the first brace of a
+// line, such as a host's name put there by a collector, and lines that are no
+// JSON objects are left out.
+func Read(r io.Reader) ([]Line, error) {
+	var lines []Line
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, lineBytes)
+	for scanner.Scan() {
+		_, text, found := strings.Cut(scanner.Text(), "{")
+		if !found {
+			continue
+		}
+		var l Line
+		if json.Unmarshal([]byte("{"+text), &l) == nil && l.Message != "" {
+			lines = append(lines, l)
+		}
+	}
+	return lines, errors.Wrap(scanner.Err(), "log")
+}
+
+// Step is one finding on the way from a request to its cause.
+type Step struct {
+	At   time.Time
+	Host string
+	Text string
+}
+
+// Story is why a request ended as it did.
+type Story struct {
+	Request string
+	Steps   []Step
+	Cause   string
+}
+
+// ErrUnknown is returned for a request without a line.
+var ErrUnknown = errors.New("no line of this request: it reached no router, its line was over the budget, or the logs are of another time")
+
+// Explain returns the story of a request. A request that its caller sent again
+// has another id, and a story of its own.
+func Explain(lines []Line, request string) (Story, error) {
+	slices.SortStableFunc(lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	at := slices.IndexFunc(lines, func(l Line) bool { return l.Message == "request" && l.Request == request })
+	if at < 0 {
+		return Story{}, ErrUnknown
+	}
+	l := lines[at]
+	s := Story{Request: request, Cause: cause(l)}
+	s.Steps = append(s.Steps, beliefs(lines[:at], l)...)
+	begun := l.Time.Add(-time.Duration(l.TookMS) * time.Millisecond)
+	s.Steps = append(s.Steps, Step{begun, l.Host, fmt.Sprintf("arrived; route %q of configuration %d", l.Route, l.Config)})
+	for _, f := range l.Failed {
+		s.Steps = append(s.Steps, Step{begun.Add(time.Duration(f.AfterMS) * time.Millisecond), l.Host, attempt(f)})
+	}
+	s.Steps = append(s.Steps, Step{l.Time, l.Host, ending(l)})
+	slices.SortStableFunc(s.Steps, func(a, b Step) int { return a.At.Compare(b.At) })
+	return s, nil
+}
+
+// beliefs returns the last lines before the request about what it used: its
+// configuration, its endpoints and the store.
+func beliefs(before []Line, l Line) []Step {
+	last := make(map[string]Line)
+	for _, b := range before {
+		if b.Host != l.Host {
+			continue
+		}
+		switch {
+		case b.Message == "request" && b.LeftOut != "" && slices.Contains(l.Endpoints, b.LeftOut):
+			last["left out "+b.LeftOut] = b
+		case b.Endpoint != "" && slices.Contains(l.Endpoints, b.Endpoint):
+			last["endpoint "+b.Endpoint] = b
+		case b.Message == "configuration in force" && b.Version == l.Config:
+			last["configuration"] = b
+		case b.Message == "lost the store" || b.Message == "reached the store again":
+			last["store "+b.Topic] = b
+		case b.Message == "zone changed":
+			last["zone "+b.Zone] = b
+		case b.Message == "leaving" || b.Message == "started":
+			last["process"] = b
+		}
+	}
+	var steps []Step
+	for _, b := range last {
+		steps = append(steps, Step{b.Time, b.Host, belief(b)})
+	}
+	slices.SortFunc(steps, func(a, b Step) int { return strings.Compare(a.Text, b.Text) })
+	return steps
+}
+
+func belief(b Line) string {
+	switch {
+	case b.Message == "request":
+		return fmt.Sprintf("endpoint %s left out for a while, after request %s", b.LeftOut, b.Request)
+	case b.Endpoint != "":
+		return b.Message + " " + b.Endpoint
+	case b.Version != 0:
+		return fmt.Sprintf("configuration %d in force", b.Version)
+	case b.Zone != "" && b.Message == "zone changed":
+		return fmt.Sprintf("zone %s out of service: %t", b.Zone, b.Out)
+	case b.Topic != "":
+		return b.Message + ": " + b.Topic
+	default:
+		return "process: " + b.Message
+	}
+}
+
+func attempt(f FailedAttempt) string {
+	text := fmt.Sprintf("endpoint %s: %s, run: %s", f.Endpoint, f.Failure, f.Run)
+	if f.Status != 0 {
+		text += fmt.Sprintf(", status %d", f.Status)
+	}
+	if f.Error != "" {
+		text += ", " + f.Error
+	}
+	return text
+}
+
+func ending(l Line) string {
+	text := fmt.Sprintf("ended: %s (code %d), status %d, after %d ms", l.Result, l.Code, l.Status, l.TookMS)
+	if l.FirstMS > 0 {
+		text += fmt.Sprintf(", first byte after %d ms of %d", l.FirstMS, l.Objective)
+	}
+	if l.Events > 0 {
+		text += fmt.Sprintf(", %d events", l.Events)
+	}
+	if l.RetryMS > 0 {
+		text += fmt.Sprintf(", told to come back after %d ms", l.RetryMS)
+	}
+	return text
+}
+
+// cause says in one sentence why the request ended as it did.
+func cause(l Line) string {
+	meaning := outcome.Code(l.Code).Info().Text
+	switch {
+	case len(l.Failed) == 0 && len(l.Endpoints) == 0 && l.Code != int(outcome.OK):
+		return "Refused before it was sent: " + meaning
+	case l.Code == int(outcome.CallerGone):
+		return "The caller left before its answer was complete."
+	case l.Events > 0 && l.Code != int(outcome.OK):
+		return fmt.Sprintf("The stream was cut after %d events: %s", l.Events, failures(l))
+	case l.Code != int(outcome.OK):
+		return "Failed after it was sent: " + failures(l)
+	case l.Objective > 0 && l.FirstMS > l.Objective:
+		return late(l)
+	}
+	return "Served in time."
+}
+
+func failures(l Line) string {
+	if len(l.Failed) == 0 {
+		return outcome.Code(l.Code).Info().Text
+	}
+	var parts []string
+	for _, f := range l.Failed {
+		parts = append(parts, attempt(f))
+	}
+	return strings.Join(parts, "; ") + "."
+}
+
+func late(l Line) string {
+	switch {
+	case len(l.Failed) > 0:
+		return "Late, as an attempt before failed: " + failures(l)
+	case l.Cold:
+		return "Late at an endpoint in a cold start."
+	default:
+		return fmt.Sprintf("Late at an endpoint that ran %d other requests when it was chosen.", l.Running)
+	}
+}
--- a/process/observe/requests.go
+++ b/process/observe/requests.go
@@ -132,6 +132,9 @@
 	kv := make([]any, 0, 48)
 	kv = append(kv, "request", rec.ID, "route", rec.Route, "config", rec.Version, "result", rec.Code.String(), "code", int(rec.Code),
 		"status", rec.Status, "took_ms", rec.Took.Milliseconds())
+	if rec.Objective > 0 {
+		kv = append(kv, "objective_ms", rec.Objective.Milliseconds())
+	}
 	if rec.First > 0 {
 		kv = append(kv, "first_ms", rec.First.Milliseconds())
 	}
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -167,14 +167,29 @@
 	r.follow(ctx)
 	r.group.Go(func() { r.keepHouse(ctx) })
 	r.group.Go(func() {
+		r.awaitReady(ctx)
 		if err := r.front.Serve(l); err != nil {
 			r.log.Error(err, "front listener ended")
 		}
 	})
-	r.log.Info("started", "host", r.s.Name, "zone", r.s.Zone, "front", r.s.Front, "boot", r.boot)
+	r.log.Info("started", "zone", r.s.Zone, "front", r.s.Front, "boot", r.boot)
 	return nil
 }
 
+const (
+	// startWait is how long callers that connect to a starting process wait for
+	// its first reads of the store, before they are refused.
+	startWait = 400 * time.Millisecond
+	startPoll = 2 * time.Millisecond
+)
+
+// awaitReady blocks until the router is ready, for startWait at most.
+func (r *Router) awaitReady(ctx context.Context) {
+	for last := time.Now().Add(startWait); !r.Ready() && ctx.Err() == nil && time.Now().Before(last); {
+		time.Sleep(startPoll)
+	}
+}
+
 const httpHeaderTimeout = 3 * time.Second
 
 func (r *Router) serveHTTP(what, addr string, h http.Handler) error {
@@ -234,7 +249,7 @@
 func (r *Router) heard(now time.Time) {
 	members := r.peers.Count(now)
 	r.peers.SetDeadAfter(peers.DeadAfter(members))
-	r.endpoints.SetPeers(r.s.Name, r.peers.Names(now), r.peers.Running(now))
+	r.endpoints.SetPeers(r.s.Name, r.peers.Names(now), r.peers.Running(now), peers.Interval(members))
 }
 
 // keepHouse drops what has become old.
--- a/process/run/platform.go
+++ b/process/run/platform.go
@@ -38,7 +38,7 @@
 	}
 	lines := logging.NewAsync(stdout)
 	defer lines.Close(logFlush)
-	log := logging.New(lines, a.Level)
+	log := logging.New(lines, a.Level).WithValues("host", s.Name)
 	calls := observe.NewCalls(expvar.Publish)
 	requests := observe.NewRequests(log, expvar.Publish)
 	expvar.Publish("log_lines_unread", expvar.Func(func() any { return lines.Dropped() }))
--- a/process/upstream/lease.go
+++ b/process/upstream/lease.go
@@ -219,13 +219,9 @@
 	return best.Addr
 }
 
-// toldFresh is how long the load that an endpoint tells goes before what the
-// other routers told, which is up to a beat old.
-const toldFresh = 300 * time.Millisecond
-
 // load returns the requests that an endpoint is known to have.
 func (e *endpoint) load(now time.Time) int {
-	if now.Sub(e.toldAt) < toldFresh {
+	if now.Sub(e.toldAt) < e.toldFor {
 		return e.running + e.told
 	}
 	return e.running + e.peers
@@ -236,7 +232,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if ep := t.byID[g.ID]; ep != nil && ep.Started == g.Started {
-		ep.told, ep.toldAt = max(0, requests-ep.running), now
+		ep.told, ep.toldAt, ep.toldFor = max(0, requests-ep.running), now, t.beats/2
 	}
 }
 
--- a/process/upstream/table.go
+++ b/process/upstream/table.go
@@ -52,6 +52,7 @@
 	peers     int       // requests of the other routers, by their beats
 	told      int       // requests of the other routers, by the endpoint's last answer
 	toldAt    time.Time
+	toldFor   time.Duration // how long that goes before the beats
 	coldSends []time.Time
 	health    health
 }
@@ -66,6 +67,7 @@
 	out      map[string]bool      // zones out of service
 	self     string               // name of this router
 	others   []string             // names of the other routers that may send
+	beats    time.Duration        // between the beats of a router
 	coldRate map[string]float64
 	holders  holders
 	draw     func() float64
@@ -181,11 +183,12 @@
 }
 
 // SetPeers sets the other routers that may send, by name, and the requests that
-// they run, by endpoint.
-func (t *Table) SetPeers(self string, others []string, running map[string]int) {
+// they run, by endpoint. beats is the pause between the beats of a router: the
+// load that an endpoint tells goes before theirs for half of that.
+func (t *Table) SetPeers(self string, others []string, running map[string]int, beats time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.self, t.others = self, others
+	t.self, t.others, t.beats = self, others, beats
 	for id, ep := range t.byID {
 		ep.peers = running[id]
 	}
--- a/request/placing/placing.go
+++ b/request/placing/placing.go
@@ -87,14 +87,24 @@
 	return sum / float64(len(list))
 }
 
-// draws is how many candidates compete for work that its holders have no room
-// for.
-const draws = 4
+const (
+	// draws is how many of many candidates compete for work that its holders have
+	// no room for.
+	draws = 4
+	// fewCandidates all compete: a few routers hear of one another soon enough.
+	fewCandidates = 16
+)
 
 func leastRunning(list []Candidate, draw func() float64) int {
-	best := -1
-	for range min(draws, len(list)) {
-		i := min(int(draw()*float64(len(list))), len(list)-1)
+	best, rounds := -1, len(list)
+	if len(list) > fewCandidates {
+		rounds = draws
+	}
+	for n := range rounds {
+		i := n
+		if rounds < len(list) {
+			i = min(int(draw()*float64(len(list))), len(list)-1)
+		}
 		if best < 0 || better(&list[i], &list[best]) {
 			best = i
 		}
