Tell callers of a dark service when to come back and read its new entries at once

Large writes of logs were torn apart by the collector.

Change: the retry time counts from when the service went dark and is spread over callers; entries are read every 0.1 s while a service is dark; log writes hold whole lines of up to 4 KiB.

--- a/operate/explain/explain.go
+++ b/operate/explain/explain.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -196,6 +197,8 @@
 	switch {
 	case len(l.Failed) == 0 && len(l.Endpoints) == 0 && l.Code != int(outcome.OK):
 		return "Refused before it was sent: " + meaning
+	case l.Status == http.StatusServiceUnavailable:
+		return "Refused, as no endpoint ran it: " + failures(l)
 	case l.Code == int(outcome.CallerGone):
 		return "The caller left before its answer was complete."
 	case l.Events > 0 && l.Code != int(outcome.OK):
--- a/process/feed/feed.go
+++ b/process/feed/feed.go
@@ -46,9 +46,9 @@
 	Wait time.Duration
 	// Timeout ends a read, beyond the time that it waits at the log.
 	Timeout time.Duration
-	// Pause is the least time between two reads, so that records which come one
-	// by one are read together.
-	Pause time.Duration
+	// Pause returns the least time between two reads, so that records which come
+	// one by one are read together. nil is none.
+	Pause func() time.Duration
 	// Sentinel makes the follower find out for all others of the process whether
 	// the log is in reach. Its Wait bounds how long a silent log goes unnoticed.
 	Sentinel bool
@@ -112,7 +112,9 @@
 		case err == nil:
 			pause = retryFirst
 			f.regained()
-			sleep(ctx, f.cfg.Pause)
+			if f.cfg.Pause != nil {
+				sleep(ctx, f.cfg.Pause())
+			}
 		case errors.Is(err, ErrExpired):
 			f.log.Info("records expired; reading the newest", "from", f.Next())
 			f.mu.Lock()
--- a/process/logging/async.go
+++ b/process/logging/async.go
@@ -1,6 +1,7 @@
 package logging
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -13,6 +14,9 @@
 	asyncBytes = 256 << 10
 	// asyncFlush is the pause between writes.
 	asyncFlush = 100 * time.Millisecond
+	// atomicBytes is what a pipe takes in one piece (PIPE_BUF): a reader of many
+	// processes never sees lines torn apart by others.
+	atomicBytes = 4096
 )
 
 // Async is a writer that never blocks: lines wait in a bounded buffer and are
@@ -78,10 +82,29 @@
 	a.mu.Lock()
 	buf, a.waiting = a.waiting, buf[:0]
 	a.mu.Unlock()
-	_, _ = a.out.Write(buf) // there is nowhere to report a broken log
+	for rest := buf; len(rest) > 0; {
+		n := pieceLength(rest)
+		_, _ = a.out.Write(rest[:n]) // there is nowhere to report a broken log
+		rest = rest[n:]
+	}
 	return buf[:0]
 }
 
+// pieceLength returns the length of the whole lines that fit into one atomic
+// write, or of the first line if that is longer.
+func pieceLength(lines []byte) int {
+	if len(lines) <= atomicBytes {
+		return len(lines)
+	}
+	if i := bytes.LastIndexByte(lines[:atomicBytes], '\n'); i >= 0 {
+		return i + 1
+	}
+	if i := bytes.IndexByte(lines, '\n'); i >= 0 {
+		return i + 1
+	}
+	return len(lines)
+}
+
 // Close writes what waits, for at most the given time. Nothing may be written
 // after it.
 func (a *Async) Close(timeout time.Duration) {
--- a/process/logging/async_test.go
+++ b/process/logging/async_test.go
@@ -71,3 +71,28 @@
 	c.Assert(time.Since(began) < 5*time.Second, qt.IsTrue)
 	close(out.wait)
 }
+
+// pieces keeps each write.
+type pieces struct{ list []string }
+
+func (p *pieces) Write(b []byte) (int, error) {
+	p.list = append(p.list, string(b))
+	return len(b), nil
+}
+
+// Writes hold whole lines, small enough for a pipe to take in one piece.
+func TestAsyncWritesWholeLines(t *testing.T) {
+	c := qt.New(t)
+	out := &pieces{}
+	a := NewAsync(out)
+	long := strings.Repeat("y", 2*atomicBytes) + "\n"
+	for n := range 500 {
+		_, _ = a.Write([]byte(strings.Repeat("x", n) + "\n"))
+	}
+	_, _ = a.Write([]byte(long))
+	a.Close(5 * time.Second)
+	for _, piece := range out.list {
+		c.Assert(strings.HasSuffix(piece, "\n"), qt.IsTrue)
+		c.Assert(len(piece) <= atomicBytes || piece == long, qt.IsTrue)
+	}
+}
--- a/process/router/follow.go
+++ b/process/router/follow.go
@@ -22,6 +22,8 @@
 	// endpointPause lets entries that change together be read together. It stays
 	// well under the time within which a leaving endpoint must get no new requests.
 	endpointPause = 900 * time.Millisecond
+	// darkPause replaces it while a service has no endpoint left: each entry counts.
+	darkPause = 100 * time.Millisecond
 	// storeTimeout ends a call to the store.
 	storeTimeout = time.Second
 	// registerPause is the pause between tries to write the own record.
@@ -42,7 +44,14 @@
 		r.followers[t] = feed.New(cfg, link, r.adapter.Topic(t), r.log, apply)
 	}
 	follower(Operators, feed.Config{Name: "operators", Wait: sentinelWait, Sentinel: true}, r.applyOperators)
-	follower(Endpoints, feed.Config{Name: "endpoints", Wait: watchWait, Pause: endpointPause}, r.applyEndpoints)
+	follower(Endpoints, feed.Config{Name: "endpoints", Wait: watchWait, Pause: r.endpointPause}, r.applyEndpoints)
+}
+
+func (r *Router) endpointPause() time.Duration {
+	if r.endpoints.Dark(time.Now()) {
+		return darkPause
+	}
+	return endpointPause
 }
 
 // follow starts to follow the topics of the store.
--- a/process/upstream/lease.go
+++ b/process/upstream/lease.go
@@ -12,8 +12,7 @@
 
 const (
 	coldWindow   = time.Second
-	retryNone    = 500 * time.Millisecond // registry entries and restarts take about this long to show
-	coldFraction = 0.85                   // of the bound that is shared out; the rest covers routers unknown yet
+	coldFraction = 0.85 // of the bound that is shared out; the rest covers routers unknown yet
 )
 
 // Acquire lends an endpoint. All marks are read under the lock in which the
@@ -72,12 +71,52 @@
 		if cold > 0 {
 			code = outcome.EndpointCold
 		}
-		return nil, &placing.Refusal{Code: code, After: retryNone}
+		return nil, &placing.Refusal{Code: code, After: t.retryAfter(now, w.Service, code)}
 	}
 	sort.Slice(sound, func(i, j int) bool { return sound[i].ID < sound[j].ID })
 	return sound, nil
 }
 
+// Dark reports whether some service was found without endpoints a moment ago
+// and has served nothing since.
+func (t *Table) Dark(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, since := range t.darkSince {
+		if now.Sub(since) < 2*restartTime {
+			return true
+		}
+	}
+	return false
+}
+
+const (
+	// restartTime is how long an endpoint that crashed usually takes to serve again.
+	restartTime = 2500 * time.Millisecond
+	// leastRetry is the shortest time after which a service without endpoints is
+	// worth asking again.
+	leastRetry = 600 * time.Millisecond
+	// retrySpread is the part of a retry time over which callers are spread, so
+	// that they do not come back together.
+	retrySpread = 0.4
+)
+
+// retryAfter returns when a caller should ask again for a service that has no
+// endpoint now: when a cold endpoint has room, or when those that went away are
+// likely to be back.
+func (t *Table) retryAfter(now time.Time, service string, code outcome.Code) time.Duration {
+	wait := coldWindow / 2
+	if code != outcome.EndpointCold {
+		since, ok := t.darkSince[service]
+		if !ok || now.Sub(since) > 2*restartTime {
+			since = now
+			t.darkSince[service] = now
+		}
+		wait = max(leastRetry, restartTime-now.Sub(since))
+	}
+	return time.Duration(float64(wait) * (1 + retrySpread*t.draw()))
+}
+
 // Alternatives returns how many sound endpoints a request could get.
 func (t *Table) Alternatives(now time.Time, w placing.Want) int {
 	t.mu.Lock()
@@ -250,6 +289,9 @@
 	if ep.Started != g.Started {
 		return false
 	}
+	if f == placing.NoFailure {
+		delete(t.darkSince, ep.Service)
+	}
 	was := now.Before(ep.health.outUntil)
 	ep.health.record(now, f, latency)
 	if f == placing.Erred || f == placing.Broken || f == placing.TimedOut {
--- a/process/upstream/table.go
+++ b/process/upstream/table.go
@@ -69,14 +69,16 @@
 	others   []string             // names of the other routers that may send
 	beats    time.Duration        // between the beats of a router
 	coldRate map[string]float64
-	holders  holders
-	draw     func() float64
+	// darkSince is when a service was first found without endpoints.
+	darkSince map[string]time.Time
+	holders   holders
+	draw      func() float64
 }
 
 // New returns an empty table. draw returns random numbers in [0,1).
 func New(cfg Config, draw func() float64) *Table {
 	return &Table{cfg: cfg, byID: make(map[string]*endpoint), gone: make(map[string]*endpoint), out: make(map[string]bool),
-		coldRate: make(map[string]float64), holders: newHolders(), draw: draw}
+		coldRate: make(map[string]float64), darkSince: make(map[string]time.Time), holders: newHolders(), draw: draw}
 }
 
 // Apply folds records of the registry in their order. gap says that the
--- a/process/upstream/table_test.go
+++ b/process/upstream/table_test.go
@@ -282,3 +282,25 @@
 	h, _ = table.Acquire(later, want)
 	c.Assert(h.Held, qt.IsTrue)
 }
+
+// Callers of a service whose endpoints are all gone are told to come back when
+// these are likely to be there, each at another time.
+func TestRetryAfterOfADarkService(t *testing.T) {
+	c := qt.New(t)
+	table := newTable(0)
+	times := make(map[time.Duration]bool)
+	for range 20 {
+		_, refusal := acquire(table, t0)
+		c.Assert(refusal.After >= restartTime && refusal.After <= restartTime*7/5, qt.IsTrue)
+		times[refusal.After] = true
+	}
+	c.Assert(len(times) > 15, qt.IsTrue)
+	_, refusal := acquire(table, t0.Add(2*time.Second))
+	c.Assert(refusal.After >= leastRetry && refusal.After < time.Second, qt.IsTrue)
+	table.Apply(t0, []Change{put(0, nil)}, false)
+	g, _ := acquire(table, t0.Add(2*time.Second))
+	table.Release(t0.Add(2*time.Second), g, placing.NoFailure, time.Millisecond)
+	table.Apply(t0, []Change{{ID: "e0"}}, false)
+	_, refusal = acquire(table, t0.Add(3*time.Second))
+	c.Assert(refusal.After >= restartTime, qt.IsTrue)
+}
