Compress what does not fit into a packet, so that records reach all routers

The configuration of 119 routes is larger than a datagram may be, so it was never relayed; each router read it itself, half a second late.

--- a/connection/forward/stream.go
+++ b/connection/forward/stream.go
@@ -15,6 +15,9 @@
 // final answer. A resumable stream that breaks is left open: the next attempt
 // goes on after the last event that the caller got.
 func (j *job) stream(a *attempt) bool {
+	if j.rec.Begun {
+		j.rec.Resumed++
+	}
 	err := j.copyEvents(a)
 	if err == io.EOF {
 		j.release(a)
--- a/process/observe/observe_test.go
+++ b/process/observe/observe_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"expvar"
 	"fmt"
+	"os"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -53,6 +55,26 @@
 	c.Assert(strings.Contains(out.String(), `"log lines left out","reason":"budget of a second","lines":540`), qt.IsTrue)
 }
 
+// docs/METRICS.md names the metrics that there are, and no others.
+func TestMetricsDocument(t *testing.T) {
+	c := qt.New(t)
+	page, err := os.ReadFile("../../docs/METRICS.md")
+	c.Assert(err, qt.IsNil)
+	_, section, found := strings.Cut(string(page), "## On the users' platform")
+	c.Assert(found, qt.IsTrue)
+	documented := make(map[string]bool)
+	for _, row := range regexp.MustCompile("(?m)^\\| (`.*?) \\|").FindAllStringSubmatch(section, -1) {
+		for _, name := range strings.Split(row[1], ", ") {
+			documented[strings.Trim(name, "`")] = true
+		}
+	}
+	there := map[string]bool{"log_lines_unread": true} // published by the command
+	publish := func(name string, _ expvar.Var) { there[name] = true }
+	NewRequests(logging.New(&bytes.Buffer{}, "info"), publish)
+	NewCalls(publish)
+	c.Assert(documented, qt.DeepEquals, there)
+}
+
 func BenchmarkRequestLine(b *testing.B) {
 	r := NewRequests(logging.New(&bytes.Buffer{}, "info"), func(string, expvar.Var) {})
 	b.Run("with", func(b *testing.B) {
--- a/process/observe/requests.go
+++ b/process/observe/requests.go
@@ -158,6 +158,9 @@
 	if rec.Events > 0 {
 		kv = append(kv, "events", rec.Events)
 	}
+	if rec.Resumed > 0 {
+		kv = append(kv, "resumed", rec.Resumed)
+	}
 	if rec.LeftOut != "" {
 		kv = append(kv, "left_out", rec.LeftOut)
 	}
--- a/process/peers/exchange.go
+++ b/process/peers/exchange.go
@@ -92,7 +92,7 @@
 		e.Log.Error(err, "datagram not encoded")
 		return
 	}
-	if len(data) > datagramBytes {
+	if data = pack(data); len(data) > datagramBytes {
 		return
 	}
 	for _, addr := range e.Table.Addresses() {
@@ -122,7 +122,11 @@
 // receiveOne takes one datagram. What cannot be read is left out.
 func (e *Exchange) receiveOne(now time.Time, data []byte, from string) {
 	var m message
-	if err := json.Unmarshal(data, &m); err != nil {
+	data, err := unpack(data)
+	if err == nil {
+		err = json.Unmarshal(data, &m)
+	}
+	if err != nil {
 		e.Log.V(1).Info("datagram left out", "from", from, "error", err.Error())
 		return
 	}
--- a/process/peers/peers_test.go
+++ b/process/peers/peers_test.go
@@ -1,7 +1,9 @@
 package peers
 
 import (
+	"bytes"
 	"context"
+	"math/rand/v2"
 	"net"
 	"testing"
 	"time"
@@ -106,7 +108,16 @@
 	b.Relay(Relay{Topic: 1, Batch: feed.Batch{From: 3, Next: 4, Records: []feed.Record{{Key: "k", Value: []byte("v"), Offset: 3}}}})
 	got := <-a.relayed
 	c.Assert(got.Batch.Records[0].Key, qt.Equals, "k")
-	b.Relay(Relay{Batch: feed.Batch{Records: []feed.Record{{Value: make([]byte, 2*datagramBytes)}}}}) // does not fit
+	noiseBytes := make([]byte, 2*datagramBytes)
+	random := rand.New(rand.NewPCG(1, 2))
+	for i := range noiseBytes {
+		noiseBytes[i] = byte(random.Uint32())
+	}
+	b.Relay(Relay{Batch: feed.Batch{Records: []feed.Record{{Value: noiseBytes}}}}) // does not fit
+	large := bytes.Repeat([]byte(`{"name":"route","host":"h"},`), 4*datagramBytes/28)
+	b.Relay(Relay{Topic: 1, Batch: feed.Batch{Records: []feed.Record{{Key: "config", Value: large}}}}) // fits when packed
+	got = <-a.relayed
+	c.Assert(got.Batch.Records[0].Value, qt.DeepEquals, large)
 	b.Relay(Relay{Topic: 2})
 	got = <-a.relayed
 	c.Assert(got.Topic, qt.Equals, 2)
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -48,6 +48,12 @@
 // loadBound is how far an engine's running requests may lie above the mean.
 var loadBound = placing.Bound{Factor: 1.7, Extra: 2.2}
 
+// staleBound replaces it in a fleet whose beats are further apart than
+// staleBeats, that is of more than 30 routers.
+var staleBound = placing.Bound{Factor: 1.45, Extra: 1.5}
+
+const staleBeats = 500 * time.Millisecond
+
 // Router is the process of an entry host.
 type Router struct {
 	s       Settings
@@ -87,7 +93,7 @@
 	}
 	r := &Router{s: s, log: log, adapter: adapter, boot: time.Now().UnixNano(), zones: make(map[string]bool)}
 	r.endpoints = upstream.New(upstream.Config{Zone: s.Zone, RemovalGrace: removalGrace, Bound: loadBound,
-		CapFactor: capShare * s.LoadCap, CapExtra: capExtra, ColdOver: s.ColdOver, ColdSlack: s.ColdSlack}, rand.Float64)
+		StaleBound: staleBound, StaleBeats: staleBeats, CapFactor: capShare * s.LoadCap, CapExtra: capExtra, ColdOver: s.ColdOver, ColdSlack: s.ColdSlack}, rand.Float64)
 	r.peers = peers.New(s.Name, peers.DeadAfter(1))
 	r.pool = h1.NewPool(unsentToEndpoint)
 	repeats := retry.NewWindow(retry.WindowConfig{Span: s.RetryWindow, Ratio: s.RetryRatio, Slack: s.RetrySlack})
--- a/process/router/settings.go
+++ b/process/router/settings.go
@@ -11,9 +11,10 @@
 // Settings are what a process learns before it starts. They do not change
 // while it runs.
 type Settings struct {
-	Name   string // of the host
-	Zone   string // availability zone
-	Region string
+	Name    string // of the host
+	Address string // of the host, without a port
+	Zone    string // availability zone
+	Region  string
 
 	Front     string // callers
 	Ready     string // readiness checks
--- a/process/run/platform.go
+++ b/process/run/platform.go
@@ -4,8 +4,10 @@
 	"expvar"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -20,6 +22,7 @@
 type platformArguments struct {
 	Settings string `short:"s" help:"Settings file of the platform, in TOML." default:"/etc/stoatmount/boot.toml" env:"STOATMOUNT_SETTINGS" placeholder:"FILE"`
 	Check    bool   `help:"Check the settings and end."`
+	Metrics  uint16 `name:"metrics-port" help:"Port of the metrics at /debug/vars; 0 serves none." default:"0" placeholder:"PORT"`
 	Level    string `help:"Log level: error, info or debug." default:"info" env:"STOATMOUNT_LOG_LEVEL" placeholder:"LEVEL"`
 }
 
@@ -36,6 +39,9 @@
 		_, _ = fmt.Fprintf(stdout, "%s is valid\n", a.Settings)
 		return exitDone
 	}
+	if a.Metrics != 0 {
+		s.Metrics = net.JoinHostPort(s.Address, strconv.Itoa(int(a.Metrics)))
+	}
 	lines := logging.NewAsync(stdout)
 	defer lines.Close(logFlush)
 	log := logging.New(lines, a.Level).WithValues("host", s.Name)
--- a/process/upstream/lease.go
+++ b/process/upstream/lease.go
@@ -210,7 +210,8 @@
 	for i := range list {
 		_, list[i].Holds = holders[list[i].ID]
 	}
-	chosen := placing.Affinity(w.Key, list, t.cfg.Bound, t.most(now, w.Service), t.draw)
+	bound, most := t.bounds(now, w.Service)
+	chosen := placing.Affinity(w.Key, list, bound, most, t.draw)
 	ep := eps[chosen]
 	fetch := ""
 	if !list[chosen].Holds {
@@ -220,9 +221,15 @@
 	return chosen, fetch
 }
 
-// most returns the most requests that one endpoint of a service may run. The
-// mean includes endpoints that get no requests.
-func (t *Table) most(now time.Time, service string) float64 {
+// bounds returns the bound of an endpoint's requests relative to the usable
+// ones, and the most requests that one may run. The latter is relative to all
+// endpoints of the service, as those without requests count in the mean too.
+func (t *Table) bounds(now time.Time, service string) (placing.Bound, float64) {
+	bound := t.cfg.Bound
+	limit := placing.Bound{Factor: t.cfg.CapFactor, Extra: t.cfg.CapExtra}
+	if t.cfg.StaleBeats > 0 && t.beats > t.cfg.StaleBeats {
+		bound, limit = t.cfg.StaleBound, t.cfg.StaleBound
+	}
 	sum, n := 0, 0
 	for _, ep := range t.byID {
 		if ep.Service == service {
@@ -230,10 +237,10 @@
 			n++
 		}
 	}
-	if n == 0 || t.cfg.CapFactor <= 0 {
-		return 0
+	if n == 0 || limit.Factor <= 0 {
+		return bound, 0
 	}
-	return t.cfg.CapFactor*float64(sum)/float64(n) + t.cfg.CapExtra
+	return bound, limit.Factor*float64(sum)/float64(n) + limit.Extra
 }
 
 // source returns the address of the least loaded endpoint that holds the key
--- a/process/upstream/table.go
+++ b/process/upstream/table.go
@@ -32,10 +32,14 @@
 	// the registry was away.
 	RemovalGrace time.Duration
 	Bound        placing.Bound // of the running requests of an engine
-	CapFactor    float64       // times the mean of all endpoints that one may run; 0 does not bound
-	CapExtra     float64       // requests on top
-	ColdOver     float64       // times its rate that a cold endpoint bears in one second
-	ColdSlack    float64       // requests on top of that
+	// StaleBound replaces Bound and CapFactor and CapExtra where beats come less
+	// often than StaleBeats: routers then choose by old counts and overshoot.
+	StaleBound placing.Bound
+	StaleBeats time.Duration
+	CapFactor  float64 // times the mean of all endpoints that one may run; 0 does not bound
+	CapExtra   float64 // requests on top
+	ColdOver   float64 // times its rate that a cold endpoint bears in one second
+	ColdSlack  float64 // requests on top of that
 }
 
 // leftServes is how long an endpoint still hands out cache entries after its
