Tell loads more often and draw among endpoints where counts are old

From the logs: routers estimated 2.5 requests at endpoints that had 14. Beats of 59 routers were a second old, longer than most requests last, and all routers sent to the same least loaded holders until the next beat.

Change: up to 150 beats a second and router (0.4 s apart at 59); counts are smoothed over that time; where they are still old, holders are drawn at random within a tighter bound, and overflow goes to the better of two. What an endpoint tells itself only adds to the beats, as it leaves out requests being read in.

--- a/process/peers/exchange.go
+++ b/process/peers/exchange.go
@@ -17,7 +17,7 @@
 	leastInterval = 250 * time.Millisecond
 	// beatsEach bounds the beats that a router sends a second, by longer pauses
 	// in a large fleet.
-	beatsEach = 60
+	beatsEach = 150
 	// beatsLost is how many beats in a row a live router may lose.
 	beatsLost = 3
 	// farewells is how often a router says that it leaves, as datagrams get lost.
--- a/process/peers/peers_test.go
+++ b/process/peers/peers_test.go
@@ -17,7 +17,7 @@
 var t0 = time.Unix(1_700_000_000, 0)
 
 func beat(name string, boot, number int64) Beat {
-	return Beat{Name: name, Boot: boot, Number: number, Front: name + ":1", Ready: true, Store: true, Running: map[string]int{"e": 2}}
+	return Beat{Name: name, Boot: boot, Number: number, Front: name + ":1", Ready: true, Store: true, Running: map[string]float64{"e": 2}}
 }
 
 func TestTable(t *testing.T) {
@@ -34,7 +34,7 @@
 	old.Ready = false
 	table.Hear(t0, old, "9.9.9.9:9") // of an earlier process
 	c.Assert(table.Ready(t0), qt.HasLen, 1)
-	c.Assert(table.Running(t0), qt.DeepEquals, map[string]int{"e": 2})
+	c.Assert(table.Running(t0), qt.DeepEquals, map[string]float64{"e": 2})
 	c.Assert(table.Before(t0), qt.Equals, 1)
 
 	later := t0.Add(2 * time.Second)
--- a/process/peers/table.go
+++ b/process/peers/table.go
@@ -10,17 +10,17 @@
 
 // Beat is what a router tells the others of itself.
 type Beat struct {
-	Name    string         `json:"name"`
-	Boot    int64          `json:"boot"` // start of the process, Unix time in ns
-	Number  int64          `json:"n"`    // rises with each beat of a process
-	Front   string         `json:"front"`
-	Zone    string         `json:"zone"`
-	Ready   bool           `json:"ready"`
-	Running map[string]int `json:"running,omitempty"` // requests by endpoint
-	Placed  []Placed       `json:"placed,omitempty"`  // since the beats before
-	Leaving bool           `json:"leaving,omitempty"` // the process is about to end
-	Store   bool           `json:"store"`             // it reaches the platform's store
-	Offsets []int64        `json:"offsets,omitempty"` // up to which it has the records of each topic
+	Name    string             `json:"name"`
+	Boot    int64              `json:"boot"` // start of the process, Unix time in ns
+	Number  int64              `json:"n"`    // rises with each beat of a process
+	Front   string             `json:"front"`
+	Zone    string             `json:"zone"`
+	Ready   bool               `json:"ready"`
+	Running map[string]float64 `json:"running,omitempty"` // requests by endpoint, smoothed
+	Placed  []Placed           `json:"placed,omitempty"`  // since the beats before
+	Leaving bool               `json:"leaving,omitempty"` // the process is about to end
+	Store   bool               `json:"store"`             // it reaches the platform's store
+	Offsets []int64            `json:"offsets,omitempty"` // up to which it has the records of each topic
 }
 
 // Relay carries records that one router read for all.
@@ -201,10 +201,10 @@
 
 // Running adds up the requests that the other routers run, by endpoint. The
 // word of a router that went silent does not count.
-func (t *Table) Running(now time.Time) map[string]int {
+func (t *Table) Running(now time.Time) map[string]float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	sum := make(map[string]int)
+	sum := make(map[string]float64)
 	for _, p := range t.peers {
 		if now.Sub(p.heardAt) >= t.deadAfter {
 			continue
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -49,10 +49,10 @@
 var loadBound = placing.Bound{Factor: 1.7, Extra: 2.2}
 
 // staleBound replaces it in a fleet whose beats are further apart than
-// staleBeats, that is of more than 30 routers.
-var staleBound = placing.Bound{Factor: 1.45, Extra: 1.5}
+// staleBeats, that is of more than 45 routers.
+var staleBound = placing.Bound{Factor: 1.4, Extra: 1, Old: true}
 
-const staleBeats = 500 * time.Millisecond
+const staleBeats = 300 * time.Millisecond
 
 // Router is the process of an entry host.
 type Router struct {
@@ -228,7 +228,7 @@
 }
 
 func (r *Router) beat() peers.Beat {
-	b := peers.Beat{Name: r.s.Name, Boot: r.boot, Front: r.s.Front, Zone: r.s.Zone, Ready: r.Ready(), Running: r.endpoints.Running(),
+	b := peers.Beat{Name: r.s.Name, Boot: r.boot, Front: r.s.Front, Zone: r.s.Zone, Ready: r.Ready(), Running: r.endpoints.Running(time.Now()),
 		Leaving: r.leaving.Load(), Store: true}
 	for _, f := range r.followers {
 		b.Store = b.Store && f.Reached()
--- a/process/upstream/lease.go
+++ b/process/upstream/lease.go
@@ -37,7 +37,8 @@
 	if cold {
 		ep.coldSends = append(ep.coldSends, now)
 	}
-	running := ep.load(now)
+	running := int(ep.load(now))
+	ep.settle(now, t.beats)
 	ep.running++
 	return &placing.Grant{ID: ep.ID, Started: ep.Started, Addr: ep.Addr, Zone: ep.Zone, Service: ep.Service,
 		FetchFrom: fetch, Held: list[chosen].Holds, Holders: holders, Running: running, Cold: cold, Age: now.Sub(ep.readAt)}, nil
@@ -144,7 +145,7 @@
 	median := medianLatency(eps)
 	list := make([]placing.Candidate, len(eps))
 	for i, ep := range eps {
-		list[i] = placing.Candidate{ID: ep.ID, Running: float64(ep.load(now)), Slots: ep.Slots,
+		list[i] = placing.Candidate{ID: ep.ID, Running: ep.load(now), Slots: ep.Slots,
 			Latency: ep.health.latency, Local: ep.Zone == t.cfg.Zone,
 			Slow: ep.health.slow(now, median), Cold: t.coldNow(now, ep)}
 	}
@@ -230,7 +231,7 @@
 	if t.cfg.StaleBeats > 0 && t.beats > t.cfg.StaleBeats {
 		bound, limit = t.cfg.StaleBound, t.cfg.StaleBound
 	}
-	sum, n := 0, 0
+	sum, n := 0.0, 0
 	for _, ep := range t.byID {
 		if ep.Service == service {
 			sum += ep.load(now)
@@ -240,7 +241,7 @@
 	if n == 0 || limit.Factor <= 0 {
 		return bound, 0
 	}
-	return bound, limit.Factor*float64(sum)/float64(n) + limit.Extra
+	return bound, limit.Factor*sum/float64(n) + limit.Extra
 }
 
 // source returns the address of the least loaded endpoint that holds the key
@@ -265,12 +266,14 @@
 	return best.Addr
 }
 
-// load returns the requests that an endpoint is known to have.
-func (e *endpoint) load(now time.Time) int {
+// load returns the requests that an endpoint is known to have. What it tells
+// itself leaves out requests that are still being read in.
+func (e *endpoint) load(now time.Time) float64 {
+	others := e.peers
 	if now.Sub(e.toldAt) < e.toldFor {
-		return e.running + e.told
+		others = max(others, float64(e.told))
 	}
-	return e.running + e.peers
+	return float64(e.running) + others
 }
 
 // Loaded notes how many requests an endpoint said that it runs and queues.
@@ -292,6 +295,7 @@
 	if ep == nil {
 		return false
 	}
+	ep.settle(now, t.beats)
 	ep.running = max(0, ep.running-1)
 	if ep.Started != g.Started {
 		return false
--- a/process/upstream/table.go
+++ b/process/upstream/table.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -53,10 +54,12 @@
 	coldUntil time.Time
 	removeAt  time.Time // zero: in the registry
 	running   int       // own requests
-	peers     int       // requests of the other routers, by their beats
-	told      int       // requests of the other routers, by the endpoint's last answer
+	peers     float64   // requests of the other routers, by their beats
+	smooth    float64   // own requests, smoothed over a beat
+	smoothAt  time.Time
+	told      int // requests of the other routers, by the endpoint's last answer
 	toldAt    time.Time
-	toldFor   time.Duration // how long that goes before the beats
+	toldFor   time.Duration // how long that counts beside the beats
 	coldSends []time.Time
 	health    health
 }
@@ -190,8 +193,8 @@
 
 // SetPeers sets the other routers that may send, by name, and the requests that
 // they run, by endpoint. beats is the pause between the beats of a router: the
-// load that an endpoint tells goes before theirs for half of that.
-func (t *Table) SetPeers(self string, others []string, running map[string]int, beats time.Duration) {
+// load that an endpoint tells counts beside theirs for half of that.
+func (t *Table) SetPeers(self string, others []string, running map[string]float64, beats time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.self, t.others, t.beats = self, others, beats
@@ -200,19 +203,40 @@
 	}
 }
 
-// Running returns this router's requests by endpoint, without the idle ones.
-func (t *Table) Running() map[string]int {
+// Running returns this router's requests by endpoint, smoothed over the pause
+// between beats: where that is longer than most requests, the number at one
+// moment says little of the next.
+func (t *Table) Running(now time.Time) map[string]float64 {
+	const (
+		least = 0.05 // below it an endpoint counts as idle
+		step  = 0.1
+	)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	counts := make(map[string]int)
+	counts := make(map[string]float64)
 	for id, ep := range t.byID {
-		if ep.running > 0 {
-			counts[id] = ep.running
+		ep.settle(now, t.beats)
+		if ep.smooth > least {
+			counts[id] = math.Round(ep.smooth/step) * step
 		}
 	}
 	return counts
 }
 
+// settle brings the smoothed count up to now. It is called before the count
+// changes.
+func (e *endpoint) settle(now time.Time, over time.Duration) {
+	passed := now.Sub(e.smoothAt)
+	e.smoothAt = now
+	if over <= 0 || passed >= 8*over {
+		e.smooth = float64(e.running)
+		return
+	}
+	if passed > 0 {
+		e.smooth += (float64(e.running) - e.smooth) * -math.Expm1(-float64(passed)/float64(over))
+	}
+}
+
 // Count returns the number of endpoints in the table.
 func (t *Table) Count() int {
 	t.mu.Lock()
--- a/process/upstream/table_test.go
+++ b/process/upstream/table_test.go
@@ -257,15 +257,14 @@
 	g, _ := table.Acquire(t0, want)
 	i := int(g.ID[1] - '0')
 	table.Apply(t0, []Change{put(i, func(e *Entry) { e.Started = 2 })}, false)
-	c.Assert(table.Running(), qt.DeepEquals, map[string]int{g.ID: 1})
+	c.Assert(table.Running(t0.Add(time.Minute)), qt.DeepEquals, map[string]float64{g.ID: 1})
 	c.Assert(table.Release(t0, g, placing.NotReached, 0), qt.IsFalse)
-	c.Assert(table.Running(), qt.HasLen, 0)
+	c.Assert(table.Running(t0.Add(2*time.Minute)), qt.HasLen, 0)
 	h, _ := table.Acquire(t0, want)
 	c.Assert(h.Held, qt.IsFalse)
 }
 
-// The load that an endpoint tells goes before beats for a moment, and bounds
-// it together with endpoints that get no requests.
+// The load that an endpoint tells counts beside the beats for a moment.
 func TestLoadBound(t *testing.T) {
 	c := qt.New(t)
 	table := newTable(3)
@@ -277,7 +276,7 @@
 	c.Assert(h.FetchFrom, qt.Equals, g.Addr)
 	table.Release(t0, h, placing.NoFailure, time.Millisecond)
 	later := t0.Add(time.Second)
-	busy := map[string]int{"e0": 3, "e1": 3, "e2": 3}
+	busy := map[string]float64{"e0": 3, "e1": 3, "e2": 3}
 	table.SetPeers("self", nil, busy, time.Second)
 	h, _ = table.Acquire(later, want)
 	c.Assert(h.Held, qt.IsTrue)
@@ -304,3 +303,24 @@
 	_, refusal = acquire(table, t0.Add(3*time.Second))
 	c.Assert(refusal.After >= restartTime, qt.IsTrue)
 }
+
+// A router tells the others its requests smoothed over a beat: a burst that is
+// over does not look like load, nor a pause like an idle endpoint.
+func TestSmoothedCounts(t *testing.T) {
+	c := qt.New(t)
+	table := newTable(1)
+	now := t0
+	table.Running(now)
+	for range 200 { // half of the time two requests run
+		for range 2 {
+			_, _ = acquire(table, now)
+		}
+		now = now.Add(50 * time.Millisecond)
+		for range 2 {
+			table.Release(now, &placing.Grant{ID: "e0", Started: 1}, placing.NoFailure, time.Millisecond)
+		}
+		now = now.Add(50 * time.Millisecond)
+	}
+	told := table.Running(now)["e0"]
+	c.Assert(told > 0.7 && told < 1.3, qt.IsTrue, qt.Commentf("%v", told))
+}
--- a/request/placing/placing.go
+++ b/request/placing/placing.go
@@ -22,6 +22,10 @@
 type Bound struct {
 	Factor float64 // times the mean of the candidates
 	Extra  float64 // requests on top
+	// Old says that the counts are older than most requests last. Routers that all
+	// chose the least loaded endpoint would then overload it together; each draws
+	// among those within the bound instead.
+	Old bool
 }
 
 // limit returns the most requests that an endpoint may run. most bounds it
@@ -47,12 +51,11 @@
 
 // Affinity returns the index of the candidate for a key: the least loaded of
 // those that hold the key and are within the bound; without a holder the first
-// by rendezvous hashing within the bound; otherwise the least loaded of a few
-// that are drawn, so that routers with the same old counts do not all choose
-// the same one. It returns -1 without candidates. draw returns numbers in [0,1).
+// by rendezvous hashing within the bound; otherwise the least loaded. It returns
+// -1 without candidates. draw returns numbers in [0,1).
 func Affinity(key uint64, list []Candidate, bound Bound, most float64, draw func() float64) int {
 	limit := bound.limit(list, most)
-	held, holder, ranked := false, -1, -1
+	held, holder, ranked, holders := false, -1, -1, 0
 	var best uint64
 	for i := range list {
 		c := &list[i]
@@ -60,8 +63,11 @@
 		if c.Slow || c.Running+1 > limit || c.Slots > 0 && c.Running >= float64(c.Slots) {
 			continue
 		}
-		if c.Holds && (holder < 0 || c.Running < list[holder].Running) {
-			holder = i
+		if c.Holds {
+			holders++
+			if holder < 0 || bound.prefers(c, &list[holder], holders, draw) {
+				holder = i
+			}
 		}
 		if rank := Rank(key, c.ID); ranked < 0 || rank > best {
 			ranked, best = i, rank
@@ -73,7 +79,15 @@
 	case !held && ranked >= 0:
 		return ranked
 	}
-	return leastRunning(list, draw)
+	return leastRunning(list, bound.Old, draw)
+}
+
+// prefers reports whether c, the nth of its kind, goes before the chosen one.
+func (b Bound) prefers(c, chosen *Candidate, nth int, draw func() float64) bool {
+	if b.Old {
+		return draw()*float64(nth) < 1 // each is as likely
+	}
+	return c.Running < chosen.Running
 }
 
 func mean(list []Candidate) float64 {
@@ -87,22 +101,18 @@
 	return sum / float64(len(list))
 }
 
-const (
-	// draws is how many of many candidates compete for work that its holders have
-	// no room for.
-	draws = 4
-	// fewCandidates all compete: a few routers hear of one another soon enough.
-	fewCandidates = 16
-)
+// draws is how many candidates compete for work that its holders have no room
+// for, where the counts are old.
+const draws = 2
 
-func leastRunning(list []Candidate, draw func() float64) int {
+func leastRunning(list []Candidate, old bool, draw func() float64) int {
 	best, rounds := -1, len(list)
-	if len(list) > fewCandidates {
-		rounds = draws
+	if old {
+		rounds = min(draws, len(list))
 	}
 	for n := range rounds {
 		i := n
-		if rounds < len(list) {
+		if old {
 			i = min(int(draw()*float64(len(list))), len(list)-1)
 		}
 		if best < 0 || better(&list[i], &list[best]) {
--- a/request/placing/placing_test.go
+++ b/request/placing/placing_test.go
@@ -150,3 +150,32 @@
 	}
 	return out
 }
+
+// The load that old counts answer for: many routers that choose by the same
+// counts of a second ago. Choosing the least loaded overloads it together.
+func TestOldCountsDoNotHerd(t *testing.T) {
+	c := qt.New(t)
+	busiest := func(bound Bound) float64 {
+		seed := uint64(7)
+		draw := func() float64 {
+			seed = seed*6364136223846793005 + 1442695040888963407
+			return float64(seed>>33) / (1 << 31)
+		}
+		list, now := candidates(make([]float64, 100)...), make([]float64, 100)
+		for i := range list {
+			list[i].Holds, list[i].Running = i < 40, draw()
+		}
+		for range 300 { // requests that arrive before the counts are told again
+			now[Affinity(3, list, bound, 0, draw)]++
+		}
+		most := 0.0
+		for _, n := range now {
+			most = max(most, n)
+		}
+		return most
+	}
+	fresh, old := busiest(Bound{Factor: 2, Extra: 2}), busiest(Bound{Factor: 2, Extra: 2, Old: true})
+	t.Logf("busiest of 100 after 300 requests: least loaded %v, drawn %v", fresh, old)
+	c.Assert(old < 20, qt.IsTrue)
+	c.Assert(fresh > 100, qt.IsTrue)
+}
