Take the soak's ports from where the kernel gives none away

The soak chose ports that the kernel also gives to outgoing connections, and one took the port while its router restarted.

Change: ports under the kernel's range, apart for soaks side by side.

Conclusion: a fault of the soak, not of the program.

--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -53,13 +54,28 @@
 	version   int64
 }
 
+// Ports of routers lie under those that the kernel gives to outgoing
+// connections, one of which could else take a port while its router restarts.
+const (
+	firstPort = 12_000
+	lastPort  = 31_000
+)
+
+var nextPort atomic.Int64
+
 func port(t *testing.T) int {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	nextPort.CompareAndSwap(0, int64(firstPort+os.Getpid()%180*100)) // soaks side by side begin apart
+	for range lastPort - firstPort {
+		n := firstPort + int(nextPort.Add(1)-firstPort)%(lastPort-firstPort)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", n))
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		return n
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).Port
+	t.Fatal("no free port")
+	return 0
 }
 
 func newWorld(t *testing.T, binary string, seed uint64, routers int) *world {
