Remove what nothing uses any more and name files by what they do

Cause: a last read: a file named after a type that is gone, fields and methods without users.

No behaviour changes.

Measured: tests of the packages pass.

--- a/connection/front/exchange.go
+++ b/connection/front/exchange.go
@@ -21,9 +21,6 @@
 	buf      []byte
 }
 
-// Peer returns the caller's address.
-func (x *Exchange) Peer() string { return x.conn.nc.RemoteAddr().String() }
-
 // Answer writes a whole answer.
 func (x *Exchange) Answer(status int, fields []h1.Field, body []byte) error {
 	x.head(status, "", fields)
--- a/process/peers/table.go
+++ b/process/peers/table.go
@@ -93,13 +93,6 @@
 	p.addr, p.known = r.Addr, now
 }
 
-// Remove drops a router that said that it leaves for good.
-func (t *Table) Remove(name string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	delete(t.peers, name)
-}
-
 func (t *Table) get(name string) *peer {
 	p := t.peers[name]
 	if p == nil {
--- a/process/upstream/lease.go
+++ b/process/upstream/choose.go
@@ -15,7 +15,7 @@
 	coldFraction = 0.85 // of the bound that is shared out; the rest covers routers unknown yet
 )
 
-// Acquire lends an endpoint. All marks are read under the lock in which the
+// Acquire chooses an endpoint and counts the request there. All marks are read under the lock in which the
 // request is counted, so that nothing leaves for an endpoint that is out.
 func (t *Table) Acquire(now time.Time, w placing.Want) (*placing.Grant, *placing.Refusal) {
 	t.mu.Lock()
@@ -48,12 +48,11 @@
 // their ids.
 func (t *Table) usable(now time.Time, w placing.Want) ([]*endpoint, *placing.Refusal) {
 	var sound, ailing []*endpoint
-	known, cold := 0, 0
+	cold := 0
 	for _, ep := range t.byID {
 		if ep.Service != w.Service || ep.Leaving || t.out[ep.Zone] {
 			continue
 		}
-		known++
 		switch {
 		case contains(w.Exclude, ep.ID):
 		case t.coldNow(now, ep) && !t.coldRoom(now, ep):
@@ -147,7 +146,7 @@
 	for i, ep := range eps {
 		list[i] = placing.Candidate{ID: ep.ID, Running: ep.load(now), Slots: ep.Slots,
 			Latency: ep.health.latency, Local: ep.Zone == t.cfg.Zone,
-			Slow: ep.health.slow(now, median), Cold: t.coldNow(now, ep)}
+			Slow: ep.health.slow(now, median)}
 	}
 	return list
 }
--- a/process/upstream/doc.go
+++ b/process/upstream/doc.go
@@ -1,7 +1,7 @@
 // Package upstream keeps the endpoints of all services: what the registry says
 // of them, what this router's own requests showed, and what the other routers
-// told. It lends an endpoint to a request as a Lease and decides which
-// endpoints are left out.
+// told. It chooses the endpoint of a request, counts it there until it is
+// released, and decides which endpoints are left out.
 //
 // Lock order: Table.mu is a leaf.
 package upstream
--- a/process/upstream/table.go
+++ b/process/upstream/table.go
@@ -236,10 +236,3 @@
 		e.smooth += (float64(e.running) - e.smooth) * -math.Expm1(-float64(passed)/float64(over))
 	}
 }
-
-// Count returns the number of endpoints in the table.
-func (t *Table) Count() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return len(t.byID)
-}
--- a/request/placing/placing.go
+++ b/request/placing/placing.go
@@ -14,7 +14,6 @@
 	Latency time.Duration // smoothed time to the first byte; 0 is unknown
 	Local   bool          // in the router's availability zone
 	Slow    bool          // much slower than its peers
-	Cold    bool          // in a cold start
 	Holds   bool          // had the last requests of the key, so that it caches their parts
 }
 
