Hear a router again that restarted after its clock was set back

Cause: a last read: a beat of an earlier start than the last one was ignored for ever, so a router that restarted while its clock was behind stayed unnamed.

Change: an earlier start is ignored only while the other process may have beats under way, a second.

Measured: the test of the table fails without the change.

--- a/process/peers/peers_test.go
+++ b/process/peers/peers_test.go
@@ -37,6 +37,11 @@
 	c.Assert(table.Running(t0), qt.DeepEquals, map[string]float64{"e": 2})
 	c.Assert(table.Before(t0), qt.Equals, 1)
 
+	table.Hear(t0.Add(straggles), beat("a", 0, 1), "1.1.1.1:1") // restarted after its clock was set back
+	table.Hear(t0.Add(straggles), beat("a", 0, 2), "1.1.1.1:1")
+	c.Assert(table.Ready(t0.Add(straggles+time.Second)), qt.HasLen, 1)
+	table.Hear(t0, beat("a", 1, 6), "1.1.1.1:1")
+
 	later := t0.Add(2 * time.Second)
 	c.Assert(table.Ready(later), qt.HasLen, 0)
 	c.Assert(table.Running(later), qt.HasLen, 0)
@@ -48,7 +53,7 @@
 	c.Assert(table.Count(t0), qt.Equals, 3)
 	c.Assert(table.Ready(t0), qt.HasLen, 1) // c was not heard yet
 	c.Assert(table.Count(t0.Add(memberMemory)), qt.Equals, 1)
-	gone := beat("a", 1, 6)
+	gone := beat("a", 1, 7)
 	gone.Leaving = true
 	table.Hear(t0, gone, "1.1.1.1:1")
 	c.Assert(table.Count(t0), qt.Equals, 2)
--- a/process/peers/table.go
+++ b/process/peers/table.go
@@ -112,13 +112,26 @@
 	defer t.mu.Unlock()
 	known := t.peers[b.Name] != nil
 	p := t.get(b.Name)
-	if b.Boot < p.beat.Boot || b.Boot == p.beat.Boot && b.Number <= p.beat.Number {
+	if b.overtaken(&p.beat, now.Sub(p.heardAt)) {
 		return false
 	}
 	p.beat, p.heardAt, p.addr = b, now, addr
 	return !known
 }
 
+// straggles is how long beats of a process may still arrive after its end.
+const straggles = time.Second
+
+// overtaken reports whether a beat is older than the last one, which was heard
+// some time ago. Clocks may be set back between two processes of a host, so an
+// earlier start says little once the other process has fallen silent.
+func (b *Beat) overtaken(last *Beat, ago time.Duration) bool {
+	if b.Boot == last.Boot {
+		return b.Number <= last.Number
+	}
+	return b.Boot < last.Boot && ago < straggles
+}
+
 // Before returns how many ready routers with a name before the own one reach
 // the store.
 func (t *Table) Before(now time.Time) int {
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -99,7 +99,8 @@
 	}
 	r := &Router{s: s, log: log, adapter: adapter, boot: time.Now().UnixNano(), zones: make(map[string]bool)}
 	r.endpoints = upstream.New(upstream.Config{Zone: s.Zone, RemovalGrace: removalGrace, Bound: loadBound,
-		StaleBound: staleBound, StaleBeats: staleBeats, CapFactor: capShare * s.LoadCap, CapExtra: capExtra, ColdOver: s.ColdOver, ColdSlack: s.ColdSlack}, rand.Float64)
+		StaleBound: staleBound, StaleBeats: staleBeats, CapFactor: capShare * s.LoadCap, CapExtra: capExtra,
+		ColdOver: s.ColdOver, ColdSlack: s.ColdSlack}, rand.Float64)
 	r.peers = peers.New(s.Name, peers.DeadAfter(1))
 	r.pool = h1.NewPool(unsentToEndpoint)
 	repeats := retry.NewWindow(retry.WindowConfig{Span: s.RetryWindow, Ratio: s.RetryRatio, Slack: s.RetrySlack})
@@ -229,14 +230,15 @@
 	if err != nil {
 		return errors.Wrap(err, "peers")
 	}
-	r.exchange = &peers.Exchange{Table: r.peers, Conn: conn, Log: r.log, Self: r.beat, Heard: r.hear, Take: r.takeRelay, Kick: make(chan struct{}, 1)}
+	r.exchange = &peers.Exchange{Table: r.peers, Conn: conn, Log: r.log, Self: r.beat, Heard: r.hear, Take: r.takeRelay,
+		Kick: make(chan struct{}, 1)}
 	r.group.Go(func() { r.exchange.Run(ctx) })
 	return nil
 }
 
 func (r *Router) beat() peers.Beat {
-	b := peers.Beat{Name: r.s.Name, Boot: r.boot, Front: r.s.Front, Zone: r.s.Zone, Ready: r.Ready(), Running: r.endpoints.Running(time.Now()),
-		Leaving: r.leaving.Load(), Store: true}
+	b := peers.Beat{Name: r.s.Name, Boot: r.boot, Front: r.s.Front, Zone: r.s.Zone, Ready: r.Ready(), Leaving: r.leaving.Load(),
+		Store: true, Running: r.endpoints.Running(time.Now())}
 	for _, f := range r.followers {
 		b.Store = b.Store && f.Reached()
 		b.Offsets = append(b.Offsets, f.Next())
