Refuse streams that come late to a leaving router

Change: a leaving router takes new streams for 3.5 s, as long as callers keep its address and a stream has time to end; later ones get 503 with Connection: close and a short Retry-After, and have not run. Short requests are served to the end.

--- a/connection/forward/server.go
+++ b/connection/forward/server.go
@@ -46,6 +46,9 @@
 	Repeats   Repeats
 	Observer  Observer
 	Members   func() int // routers that share the connections of an endpoint
+	// RefusesStreams reports whether the process is about to end, so that a new
+	// stream may not reach its own end.
+	RefusesStreams func() bool
 }
 
 const (
@@ -57,6 +60,9 @@
 	// retryRefused is the time after which an endpoint that refused a request
 	// is expected to have room.
 	retryRefused = 300 * time.Millisecond
+	// retryElsewhere is the time after which a caller of a leaving router may come
+	// back; its next connection goes to another one.
+	retryElsewhere = 50 * time.Millisecond
 	// refusalsInRow ends a request that no endpoint takes.
 	refusalsInRow = 3
 )
@@ -76,10 +82,7 @@
 	rec.ID = req.ID
 	j, code := s.admit(x, rec, req)
 	if code != outcome.OK {
-		after := time.Duration(0)
-		if code == outcome.NoConfig {
-			after = retryNoConfig
-		}
+		after := map[outcome.Code]time.Duration{outcome.NoConfig: retryNoConfig, outcome.Draining: retryElsewhere}[code]
 		s.refuse(x, rec, code, after)
 		return
 	}
@@ -116,6 +119,9 @@
 			j.urgency = *w.Priority
 		}
 	}
+	if route.Kind == routing.Stream && s.RefusesStreams() {
+		return nil, outcome.Draining
+	}
 	timeout := defaultTimeout
 	if req.Timeout > 0 {
 		timeout = req.Timeout
--- a/process/router/leave.go
+++ b/process/router/leave.go
@@ -16,6 +16,9 @@
 	closeBefore = 1200 * time.Millisecond
 	// endBefore is the time before the end of the grace at which the process ends.
 	endBefore = 400 * time.Millisecond
+	// streamsFor is how long a leaving router takes new streams: until callers keep
+	// no address of it any more, while there is time for a stream to end.
+	streamsFor = heldLonger*answerTTL + 500*time.Millisecond
 	// leavePoll is the pause between looks at what is still open.
 	leavePoll = 50 * time.Millisecond
 )
@@ -36,12 +39,20 @@
 	return list, ttl
 }
 
+// refusesStreams reports whether new streams are refused, as the process ends
+// before they do.
+func (r *Router) refusesStreams() bool {
+	until := r.streamsUntil.Load()
+	return until != 0 && time.Now().UnixNano() > until
+}
+
 // Leave ends the process without cutting off requests: it is named to nobody
 // from now on, serves what still arrives, and returns when nothing is open or
 // the grace is nearly over.
 func (r *Router) Leave() {
 	began := time.Now()
 	r.front.Leave()
+	r.streamsUntil.Store(began.Add(streamsFor).UnixNano())
 	r.leaving.Store(true)
 	open, busy := r.front.Open()
 	r.log.Info("leaving", "open", open, "busy", busy, "grace_ms", r.s.Grace.Milliseconds())
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -78,6 +78,7 @@
 	endpointsRead   atomic.Bool // the registry was read at least once
 	placementsAsked atomic.Bool // the placements were read, or could not be
 	leaving         atomic.Bool
+	streamsUntil    atomic.Int64 // Unix time in ns from which new streams are refused; 0 without one
 
 	zonesMu sync.Mutex // guards zones; a leaf but for upstream.Table.mu
 	zones   map[string]bool
@@ -105,7 +106,8 @@
 	r.pool = h1.NewPool(unsentToEndpoint)
 	repeats := retry.NewWindow(retry.WindowConfig{Span: s.RetryWindow, Ratio: s.RetryRatio, Slack: s.RetrySlack})
 	handler := &forward.Server{Codec: adapter.Codec(), Table: r.table.Load, Endpoints: r.endpoints, Pool: r.pool,
-		Repeats: sharedRepeats{repeats, r.members}, Observer: observer, Members: r.members}
+		Repeats: sharedRepeats{repeats, r.members}, Observer: observer, Members: r.members,
+		RefusesStreams: r.refusesStreams}
 	r.front = &front.Server{Handler: handler, Limits: r.limits, Log: log,
 		MaxConnections: int(callersShare * float64(s.Descriptors))}
 	return r, nil
