--- a/process/feed/link.go
+++ b/process/feed/link.go
@@ -6,9 +6,8 @@
 )
 
 // Link says whether the log is in reach. One follower, the sentinel, finds that
-// out with short reads; the others can then wait at the log for long and are
-// woken when the log falls silent, which a waiting read cannot tell from a
-// topic without news. It is safe for concurrent use; Link.mu is a leaf.
+// out; the others then end their reads, which cannot tell a silent log from a
+// topic without news, and ask again only when it answers. It is safe for concurrent use; Link.mu is a leaf.
 type Link struct {
 	mu      sync.Mutex
 	down    bool
