Say which configuration records expired unread, and restore past them

Cause: after a long outage of the log with short retention, records expired that no living router had read, and later checkpoints began before them. An operator could not restore either: the API had no way to say so. Change: the follower notes the gap when the log's end is read without a starting point, logs it once and again when it closes, shows it in status, and refuses changes with 6006 restore_needed. The history's operator restores when a router says that records are missing, and checks that such a router refuses other changes.

--- a/connection/operator/api/api.go
+++ b/connection/operator/api/api.go
@@ -55,6 +55,9 @@
 	// LogAgeMs is how long ago the router knew the end of the configuration
 	// in the log; -1 if it never did.
 	LogAgeMs int64 `json:"log_age_ms"`
+	// ConfigMissing names the records of the configuration that expired before
+	// the router read them; no change is judged until a restore.
+	ConfigMissing *Records `json:"config_missing,omitempty"`
 
 	View        uint64 `json:"view"`
 	ViewMembers int    `json:"view_members"`
@@ -71,6 +74,12 @@
 	Kinds     []plan.KindLoad `json:"kinds"`
 }
 
+// Records is a run of records of the configuration log.
+type Records struct {
+	From uint64 `json:"from"`
+	To   uint64 `json:"to"` // first record that is there again
+}
+
 // Endpoint is the state of an endpoint as its admission owner knows it.
 type Endpoint struct {
 	Name    string `json:"name"`
@@ -127,6 +136,9 @@
 	Base   config.Version `json:"base"` // the version that it was made on
 	Config config.Config  `json:"config"`
 	Reason string         `json:"reason,omitempty"` // free text for the history
+	// Restore replaces whatever is in force and all marks, also where records of
+	// the configuration have expired unread.
+	Restore bool `json:"restore,omitempty"`
 }
 
 // Mark asks to take a target out of service or bring it back.
--- a/connection/operator/changes.go
+++ b/connection/operator/changes.go
@@ -61,6 +61,8 @@
 		what = fmt.Sprintf("%s %s %s", e.Target.Scope, e.Target.Name, e.Op)
 	case e.Op == configlog.OpPush:
 		what = "configuration"
+	case e.Op == configlog.OpRestore:
+		what = "configuration restored"
 	}
 	if e.Reason != "" {
 		what += ": " + e.Reason
@@ -83,11 +85,15 @@
 
 // Push implements Controller.
 func (c Changes) Push(ctx context.Context, by string, push api.Push) (config.Version, error) {
+	op := configlog.OpPush
+	if push.Restore {
+		op = configlog.OpRestore
+	}
 	return c.submit(ctx, configlog.Change{
 		Base:   push.Base,
 		Author: by,
 		Reason: push.Reason,
-		Op:     configlog.OpPush,
+		Op:     op,
 		Config: &push.Config,
 	})
 }
--- a/lab/histories/act.go
+++ b/lab/histories/act.go
@@ -8,6 +8,7 @@
 	"github.com/stoatmount/stoatmount/connection/platform"
 	"github.com/stoatmount/stoatmount/lab/virtual"
 	"github.com/stoatmount/stoatmount/process/configlog"
+	"github.com/stoatmount/stoatmount/request/outcome"
 	"github.com/stoatmount/stoatmount/standin/fault"
 )
 
@@ -167,15 +168,26 @@
 	}
 }
 
-// restore lets an operator put a configuration in force if all records have
-// expired while no router knew it, as after a long outage of the log in which
-// every router was replaced.
+// restore lets an operator put a configuration in force if a router says that
+// records expired before it read them, as after a long outage of the log in
+// which every router was replaced.
 func (w *world) restore() {
+	needed := false
 	for _, r := range w.fleet.Routers {
-		if w.hosts[r].follower.Ready() {
-			return
+		h := w.hosts[r]
+		gap := h.follower.Status().Missing
+		needed = needed || gap != nil
+		if gap != nil {
+			_, err := h.follower.Begin(configlog.Change{ID: "late", Op: configlog.OpPush, Config: zoneConfig("late")})
+			refusal, ok := outcome.AsRefusal(err)
+			if !ok || refusal.Code != outcome.RestoreNeeded {
+				w.breaks("a gap is told", "%s took a change on a configuration with missing records: %v", r.Member.Name, err)
+			}
 		}
 	}
+	if !needed {
+		return
+	}
 	w.counts.Restored++
 	w.sync()
 	h := w.hosts[w.fleet.Routers[0]]
--- a/operate/config.go
+++ b/operate/config.go
@@ -161,6 +161,8 @@
 	File   string  `arg:"" help:"Configuration or questionnaire, in TOML."`
 	Reason string  `help:"Why, for the history." placeholder:"TEXT"`
 	Base   *uint64 `help:"Version that the file was made on; it is refused if another is in force. Default: the one in force." placeholder:"VERSION"`
+
+	Restore bool `help:"Replace whatever is in force and bring all targets back, also where records of the configuration have expired unread."`
 }
 
 // pushed is the JSON of `stoatctl config push`.
@@ -198,7 +200,7 @@
 		writeChanges(env, state.Version, result.Changes)
 	}
 	started := env.Clock.Now()
-	result.Version, err = cl.Push(env.Context, api.Push{Base: result.Base, Config: loaded.config, Reason: c.Reason})
+	result.Version, err = cl.Push(env.Context, api.Push{Base: result.Base, Config: loaded.config, Reason: c.Reason, Restore: c.Restore})
 	if err != nil {
 		return err
 	}
--- a/operate/status.go
+++ b/operate/status.go
@@ -83,6 +83,10 @@
 		if r.InvariantViolations > 0 {
 			env.printf("%s: %s counted %d broken promises; see its log\n", env.paint(red, "broken"), r.Name, r.InvariantViolations)
 		}
+		if gap := r.ConfigMissing; gap != nil {
+			env.printf("%s: records %d to %d of the configuration expired before %s read them; put one in force with `stoatctl config push FILE --restore`\n",
+				env.paint(red, "restore needed"), gap.From, gap.To-1, r.Name)
+		}
 		if !r.Unreachable && !slices.Contains(views[r.Region], r.View) {
 			views[r.Region] = append(views[r.Region], r.View)
 		}
--- a/process/configlog/follower.go
+++ b/process/configlog/follower.go
@@ -99,6 +99,8 @@
 	due      time.Time       // when the next checkpoint is due
 	advanced chan struct{}   // closed when records were applied or the end was read
 	halted   error           // why the fold cannot go on
+	missing  *Gap            // set when the log's end was read without a starting point
+	known    platform.Offset // end of the records that were folded last; 0: none
 
 	publishing  lock.Mutex[lock.Publishing] // taken before mu
 	subscribers []func(*config.Snapshot)
@@ -154,6 +156,15 @@
 	LogRead   time.Time       // when this router last read the log's end
 	Confirmed time.Time       // see Freshness.Confirmed
 	Halted    error           // why records are no longer applied, or nil
+	Missing   *Gap            // records that cannot be had any more, or nil
+}
+
+// Gap is a run of records that expired before this router read them, with no
+// later checkpoint that makes up for them. What they decided is not known, so
+// no later change can be judged until an operator restores a configuration.
+type Gap struct {
+	From platform.Offset `json:"from"` // first missing record
+	To   platform.Offset `json:"to"`   // first record that the log still holds
 }
 
 // Status returns how far f is.
@@ -164,7 +175,7 @@
 }
 
 func (f *Follower) statusLocked() Status {
-	s := Status{KnownEnd: f.peerEnd, LogRead: f.logEnd, Confirmed: f.fresh.Confirmed(), Halted: f.halted}
+	s := Status{KnownEnd: f.peerEnd, LogRead: f.logEnd, Confirmed: f.fresh.Confirmed(), Halted: f.halted, Missing: f.missing}
 	if f.fold != nil {
 		s.Next = f.fold.Next()
 		s.Version = f.fold.State().Version
--- a/process/configlog/ingest.go
+++ b/process/configlog/ingest.go
@@ -153,11 +153,33 @@
 		return config.State{}, false
 	}
 	f.fresh.Advance(f.fold.Next())
+	f.closeGap()
 	f.signalAdvanced()
 	state := f.fold.State()
 	return state, state.Version > 0
 }
 
+// openGap notes that the log holds no starting point after the records that
+// are known.
+func (f *Follower) openGap() {
+	if f.missing != nil && f.missing.To == f.start.first {
+		return
+	}
+	f.missing = &Gap{From: max(f.known, 1), To: f.start.first}
+	f.opt.Logger.Info("configuration records expired unread; an operator has to restore a configuration",
+		"from", uint64(f.missing.From), "to", uint64(f.missing.To))
+}
+
+// closeGap notes that the fold is past the missing records.
+func (f *Follower) closeGap() {
+	f.known = f.fold.Next()
+	if f.missing == nil || f.known <= f.missing.To {
+		return
+	}
+	f.opt.Logger.Info("configuration records follow on again", "next", uint64(f.known))
+	f.missing = nil
+}
+
 // Serve answers a peer that asks for the records from offset on. The answer's
 // End says how far this router is, also if nothing else is in it; it is 0 if
 // the router is not Ready.
--- a/process/configlog/run.go
+++ b/process/configlog/run.go
@@ -134,6 +134,7 @@
 		f.fold = NewFold() // nothing has ever been appended
 	}
 	if f.fold == nil {
+		f.openGap()
 		return false, errNoStart
 	}
 	f.logEnd = asked
--- a/process/configlog/submit.go
+++ b/process/configlog/submit.go
@@ -73,7 +73,11 @@
 	f.mu.Lock()
 	c.Seen = f.nextLocked()
 	known := f.fold != nil && f.halted == nil || c.Op == OpRestore
+	missing := f.missing
 	f.mu.Unlock()
+	if missing != nil && c.Op != OpRestore {
+		return nil, outcome.NotRun(outcome.RestoreNeeded, "records %d to %d of the configuration have expired", missing.From, missing.To-1)
+	}
 	if !known {
 		return nil, outcome.NotRun(outcome.LogUnavailable, "this router has not read the configuration from the log")
 	}
--- a/process/node/status.go
+++ b/process/node/status.go
@@ -72,6 +72,9 @@
 	if confirmed := n.follower.Status().Confirmed; !confirmed.IsZero() {
 		s.LogAgeMs = now.Sub(confirmed).Milliseconds()
 	}
+	if gap := n.follower.Status().Missing; gap != nil {
+		s.ConfigMissing = &api.Records{From: uint64(gap.From), To: uint64(gap.To)}
+	}
 	if view := n.members.View(); view != nil {
 		s.View, s.ViewMembers = uint64(view.ID), len(view.Members)
 	}
--- a/request/outcome/code.go
+++ b/request/outcome/code.go
@@ -66,6 +66,7 @@
 	ConfigInvalid        Code = 6003
 	UnknownName          Code = 6004
 	AcceptUnknown        Code = 6005
+	RestoreNeeded        Code = 6006
 )
 
 // Info describes a code for answers and for docs/CODES.md.
@@ -133,6 +134,7 @@
 	{ConfigInvalid, "config_invalid", http.StatusUnprocessableEntity, "The configuration is not valid."},
 	{UnknownName, "unknown_name", http.StatusNotFound, "The configuration has no zone, host or endpoint of this name."},
 	{AcceptUnknown, "accept_unknown", http.StatusGatewayTimeout, "Whether the change was accepted is not known yet; ask for the history."},
+	{RestoreNeeded, "restore_needed", http.StatusConflict, "Records of the configuration expired before any router read them; restore one with `stoatctl config push --restore`."},
 }
 
 var infoByCode = indexCodes()
