Refuse under load what endpoints cannot serve in time, by work and urgency

Cause: with more requests than the engines complete, every request was sent. Queues at the engines grew past the objectives, long streams ran out of time, and keys left their full holders, so that prompts were read again at full engines. Change: request/admit bounds an endpoint's queue by the objective, learns the work of a route's requests, gives slots to the demand of the last second in the order of work and urgency while all endpoints are busy, and spreads the times at which refused callers come back. A refusal's line has load, limit and rank; stoatctl explain says which it was.

--- a/connection/forward/record.go
+++ b/connection/forward/record.go
@@ -21,10 +21,11 @@
 	Code       outcome.Code
 	Status     int
 	RetryAfter time.Duration
-	Key        uint64        // of the prompt's shared parts; 0 without
-	Shared     int           // tokens of these parts
-	Endpoints  []string      // that it was sent to, in order
-	Choice     placing.Grant // the last one
+	Key        uint64           // of the prompt's shared parts; 0 without
+	Shared     int              // tokens of these parts
+	Endpoints  []string         // that it was sent to, in order
+	Choice     placing.Grant    // the last one
+	Refusal    *placing.Refusal // why no endpoint was chosen; nil if one was
 	Failed     []FailedAttempt
 	Dials      int    // connections opened for it
 	Strays     int    // answers to other requests on its connection
--- a/operate/explain/explain.go
+++ b/operate/explain/explain.go
@@ -39,6 +39,9 @@
 	Cold      bool            `json:"cold"`
 	Events    int             `json:"events"`
 	RetryMS   int64           `json:"retry_after_ms"`
+	Load      float64         `json:"load"`  // of the least loaded endpoint, where all are busy
+	Limit     float64         `json:"limit"` // most that it may have for this request
+	Rank      int             `json:"rank"`
 	LeftOut   string          `json:"left_out"`
 	Failed    []FailedAttempt `json:"failed"`
 	Error     string          `json:"error"`
@@ -195,6 +198,8 @@
 func cause(l Line) string {
 	meaning := outcome.Code(l.Code).Info().Text
 	switch {
+	case l.Code == int(outcome.EndpointAtCap) && l.Limit > 0:
+		return busy(l)
 	case len(l.Failed) == 0 && len(l.Endpoints) == 0 && l.Code != int(outcome.OK):
 		return "Refused before it was sent: " + meaning
 	case l.Status == http.StatusServiceUnavailable:
@@ -211,6 +216,15 @@
 	return "Served in time."
 }
 
+// busy says why a request was refused while its service had more to do than its
+// endpoints bear.
+func busy(l Line) string {
+	if l.Load+1 > l.Limit {
+		return fmt.Sprintf("Refused before it was sent: all endpoints are full; the least loaded had %.1f requests of at most %.1f.", l.Load, l.Limit)
+	}
+	return fmt.Sprintf("Refused before it was sent: all endpoints are busy, and requests that are more urgent or shorter take the room that is left; its rank was %d.", l.Rank)
+}
+
 func failures(l Line) string {
 	if len(l.Failed) == 0 {
 		return outcome.Code(l.Code).Info().Text
--- a/process/observe/requests.go
+++ b/process/observe/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"expvar"
+	"math"
 	"strconv"
 	"sync"
 	"time"
@@ -152,6 +153,9 @@
 	} else {
 		kv = append(kv, "method", rec.Method, "target", rec.Target)
 	}
+	if r := rec.Refusal; r != nil && r.Limit > 0 {
+		kv = append(kv, "load", tenths(r.Running), "limit", tenths(r.Limit), "rank", r.Rank)
+	}
 	if rec.RetryAfter > 0 {
 		kv = append(kv, "retry_after_ms", rec.RetryAfter.Milliseconds())
 	}
@@ -172,3 +176,6 @@
 	}
 	r.log.Info("request", kv...)
 }
+
+// tenths rounds for the log.
+func tenths(x float64) float64 { return math.Round(10*x) / 10 }
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -266,7 +266,7 @@
 func (r *Router) heard(now time.Time) {
 	members := r.peers.Count(now)
 	r.peers.SetDeadAfter(r.deadAfter(members))
-	r.endpoints.SetPeers(r.s.Name, r.peers.Names(now), r.peers.Running(now), peers.Interval(members))
+	r.endpoints.SetPeers(r.s.Name, r.peers.Names(now), len(r.peers.Ready(now)), r.peers.Running(now), peers.Interval(members))
 }
 
 // deadAfter returns the time after which a silent router among n is not named
--- a/process/upstream/choose.go
+++ b/process/upstream/choose.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/stoatmount/stoatmount/request/admit"
 	"github.com/stoatmount/stoatmount/request/outcome"
 	"github.com/stoatmount/stoatmount/request/placing"
 )
@@ -25,6 +26,9 @@
 		return nil, refusal
 	}
 	list := t.candidates(now, eps)
+	if t.crowded(now, w, list) {
+		return nil, t.refuseFull(now, w, list)
+	}
 	chosen, fetch, holders := -1, "", 0
 	if w.HasKey {
 		holders = len(t.holders.of(now, w.Key))
@@ -32,6 +36,9 @@
 	} else {
 		chosen = placing.LeastBusy(list, t.draw())
 	}
+	if chosen < 0 {
+		return nil, t.refuseFull(now, w, list)
+	}
 	ep := eps[chosen]
 	cold := t.coldNow(now, ep)
 	if cold {
@@ -41,7 +48,50 @@
 	ep.settle(now, t.beats)
 	ep.running++
 	return &placing.Grant{ID: ep.ID, Started: ep.Started, Addr: ep.Addr, Zone: ep.Zone, Service: ep.Service,
-		FetchFrom: fetch, Held: list[chosen].Holds, Holders: holders, Running: running, Cold: cold, Age: now.Sub(ep.readAt)}, nil
+		FetchFrom: fetch, Held: list[chosen].Holds, Holders: holders, Running: running, Cold: cold, Age: now.Sub(ep.readAt), At: now, Class: w.Class}, nil
+}
+
+// crowded bounds the requests that each candidate may have, and reports whether
+// the request has to give way because all are busy. A request that was sent
+// before has been admitted and keeps its place.
+func (t *Table) crowded(now time.Time, w placing.Want, list []placing.Candidate) bool {
+	load := t.loads[w.Service]
+	if len(w.Exclude) > 0 || load == nil {
+		return false
+	}
+	mean := load.work.Mean()
+	work := load.work.Of(w.Class)
+	if work == 0 {
+		work = mean
+	}
+	band := admit.Band(work, w.Rank)
+	load.demand.Add(now, band, work)
+	slots, busy := 0, mean > 0
+	for i := range list {
+		c := &list[i]
+		c.Limit = admit.Limit(w.Objective, c.Slots, mean)
+		slots += c.Slots
+		busy = busy && c.Slots > 0 && c.Running >= admit.BusyFrom*float64(c.Slots)
+	}
+	return busy && t.draw() >= load.demand.Share(now, band, float64(slots)/float64(max(1, t.live+1)))
+}
+
+// refuseFull refuses a request for which no endpoint has room.
+func (t *Table) refuseFull(now time.Time, w placing.Want, list []placing.Candidate) *placing.Refusal {
+	slots, best := 0, 0
+	over := func(i int) float64 { return (list[i].Running + 1 - list[i].Limit) / float64(max(1, list[i].Slots)) }
+	for i := range list {
+		slots += list[i].Slots
+		if over(i) < over(best) {
+			best = i
+		}
+	}
+	load := t.loads[w.Service]
+	mean := load.work.Mean()
+	soonest := max(leastRetry, time.Duration(over(best)*float64(mean)))
+	each := mean * time.Duration(len(t.others)+1) / time.Duration(max(1, slots))
+	return &placing.Refusal{Code: outcome.EndpointAtCap, After: load.backlog.After(now, soonest, each, t.draw()),
+		Running: list[best].Running, Limit: list[best].Limit, Rank: w.Rank}
 }
 
 // usable returns the endpoints that may get the request, in the order of
@@ -212,6 +262,9 @@
 	}
 	bound, most := t.bounds(now, w.Service)
 	chosen := placing.Affinity(w.Key, list, bound, most, t.draw)
+	if chosen < 0 {
+		return -1, ""
+	}
 	ep := eps[chosen]
 	fetch := ""
 	if !list[chosen].Holds {
@@ -301,6 +354,7 @@
 	}
 	if f == placing.NoFailure {
 		delete(t.darkSince, ep.Service)
+		t.loadOf(ep.Service).work.Add(g.Class, latency, now.Sub(g.At))
 	}
 	was := now.Before(ep.health.outUntil)
 	ep.health.record(now, f, latency)
@@ -310,6 +364,15 @@
 	return !was && now.Before(ep.health.outUntil)
 }
 
+func (t *Table) loadOf(service string) *serviceLoad {
+	l := t.loads[service]
+	if l == nil {
+		l = &serviceLoad{}
+		t.loads[service] = l
+	}
+	return l
+}
+
 func (t *Table) othersErrorRate(self *endpoint) float64 {
 	sum, n := 0.0, 0
 	for _, ep := range t.byID {
--- a/process/upstream/table.go
+++ b/process/upstream/table.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/stoatmount/stoatmount/request/admit"
 	"github.com/stoatmount/stoatmount/request/placing"
 )
 
@@ -79,13 +80,23 @@
 	// darkSince is when a service was first found without endpoints.
 	darkSince map[string]time.Time
 	holders   holders
+	loads     map[string]*serviceLoad
+	live      int // other routers that take requests
 	draw      func() float64
 }
 
+// serviceLoad is what this router's requests showed of the load of a service.
+type serviceLoad struct {
+	work    admit.Work
+	demand  admit.Demand
+	backlog admit.Backlog
+}
+
 // New returns an empty table. draw returns random numbers in [0,1).
 func New(cfg Config, draw func() float64) *Table {
 	return &Table{cfg: cfg, byID: make(map[string]*endpoint), gone: make(map[string]*endpoint), out: make(map[string]bool),
-		coldRate: make(map[string]float64), darkSince: make(map[string]time.Time), holders: newHolders(), draw: draw}
+		coldRate: make(map[string]float64), darkSince: make(map[string]time.Time), holders: newHolders(),
+		loads: make(map[string]*serviceLoad), draw: draw}
 }
 
 // Apply folds records of the registry in their order. gap says that the
@@ -191,13 +202,14 @@
 	t.coldRate = rates
 }
 
-// SetPeers sets the other routers that may send, by name, and the requests that
+// SetPeers sets the other routers that may send, by name, how many of them take
+// requests, and the requests that
 // they run, by endpoint. beats is the pause between the beats of a router: the
 // load that an endpoint tells counts beside theirs for half of that.
-func (t *Table) SetPeers(self string, others []string, running map[string]float64, beats time.Duration) {
+func (t *Table) SetPeers(self string, others []string, live int, running map[string]float64, beats time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.self, t.others, t.beats = self, others, beats
+	t.self, t.others, t.live, t.beats = self, others, live, beats
 	for id, ep := range t.byID {
 		ep.peers = running[id]
 	}
--- a/process/upstream/table_test.go
+++ b/process/upstream/table_test.go
@@ -22,7 +22,7 @@
 func newTable(n int) *Table {
 	rng := rand.New(rand.NewPCG(1, 2))
 	t := New(config(), rng.Float64)
-	t.SetPeers("self", nil, nil, 600*time.Millisecond)
+	t.SetPeers("self", nil, 0, nil, 600*time.Millisecond)
 	for i := range n {
 		t.Apply(t0, []Change{put(i, nil)}, false)
 	}
@@ -89,7 +89,7 @@
 		for i := range tables {
 			tables[i] = newTable(0)
 			others := append(append([]string{}, names[:i]...), names[i+1:]...)
-			tables[i].SetPeers(names[i], others, nil, time.Second)
+			tables[i].SetPeers(names[i], others, 0, nil, time.Second)
 			tables[i].SetColdRates(map[string]float64{"s": 12})
 			tables[i].Apply(t0, []Change{put(0, func(e *Entry) { e.Cold = time.Minute })}, false)
 		}
@@ -277,7 +277,7 @@
 	table.Release(t0, h, placing.NoFailure, time.Millisecond)
 	later := t0.Add(time.Second)
 	busy := map[string]float64{"e0": 3, "e1": 3, "e2": 3}
-	table.SetPeers("self", nil, busy, time.Second)
+	table.SetPeers("self", nil, 0, busy, time.Second)
 	h, _ = table.Acquire(later, want)
 	c.Assert(h.Held, qt.IsTrue)
 }
--- /dev/null
+++ b/request/admit/admit_test.go
@@ -0,0 +1,271 @@
+package admit
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var t0 = time.Unix(1_700_000_000, 0)
+
+func TestLimit(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(Limit(time.Second, 0, time.Second), qt.Equals, 0.0)
+	c.Assert(Limit(time.Second, 64, 0), qt.Equals, 0.0)
+	c.Assert(Limit(0, 64, time.Second), qt.Equals, 64.0)
+	// Twice the objective allows twice the queue; longer work a shorter one.
+	short, long := Limit(100*time.Millisecond, 10, 20*time.Millisecond), Limit(200*time.Millisecond, 10, 20*time.Millisecond)
+	c.Assert(long-10, qt.Equals, 2*(short-10))
+	c.Assert(Limit(100*time.Millisecond, 10, time.Second) < short, qt.IsTrue)
+}
+
+func TestBand(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(Band(0, 0), qt.Equals, 0)
+	c.Assert(Band(time.Hour, 1000), qt.Equals, bands-1)
+	c.Assert(Band(time.Second, 0) < Band(time.Second, 1), qt.IsTrue)
+	c.Assert(Band(100*time.Millisecond, 2) < Band(3*time.Second, 1), qt.IsTrue) // little work goes before urgency
+	c.Assert(Band(4*time.Second, 0) < Band(3*time.Second, 1), qt.IsTrue)
+}
+
+// Slots go to the bands in their order, and old demand is forgotten.
+func TestShare(t *testing.T) {
+	c := qt.New(t)
+	var d Demand
+	c.Assert(d.Share(t0, 10, 8), qt.Equals, 1.0)
+	for i := range 1000 { // in steady state 4 slots of band 10 and 8 of band 20
+		now := t0.Add(time.Duration(i) * 10 * time.Millisecond)
+		d.Add(now, 10, 40*time.Millisecond)
+		d.Add(now, 20, 80*time.Millisecond)
+	}
+	now := t0.Add(10 * time.Second)
+	c.Assert(d.Share(now, 10, 8), qt.Equals, 1.0)
+	share := d.Share(now, 20, 8) // (0.9 x 8 - 4) / 8
+	c.Assert(share > 0.35 && share < 0.45, qt.IsTrue, qt.Commentf("%v", share))
+	c.Assert(d.Share(now, 20, 2), qt.Equals, 0.0)
+	c.Assert(d.Share(now.Add(10*time.Second), 20, 2), qt.Equals, 1.0)
+}
+
+// Refused callers come back one after the other, no sooner than there is room.
+func TestBacklog(t *testing.T) {
+	c := qt.New(t)
+	var b Backlog
+	last := time.Duration(0)
+	for range 50 {
+		after := b.After(t0, 600*time.Millisecond, 20*time.Millisecond, 0)
+		c.Assert(after > last, qt.IsTrue)
+		last = after
+	}
+	c.Assert(last, qt.Equals, 600*time.Millisecond+49*20*time.Millisecond)
+	for range 1000 {
+		last = b.After(t0, 600*time.Millisecond, 20*time.Millisecond, 0)
+	}
+	c.Assert(last <= longestBacklog+20*time.Millisecond, qt.IsTrue)
+	c.Assert(b.After(t0.Add(time.Minute), time.Second, time.Millisecond, 0), qt.Equals, time.Second)
+}
+
+func TestWork(t *testing.T) {
+	c := qt.New(t)
+	var w Work
+	for range fewestSamples {
+		c.Assert(w.Mean(), qt.Equals, time.Duration(0))
+		w.Add("long", 10*time.Millisecond, time.Second)
+	}
+	c.Assert(w.Of("long"), qt.Equals, time.Second)
+	c.Assert(w.Of("none"), qt.Equals, time.Duration(0))
+	for i := range 2 * mostClasses { // bounded, whatever the configuration holds
+		w.Add(string(rune(i)), 0, time.Second)
+	}
+	c.Assert(len(w.classes) <= mostClasses, qt.IsTrue)
+	var q Work
+	for range 100 { // a queue is no work
+		q.Add("short", 10*time.Millisecond, 20*time.Millisecond)
+		q.Add("short", 500*time.Millisecond, 510*time.Millisecond)
+	}
+	c.Assert(q.Of("short") < 40*time.Millisecond, qt.IsTrue, qt.Commentf("%v", q.Of("short")))
+}
+
+// The load that admission answers for: for ten seconds three times as many
+// requests come as the engines complete, most of them long ones of little
+// worth. Each way is played on the same arrivals; callers come back once.
+func TestAdmissionUnderOverload(t *testing.T) {
+	c := qt.New(t)
+	all := playOverload(ways{})
+	bounded := playOverload(ways{limit: true})
+	ordered := playOverload(ways{limit: true, order: true})
+	t.Logf("worth earned of all: every request taken %.2f, bounded queue %.2f, in the order of bands %.2f", all.worth, bounded.worth, ordered.worth)
+	t.Logf("urgent requests in time: %.2f, %.2f, %.2f", all.urgent, bounded.urgent, ordered.urgent)
+	t.Logf("short requests in time: %.2f, %.2f, %.2f", all.short, bounded.short, ordered.short)
+	c.Assert(bounded.worth > 1.1*all.worth, qt.IsTrue)
+	c.Assert(ordered.worth > 1.2*bounded.worth, qt.IsTrue)
+	c.Assert(ordered.urgent > 0.8, qt.IsTrue)
+	c.Assert(ordered.short > 0.8, qt.IsTrue)
+	c.Assert(ordered.refusedIdle, qt.Equals, 0)
+}
+
+// A load that the engines can bear is not refused.
+func TestNothingIsRefusedBelowCapacity(t *testing.T) {
+	got := playOverload(ways{limit: true, order: true, scale: 0.25})
+	qt.Assert(t, got.refused, qt.Equals, 0)
+}
+
+type ways struct {
+	limit, order bool
+	scale        float64 // of the arrivals; 0 is 1
+}
+
+type overload struct {
+	worth       float64 // earned, of the worth of all requests
+	urgent      float64 // part of the most urgent that was in time
+	short       float64 // part of the short ones that was in time
+	refused     int
+	refusedIdle int // refused while an engine had under half of its slots taken
+}
+
+type class struct {
+	name      string
+	rank      int
+	tokens    float64
+	worth     float64
+	perSecond float64
+	objective time.Duration
+}
+
+var classes = []class{
+	{"episode", 0, 385, 9, 20, 600 * time.Millisecond},
+	{"line", 1, 286, 0.84, 90, 800 * time.Millisecond},
+	{"tag", 2, 22, 0.39, 60, 1200 * time.Millisecond},
+}
+
+type call struct {
+	class   *class
+	arrived time.Time // first try
+	sent    time.Time
+	left    float64 // tokens to go
+	first   time.Time
+	again   bool
+}
+
+const (
+	engineSlots = 32
+	tick        = 10 * time.Millisecond
+	timeLimit   = 8 * time.Second
+	stepBase    = 2.2  // ms a step of an idle engine takes
+	stepSlot    = 0.12 // ms more for each running request
+)
+
+type engineModel struct{ running, waiting []*call }
+
+func (e *engineModel) load() float64 { return float64(len(e.running) + len(e.waiting)) }
+
+// step runs the engine for a tick and returns the requests that ended.
+func (e *engineModel) step(now time.Time) (ended []*call) {
+	for len(e.running) < engineSlots && len(e.waiting) > 0 {
+		e.running, e.waiting = append(e.running, e.waiting[0]), e.waiting[1:]
+	}
+	made := float64(tick/time.Millisecond) / (stepBase + stepSlot*float64(len(e.running)))
+	kept := e.running[:0]
+	for _, r := range e.running {
+		if r.first.IsZero() {
+			r.first = now
+		}
+		r.left -= made
+		if r.left <= 0 || now.Sub(r.arrived) > timeLimit {
+			ended = append(ended, r)
+			continue
+		}
+		kept = append(kept, r)
+	}
+	e.running = kept
+	return ended
+}
+
+func playOverload(w ways) overload {
+	rng := rand.New(rand.NewPCG(5, 6))
+	scale := w.scale
+	if scale == 0 {
+		scale = 1
+	}
+	engines := make([]*engineModel, 3)
+	for i := range engines {
+		engines[i] = &engineModel{}
+	}
+	var work Work
+	var demand Demand
+	var backlog Backlog
+	var out overload
+	var owed, earned float64
+	var asked, inTime [3]int
+	returning := make(map[int][]*call)
+	offer := func(now time.Time, n int, r *call) {
+		least := engines[0]
+		for _, e := range engines {
+			if e.load() < least.load() {
+				least = e
+			}
+		}
+		mean := work.Mean()
+		own := work.Of(r.class.name)
+		if own == 0 {
+			own = mean
+		}
+		band := Band(own, r.class.rank)
+		demand.Add(now, band, own)
+		limit := Limit(r.class.objective, engineSlots, mean)
+		full := w.limit && limit > 0 && least.load()+1 > limit
+		busy := w.order && mean > 0 && least.load() >= BusyFrom*engineSlots
+		if !full && (!busy || rng.Float64() < demand.Share(now, band, float64(3*engineSlots))) {
+			r.sent = now
+			least.waiting = append(least.waiting, r)
+			return
+		}
+		out.refused++
+		if least.load() < engineSlots/2 {
+			out.refusedIdle++
+		}
+		after := backlog.After(now, 600*time.Millisecond, mean/(3*engineSlots), rng.Float64())
+		if !r.again && after < timeLimit/3 {
+			r.again = true
+			at := n + int(after/tick)
+			returning[at] = append(returning[at], r)
+		}
+	}
+	const ticks = 2200
+	for n := range ticks {
+		now := t0.Add(time.Duration(n) * tick)
+		for _, r := range returning[n] {
+			offer(now, n, r)
+		}
+		for i := range classes {
+			cl := &classes[i]
+			rate := cl.perSecond / 8 // before and after
+			if n >= 200 && n < 1200 {
+				rate = cl.perSecond * scale
+			}
+			for due := rate*tick.Seconds() + rng.Float64(); due >= 1; due-- {
+				asked[cl.rank]++
+				owed += cl.worth
+				offer(now, n, &call{class: cl, arrived: now, left: cl.tokens})
+			}
+		}
+		for _, e := range engines {
+			for _, r := range e.step(now) {
+				work.Add(r.class.name, r.first.Sub(r.sent), now.Sub(r.sent))
+				switch {
+				case r.left > 0:
+				case r.first.Sub(r.arrived) <= r.class.objective:
+					earned += r.class.worth
+					inTime[r.class.rank]++
+				default:
+					earned += r.class.worth / 2
+				}
+			}
+		}
+	}
+	out.worth = earned / owed
+	out.urgent = float64(inTime[0]) / float64(asked[0])
+	out.short = float64(inTime[2]) / float64(asked[2])
+	return out
+}
--- /dev/null
+++ b/request/admit/demand.go
@@ -0,0 +1,73 @@
+package admit
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	bands = 96
+	// bandsPerDoubling is how many bands the cost takes to double.
+	bandsPerDoubling = 2
+	// rankBands is by how many bands a rank of urgency sets a request behind: the
+	// more urgent one goes first unless it brings about three times the work.
+	rankBands = 3
+	// demandOver is the time over which demand is averaged, about as long as
+	// engines take for a request.
+	demandOver = time.Second
+	// BusyFrom is the part of its slots from which an endpoint counts as busy. An
+	// engine's throughput hardly grows beyond it.
+	BusyFrom = 0.75
+	// fillTo is the part of the slots that demand may fill; the rest absorbs the
+	// error of the averages.
+	fillTo = 0.9
+)
+
+// Band returns the place of a request in the order in which requests are taken
+// while endpoints are busy, the first ones lowest: by the work that it brings,
+// weighted by its rank.
+func Band(work time.Duration, rank int) int {
+	if work < time.Millisecond {
+		work = time.Millisecond
+	}
+	doublings := math.Log2(float64(work) / float64(time.Millisecond))
+	return max(0, min(bands-1, int(bandsPerDoubling*doublings)+rankBands*rank))
+}
+
+// Demand is the work of a service's requests that came lately, by band, as the
+// number of slots that it would occupy. Its zero value is ready for use; it is
+// not safe for concurrent use.
+type Demand struct {
+	at    time.Time
+	slots [bands]float64
+}
+
+// Add notes a request.
+func (d *Demand) Add(now time.Time, band int, work time.Duration) {
+	d.settle(now)
+	d.slots[band] += float64(work) / float64(demandOver)
+}
+
+func (d *Demand) settle(now time.Time) {
+	kept := math.Exp(-float64(now.Sub(d.at)) / float64(demandOver))
+	if now.After(d.at) {
+		d.at = now
+		for i := range d.slots {
+			d.slots[i] *= kept
+		}
+	}
+}
+
+// Share returns the part of a band's requests for which slots are left by those
+// before it.
+func (d *Demand) Share(now time.Time, band int, slots float64) float64 {
+	d.settle(now)
+	left := fillTo * slots
+	for _, s := range d.slots[:band] {
+		left -= s
+	}
+	if own := d.slots[band]; own > 0 {
+		return max(0, min(1, left/own))
+	}
+	return 1
+}
--- a/request/placing/grant.go
+++ b/request/placing/grant.go
@@ -12,6 +12,10 @@
 	Key     uint64 // of the prompt's shared parts
 	HasKey  bool
 	Exclude []string // endpoints that the request has tried
+	Class   string   // requests of the same class bring about the same work
+	// Objective is the time until the first byte of the answer.
+	Objective time.Duration
+	Rank      int // of its urgency in the service; 0 is the most urgent
 }
 
 // Grant is an endpoint that was chosen for a request and counts it until the
@@ -28,12 +32,18 @@
 	Running   int           // requests known to run there when it was chosen
 	Cold      bool          // it was in a cold start
 	Age       time.Duration // since the registry's entry was read
+	At        time.Time     // when it was chosen
+	Class     string        // of the request
 }
 
 // Refusal says why no endpoint can be chosen and when to ask again.
 type Refusal struct {
 	Code  outcome.Code
 	After time.Duration
+	// Of the least loaded endpoint, if all are full.
+	Running float64 // requests that it is known to have
+	Limit   float64 // most that it may have for this request
+	Rank    int     // urgencies that go before the request's
 }
 
 // Failure says how an endpoint failed a request.
--- a/request/placing/placing.go
+++ b/request/placing/placing.go
@@ -11,6 +11,7 @@
 	ID      string
 	Running float64       // requests that it runs for all routers, as far as known
 	Slots   int           // that it runs at once
+	Limit   float64       // most requests, running and waiting, for this one to be taken; 0 is no limit
 	Latency time.Duration // smoothed time to the first byte; 0 is unknown
 	Local   bool          // in the router's availability zone
 	Slow    bool          // much slower than its peers
@@ -37,6 +38,9 @@
 	return limit
 }
 
+// full reports whether one more request would be over the limit.
+func (c *Candidate) full() bool { return c.Limit > 0 && c.Running+1 > c.Limit }
+
 // Rank returns the rendezvous weight of an endpoint for a key; the highest is
 // first.
 func Rank(key uint64, id string) uint64 {
@@ -51,7 +55,7 @@
 // Affinity returns the index of the candidate for a key: the least loaded of
 // those that hold the key and are within the bound; without a holder the first
 // by rendezvous hashing within the bound; otherwise the least loaded. It returns
-// -1 without candidates. draw returns numbers in [0,1).
+// -1 if all candidates are full. draw returns numbers in [0,1).
 func Affinity(key uint64, list []Candidate, bound Bound, most float64, draw func() float64) int {
 	limit := bound.limit(list, most)
 	held, holder, ranked, holders := false, -1, -1, 0
@@ -59,7 +63,7 @@
 	for i := range list {
 		c := &list[i]
 		held = held || c.Holds
-		if c.Slow || c.Running+1 > limit || c.Slots > 0 && c.Running >= float64(c.Slots) {
+		if c.Slow || c.Running+1 > limit || c.full() {
 			continue
 		}
 		if c.Holds {
@@ -114,10 +118,13 @@
 		if old {
 			i = min(int(draw()*float64(len(list))), len(list)-1)
 		}
-		if best < 0 || better(&list[i], &list[best]) {
+		if !list[i].full() && (best < 0 || better(&list[i], &list[best])) {
 			best = i
 		}
 	}
+	if best < 0 && old {
+		return leastRunning(list, false, draw) // those drawn are full
+	}
 	return best
 }
 
@@ -138,11 +145,14 @@
 )
 
 // LeastBusy returns the index of the candidate that is expected to answer a
-// short request first, or -1. draw in [0,1) breaks ties.
+// short request first, or -1 if all are full. draw in [0,1) breaks ties.
 func LeastBusy(list []Candidate, draw float64) int {
 	best, ties := -1, 0
 	var bestCost time.Duration
 	for i := range list {
+		if list[i].full() {
+			continue
+		}
 		cost := expected(&list[i])
 		switch {
 		case best < 0 || cost < bestCost:
--- a/version/routing/table.go
+++ b/version/routing/table.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -113,7 +114,9 @@
 	services map[string]*Service
 	hosts    map[string][]*Route // longest prefix first
 	keys     map[string]*Workspace
-	Routes   int
+	// priorities of each service's routes, the most urgent first
+	priorities map[string][]int
+	Routes     int
 }
 
 // New returns the snapshot of a version. The arguments must not change later.
@@ -123,6 +126,8 @@
 		services: make(map[string]*Service, len(services)),
 		hosts:    make(map[string][]*Route),
 		keys:     make(map[string]*Workspace),
+
+		priorities: make(map[string][]int),
 	}
 	for _, s := range services {
 		t.services[s.Name] = s
@@ -130,6 +135,12 @@
 	for _, r := range routes {
 		host := strings.ToLower(r.Host)
 		t.hosts[host] = append(t.hosts[host], r)
+		for _, s := range r.Splits {
+			list := t.priorities[s.Service]
+			if at, found := slices.BinarySearch(list, r.Priority); !found {
+				t.priorities[s.Service] = slices.Insert(list, at, r.Priority)
+			}
+		}
 	}
 	for _, list := range t.hosts {
 		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
@@ -160,6 +171,13 @@
 	return nil, false
 }
 
+// Rank returns how many priorities of the service's routes are more urgent than
+// priority.
+func (t *Table) Rank(service string, priority int) int {
+	rank, _ := slices.BinarySearch(t.priorities[service], priority)
+	return rank
+}
+
 // Service returns the service with the given name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
--- a/version/routing/table_test.go
+++ b/version/routing/table_test.go
@@ -54,3 +54,20 @@
 	_, ok = table.Workspace("")
 	c.Assert(ok, qt.IsFalse)
 }
+
+func TestRankOfPriorities(t *testing.T) {
+	c := qt.New(t)
+	route := func(priority int, services ...string) *Route {
+		r := &Route{Priority: priority}
+		for _, s := range services {
+			r.Splits = append(r.Splits, Split{s, 1})
+		}
+		return r
+	}
+	table := New(1, []*Route{route(5, "a"), route(0, "a", "b"), route(5, "a"), route(2, "a")}, nil, nil, Limits{})
+	for priority, rank := range map[int]int{0: 0, 1: 1, 2: 1, 3: 2, 5: 2, 9: 3} {
+		c.Assert(table.Rank("a", priority), qt.Equals, rank, qt.Commentf("priority %d", priority))
+	}
+	c.Assert(table.Rank("b", 7), qt.Equals, 1)
+	c.Assert(table.Rank("none", 7), qt.Equals, 0)
+}
