Let idle connections give way to callers who come in numbers

Callers open a connection for each try and keep it for twelve seconds, so a router held as many idle ones as it may open and closed every new one unread. Change: above 0.6 of the connections each answer is the last of its connection; a new connection beyond the last takes the place of the one that was idle longest.

--- a/connection/front/conn.go
+++ b/connection/front/conn.go
@@ -30,6 +30,9 @@
 	nc   net.Conn
 	r    *bufio.Reader
 	busy atomic.Bool // from the first byte of a request to the last of its answer
+	// idleSince is when the connection became idle, as Unix time in ns; 0 while it
+	// is busy or closed.
+	idleSince atomic.Int64
 
 	idleMu sync.Mutex // held while an idle connection is closed or becomes busy
 	closed bool
@@ -60,22 +63,30 @@
 	if c.nc.SetReadDeadline(time.Now().Add(idle)) != nil {
 		return false
 	}
-	if _, err := c.r.Peek(1); err != nil {
-		return false
-	}
+	c.idleSince.Store(time.Now().UnixNano())
+	_, err := c.r.Peek(1)
 	c.idleMu.Lock()
 	defer c.idleMu.Unlock()
+	c.idleSince.Store(0)
+	if err != nil {
+		return false
+	}
 	c.busy.Store(true)
 	return !c.closed
 }
 
-func (c *conn) closeIfIdle() {
+// closeIfIdle closes the connection unless a request has begun, and reports
+// whether it did.
+func (c *conn) closeIfIdle() bool {
 	c.idleMu.Lock()
 	defer c.idleMu.Unlock()
-	if !c.busy.Load() {
-		c.closed = true
-		_ = c.nc.Close()
+	if c.busy.Load() || c.closed {
+		return false
 	}
+	c.closed = true
+	c.idleSince.Store(0)
+	_ = c.nc.Close()
+	return true
 }
 
 // one serves one request and reports whether the connection can be used again.
--- a/connection/front/exchange.go
+++ b/connection/front/exchange.go
@@ -85,7 +85,7 @@
 }
 
 func (x *Exchange) head(status int, reason string, fields []h1.Field) {
-	if x.conn.s.leaving.Load() {
+	if x.conn.s.leaving.Load() || x.conn.s.crowded() {
 		x.close = true
 	}
 	if reason == "" {
--- a/connection/front/server.go
+++ b/connection/front/server.go
@@ -63,19 +63,31 @@
 	Handler Handler
 	Limits  func() Limits // in force now
 	Log     logr.Logger
-	// MaxConnections bounds the open connections; 0 does not. One beyond it is
-	// closed at once, unread, so that its caller goes elsewhere.
+	// MaxConnections bounds the open connections; 0 does not. One beyond it takes
+	// the place of the one that was idle longest; with none idle it is closed at
+	// once, unread, so that its caller goes elsewhere.
 	MaxConnections int
 
 	leaving atomic.Bool
 	full    atomic.Bool  // the last connection was closed for want of room
 	bodies  atomic.Int64 // bytes of bodies that are held
+	open    atomic.Int64 // connections
 
 	mu    sync.Mutex
 	conns map[*conn]bool
 	group sync.WaitGroup
 }
 
+// keptShare of MaxConnections may stay open between requests. With more open,
+// each answer is the last of its connection, so that callers who come in numbers
+// do not take all of them.
+const keptShare = 0.6
+
+// crowded reports whether answered connections are to be closed.
+func (s *Server) crowded() bool {
+	return s.MaxConnections > 0 && float64(s.open.Load()) > keptShare*float64(s.MaxConnections)
+}
+
 // acceptPause follows a failed accept, such as one without descriptors left.
 const acceptPause = 20 * time.Millisecond
 
@@ -105,16 +117,29 @@
 	if s.MaxConnections <= 0 {
 		return true
 	}
-	s.mu.Lock()
-	open := len(s.conns)
-	s.mu.Unlock()
-	full := open >= s.MaxConnections
+	open := s.open.Load()
+	full := open >= int64(s.MaxConnections) && !s.closeLongestIdle()
 	if s.full.Swap(full) != full {
 		s.Log.Info("room for connections changed", "full", full, "open", open, "most", s.MaxConnections)
 	}
 	return !full
 }
 
+// closeLongestIdle closes the connection that was idle longest and reports
+// whether there was one.
+func (s *Server) closeLongestIdle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var longest *conn
+	var since int64
+	for c := range s.conns {
+		if at := c.idleSince.Load(); at != 0 && (longest == nil || at < since) {
+			longest, since = c, at
+		}
+	}
+	return longest != nil && longest.closeIfIdle()
+}
+
 func (s *Server) start(nc net.Conn) {
 	h1.SetUserTimeout(nc, unsentTimeout)
 	c := newConn(s, nc)
@@ -124,6 +149,7 @@
 	}
 	s.conns[c] = true
 	s.mu.Unlock()
+	s.open.Add(1)
 	s.group.Add(1)
 	go func() {
 		defer s.group.Done()
@@ -131,6 +157,7 @@
 		s.mu.Lock()
 		delete(s.conns, c)
 		s.mu.Unlock()
+		s.open.Add(-1)
 	}()
 }
 
