Wait for racing operators before a fleet of the matrix is healed

Cause: TestWholeMatrix failed at booking, before it is repeated, operators race: entry-2 was not ready again. The fault starts four changes of zone-b at once and waits for none. Healing read a configuration with all zones in service and went on; a change that was still on its way then took zone-b out for good, and with it entry-2. Ruled out: the router, which does what the log says. Change: healing waits for the fault's operators first.

--- a/lab/matrix/faults.go
+++ b/lab/matrix/faults.go
@@ -109,7 +109,7 @@
 // race lets two operators take a zone out and bring it back at once.
 func race(ctx context.Context, b *bench) {
 	for _, out := range []bool{true, false, true, false} {
-		go b.mark(ctx, "zone-b", out)
+		b.operators.Go(func() { b.mark(ctx, "zone-b", out) })
 	}
 }
 
--- a/lab/matrix/fleet.go
+++ b/lab/matrix/fleet.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
 
 	"github.com/stoatmount/stoatmount/connection/operator/client"
 	"github.com/stoatmount/stoatmount/lab/fleet"
@@ -83,6 +84,8 @@
 	probe    *probe
 	operator *client.Client
 	turn     int // spreads the work over the entries
+	// operators are at work on changes that a fault began.
+	operators conc.WaitGroup
 }
 
 func newBench(ctx context.Context, seed uint64, prefix string) (*bench, error) {
@@ -117,6 +120,7 @@
 // heal ends all faults and waits until a chat and a booking are served again.
 func (b *bench) heal(ctx context.Context) error {
 	b.clear()
+	b.operators.Wait() // a change that is still on its way would take a zone out again
 	ctx, cancel := context.WithTimeout(ctx, healTime)
 	defer cancel()
 	if err := b.bringBack(ctx); err != nil {
--- a/lab/matrix/matrix_test.go
+++ b/lab/matrix/matrix_test.go
@@ -7,6 +7,7 @@
 	"flag"
 	"os"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -52,3 +53,21 @@
 	c.Assert(err, qt.IsNil)
 	t.Logf("%s", data)
 }
+
+// Healing waits for operators whose change is still on its way; else it finds all
+// zones in service, and one goes out behind it.
+func TestHealingWaitsForOperators(t *testing.T) {
+	c := qt.New(t)
+	b, err := newBench(t.Context(), 1, "late")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(b.fleet.Close)
+	b.operators.Go(func() {
+		sleep(t.Context(), 500*time.Millisecond)
+		b.mark(t.Context(), "zone-b", true)
+	})
+	c.Assert(b.heal(t.Context()), qt.IsNil)
+	sleep(t.Context(), time.Second)
+	state, err := b.operator.Config(t.Context())
+	c.Assert(err, qt.IsNil)
+	c.Assert(state.Out, qt.HasLen, 0)
+}
