Keep each service's endpoints in order instead of sorting them for each request

Hosts there have 0.19 of a core. Change: the endpoints of a service are kept in order until the registry changes, lists are reused under the table's lock, and the median of latencies is taken ten times a second. TestEndpointsOfAService holds the order and its renewal.

--- a/process/upstream/choose.go
+++ b/process/upstream/choose.go
@@ -1,7 +1,7 @@
 package upstream
 
 import (
-	"sort"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -99,10 +99,10 @@
 // usable returns the endpoints that may get the request, in the order of
 // their ids.
 func (t *Table) usable(now time.Time, w placing.Want) ([]*endpoint, *placing.Refusal) {
-	var sound, ailing []*endpoint
+	sound, ailing := t.sound[:0], t.ailing[:0]
 	cold := 0
-	for _, ep := range t.byID {
-		if ep.Service != w.Service || ep.Leaving || t.out[ep.Zone] {
+	for _, ep := range t.of(w.Service) {
+		if ep.Leaving || t.out[ep.Zone] {
 			continue
 		}
 		switch {
@@ -115,6 +115,7 @@
 			sound = append(sound, ep)
 		}
 	}
+	t.sound, t.ailing = sound, ailing
 	if len(sound) == 0 {
 		sound = ailing // a doubtful endpoint is better than none
 	}
@@ -125,7 +126,6 @@
 		}
 		return nil, &placing.Refusal{Code: code, After: t.retryAfter(now, w.Service, code)}
 	}
-	sort.Slice(sound, func(i, j int) bool { return sound[i].ID < sound[j].ID })
 	return sound, nil
 }
 
@@ -174,8 +174,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	n := 0
-	for _, ep := range t.byID {
-		if ep.Service == w.Service && !ep.Leaving && !t.out[ep.Zone] && !contains(w.Exclude, ep.ID) &&
+	for _, ep := range t.of(w.Service) {
+		if !ep.Leaving && !t.out[ep.Zone] && !contains(w.Exclude, ep.ID) &&
 			!now.Before(ep.health.outUntil) && !t.coldNow(now, ep) {
 			n++
 		}
@@ -193,18 +193,36 @@
 }
 
 func (t *Table) candidates(now time.Time, eps []*endpoint) []placing.Candidate {
-	median := medianLatency(eps)
-	list := make([]placing.Candidate, len(eps))
-	for i, ep := range eps {
-		list[i] = placing.Candidate{ID: ep.ID, Running: ep.load(now), Slots: ep.Slots,
+	median := t.medianLatency(now, eps)
+	list := t.list[:0]
+	for _, ep := range eps {
+		list = append(list, placing.Candidate{ID: ep.ID, Running: ep.load(now), Slots: ep.Slots,
 			Latency: ep.health.latency, Local: ep.Zone == t.cfg.Zone,
-			Slow: ep.health.slow(now, median)}
+			Slow: ep.health.slow(now, median)})
 	}
+	t.list = list
 	return list
 }
 
+// medianEvery is how long a median of latencies is used. The latencies are
+// smoothed over more than that.
+const medianEvery = 100 * time.Millisecond
+
+// medianLatency returns the median latency of the endpoints of a service, as it
+// was a moment ago, or 0.
+func (t *Table) medianLatency(now time.Time, eps []*endpoint) time.Duration {
+	if len(eps) == 0 {
+		return 0
+	}
+	load := t.loadOf(eps[0].Service)
+	if now.Sub(load.medianAt) >= medianEvery {
+		load.median, load.medianAt = medianLatency(eps), now
+	}
+	return load.median
+}
+
 func medianLatency(eps []*endpoint) time.Duration {
-	var all []time.Duration
+	all := make([]time.Duration, 0, len(eps))
 	for _, ep := range eps {
 		if ep.health.latencyN >= fewestSamples {
 			all = append(all, ep.health.latency)
@@ -213,7 +231,7 @@
 	if len(all) < 2 {
 		return 0
 	}
-	sort.Slice(all, func(i, j int) bool { return all[i] < all[j] })
+	slices.Sort(all)
 	return all[(len(all)-1)/2]
 }
 
@@ -259,8 +277,10 @@
 // may fetch cache entries.
 func (t *Table) placeKey(now time.Time, w placing.Want, eps []*endpoint, list []placing.Candidate) (int, string) {
 	holders := t.holders.of(now, w.Key)
-	for i := range list {
-		_, list[i].Holds = holders[list[i].ID]
+	if len(holders) > 0 {
+		for i := range list {
+			_, list[i].Holds = holders[list[i].ID]
+		}
 	}
 	bound, most := t.bounds(now, w.Service)
 	chosen := placing.Affinity(w.Key, list, bound, most, t.draw)
@@ -286,11 +306,9 @@
 		bound, limit = t.cfg.StaleBound, t.cfg.StaleBound
 	}
 	sum, n := 0.0, 0
-	for _, ep := range t.byID {
-		if ep.Service == service {
-			sum += ep.load(now)
-			n++
-		}
+	for _, ep := range t.of(service) {
+		sum += ep.load(now)
+		n++
 	}
 	if n == 0 || limit.Factor <= 0 {
 		return bound, 0
@@ -377,8 +395,8 @@
 
 func (t *Table) othersErrorRate(self *endpoint) float64 {
 	sum, n := 0.0, 0
-	for _, ep := range t.byID {
-		if ep != self && ep.Service == self.Service && !ep.Leaving {
+	for _, ep := range t.of(self.Service) {
+		if ep != self && !ep.Leaving {
 			sum += ep.health.errorRate
 			n++
 		}
--- a/process/upstream/table.go
+++ b/process/upstream/table.go
@@ -2,6 +2,8 @@
 
 import (
 	"math"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -71,11 +73,12 @@
 
 	mu       sync.Mutex
 	byID     map[string]*endpoint
-	gone     map[string]*endpoint // entry removed; removeAt is when they are forgotten
-	out      map[string]bool      // zones out of service
-	self     string               // name of this router
-	others   []string             // names of the other routers that may send
-	beats    time.Duration        // between the beats of a router
+	services map[string][]*endpoint // byID by service, in the order of ids; dropped when byID changes
+	gone     map[string]*endpoint   // entry removed; removeAt is when they are forgotten
+	out      map[string]bool        // zones out of service
+	self     string                 // name of this router
+	others   []string               // names of the other routers that may send
+	beats    time.Duration          // between the beats of a router
 	coldRate map[string]float64
 	// darkSince is when a service was first found without endpoints.
 	darkSince map[string]time.Time
@@ -83,6 +86,10 @@
 	loads     map[string]*serviceLoad
 	live      int // other routers that take requests
 	draw      func() float64
+
+	// Kept between decisions, so that one allocates little. Valid within a call.
+	sound, ailing []*endpoint
+	list          []placing.Candidate
 }
 
 // serviceLoad is what this router's requests showed of the load of a service.
@@ -91,11 +98,14 @@
 	demand     admit.Demand
 	workspaces admit.Workspaces
 	backlog    admit.Backlog
+
+	median   time.Duration // of its endpoints' latencies
+	medianAt time.Time
 }
 
 // New returns an empty table. draw returns random numbers in [0,1).
 func New(cfg Config, draw func() float64) *Table {
-	return &Table{cfg: cfg, byID: make(map[string]*endpoint), gone: make(map[string]*endpoint), out: make(map[string]bool),
+	return &Table{cfg: cfg, byID: make(map[string]*endpoint), services: make(map[string][]*endpoint), gone: make(map[string]*endpoint), out: make(map[string]bool),
 		coldRate: make(map[string]float64), darkSince: make(map[string]time.Time), holders: newHolders(),
 		loads: make(map[string]*serviceLoad), draw: draw}
 }
@@ -137,8 +147,12 @@
 			fresh.running = ep.running // requests of the old process are released by id
 			t.holders.forgetEndpoint(e.ID)
 		}
+		if ep != nil {
+			delete(t.services, ep.Service)
+		}
 		ep = fresh
 		t.byID[e.ID] = ep
+		delete(t.services, e.Service)
 		note = &Note{What: "added", Entry: e}
 	} else if e.Leaving && !ep.Leaving {
 		note = &Note{What: "leaving", Entry: e}
@@ -155,6 +169,7 @@
 		return nil
 	case !gap || ep.Leaving:
 		delete(t.byID, id)
+		delete(t.services, ep.Service)
 		ep.removeAt = now.Add(leftServes)
 		t.gone[id] = ep
 		return &Note{What: "removed", Entry: ep.Entry}
@@ -165,6 +180,22 @@
 	return nil
 }
 
+// of returns the endpoints of a service in the order of their ids.
+func (t *Table) of(service string) []*endpoint {
+	list, known := t.services[service]
+	if known {
+		return list
+	}
+	for _, ep := range t.byID {
+		if ep.Service == service {
+			list = append(list, ep)
+		}
+	}
+	slices.SortFunc(list, func(a, b *endpoint) int { return strings.Compare(a.ID, b.ID) })
+	t.services[service] = list
+	return list
+}
+
 // Sweep removes the endpoints whose grace has passed.
 func (t *Table) Sweep(now time.Time) {
 	t.mu.Lock()
@@ -176,6 +207,7 @@
 	for id, ep := range t.byID {
 		if !ep.removeAt.IsZero() && !now.Before(ep.removeAt) {
 			delete(t.byID, id)
+			delete(t.services, ep.Service)
 		}
 	}
 	for id, ep := range t.gone {
--- a/process/upstream/table_test.go
+++ b/process/upstream/table_test.go
@@ -324,3 +324,26 @@
 	told := table.Running(now)["e0"]
 	c.Assert(told > 0.7 && told < 1.3, qt.IsTrue, qt.Commentf("%v", told))
 }
+
+// The endpoints of a service are those of the registry after each change, in the
+// order of their ids, on which routers agree.
+func TestEndpointsOfAService(t *testing.T) {
+	c := qt.New(t)
+	table := newTable(3)
+	ids := func(service string) (list []string) {
+		for _, ep := range table.of(service) {
+			list = append(list, ep.ID)
+		}
+		return list
+	}
+	c.Assert(ids("s"), qt.DeepEquals, []string{"e0", "e1", "e2"})
+	table.Apply(t0, []Change{put(5, nil), put(4, nil)}, false)
+	c.Assert(ids("s"), qt.DeepEquals, []string{"e0", "e1", "e2", "e4", "e5"})
+	table.Apply(t0, []Change{{ID: "e1"}, put(4, func(e *Entry) { e.Service = "other" })}, false)
+	c.Assert(ids("s"), qt.DeepEquals, []string{"e0", "e2", "e5"})
+	c.Assert(ids("other"), qt.DeepEquals, []string{"e4"})
+	table.Apply(t0, []Change{{ID: "e2"}}, true)
+	c.Assert(ids("s"), qt.HasLen, 3)
+	table.Sweep(t0.Add(time.Minute))
+	c.Assert(ids("s"), qt.DeepEquals, []string{"e0", "e5"})
+}
