Take on changed bounds while running

Cause: the platform's settings file may change with SIGHUP or without a signal; a running process noted the signal and took nothing on, so that a changed bound held only for processes that started later. A file that cannot be read or is not valid changes nothing and is told once. retry_window_s stays, as repeats are counted by it.

--- a/process/feed/feed.go
+++ b/process/feed/feed.go
@@ -45,8 +45,8 @@
 // Config says how a topic is read.
 type Config struct {
 	Name string
-	// Wait is how long a read waits at the log for the next record.
-	Wait time.Duration
+	// Wait returns how long a read waits at the log for the next record.
+	Wait func() time.Duration
 	// Timeout ends a read, beyond the time that it waits at the log.
 	Timeout time.Duration
 	// Pause returns the least time between two reads, so that records which come
@@ -204,7 +204,7 @@
 func (f *Follower) step(ctx context.Context) error {
 	f.mu.Lock()
 	from, loaded, gap := f.next, f.loaded, f.lost
-	wait := f.cfg.Wait
+	wait := f.cfg.Wait()
 	if !loaded || gap || !f.lateAt.IsZero() || f.cfg.Reads != nil && !f.cfg.Reads() {
 		wait = 0
 	}
--- a/process/feed/feed_test.go
+++ b/process/feed/feed_test.go
@@ -151,7 +151,7 @@
 	c := qt.New(t)
 	l, v := newLog(), &view{}
 	l.put("a", "1")
-	run(c, New(Config{Name: "x", Wait: time.Minute, Timeout: time.Second, Sentinel: true}, NewLink(), l, logr.Discard(), v.apply))
+	run(c, New(Config{Name: "x", Wait: constant(time.Minute), Timeout: time.Second, Sentinel: true}, NewLink(), l, logr.Discard(), v.apply))
 	eventually(c, func() bool { return v.get("a") == "1" })
 	l.put("a", "2")
 	l.put("b", "1")
@@ -167,8 +167,8 @@
 	l, other := newLog(), newLog()
 	v, w := &view{}, &view{}
 	link := NewLink()
-	run(c, New(Config{Name: "x", Wait: 100 * time.Millisecond, Timeout: 100 * time.Millisecond, Sentinel: true}, link, l, logr.Discard(), v.apply))
-	run(c, New(Config{Name: "y", Wait: time.Hour, Timeout: 100 * time.Millisecond}, link, other, logr.Discard(), w.apply))
+	run(c, New(Config{Name: "x", Wait: constant(100 * time.Millisecond), Timeout: 100 * time.Millisecond, Sentinel: true}, link, l, logr.Discard(), v.apply))
+	run(c, New(Config{Name: "y", Wait: constant(time.Hour), Timeout: 100 * time.Millisecond}, link, other, logr.Discard(), w.apply))
 	l.put("a", "1")
 	eventually(c, func() bool { return v.get("a") == "1" })
 	other.put("b", "0")
@@ -207,7 +207,7 @@
 
 	l, w := newLog(), &view{}
 	l.put("a", "1")
-	g := New(Config{Name: "x", Wait: 20 * time.Millisecond, Timeout: time.Second, Sentinel: true}, NewLink(), l, logr.Discard(), w.apply)
+	g := New(Config{Name: "x", Wait: constant(20 * time.Millisecond), Timeout: time.Second, Sentinel: true}, NewLink(), l, logr.Discard(), w.apply)
 	run(c, g)
 	eventually(c, func() bool { return w.get("a") == "1" })
 	l.mu.Lock()
@@ -227,14 +227,14 @@
 	var follower *Follower
 	relay := true
 	var mu sync.Mutex
-	reader := New(Config{Name: "x", Wait: time.Minute, Timeout: time.Second, Sentinel: true, Publish: func(b Batch) {
+	reader := New(Config{Name: "x", Wait: constant(time.Minute), Timeout: time.Second, Sentinel: true, Publish: func(b Batch) {
 		mu.Lock()
 		defer mu.Unlock()
 		if relay {
 			follower.Offer(b)
 		}
 	}}, NewLink(), l, logr.Discard(), v.apply)
-	follower = New(Config{Name: "x", Wait: time.Minute, Timeout: time.Second, Sentinel: true, Reads: no}, NewLink(), l, logr.Discard(), w.apply)
+	follower = New(Config{Name: "x", Wait: constant(time.Minute), Timeout: time.Second, Sentinel: true, Reads: no}, NewLink(), l, logr.Discard(), w.apply)
 	run(c, follower)
 	run(c, reader)
 	eventually(c, func() bool { return v.get("a") == "1" && w.get("a") == "1" })
@@ -266,7 +266,7 @@
 	c := qt.New(t)
 	l, v := newLog(), &view{}
 	l.set(func(context.Context) error { return errors.New("refused") })
-	f := New(Config{Name: "x", Wait: time.Minute, Timeout: time.Second, Sentinel: true}, NewLink(), l, logr.Discard(), v.apply)
+	f := New(Config{Name: "x", Wait: constant(time.Minute), Timeout: time.Second, Sentinel: true}, NewLink(), l, logr.Discard(), v.apply)
 	run(c, f)
 	time.Sleep(500 * time.Millisecond)
 	l.mu.Lock()
@@ -285,7 +285,7 @@
 	l, v := newLog(), &view{}
 	l.put("a", "1")
 	l.set(func(ctx context.Context) error { <-ctx.Done(); return ctx.Err() })
-	run(c, New(Config{Name: "x", Wait: time.Hour, Timeout: 50 * time.Millisecond, Sentinel: true}, NewLink(), l, logr.Discard(), v.apply))
+	run(c, New(Config{Name: "x", Wait: constant(time.Hour), Timeout: 50 * time.Millisecond, Sentinel: true}, NewLink(), l, logr.Discard(), v.apply))
 	time.Sleep(100 * time.Millisecond)
 	l.set(nil)
 	eventually(c, func() bool { return v.get("a") == "1" })
@@ -297,7 +297,7 @@
 	c := qt.New(t)
 	l, v := newLog(), &view{}
 	l.put("a", "1")
-	f := New(Config{Name: "x", Wait: time.Hour, Timeout: time.Second, Sentinel: true}, NewLink(), l, logr.Discard(), v.apply)
+	f := New(Config{Name: "x", Wait: constant(time.Hour), Timeout: time.Second, Sentinel: true}, NewLink(), l, logr.Discard(), v.apply)
 	run(c, f)
 	eventually(c, func() bool { return v.get("a") == "1" })
 	l.mu.Lock()
@@ -314,3 +314,5 @@
 	})
 	c.Assert(f.Reached(), qt.IsTrue)
 }
+
+func constant(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
--- a/process/router/follow.go
+++ b/process/router/follow.go
@@ -44,31 +44,33 @@
 		cfg.Publish = func(b feed.Batch) { r.relay(t, b) }
 		r.followers[t] = feed.New(cfg, link, r.adapter.Topic(t), r.log, apply)
 	}
-	follower(Operators, feed.Config{Name: "operators", Wait: r.s.sentinelWait(), Sentinel: true}, r.applyOperators)
-	follower(Endpoints, feed.Config{Name: "endpoints", Wait: r.s.sentinelWait(), Pause: r.endpointPause}, r.applyEndpoints)
+	follower(Operators, feed.Config{Name: "operators", Wait: r.sentinelWait, Sentinel: true}, r.applyOperators)
+	follower(Endpoints, feed.Config{Name: "endpoints", Wait: r.sentinelWait, Pause: r.endpointPause}, r.applyEndpoints)
 }
 
+func (r *Router) sentinelWait() time.Duration { return r.bounds.Load().sentinelWait() }
+
 func (r *Router) endpointPause() time.Duration {
 	if r.endpoints.Dark(time.Now()) {
 		return darkPause
 	}
-	return r.s.endpointPause()
+	return r.bounds.Load().endpointPause()
 }
 
 // sentinelWait returns how long a read of the operators' records waits.
-func (s *Settings) sentinelWait() time.Duration {
-	if s.Contact <= 0 {
+func (b *Bounds) sentinelWait() time.Duration {
+	if b.Contact <= 0 {
 		return sentinelWait
 	}
-	return max(leastSentinel, min(sentinelWait, s.Contact-storeTimeout))
+	return max(leastSentinel, min(sentinelWait, b.Contact-storeTimeout))
 }
 
 // endpointPause returns the pause between reads of the endpoints' entries.
-func (s *Settings) endpointPause() time.Duration {
-	if s.Drain <= 0 {
+func (b *Bounds) endpointPause() time.Duration {
+	if b.Drain <= 0 {
 		return endpointPause
 	}
-	return min(endpointPause, time.Duration(drainShare*float64(s.Drain)))
+	return min(endpointPause, time.Duration(drainShare*float64(b.Drain)))
 }
 
 // follow starts to follow the topics of the store.
--- a/process/router/leave.go
+++ b/process/router/leave.go
@@ -33,8 +33,8 @@
 		list = append(list, m.Front)
 	}
 	ttl := answerTTL
-	if r.s.AnswerTTLMax > 0 {
-		ttl = min(ttl, r.s.AnswerTTLMax)
+	if most := r.bounds.Load().AnswerTTLMax; most > 0 {
+		ttl = min(ttl, most)
 	}
 	return list, ttl
 }
@@ -50,12 +50,12 @@
 // from now on, serves what still arrives, and returns when nothing is open or
 // the grace is nearly over.
 func (r *Router) Leave() {
-	began := time.Now()
+	began, grace := time.Now(), r.bounds.Load().Grace
 	r.front.Leave()
 	r.streamsUntil.Store(began.Add(streamsFor).UnixNano())
 	r.leaving.Store(true)
 	open, busy := r.front.Open()
-	r.log.Info("leaving", "open", open, "busy", busy, "grace_ms", r.s.Grace.Milliseconds())
+	r.log.Info("leaving", "open", open, "busy", busy, "grace_ms", grace.Milliseconds())
 	if r.exchange != nil {
 		r.exchange.Now()
 	}
@@ -63,7 +63,7 @@
 		r.log.Info("own record not removed", "error", err.Error())
 	}
 	unused := began.Add(heldLonger*answerTTL + time.Second)
-	last := began.Add(r.s.Grace - closeBefore)
+	last := began.Add(grace - closeBefore)
 	for time.Now().Before(last) {
 		open, _ := r.front.Open()
 		if open == 0 && time.Now().After(unused) {
@@ -73,7 +73,7 @@
 	}
 	_ = r.listeners.front.Close() // callers that still connect are refused at once and go elsewhere
 	r.front.CloseIdle()
-	end := began.Add(r.s.Grace - endBefore)
+	end := began.Add(grace - endBefore)
 	for time.Now().Before(end) {
 		if open, _ = r.front.Open(); open == 0 {
 			break
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -63,6 +63,7 @@
 // Router is the process of an entry host.
 type Router struct {
 	s       Settings
+	bounds  atomic.Pointer[Bounds] // in force; those of s are the first
 	log     logr.Logger
 	adapter Adapter
 
@@ -70,6 +71,7 @@
 	endpoints *upstream.Table
 	peers     *peers.Table
 	pool      *h1.Pool
+	repeats   *retry.Window
 	front     *front.Server
 	exchange  *peers.Exchange
 	followers [followed]*feed.Follower // by topic
@@ -100,13 +102,13 @@
 	}
 	r := &Router{s: s, log: log, adapter: adapter, boot: time.Now().UnixNano(), zones: make(map[string]bool)}
 	r.endpoints = upstream.New(upstream.Config{Zone: s.Zone, RemovalGrace: removalGrace, Bound: loadBound,
-		StaleBound: staleBound, StaleBeats: staleBeats, CapFactor: capShare * s.LoadCap, CapExtra: capExtra,
-		ColdOver: s.ColdOver, ColdSlack: s.ColdSlack}, rand.Float64)
+		StaleBound: staleBound, StaleBeats: staleBeats, CapExtra: capExtra}, rand.Float64)
 	r.peers = peers.New(s.Name, peers.DeadAfter(1))
 	r.pool = h1.NewPool(unsentToEndpoint)
-	repeats := retry.NewWindow(retry.WindowConfig{Span: s.RetryWindow, Ratio: s.RetryRatio, Slack: s.RetrySlack})
+	r.repeats = retry.NewWindow(s.RetryWindow)
+	r.setBounds(s.Bounds)
 	handler := &forward.Server{Codec: adapter.Codec(), Table: r.table.Load, Endpoints: r.endpoints, Pool: r.pool,
-		Repeats: sharedRepeats{repeats, r.members}, Observer: observer, Members: r.members,
+		Repeats: sharedRepeats{r.repeats, r.members}, Observer: observer, Members: r.members,
 		RefusesStreams: r.refusesStreams}
 	r.front = &front.Server{Handler: handler, Limits: r.limits, Log: log,
 		MaxConnections: int(callersShare * float64(s.Descriptors))}
@@ -273,8 +275,8 @@
 // to callers. The platform allows the contact time and three seconds more.
 func (r *Router) deadAfter(n int) time.Duration {
 	d := peers.DeadAfter(n)
-	if r.s.Contact > 0 {
-		d = min(d, r.s.Contact+forgetWithin)
+	if contact := r.bounds.Load().Contact; contact > 0 {
+		d = min(d, contact+forgetWithin)
 	}
 	return d
 }
--- a/process/router/settings.go
+++ b/process/router/settings.go
@@ -8,8 +8,21 @@
 	"github.com/pkg/errors"
 )
 
-// Settings are what a process learns before it starts. They do not change
-// while it runs.
+// Bounds are the settings that a running process takes on when they change.
+type Bounds struct {
+	Contact      time.Duration // after a disturbance, until bounds hold again
+	Drain        time.Duration // until a leaving endpoint gets no new requests
+	Grace        time.Duration // between the signal to leave and the kill
+	RetryRatio   float64       // repeats per request of a service, over all routers
+	RetrySlack   float64       // repeats on top
+	ColdOver     float64       // times its rate that a cold endpoint bears in one second
+	ColdSlack    float64       // requests on top
+	LoadCap      float64       // times the mean load that an endpoint may have
+	AnswerTTLMax time.Duration // for which callers keep addresses
+}
+
+// Settings are what a process learns before it starts. But for Bounds they do
+// not change while it runs.
 type Settings struct {
 	Name    string // of the host
 	Address string // of the host, without a port
@@ -26,16 +39,8 @@
 	MemoryBytes int64 // that the process may use; 0 is unknown
 	Descriptors int   // that the process may open; 0 is unknown
 
-	Contact      time.Duration // after a disturbance, until bounds hold again
-	Drain        time.Duration // until a leaving endpoint gets no new requests
-	Grace        time.Duration // between the signal to leave and the kill
-	RetryRatio   float64       // repeats per request of a service, over all routers
-	RetryWindow  time.Duration
-	RetrySlack   float64 // repeats on top
-	ColdOver     float64 // times its rate that a cold endpoint bears in one second
-	ColdSlack    float64 // requests on top
-	LoadCap      float64 // times the mean load that an endpoint may have
-	AnswerTTLMax time.Duration
+	RetryWindow time.Duration // over which repeats are bounded
+	Bounds
 }
 
 // Validate returns all faults of the settings at once, each with its remedy.
--- a/process/run/platform.go
+++ b/process/run/platform.go
@@ -1,6 +1,7 @@
 package run
 
 import (
+	"bytes"
 	"expvar"
 	"fmt"
 	"io"
@@ -56,22 +57,56 @@
 		log.Error(err, "could not start")
 		return exitFailed
 	}
-	awaitEnd(log)
+	awaitEnd(log, a.Settings, r.Reload)
 	r.Leave()
 	return exitDone
 }
 
-// awaitEnd returns when a signal asks the process to end. The settings of the
-// platform hold nothing that a running process takes on, so that a signal to
-// read them again is only noted.
-func awaitEnd(log logr.Logger) {
+// settingsPoll is the pause between looks at the settings file, which may change
+// without a signal.
+const settingsPoll = 2 * time.Second
+
+// awaitEnd returns when a signal asks the process to end. Until then it passes
+// on the settings of path when a signal says that they have changed, or their
+// content has.
+func awaitEnd(log logr.Logger, path string, reload func(router.Settings) error) {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
-	for sig := range signals {
-		log.Info("signal", "signal", sig.String())
-		if sig != syscall.SIGHUP {
-			return
+	tick := time.NewTicker(settingsPoll)
+	defer tick.Stop()
+	known, _ := os.ReadFile(path) // read without a fault a moment ago
+	for {
+		asked := false
+		select {
+		case sig := <-signals:
+			log.Info("signal", "signal", sig.String())
+			if sig != syscall.SIGHUP {
+				return
+			}
+			asked = true
+		case <-tick.C:
 		}
+		known = reread(log, path, known, asked, reload)
+	}
+}
+
+// reread reads the settings again and passes them on if asked to or if they
+// differ from known. It returns what was read last, nil if it cannot be read.
+func reread(log logr.Logger, path string, known []byte, asked bool, reload func(router.Settings) error) []byte {
+	data, err := os.ReadFile(path)
+	if !asked && bytes.Equal(data, known) { // a file that stays unreadable is told once
+		return known
+	}
+	var s router.Settings
+	if err == nil {
+		s, err = platform.ParseSettings(data)
+	}
+	if err == nil {
+		err = reload(s)
+	}
+	if err != nil {
+		log.Info("settings not reloaded; those in force stay", "file", path, "error", err.Error())
 	}
+	return data
 }
--- a/process/upstream/table.go
+++ b/process/upstream/table.go
@@ -46,6 +46,13 @@
 	ColdSlack  float64 // requests on top of that
 }
 
+// SetBounds replaces CapFactor, ColdOver and ColdSlack.
+func (t *Table) SetBounds(capFactor, coldOver, coldSlack float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.cfg.CapFactor, t.cfg.ColdOver, t.cfg.ColdSlack = capFactor, coldOver, coldSlack
+}
+
 // leftServes is how long an endpoint still hands out cache entries after its
 // entry was removed. Some leave without announcing it and serve on meanwhile.
 const leftServes = 2500 * time.Millisecond
--- a/request/retry/window.go
+++ b/request/retry/window.go
@@ -5,13 +5,6 @@
 	"time"
 )
 
-// WindowConfig bounds the repeats of a service over all routers.
-type WindowConfig struct {
-	Span  time.Duration // any span of this length counts
-	Ratio float64       // repeats allowed per request
-	Slack float64       // repeats allowed on top, for all routers together
-}
-
 const (
 	windowBuckets = 10 // of one span
 	// requestShare is the part of the ratio that a router's own requests earn.
@@ -25,9 +18,11 @@
 // equal part of the slack, so no message is needed. It is safe for concurrent
 // use; Window.mu is a leaf.
 type Window struct {
-	cfg WindowConfig
+	span time.Duration // any span of this length counts
 
 	mu       sync.Mutex
+	ratio    float64 // repeats allowed per request
+	slack    float64 // repeats allowed on top, for all routers together
 	services map[string]*counts
 }
 
@@ -39,9 +34,18 @@
 	repeats  [windowBuckets + 1]int
 }
 
-// NewWindow returns a Window without requests.
-func NewWindow(cfg WindowConfig) *Window {
-	return &Window{cfg: cfg, services: make(map[string]*counts)}
+// NewWindow returns a Window without requests that allows no repeats before
+// SetBound.
+func NewWindow(span time.Duration) *Window {
+	return &Window{span: span, services: make(map[string]*counts)}
+}
+
+// SetBound sets the repeats that are allowed for each request, and those on top
+// for all routers together.
+func (w *Window) SetBound(ratio, slack float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ratio, w.slack = ratio, slack
 }
 
 // Request counts a caller's request for service.
@@ -58,7 +62,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	c, at := w.at(now, service)
-	bound := requestShare*w.cfg.Ratio*float64(c.sum(&c.requests, windowBuckets)) + w.cfg.Slack/float64(max(1, members))
+	bound := requestShare*w.ratio*float64(c.sum(&c.requests, windowBuckets)) + w.slack/float64(max(1, members))
 	if float64(c.sum(&c.repeats, windowBuckets+1)+1) > bound {
 		return false
 	}
@@ -72,7 +76,7 @@
 		c = &counts{}
 		w.services[service] = c
 	}
-	bucket := now.UnixNano() / int64(w.cfg.Span/windowBuckets)
+	bucket := now.UnixNano() / int64(w.span/windowBuckets)
 	const size = windowBuckets + 1
 	for steps := 0; c.newest < bucket && steps < size; steps++ {
 		c.newest++
--- a/request/retry/window_test.go
+++ b/request/retry/window_test.go
@@ -13,11 +13,12 @@
 // repeat.
 func TestRoutersKeepTheSharedBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		cfg := WindowConfig{Span: 10 * time.Second, Ratio: 0.2, Slack: 54}
+		const span, ratio, slack = 10 * time.Second, 0.2, 54
 		routers := rapid.IntRange(1, 9).Draw(t, "routers")
 		windows := make([]*Window, routers)
 		for i := range windows {
-			windows[i] = NewWindow(cfg)
+			windows[i] = NewWindow(span)
+			windows[i].SetBound(ratio, slack)
 		}
 		now := time.Unix(1_700_000_000, int64(rapid.IntRange(0, 999_999_999).Draw(t, "offset")))
 		var requests, repeats []time.Time
@@ -42,11 +43,11 @@
 		for i, from := range repeats {
 			n := 0
 			for _, at := range repeats[i:] {
-				if at.Sub(from) < cfg.Span {
+				if at.Sub(from) < span {
 					n++
 				}
 			}
-			if bound := cfg.Ratio*float64(mostRequests(requests, from, cfg.Span)) + cfg.Slack; float64(n) > bound {
+			if bound := ratio*float64(mostRequests(requests, from, span)) + slack; float64(n) > bound {
 				t.Fatalf("%d repeats in the span from %v, bound %.1f", n, from, bound)
 			}
 		}
@@ -71,7 +72,8 @@
 
 func TestWindowForgets(t *testing.T) {
 	c := qt.New(t)
-	w := NewWindow(WindowConfig{Span: 10 * time.Second, Slack: 4})
+	w := NewWindow(10 * time.Second)
+	w.SetBound(0, 4)
 	now := time.Unix(1_700_000_000, 0)
 	taken := 0
 	for range 10 {
