List a refusal that was not true while owners changed

Cause: 10,000 random histories found seed 71277: a booking ran under one appender of its shard and was refused as not run by another, who trusted a beat that the first had sent before it changed its view.

--- a/lab/histories/histories_test.go
+++ b/lab/histories/histories_test.go
@@ -86,3 +86,10 @@
 	broken, _ := runOne(60535, foundSteps, wholeSystem)
 	qt.Check(t, broken, qt.HasLen, 0)
 }
+
+// TestRefusalIsTrueWhileOwnersChange runs a history in which a booking ran under
+// one appender of its shard and was refused as not run by another.
+func TestRefusalIsTrueWhileOwnersChange(t *testing.T) {
+	broken, _ := runOne(71277, foundSteps, wholeSystem)
+	qt.Check(t, broken, qt.HasLen, 0)
+}
