--- a/process/upstream/choose.go
+++ b/process/upstream/choose.go
@@ -6,7 +6,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/stoatmount/stoatmount/request/admit"
 	"github.com/stoatmount/stoatmount/request/outcome"
 	"github.com/stoatmount/stoatmount/request/placing"
 )
@@ -51,51 +50,6 @@
 		FetchFrom: fetch, Held: list[chosen].Holds, Holders: holders, Running: running, Cold: cold, Age: now.Sub(ep.readAt), At: now, Class: w.Class}, nil
 }
 
-// crowded bounds the requests that each candidate may have, and reports whether
-// the request has to give way because all are busy. A request that was sent
-// before has been admitted and keeps its place.
-func (t *Table) crowded(now time.Time, w placing.Want, list []placing.Candidate) bool {
-	load := t.loads[w.Service]
-	if len(w.Exclude) > 0 || load == nil {
-		return false
-	}
-	mean := load.work.Mean()
-	work := load.work.Of(w.Class)
-	if work == 0 {
-		work = mean
-	}
-	slots, busy := 0, mean > 0
-	for i := range list {
-		c := &list[i]
-		c.Limit = admit.Limit(w.Objective, c.Slots, mean)
-		slots += c.Slots
-		busy = busy && c.Slots > 0 && c.Running >= admit.BusyFrom*float64(c.Slots)
-	}
-	own := float64(slots) / float64(max(1, t.live+1)) // of this router's requests
-	load.workspaces.Add(now, w.Workspace, work)
-	band := admit.Band(work, w.Rank, load.workspaces.Behind(w.Workspace, own))
-	load.demand.Add(now, band, work)
-	return busy && t.draw() >= load.demand.Share(now, band, own)
-}
-
-// refuseFull refuses a request for which no endpoint has room.
-func (t *Table) refuseFull(now time.Time, w placing.Want, list []placing.Candidate) *placing.Refusal {
-	slots, best := 0, 0
-	over := func(i int) float64 { return (list[i].Running + 1 - list[i].Limit) / float64(max(1, list[i].Slots)) }
-	for i := range list {
-		slots += list[i].Slots
-		if over(i) < over(best) {
-			best = i
-		}
-	}
-	load := t.loads[w.Service]
-	mean := load.work.Mean()
-	soonest := max(leastRetry, time.Duration(over(best)*float64(mean)))
-	each := mean * time.Duration(len(t.others)+1) / time.Duration(max(1, slots))
-	return &placing.Refusal{Code: outcome.EndpointAtCap, After: load.backlog.After(now, soonest, each, t.draw()),
-		Running: list[best].Running, Limit: list[best].Limit, Rank: w.Rank}
-}
-
 // usable returns the endpoints that may get the request, in the order of
 // their ids.
 func (t *Table) usable(now time.Time, w placing.Want) ([]*endpoint, *placing.Refusal) {
@@ -384,15 +338,6 @@
 	return !was && now.Before(ep.health.outUntil)
 }
 
-func (t *Table) loadOf(service string) *serviceLoad {
-	l := t.loads[service]
-	if l == nil {
-		l = &serviceLoad{}
-		t.loads[service] = l
-	}
-	return l
-}
-
 func (t *Table) othersErrorRate(self *endpoint) float64 {
 	sum, n := 0.0, 0
 	for _, ep := range t.of(self.Service) {
--- a/process/upstream/table.go
+++ b/process/upstream/table.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/stoatmount/stoatmount/request/admit"
 	"github.com/stoatmount/stoatmount/request/placing"
 )
 
@@ -99,17 +98,6 @@
 	list          []placing.Candidate
 }
 
-// serviceLoad is what this router's requests showed of the load of a service.
-type serviceLoad struct {
-	work       admit.Work
-	demand     admit.Demand
-	workspaces admit.Workspaces
-	backlog    admit.Backlog
-
-	median   time.Duration // of its endpoints' latencies
-	medianAt time.Time
-}
-
 // New returns an empty table. draw returns random numbers in [0,1).
 func New(cfg Config, draw func() float64) *Table {
 	return &Table{cfg: cfg, byID: make(map[string]*endpoint), services: make(map[string][]*endpoint), gone: make(map[string]*endpoint), out: make(map[string]bool),
--- a/request/admit/demand.go
+++ b/request/admit/demand.go
@@ -49,15 +49,24 @@
 }
 
 func (d *Demand) settle(now time.Time) {
-	kept := math.Exp(-float64(now.Sub(d.at)) / float64(demandOver))
-	if now.After(d.at) {
-		d.at = now
+	if kept := fade(&d.at, now); kept < 1 {
 		for i := range d.slots {
 			d.slots[i] *= kept
 		}
 	}
 }
 
+// fade returns the part of a demand that is left at now of what there was at
+// *at, and sets *at to now.
+func fade(at *time.Time, now time.Time) float64 {
+	passed := now.Sub(*at)
+	if passed <= 0 {
+		return 1
+	}
+	*at = now
+	return math.Exp(-float64(passed) / float64(demandOver))
+}
+
 // Share returns the part of a band's requests for which slots are left by those
 // before it.
 func (d *Demand) Share(now time.Time, band int, slots float64) float64 {
--- a/request/admit/workspaces.go
+++ b/request/admit/workspaces.go
@@ -33,11 +33,7 @@
 }
 
 func (s *Workspaces) settle(now time.Time) {
-	if !now.After(s.at) {
-		return
-	}
-	kept := math.Exp(-float64(now.Sub(s.at)) / float64(demandOver))
-	s.at = now
+	kept := fade(&s.at, now)
 	for name, slots := range s.slots {
 		if slots *= kept; slots < leastActive {
 			delete(s.slots, name)
