--- a/process/upstream/load.go
+++ b/process/upstream/load.go
@@ -42,10 +42,11 @@
 	if work == 0 {
 		work = mean
 	}
+	wait := admit.Wait(w.Objective, w.HasKey)
 	slots, busy := 0, mean > 0
 	for i := range list {
 		c := &list[i]
-		c.Limit = admit.Limit(w.Objective, c.Slots, mean)
+		c.Limit = admit.Limit(wait, c.Slots, mean)
 		slots += c.Slots
 		busy = busy && c.Slots > 0 && c.Running >= admit.BusyFrom*float64(c.Slots)
 	}
@@ -53,7 +54,7 @@
 	load.workspaces.Add(now, w.Workspace, work)
 	band := admit.Band(work, w.Rank, load.workspaces.Behind(w.Workspace, own))
 	load.demand.Add(now, band, work)
-	return busy && t.draw() >= load.demand.Share(now, band, own)
+	return busy && t.draw() >= load.demand.Share(now, band, admit.Slots(own, mean, w.HasKey))
 }
 
 // refuseFull refuses a request for which no endpoint has room.
--- a/request/admit/demand.go
+++ b/request/admit/demand.go
@@ -18,9 +18,9 @@
 	// BusyFrom is the part of its slots from which an endpoint counts as busy. An
 	// engine's throughput hardly grows beyond it.
 	BusyFrom = 0.75
-	// fillTo is the part of the slots that demand may fill; the rest absorbs the
-	// error of the averages.
-	fillTo = 0.9
+	// promptFill is the part of an engine's slots that demand may fill. Fuller ones
+	// push prompts off the engines that cache them.
+	promptFill = 0.9
 )
 
 // Band returns the place of a request in the order in which requests are taken
@@ -67,11 +67,22 @@
 	return math.Exp(-float64(passed) / float64(demandOver))
 }
 
+// Slots returns the slots that demand may fill of those that a router's requests
+// have. mean is the work of a request of the service. Plain services are filled
+// whole, and where few requests fill the slots, as at one of many routers, by a
+// standard deviation more, as demand strays from its average by chance.
+func Slots(slots float64, mean time.Duration, prompt bool) float64 {
+	if prompt {
+		return promptFill * slots
+	}
+	return slots + math.Sqrt(slots*float64(mean)/float64(2*demandOver))
+}
+
 // Share returns the part of a band's requests for which slots are left by those
 // before it.
 func (d *Demand) Share(now time.Time, band int, slots float64) float64 {
 	d.settle(now)
-	left := fillTo * slots
+	left := slots
 	for _, s := range d.slots[:band] {
 		left -= s
 	}
