Read the change as a newcomer: fewer checks, plainer comments

Cause: admission checked for tables that are always there, and some constants did not say what they are for.

--- a/process/upstream/load.go
+++ b/process/upstream/load.go
@@ -29,14 +29,14 @@
 	return l
 }
 
-// crowded bounds the requests that each candidate may have, and reports whether
-// the request has to give way because all are busy. A request that was sent
-// before has been admitted and keeps its place.
+// crowded sets the limit of each candidate and reports whether the request has to
+// give way because all are busy. A request that was sent before has been admitted
+// and keeps its place.
 func (t *Table) crowded(now time.Time, w placing.Want, list []placing.Candidate) bool {
-	load := t.loads[w.Service]
-	if len(w.Exclude) > 0 || load == nil {
+	if len(w.Exclude) > 0 {
 		return false
 	}
+	load := t.loadOf(w.Service)
 	mean := load.work.Mean()
 	work := load.work.Of(w.Class)
 	if work == 0 {
--- a/request/admit/demand.go
+++ b/request/admit/demand.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	bands = 96
+	bands = 96 // of cost, from a millisecond of work to any that may come
 	// bandsPerDoubling is how many bands the cost takes to double.
 	bandsPerDoubling = 2
 	// rankBands is by how many bands a rank of urgency sets a request behind: the
--- a/request/admit/work.go
+++ b/request/admit/work.go
@@ -3,14 +3,16 @@
 import "time"
 
 const (
-	// workWeight is the weight of the newest request in the means.
+	// workWeight is the weight of the newest request in the means, which follow
+	// about the last twenty.
 	workWeight = 0.05
 	// floorRise is the part by which a class's shortest wait for the first byte
 	// follows longer ones, so that it is not kept for ever.
 	floorRise = 0.02
 	// fewestSamples of a class are taken before its own mean is used.
 	fewestSamples = 4
-	// mostClasses bounds the classes that are remembered.
+	// mostClasses bounds the classes that are remembered; a configuration that
+	// grows has a few hundred routes.
 	mostClasses = 1024
 )
 
@@ -61,7 +63,7 @@
 
 // Mean returns the mean over all requests; 0 before the first ones.
 func (w *Work) Mean() time.Duration {
-	if w == nil || w.all.samples < fewestSamples {
+	if w.all.samples < fewestSamples {
 		return 0
 	}
 	return w.all.value
@@ -69,9 +71,6 @@
 
 // Of returns the mean of a class; 0 before its first requests.
 func (w *Work) Of(class string) time.Duration {
-	if w == nil {
-		return 0
-	}
 	if m := w.classes[class]; m != nil && m.samples >= fewestSamples {
 		return m.value
 	}
