Log a fingerprint of the body with failed attempts

Cause: the lines of two copies of one body have nothing in common, as each attempt of a caller has its own id; a body that crashes endpoints could not be told from unrelated crashes. Change: a request's line with failed attempts has the hash of workspace, method, target and body.

--- a/connection/forward/attempt.go
+++ b/connection/forward/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/stoatmount/stoatmount/connection/http1"
+	"github.com/stoatmount/stoatmount/process/suspect"
 	"github.com/stoatmount/stoatmount/request/balance"
 	"github.com/stoatmount/stoatmount/request/outcome"
 )
@@ -343,4 +344,11 @@
 		f.Status = a.head.Status
 	}
 	j.rec.FailedAttempts = append(j.rec.FailedAttempts, f)
+	j.rec.Fingerprint = j.fingerprint()
+}
+
+// fingerprint identifies the request among those of other ids. Callers that try
+// again send the same target and body with the same API key.
+func (j *job) fingerprint() suspect.Fingerprint {
+	return suspect.FingerprintOf(j.workspace, "", j.x.Head.Method+" "+j.x.Head.Target, j.x.Body)
 }
--- a/connection/forward/record.go
+++ b/connection/forward/record.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/stoatmount/stoatmount/process/suspect"
 	"github.com/stoatmount/stoatmount/request/balance"
 	"github.com/stoatmount/stoatmount/request/outcome"
 )
@@ -21,11 +22,12 @@
 	Code                outcome.Code
 	Status              int
 	RetryAfter          time.Duration
-	PromptKey           uint64           // of the prompt's shared parts; 0 if none
-	SharedTokens        int              // tokens of these parts
-	Endpoints           []string         // chosen for it, in order, also those not reached
-	LastGrant           balance.Grant    // of the last attempt
-	Refusal             *balance.Refusal // why no endpoint was chosen; nil if one was
+	Fingerprint         suspect.Fingerprint // of the body, if an attempt failed; 0 otherwise
+	PromptKey           uint64              // of the prompt's shared parts; 0 if none
+	SharedTokens        int                 // tokens of these parts
+	Endpoints           []string            // chosen for it, in order, also those not reached
+	LastGrant           balance.Grant       // of the last attempt
+	Refusal             *balance.Refusal    // why no endpoint was chosen; nil if one was
 	FailedAttempts      []FailedAttempt
 	Dials               int    // connections opened for it
 	MismatchedResponses int    // responses to other requests on its connection
--- a/process/observe/observe_test.go
+++ b/process/observe/observe_test.go
@@ -36,6 +36,7 @@
 	}
 	failed := served(9999, outcome.EndpointFailed)
 	failed.FailedAttempts = []forward.FailedAttempt{{Endpoint: "e1", Failure: balance.Broken, AfterMS: 12, Error: "reset"}}
+	failed.Fingerprint = 0xb0d1
 	r.Request(failed)
 	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
 	c.Assert(lines, qt.HasLen, servedLinesPerSecond+1)
@@ -46,6 +47,7 @@
 	c.Assert(line["config"], qt.Equals, 7.0)
 	c.Assert(line["entry_age_ms"], qt.Equals, 1000.0)
 	c.Assert(line["failed"], qt.DeepEquals, []any{map[string]any{"endpoint": "e1", "failure": "broken", "run": "unknown", "after_ms": 12.0, "error": "reset"}})
+	c.Assert(line["body"], qt.Equals, "b0d1")
 	c.Assert(vars["log_lines_over_budget"].String(), qt.Equals, fmt.Sprint(9*servedLinesPerSecond))
 	c.Assert(vars["requests_by_result"].String(), qt.Equals, fmt.Sprintf(`{"endpoint_failed": 1, "ok": %d}`, 10*servedLinesPerSecond))
 	c.Assert(vars["first_byte_ms"].String(), qt.Equals, fmt.Sprintf(`{"Count":%d,"P50":20,"P90":20,"P99":20,"Max":20}`, 10*servedLinesPerSecond+1))
--- a/process/observe/requests.go
+++ b/process/observe/requests.go
@@ -172,7 +172,7 @@
 		kv = append(kv, "error", rec.Error)
 	}
 	if len(rec.FailedAttempts) > 0 {
-		kv = append(kv, "failed", rec.FailedAttempts)
+		kv = append(kv, "failed", rec.FailedAttempts, "body", rec.Fingerprint.Key())
 	}
 	r.log.Info("request", kv...)
 }
