Quarantine bodies that crash the endpoints that run them

Callers saw: one request was sent to endpoints on and on; each copy ended one or two more, and with them everything else that ran there. Cause: nothing connected the attempts of a caller. Each has a new id, may reach any router and was placed like a new request; max_attempts bounds one attempt only. The class: a bound that is kept for each attempt, though the fault belongs to the body. Change: routers count crashes by a hash of workspace, method, target and body. A crash is a lost connection to an endpoint that accepts no other; copies that are lost together count once; a completed run starts again. Three in a row quarantine the body at all routers, by heartbeats and a record in the store. A trial after 2 minutes, then ever more rarely, lets a harmless body out. Why it works: the third crash is known to all routers in touch within a heartbeat, to a new process before it is ready.

--- a/connection/forward/attempt.go
+++ b/connection/forward/attempt.go
@@ -9,7 +9,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/stoatmount/stoatmount/connection/http1"
-	"github.com/stoatmount/stoatmount/process/suspect"
 	"github.com/stoatmount/stoatmount/request/balance"
 	"github.com/stoatmount/stoatmount/request/outcome"
 )
@@ -235,8 +234,7 @@
 		if a.err == nil && a.head != nil {
 			j.drain(a)
 		}
-		j.release(a)
-		j.recordFailure(a)
+		j.endFailed(a)
 		return false
 	}
 	if isEventStream(a.head) {
@@ -245,26 +243,24 @@
 	if j.rec.HeadSent {
 		j.drain(a)
 		a.failure = balance.ServerError
-		j.release(a)
-		j.recordFailure(a)
+		j.endFailed(a)
 		return false // the caller already has a part of another endpoint's response
 	}
 	data, err := a.body.ReadAll(maxBufferedBytes)
 	if err != nil {
 		a.err, a.failure = errors.Wrap(err, "response truncated"), j.classify(a, err)
-		j.release(a)
-		j.recordFailure(a)
+		j.endFailed(a)
 		return false
 	}
 	buffered := &bufferedResponse{head: a.head, body: data}
 	if a.head.Status >= http.StatusInternalServerError {
 		a.failure = balance.ServerError
-		j.release(a)
-		j.recordFailure(a)
+		j.endFailed(a)
 		j.lastFailure = buffered
 		return !j.mayRetryServerError() && j.respond(buffered)
 	}
 	j.release(a)
+	j.recordCompletion(a)
 	return j.respond(buffered)
 }
 
@@ -335,6 +331,13 @@
 	return defaultMaxIdle
 }
 
+// endFailed releases a failed attempt and records the failure.
+func (j *job) endFailed(a *attempt) {
+	j.release(a)
+	j.recordCrash(a)
+	j.recordFailure(a)
+}
+
 // recordFailure adds a failed attempt to the record.
 func (j *job) recordFailure(a *attempt) {
 	f := FailedAttempt{Endpoint: a.grant.ID, Failure: a.failure, Run: a.run, AfterMS: time.Since(j.rec.Arrived).Milliseconds()}
@@ -346,9 +349,3 @@
 	j.rec.FailedAttempts = append(j.rec.FailedAttempts, f)
 	j.rec.Fingerprint = j.fingerprint()
 }
-
-// fingerprint identifies the request among those of other ids. Callers that try
-// again send the same target and body with the same API key.
-func (j *job) fingerprint() suspect.Fingerprint {
-	return suspect.FingerprintOf(j.workspace, "", j.x.Head.Method+" "+j.x.Head.Target, j.x.Body)
-}
--- a/connection/forward/server.go
+++ b/connection/forward/server.go
@@ -10,6 +10,8 @@
 
 	"github.com/stoatmount/stoatmount/connection/frontend"
 	"github.com/stoatmount/stoatmount/connection/http1"
+	"github.com/stoatmount/stoatmount/process/quarantine"
+	"github.com/stoatmount/stoatmount/process/suspect"
 	"github.com/stoatmount/stoatmount/request/balance"
 	"github.com/stoatmount/stoatmount/request/outcome"
 	"github.com/stoatmount/stoatmount/version/routing"
@@ -24,6 +26,11 @@
 	RecordLoad(now time.Time, g *balance.Grant, requests int)
 	// Release ends a grant and reports whether the endpoint was ejected.
 	Release(now time.Time, g *balance.Grant, f balance.Failure, latency time.Duration) bool
+	// RecordUnreachable ejects an endpoint to which no connection could be opened.
+	RecordUnreachable(now time.Time, g *balance.Grant)
+	// UnreachableSince reports whether no connection to the endpoint could be opened at
+	// some time after since.
+	UnreachableSince(since time.Time, g *balance.Grant) bool
 }
 
 // RetryBudget bounds the retries of a service over all routers.
@@ -44,6 +51,7 @@
 	Endpoints   Endpoints
 	Pool        *http1.Pool
 	RetryBudget RetryBudget
+	Quarantine  *quarantine.Table // bodies that crashed endpoints
 	Observer    Observer
 	RouterCount func() int // routers that share the connections of an endpoint
 	// RefusesStreams reports whether the process ends so soon that a new stream
@@ -166,12 +174,19 @@
 	lastEventID int64             // last event that the caller has; -1 if none
 	lastFailure *bufferedResponse // server error to pass on if no retry does better
 	mayHaveRun  bool              // it was sent, and whether it ran is not known
+
+	body suspect.Fingerprint // 0 until fingerprint is called
+	sent quarantine.State    // of the body when it was last checked
 }
 
 // run sends the request until it has a final response.
 func (j *job) run() {
 	j.s.RetryBudget.CountRequest(j.x.Arrived, j.service())
 	for {
+		if wait := j.checkQuarantine(); wait > 0 {
+			j.fail(outcome.BodyQuarantined, wait)
+			return
+		}
 		g, refusal := j.acquire()
 		if refusal != nil {
 			j.rec.Refusal = refusal
--- a/connection/forward/stream.go
+++ b/connection/forward/stream.go
@@ -21,6 +21,7 @@
 	err := j.copyEvents(a)
 	if err == io.EOF {
 		j.release(a)
+		j.recordCompletion(a)
 		if err := j.x.End(); err != nil {
 			j.rec.Code, j.rec.Error = outcome.CallerGone, err.Error()
 		}
@@ -35,8 +36,7 @@
 		return true
 	}
 	a.failure = j.classify(a, err)
-	j.release(a)
-	j.recordFailure(a)
+	j.endFailed(a)
 	return false
 }
 
--- a/process/peers/table.go
+++ b/process/peers/table.go
@@ -6,21 +6,23 @@
 	"time"
 
 	"github.com/stoatmount/stoatmount/process/feed"
+	"github.com/stoatmount/stoatmount/process/quarantine"
 )
 
 // Heartbeat is what a router periodically sends to the others.
 type Heartbeat struct {
-	Name           string             `json:"name"`
-	Incarnation    int64              `json:"boot"` // start of the process, Unix time in ns
-	Number         int64              `json:"n"`    // increases with each heartbeat of a process
-	Front          string             `json:"front"`
-	Zone           string             `json:"zone"`
-	Ready          bool               `json:"ready"`
-	Running        map[string]float64 `json:"running,omitempty"` // requests by endpoint, smoothed
-	Placements     []Placement        `json:"placed,omitempty"`  // new since the previous heartbeats
-	Draining       bool               `json:"leaving,omitempty"` // the process is shutting down
-	StoreReachable bool               `json:"store"`             // it reaches the platform's store
-	Offsets        []int64            `json:"offsets,omitempty"` // next offset to read, by topic
+	Name           string              `json:"name"`
+	Incarnation    int64               `json:"boot"` // start of the process, Unix time in ns
+	Number         int64               `json:"n"`    // increases with each heartbeat of a process
+	Front          string              `json:"front"`
+	Zone           string              `json:"zone"`
+	Ready          bool                `json:"ready"`
+	Running        map[string]float64  `json:"running,omitempty"` // requests by endpoint, smoothed
+	Placements     []Placement         `json:"placed,omitempty"`  // new since the previous heartbeats
+	Draining       bool                `json:"leaving,omitempty"` // the process is shutting down
+	StoreReachable bool                `json:"store"`             // it reaches the platform's store
+	Offsets        []int64             `json:"offsets,omitempty"` // next offset to read, by topic
+	Crashes        []quarantine.Report `json:"crashes,omitempty"` // bodies that crashed endpoints
 }
 
 // Relay carries records that one router read from the log for all routers.
--- /dev/null
+++ b/process/quarantine/quarantine.go
@@ -0,0 +1,214 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/stoatmount/stoatmount/process/suspect"
+)
+
+const (
+	// crashLimit is the number of consecutive crashes after which a body is refused.
+	crashLimit = 3
+	// quietTime is how long no copy may arrive until a body is forgotten.
+	quietTime = time.Hour
+	// firstTrial is the time from a body's quarantine until one copy may run again, so
+	// that a harmless body is not refused for ever. It doubles with each crash.
+	firstTrial   = 2 * time.Minute
+	maxDoublings = 5
+	// trialTime is how long the result of a trial is awaited before the next one.
+	trialTime = 30 * time.Second
+	// reportFor is how long a router reports its changes; quarantined bodies are always
+	// reported, by all routers.
+	reportFor = 2 * time.Second
+	// maxReports bounds the reports in one heartbeat.
+	maxReports = 64
+	// maxBodies bounds the bodies that are tracked.
+	maxBodies = 1024
+)
+
+// State is the result of the runs of a body, as far as one router knows it.
+type State struct {
+	Resets  int `json:"resets"`  // times that a completed run started the count of crashes again
+	Crashes int `json:"crashes"` // consecutive crashes since then
+}
+
+// compare orders states by time: a completed run ends the crashes before it.
+func (s State) compare(o State) int {
+	return cmp.Or(cmp.Compare(s.Resets, o.Resets), cmp.Compare(s.Crashes, o.Crashes))
+}
+
+// Quarantined reports whether the body is refused.
+func (s State) Quarantined() bool { return s.Crashes >= crashLimit }
+
+// Report is the State of a body for other routers.
+type Report struct {
+	Fingerprint suspect.Fingerprint `json:"body"`
+	State
+	QuietMS int64 `json:"quiet_ms"` // since the last copy arrived
+}
+
+// body is the record of a fingerprint.
+type body struct {
+	State
+	lastArrival time.Time
+	changedAt   time.Time // last change by a request of this router
+	nextTrial   time.Time // if quarantined
+}
+
+// Table holds the bodies that crashed an endpoint. It is safe for concurrent use.
+type Table struct {
+	onChange func(f suspect.Fingerprint, s State, own bool)
+	mayTry   func(f suspect.Fingerprint) bool
+	size     atomic.Int64 // of bodies
+
+	mu     sync.Mutex
+	bodies map[suspect.Fingerprint]*body
+}
+
+// New returns an empty Table. onChange is called after each change of a State, without
+// locks; own tells whether a request of this router caused it. mayTry reports whether
+// this router is the one that runs the trials of a quarantined body; it must not block.
+func New(onChange func(f suspect.Fingerprint, s State, own bool), mayTry func(f suspect.Fingerprint) bool) *Table {
+	return &Table{onChange: onChange, mayTry: mayTry, bodies: make(map[suspect.Fingerprint]*body)}
+}
+
+// Empty reports whether no body is tracked, so that fingerprints need not be computed.
+func (t *Table) Empty() bool { return t.size.Load() == 0 }
+
+// Check returns the State of a body before it is sent and, if it is refused, when it
+// may be sent again.
+func (t *Table) Check(now time.Time, f suspect.Fingerprint) (State, time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b := t.bodies[f]
+	if b == nil {
+		return State{}, 0
+	}
+	if b.expired(now) {
+		t.remove(f)
+		return State{}, 0
+	}
+	b.lastArrival = now
+	if !b.Quarantined() {
+		return b.State, 0
+	}
+	if now.Before(b.nextTrial) {
+		return b.State, b.nextTrial.Sub(now)
+	}
+	if !t.mayTry(f) {
+		return b.State, trialTime
+	}
+	b.nextTrial = now.Add(trialTime)
+	return b.State, 0
+}
+
+// Crashed records that a body crashed its endpoint. sent is what Check returned
+// before it was sent.
+func (t *Table) Crashed(now time.Time, f suspect.Fingerprint, sent State) {
+	t.set(now, f, State{Resets: sent.Resets, Crashes: sent.Crashes + 1}, now, true)
+}
+
+// Completed records that a body ran to its end.
+func (t *Table) Completed(now time.Time, f suspect.Fingerprint) {
+	t.mu.Lock()
+	b := t.bodies[f]
+	if b == nil || b.Crashes == 0 {
+		t.mu.Unlock()
+		return
+	}
+	next := State{Resets: b.Resets + 1}
+	t.mu.Unlock()
+	t.set(now, f, next, now, true)
+}
+
+// set replaces the State of a body by a later one.
+func (t *Table) set(now time.Time, f suspect.Fingerprint, s State, lastArrival time.Time, own bool) {
+	t.mu.Lock()
+	b := t.bodies[f]
+	if b == nil {
+		t.makeRoom(now)
+		b = &body{}
+		t.bodies[f] = b
+		t.size.Store(int64(len(t.bodies)))
+	}
+	if lastArrival.After(b.lastArrival) {
+		b.lastArrival = lastArrival
+	}
+	changed := s.compare(b.State) > 0
+	if changed {
+		b.State = s
+		b.nextTrial = now.Add(firstTrial << min(max(0, s.Crashes-crashLimit), maxDoublings))
+	}
+	if changed && own {
+		b.changedAt = now
+	}
+	t.mu.Unlock()
+	if changed {
+		t.onChange(f, s, own)
+	}
+}
+
+// Merge applies the reports of another router.
+func (t *Table) Merge(now time.Time, reports []Report) {
+	for _, r := range reports {
+		if quiet := time.Duration(r.QuietMS) * time.Millisecond; quiet < quietTime {
+			t.set(now, r.Fingerprint, r.State, now.Add(-quiet), false)
+		}
+	}
+}
+
+// Reports returns what the other routers should know: quarantined bodies and this
+// router's recent changes, those with the most crashes first.
+func (t *Table) Reports(now time.Time) []Report {
+	if t.Empty() {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []Report
+	for f, b := range t.bodies {
+		if b.expired(now) {
+			t.remove(f)
+			continue
+		}
+		if b.Quarantined() || now.Sub(b.changedAt) < reportFor {
+			list = append(list, Report{Fingerprint: f, State: b.State, QuietMS: now.Sub(b.lastArrival).Milliseconds()})
+		}
+	}
+	slices.SortFunc(list, func(a, b Report) int {
+		return cmp.Or(cmp.Compare(b.Crashes, a.Crashes), cmp.Compare(a.QuietMS, b.QuietMS), cmp.Compare(a.Fingerprint, b.Fingerprint))
+	})
+	return list[:min(len(list), maxReports)]
+}
+
+func (b *body) expired(now time.Time) bool { return now.Sub(b.lastArrival) >= quietTime }
+
+func (t *Table) remove(f suspect.Fingerprint) {
+	delete(t.bodies, f)
+	t.size.Store(int64(len(t.bodies)))
+}
+
+// makeRoom removes expired bodies and, if the table is still full, one with the
+// fewest crashes, so that a flood of other bodies does not release a quarantined one.
+func (t *Table) makeRoom(now time.Time) {
+	if len(t.bodies) < maxBodies {
+		return
+	}
+	var least suspect.Fingerprint
+	for f, b := range t.bodies {
+		if b.expired(now) {
+			t.remove(f)
+			continue
+		}
+		if l := t.bodies[least]; l == nil || b.Crashes < l.Crashes {
+			least = f
+		}
+	}
+	if len(t.bodies) >= maxBodies {
+		t.remove(least)
+	}
+}
--- /dev/null
+++ b/process/quarantine/quarantine_test.go
@@ -0,0 +1,164 @@
+package quarantine
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/stoatmount/stoatmount/process/suspect"
+)
+
+var t0 = time.Unix(1_700_000_000, 0)
+
+func newTable() *Table {
+	return New(func(suspect.Fingerprint, State, bool) {}, func(suspect.Fingerprint) bool { return true })
+}
+
+// crash records a run of body f that began and crashed its endpoint.
+func crash(t *Table, now time.Time, f suspect.Fingerprint) {
+	sent, _ := t.Check(now, f)
+	t.Crashed(now, f, sent)
+}
+
+func refused(t *Table, now time.Time, f suspect.Fingerprint) bool {
+	_, wait := t.Check(now, f)
+	return wait > 0
+}
+
+func TestConsecutiveCrashesQuarantineBody(t *testing.T) {
+	c := qt.New(t)
+	table := newTable()
+	for range crashLimit {
+		c.Assert(refused(table, t0, 1), qt.IsFalse)
+		crash(table, t0, 1)
+	}
+	c.Assert(refused(table, t0, 1), qt.IsTrue)
+	c.Assert(refused(table, t0, 2), qt.IsFalse)
+}
+
+func TestEndpointsLostTogetherCountAsOneCrash(t *testing.T) {
+	c := qt.New(t)
+	table := newTable()
+	sent, _ := table.Check(t0, 1)
+	for range 3 * crashLimit {
+		table.Crashed(t0, 1, sent)
+	}
+	c.Assert(refused(table, t0, 1), qt.IsFalse)
+}
+
+func TestCompletedRunClearsBody(t *testing.T) {
+	c := qt.New(t)
+	table := newTable()
+	for range 5 * crashLimit {
+		sent, _ := table.Check(t0, 1)
+		table.Crashed(t0, 1, sent)
+		table.Completed(t0, 1)
+		table.Crashed(t0, 1, sent) // of a copy that was sent before the completed run
+		c.Assert(refused(table, t0, 1), qt.IsFalse)
+	}
+}
+
+// Copies of a quarantined body arrive all the time: one at a time runs as a trial, ever
+// more rarely, until one completes.
+func TestQuarantinedBodyIsTriedRarely(t *testing.T) {
+	c := qt.New(t)
+	table := newTable()
+	for range crashLimit {
+		crash(table, t0, 1)
+	}
+	trials, now := 0, t0
+	for ; now.Sub(t0) < 8*time.Hour; now = now.Add(time.Second) {
+		sent, wait := table.Check(now, 1)
+		if wait == 0 {
+			trials++
+			c.Assert(refused(table, now, 1), qt.IsTrue)
+			table.Crashed(now, 1, sent)
+		}
+	}
+	c.Assert(trials, qt.Equals, 11) // after 2, 4, 8, 16, 32 minutes and then each 64 minutes
+	_, wait := table.Check(now, 1)
+	now = now.Add(wait)
+	c.Assert(refused(table, now, 1), qt.IsFalse)
+	table.Completed(now, 1)
+	c.Assert(refused(table, now, 1), qt.IsFalse)
+}
+
+func TestOnlyOneRouterRunsTrials(t *testing.T) {
+	c := qt.New(t)
+	table := New(func(suspect.Fingerprint, State, bool) {}, func(suspect.Fingerprint) bool { return false })
+	for range crashLimit {
+		crash(table, t0, 1)
+	}
+	c.Assert(refused(table, t0.Add(quietTime/2), 1), qt.IsTrue)
+}
+
+func TestBodyIsForgottenWhenNoCopyArrives(t *testing.T) {
+	c := qt.New(t)
+	table := newTable()
+	for range crashLimit {
+		crash(table, t0, 1)
+	}
+	c.Assert(refused(table, t0.Add(quietTime), 1), qt.IsFalse)
+	c.Assert(table.Empty(), qt.IsTrue)
+}
+
+// Routers agree whatever reports get lost, come twice or come in another order.
+func TestReportsConverge(t *testing.T) {
+	c := qt.New(t)
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		tables := []*Table{newTable(), newTable(), newTable()}
+		var sentReports [][]Report
+		for range 60 {
+			table := tables[rng.IntN(len(tables))]
+			f := suspect.Fingerprint(1 + rng.IntN(2))
+			switch {
+			case f == 1 || rng.IntN(3) > 0:
+				if !refused(table, t0, f) {
+					crash(table, t0, f)
+				}
+			default:
+				table.Completed(t0, f)
+			}
+			sentReports = append(sentReports, table.Reports(t0))
+			if len(sentReports) > 0 && rng.IntN(3) > 0 {
+				tables[rng.IntN(len(tables))].Merge(t0, sentReports[rng.IntN(len(sentReports))])
+			}
+		}
+		for range 2 {
+			for _, from := range tables {
+				for _, to := range tables {
+					to.Merge(t0, from.Reports(t0))
+				}
+			}
+		}
+		for f := suspect.Fingerprint(1); f <= 2; f++ {
+			want, _ := tables[0].Check(t0, f)
+			for _, table := range tables[1:] {
+				got, _ := table.Check(t0, f)
+				c.Assert(got, qt.Equals, want, qt.Commentf("seed %d, body %d", seed, f))
+			}
+		}
+		c.Assert(refused(tables[0], t0, 1), qt.IsTrue, qt.Commentf("seed %d", seed))
+	}
+}
+
+func TestQuarantinedBodyIsReportedAmongMany(t *testing.T) {
+	c := qt.New(t)
+	table := newTable()
+	for range crashLimit {
+		crash(table, t0, 1)
+	}
+	for f := range suspect.Fingerprint(2 * maxBodies) {
+		crash(table, t0.Add(time.Second), f+2)
+	}
+	reports := table.Reports(t0.Add(time.Second))
+	c.Assert(reports, qt.HasLen, maxReports)
+	c.Assert(reports[0].Fingerprint, qt.Equals, suspect.Fingerprint(1))
+	other := newTable()
+	other.Merge(t0, reports)
+	c.Assert(refused(other, t0, 1), qt.IsTrue)
+	c.Assert(len(table.bodies) <= maxBodies, qt.IsTrue)
+}
--- a/process/router/adapter.go
+++ b/process/router/adapter.go
@@ -8,6 +8,7 @@
 	"github.com/stoatmount/stoatmount/connection/forward"
 	"github.com/stoatmount/stoatmount/process/feed"
 	"github.com/stoatmount/stoatmount/process/peers"
+	"github.com/stoatmount/stoatmount/process/quarantine"
 	"github.com/stoatmount/stoatmount/process/upstream"
 	"github.com/stoatmount/stoatmount/version/routing"
 )
@@ -25,6 +26,12 @@
 // Placements maps prompt keys to the endpoints that cache them.
 type Placements map[uint64][]string
 
+// Hints is what earlier processes saved.
+type Hints struct {
+	Placements Placements
+	Crashes    []quarantine.Report
+}
+
 // OperatorChange is a record written by operators: a configuration, or a zone that
 // is taken out of service or put back.
 type OperatorChange struct {
@@ -42,10 +49,11 @@
 	Topic(t Topic) feed.Source
 	// Register writes this router's own record; nil removes it.
 	Register(ctx context.Context, name string, r *peers.Registration) error
-	// SavePlacements and LoadPlacements store placements for processes that start when
-	// no other router is running.
+	// SavePlacements, SaveCrashes and LoadHints store what processes need that start
+	// when no other router is running.
 	SavePlacements(ctx context.Context, p Placements) error
-	LoadPlacements(ctx context.Context) (Placements, error)
+	SaveCrashes(ctx context.Context, reports []quarantine.Report) error
+	LoadHints(ctx context.Context) (Hints, error)
 	DecodeOperator(r feed.Record) (OperatorChange, error)
 	DecodeEndpoint(r feed.Record) (upstream.Change, error)
 	DecodeRouter(r feed.Record) (peers.Registration, bool, error) // false if the record was removed
--- a/process/router/placements.go
+++ b/process/router/placements.go
@@ -32,6 +32,7 @@
 			continue
 		}
 		now := time.Now()
+		r.saveCrashes(ctx, now)
 		p := Placements(r.endpoints.Placements(now.Add(-saveWindow)))
 		if len(p) == 0 {
 			continue
@@ -44,6 +45,20 @@
 	}
 }
 
+// saveCrashes saves the bodies that crashed endpoints, so that they stay refused when
+// all routers restart.
+func (r *Router) saveCrashes(ctx context.Context, now time.Time) {
+	reports := r.quarantine.Reports(now)
+	if len(reports) == 0 {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if err := r.adapter.SaveCrashes(call, reports); err != nil {
+		r.log.Info("saving crashing bodies failed", "bodies", len(reports), "error", err.Error())
+	}
+}
+
 // isPlacementWriter reports whether this router has the first name of those that
 // take requests.
 func (r *Router) isPlacementWriter() bool {
@@ -57,11 +72,13 @@
 func (r *Router) loadPlacements(ctx context.Context) {
 	for range loadAttempts {
 		call, cancel := context.WithTimeout(ctx, storeTimeout)
-		p, err := r.adapter.LoadPlacements(call)
+		h, err := r.adapter.LoadHints(call)
 		cancel()
 		if err == nil {
-			r.endpoints.RestorePlacements(time.Now(), p)
-			r.log.Info("placements loaded", "keys", len(p))
+			now := time.Now()
+			r.endpoints.RestorePlacements(now, h.Placements)
+			r.quarantine.Merge(now, h.Crashes)
+			r.log.Info("placements loaded", "keys", len(h.Placements), "crashing_bodies", len(h.Crashes))
 			return
 		}
 		r.log.Info("loading placements failed", "error", err.Error())
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -19,6 +19,8 @@
 	"github.com/stoatmount/stoatmount/connection/http1"
 	"github.com/stoatmount/stoatmount/process/feed"
 	"github.com/stoatmount/stoatmount/process/peers"
+	"github.com/stoatmount/stoatmount/process/quarantine"
+	"github.com/stoatmount/stoatmount/process/suspect"
 	"github.com/stoatmount/stoatmount/process/upstream"
 	"github.com/stoatmount/stoatmount/request/balance"
 	"github.com/stoatmount/stoatmount/request/retry"
@@ -73,6 +75,7 @@
 	peers       *peers.Table
 	pool        *http1.Pool
 	retryBudget *retry.SharedBudget
+	quarantine  *quarantine.Table
 	front       *frontend.Server
 	exchange    *peers.Exchange
 	followers   [followedTopics]*feed.Follower // by topic
@@ -108,8 +111,9 @@
 	r.pool = http1.NewPool(endpointAckTimeout)
 	r.retryBudget = retry.NewSharedBudget(s.RetryWindow)
 	r.setBounds(s.Bounds)
+	r.quarantine = quarantine.New(r.onCrashChange, r.runsTrials)
 	handler := &forward.Server{Codec: adapter.Codec(), Table: r.config.Load, Endpoints: r.endpoints, Pool: r.pool,
-		RetryBudget: sharedRetries{r.retryBudget, r.members}, Observer: observer, RouterCount: r.members,
+		RetryBudget: sharedRetries{r.retryBudget, r.members}, Quarantine: r.quarantine, Observer: observer, RouterCount: r.members,
 		RefusesStreams: r.refusesStreams}
 	r.front = &frontend.Server{Handler: handler, Limits: r.limits, Log: log,
 		MaxConnections: int(callerDescriptorShare * float64(s.Descriptors))}
@@ -251,9 +255,33 @@
 	for key, id := range r.endpoints.TakeNewPlacements() {
 		h.Placements = append(h.Placements, peers.Placement{Key: key, Endpoint: id})
 	}
+	h.Crashes = r.quarantine.Reports(time.Now())
 	return h
 }
 
+// runsTrials reports whether this router runs the trials of a quarantined body: it is
+// the first by rendezvous weight of those that take requests.
+func (r *Router) runsTrials(f suspect.Fingerprint) bool {
+	own := balance.RendezvousWeight(uint64(f), r.s.Name)
+	for _, m := range r.peers.Ready(time.Now()) {
+		if balance.RendezvousWeight(uint64(f), m.Name) > own {
+			return false
+		}
+	}
+	return true
+}
+
+// onCrashChange logs the change of a body that crashed endpoints, and tells the other
+// routers at once of a change that this router saw.
+func (r *Router) onCrashChange(f suspect.Fingerprint, s quarantine.State, own bool) {
+	if own || s.Quarantined() {
+		r.log.Info("crashing body changed", "body", f.Key(), "crashes", s.Crashes, "resets", s.Resets, "quarantined", s.Quarantined(), "own", own)
+	}
+	if own && r.exchange != nil {
+		r.exchange.SendNow()
+	}
+}
+
 // onHeartbeat handles the heartbeat of another router.
 func (r *Router) onHeartbeat(now time.Time, h peers.Heartbeat) {
 	for i, next := range h.Offsets[:min(len(h.Offsets), len(r.followers))] {
@@ -262,6 +290,7 @@
 	for _, p := range h.Placements {
 		r.endpoints.RecordPlacement(now, p.Key, p.Endpoint)
 	}
+	r.quarantine.Merge(now, h.Crashes)
 	r.updatePeers(now)
 }
 
--- a/process/upstream/acquire.go
+++ b/process/upstream/acquire.go
@@ -338,6 +338,24 @@
 	return !wasEjected && now.Before(ep.health.ejectedUntil)
 }
 
+// RecordUnreachable ejects an endpoint to which no connection could be opened.
+func (t *Table) RecordUnreachable(now time.Time, g *balance.Grant) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if ep := t.byID[g.ID]; ep != nil && ep.Started == g.Started {
+		ep.health.record(now, balance.NotReached, 0)
+	}
+}
+
+// UnreachableSince reports whether no connection to the endpoint could be opened at
+// some time after since.
+func (t *Table) UnreachableSince(since time.Time, g *balance.Grant) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ep := t.byID[g.ID]
+	return ep != nil && ep.Started == g.Started && ep.health.unreachableAt.After(since)
+}
+
 func (t *Table) othersErrorRate(self *endpoint) float64 {
 	sum, n := 0.0, 0
 	for _, ep := range t.endpointsOf(self.Service) {
--- a/process/upstream/health.go
+++ b/process/upstream/health.go
@@ -24,6 +24,7 @@
 
 // health is the health of an endpoint as shown by this router's own requests.
 type health struct {
+	unreachableAt     time.Time // last time that no connection could be opened
 	ejectedUntil      time.Time
 	ejections         int // consecutive ones without a success between
 	consecutiveBroken int // broken connections and timeouts in a row
@@ -55,6 +56,7 @@
 func (h *health) record(now time.Time, f balance.Failure, latency time.Duration) {
 	switch f {
 	case balance.NotReached:
+		h.unreachableAt = now
 		h.maybeCold, h.registryCurrentAt = true, time.Time{}
 		h.eject(now, unreachableEjection)
 		return
--- a/request/outcome/code.go
+++ b/request/outcome/code.go
@@ -53,6 +53,7 @@
 	AnswerCrossed    Code = 4007
 	BreakerOpen      Code = 4008
 	RequestConvicted Code = 4009
+	BodyQuarantined  Code = 4010
 
 	KeyInProgress Code = 5001
 	KeyTooOld     Code = 5002
@@ -121,6 +122,7 @@
 	{AnswerCrossed, "answer_crossed", http.StatusBadGateway, "The endpoint answered with the request number of another request."},
 	{BreakerOpen, "breaker_open", http.StatusServiceUnavailable, "The circuit breaker of the endpoint is open."},
 	{RequestConvicted, "request_convicted", http.StatusUnprocessableEntity, "This request has crashed endpoints and is refused for a while."},
+	{BodyQuarantined, "body_quarantined", http.StatusServiceUnavailable, "Requests with this body crashed endpoints; it is refused and has not run."},
 
 	{KeyInProgress, "key_in_progress", http.StatusConflict, "An earlier request with this key is in progress."},
 	{KeyTooOld, "key_too_old", http.StatusConflict, "The key is older than the window within which repeats are recognised."},
