Log versions of endpoints and the streams that callers take up

Change: an entry's version and the field Resumes are decoded; a request's line has versions, resumes and last_event.

--- a/connection/forward/attempt.go
+++ b/connection/forward/attempt.go
@@ -59,6 +59,7 @@
 func (j *job) sendAttempt(g *balance.Grant) *attempt {
 	a := &attempt{grant: g, run: outcome.RunNot}
 	j.rec.Endpoints = append(j.rec.Endpoints, g.ID)
+	j.rec.EndpointVersions = append(j.rec.EndpointVersions, g.Version)
 	j.rec.LastGrant = *g
 	j.tried = append(j.tried, g.ID)
 	if a.err = j.connect(a); a.err != nil {
--- a/connection/forward/record.go
+++ b/connection/forward/record.go
@@ -26,6 +26,7 @@
 	PromptKey           uint64              // of the prompt's shared parts; 0 if none
 	SharedTokens        int                 // tokens of these parts
 	Endpoints           []string            // chosen for it, in order, also those not reached
+	EndpointVersions    []string            // their software versions
 	LastGrant           balance.Grant       // of the last attempt
 	Refusal             *balance.Refusal    // why no endpoint was chosen; nil if one was
 	FailedAttempts      []FailedAttempt
@@ -33,6 +34,8 @@
 	MismatchedResponses int    // responses to other requests on its connection
 	HeadSent            bool   // the head of the response was sent to the caller
 	Events              int    // of a stream, passed on
+	Resumes             string // id of the caller\'s attempt that began the stream; "" if this one did
+	LastEventID         int64  // last event that the caller had when the request arrived; -1 if none
 	Resumed             int    // times that a stream was resumed at another endpoint
 	Ejected             string // endpoint that was ejected because of this request
 	Error               string
--- a/connection/forward/server.go
+++ b/connection/forward/server.go
@@ -76,7 +76,7 @@
 
 // Serve handles one request of a caller.
 func (s *Server) Serve(ctx context.Context, x *frontend.Exchange) {
-	rec := &Record{Arrived: x.Arrived, Method: x.Head.Method, Target: x.Head.Target, Status: 0}
+	rec := &Record{Arrived: x.Arrived, Method: x.Head.Method, Target: x.Head.Target, LastEventID: -1}
 	defer func() {
 		rec.Duration = time.Since(rec.Arrived)
 		s.Observer.Request(rec)
@@ -86,7 +86,7 @@
 		s.refuse(x, rec, outcome.BadRequest, 0)
 		return
 	}
-	rec.ID = req.ID
+	rec.ID, rec.Resumes, rec.LastEventID = req.ID, req.Resumes, req.LastEventID
 	j, code := s.admit(x, rec, req)
 	if code != outcome.OK {
 		after := map[outcome.Code]time.Duration{outcome.NoConfig: retryNoConfig, outcome.Draining: retryDraining}[code]
--- a/connection/forward/types.go
+++ b/connection/forward/types.go
@@ -23,6 +23,7 @@
 	TokensOut   int           // bound on the output tokens
 	LengthHint  int           // the caller's estimate of the output tokens; 0 if not given
 	LastEventID int64         // the caller has all events up to this one; -1 if none
+	Resumes     string        // id of the attempt that brought the first event of the stream; "" if none
 }
 
 // AttemptOptions are the headers that the router adds to one attempt.
--- a/process/observe/observe_test.go
+++ b/process/observe/observe_test.go
@@ -21,7 +21,7 @@
 
 func served(n int, code outcome.Code) *forward.Record {
 	return &forward.Record{ID: fmt.Sprintf("r%d", n), Route: "route", Version: 7, Arrived: time.Unix(1_700_000_000, 0), Duration: 30 * time.Millisecond,
-		FirstByte: 20 * time.Millisecond, Code: code, Status: 200, Endpoints: []string{"e1"}, LastGrant: balance.Grant{ID: "e1", Age: time.Second, Running: 3}}
+		FirstByte: 20 * time.Millisecond, Code: code, Status: 200, Endpoints: []string{"e1"}, EndpointVersions: []string{"v2"}, Resumes: "r0", LastEventID: 4, LastGrant: balance.Grant{ID: "e1", Age: time.Second, Running: 3}}
 }
 
 // Each request has a line with the inputs of its decisions, within a budget in which
@@ -47,6 +47,9 @@
 	c.Assert(line["config"], qt.Equals, 7.0)
 	c.Assert(line["entry_age_ms"], qt.Equals, 1000.0)
 	c.Assert(line["failed"], qt.DeepEquals, []any{map[string]any{"endpoint": "e1", "failure": "broken", "run": "unknown", "after_ms": 12.0, "error": "reset"}})
+	c.Assert(line["versions"], qt.DeepEquals, []any{"v2"})
+	c.Assert(line["resumes"], qt.Equals, "r0")
+	c.Assert(line["last_event"], qt.Equals, 4.0)
 	c.Assert(line["body"], qt.Equals, "b0d1")
 	c.Assert(vars["log_lines_over_budget"].String(), qt.Equals, fmt.Sprint(9*servedLinesPerSecond))
 	c.Assert(vars["requests_by_result"].String(), qt.Equals, fmt.Sprintf(`{"endpoint_failed": 1, "ok": %d}`, 10*servedLinesPerSecond))
--- a/process/observe/requests.go
+++ b/process/observe/requests.go
@@ -140,7 +140,7 @@
 		kv = append(kv, "first_ms", rec.FirstByte.Milliseconds())
 	}
 	if len(rec.Endpoints) > 0 {
-		kv = append(kv, "endpoints", rec.Endpoints, "running", rec.LastGrant.Running, "entry_age_ms", rec.LastGrant.Age.Milliseconds())
+		kv = append(kv, "endpoints", rec.Endpoints, "versions", rec.EndpointVersions, "running", rec.LastGrant.Running, "entry_age_ms", rec.LastGrant.Age.Milliseconds())
 		if rec.LastGrant.Cold {
 			kv = append(kv, "cold", true)
 		}
@@ -162,6 +162,9 @@
 	if rec.Events > 0 {
 		kv = append(kv, "events", rec.Events)
 	}
+	if rec.LastEventID >= 0 {
+		kv = append(kv, "resumes", rec.Resumes, "last_event", rec.LastEventID)
+	}
 	if rec.Resumed > 0 {
 		kv = append(kv, "resumed", rec.Resumed)
 	}
--- a/process/upstream/acquire.go
+++ b/process/upstream/acquire.go
@@ -47,7 +47,7 @@
 	running := int(ep.load(now))
 	ep.updateSmoothed(now, t.heartbeatInterval)
 	ep.running++
-	return &balance.Grant{ID: ep.ID, Started: ep.Started, Addr: ep.Addr, Zone: ep.Zone, Service: ep.Service,
+	return &balance.Grant{ID: ep.ID, Started: ep.Started, Addr: ep.Addr, Zone: ep.Zone, Service: ep.Service, Version: ep.Version,
 		FetchFrom: fetch, KeyCached: list[chosen].KeyCached, Holders: holders, Running: running, Cold: cold, Age: now.Sub(ep.readAt), ChosenAt: now, Class: req.Class}, nil
 }
 
--- a/process/upstream/table.go
+++ b/process/upstream/table.go
@@ -16,6 +16,7 @@
 	Service  string
 	Addr     string // host:port
 	Zone     string
+	Version  string // of its software; events of two versions do not fit into one stream
 	Slots    int
 	Draining bool          // takes no new requests
 	ColdFor  time.Duration // remaining cold start when the entry was read
--- a/request/balance/grant.go
+++ b/request/balance/grant.go
@@ -27,6 +27,7 @@
 	Addr      string
 	Zone      string
 	Service   string
+	Version   string        // of the endpoint's software
 	FetchFrom string        // address of an endpoint that may cache more of the prompt
 	KeyCached bool          // the endpoint was known to cache the prompt key
 	Holders   int           // endpoints known to cache the prompt key
