Let a stream go on only at the software version that began it

Cause: the version of an endpoint was not looked at when a stream went on, neither within one response nor when the caller took it up at any router. The class: a run that continues another one is placed as if it were new. Change: the router that passes on the first event records service and version under the attempt's id and sends them with two heartbeats; what goes on is restricted to that version. A router that does not know a stream asks the others. The versions seen are saved with the placements, in one call, for a restart of all routers. Why it works: a stream goes on only with the version of its first event, or with the only version there was.

--- a/connection/forward/server.go
+++ b/connection/forward/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/stoatmount/stoatmount/connection/frontend"
 	"github.com/stoatmount/stoatmount/connection/http1"
+	"github.com/stoatmount/stoatmount/process/origins"
 	"github.com/stoatmount/stoatmount/process/quarantine"
 	"github.com/stoatmount/stoatmount/process/suspect"
 	"github.com/stoatmount/stoatmount/request/balance"
@@ -39,6 +40,13 @@
 	Allow(now time.Time, service string) bool // counts the retry if it allows it
 }
 
+// Origins knows which software began each stream.
+type Origins interface {
+	Begin(now time.Time, k origins.Key, o origins.Origin)
+	// Find returns the origin of a stream that one of services began. It may ask other routers.
+	Find(ctx context.Context, k origins.Key, services []string) (origins.Origin, bool)
+}
+
 // Observer receives the record of each request.
 type Observer interface {
 	Request(rec *Record)
@@ -52,6 +60,7 @@
 	Pool        *http1.Pool
 	RetryBudget RetryBudget
 	Quarantine  *quarantine.Table // bodies that crashed endpoints
+	Origins     Origins
 	Observer    Observer
 	RouterCount func() int // routers that share the connections of an endpoint
 	// RefusesStreams reports whether the process ends so soon that a new stream
@@ -175,6 +184,8 @@
 	lastFailure *bufferedResponse // server error to pass on if no retry does better
 	mayHaveRun  bool              // it was sent, and whether it ran is not known
 
+	origin *origins.Origin // of the stream's events; nil before the first
+
 	body suspect.Fingerprint // 0 until fingerprint is called
 	sent quarantine.State    // of the body when it was last checked
 }
@@ -182,6 +193,10 @@
 // run sends the request until it has a final response.
 func (j *job) run() {
 	j.s.RetryBudget.CountRequest(j.x.Arrived, j.service())
+	if code := j.findOrigin(); code != outcome.OK {
+		j.fail(code, retryOriginUnknown)
+		return
+	}
 	for {
 		if wait := j.checkQuarantine(); wait > 0 {
 			j.fail(outcome.BodyQuarantined, wait)
@@ -217,11 +232,14 @@
 func (j *job) acquire() (*balance.Grant, *balance.Refusal) {
 	refusal := &balance.Refusal{Code: outcome.NoEndpoint, RetryAfter: retryRefused}
 	for i, name := range j.route.Services(xxhash.Sum64String(j.req.ID)) {
+		if !j.mayGoOnAt(name) {
+			continue
+		}
 		g, r := j.s.Endpoints.Acquire(time.Now(), j.balanceRequest(name))
 		if r == nil {
 			return g, nil
 		}
-		if i == 0 {
+		if i == 0 || j.origin != nil {
 			refusal = r
 		}
 	}
@@ -233,6 +251,9 @@
 	req := balance.Request{Service: service, Exclude: j.tried, Class: j.route.Name, Workspace: j.workspace, Objective: j.route.Objective,
 		PriorityRank: j.table.Rank(service, j.priority) + j.table.Rank(service, j.route.Priority)}
 	req.Key, req.HasKey = promptKey(j.req.Parts)
+	if j.origin != nil {
+		req.Version = &j.origin.Version
+	}
 	return req
 }
 
--- a/connection/forward/stream.go
+++ b/connection/forward/stream.go
@@ -64,6 +64,7 @@
 		if b.first >= 0 && b.first <= j.lastEventID {
 			return errors.Errorf("event %d was already passed on", b.first)
 		}
+		j.recordOrigin(a)
 		if !j.rec.HeadSent {
 			j.writeHead(a.head.Status, fields)
 		}
--- /dev/null
+++ b/process/origins/origins.go
@@ -0,0 +1,222 @@
+package origins
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// retention is how long a stream can be taken up after it began, and how long a
+	// version counts as having served after it was last seen.
+	retention = 30 * time.Second
+	// maxStreams bounds the streams that are tracked.
+	maxStreams = 1 << 15
+	// maxRestoreAge is the age of a saved History, by the hosts' clocks, up to which no
+	// version is expected to have come and gone since.
+	maxRestoreAge = 15 * time.Second
+	// maxClockOffset bounds the difference of two hosts' clocks.
+	maxClockOffset = 5 * time.Second
+)
+
+// Key identifies a stream by the id of the caller's attempt that began it.
+type Key uint64
+
+// KeyOf returns the key of a request id.
+func KeyOf(id string) Key { return Key(xxhash.Sum64String(id)) }
+
+// Origin is the software that began a stream.
+type Origin struct {
+	Service string `json:"service"`
+	Version string `json:"version"`
+}
+
+// compare orders origins by service and version.
+func (o Origin) compare(other Origin) int {
+	return cmp.Or(cmp.Compare(o.Service, other.Service), cmp.Compare(o.Version, other.Version))
+}
+
+// Begun lists streams that one Origin began.
+type Begun struct {
+	Origin
+	Streams []Key `json:"streams"`
+}
+
+// Answer is what a router knows of a stream.
+type Answer struct {
+	Router string  `json:"router"`
+	Origin *Origin `json:"origin,omitempty"` // nil if the stream is not known
+	// Seen holds the versions of the services that were seen while a stream can last.
+	Seen []Origin `json:"seen,omitempty"`
+	// Complete means that Seen covers all that time.
+	Complete bool `json:"complete,omitempty"`
+}
+
+// History is the saved part of a Table, for processes that start when no other router runs.
+type History struct {
+	SavedAtMS  int64 `json:"saved_at_ms"` // Unix time
+	CompleteMS int64 `json:"complete_ms"` // time before SavedAtMS since when Seen is complete
+	Seen       []Age `json:"seen"`
+}
+
+// Age is an Origin with the time since it was last seen.
+type Age struct {
+	Origin
+	AgoMS int64 `json:"ago_ms"`
+}
+
+// stream is a tracked stream, in the order of recording.
+type stream struct {
+	key Key
+	at  time.Time
+}
+
+// Table holds the origins of recent streams. It is safe for concurrent use.
+type Table struct {
+	mu       sync.Mutex
+	origins  map[Key]Origin
+	order    []stream
+	pending  []Begun // own, to send with the next heartbeat
+	sent     []Begun // own, sent with the last heartbeat; sent twice, since heartbeats get lost
+	seen     map[Origin]time.Time
+	complete time.Time // seen is complete since then
+}
+
+// New returns an empty Table.
+func New(now time.Time) *Table {
+	return &Table{origins: make(map[Key]Origin), seen: make(map[Origin]time.Time), complete: now}
+}
+
+// Begin records a stream that this router began.
+func (t *Table) Begin(now time.Time, k Key, o Origin) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.record(now, k, o)
+	for i := range t.pending {
+		if t.pending[i].Origin == o {
+			t.pending[i].Streams = append(t.pending[i].Streams, k)
+			return
+		}
+	}
+	t.pending = append(t.pending, Begun{Origin: o, Streams: []Key{k}})
+}
+
+func (t *Table) record(now time.Time, k Key, o Origin) {
+	if _, known := t.origins[k]; known {
+		return // the first event decides
+	}
+	drop := 0
+	for drop < len(t.order) && (now.Sub(t.order[drop].at) > retention || len(t.order)-drop >= maxStreams) {
+		delete(t.origins, t.order[drop].key)
+		drop++
+	}
+	t.order = append(t.order[drop:], stream{k, now})
+	t.origins[k] = o
+}
+
+// TakeBegun returns the streams for the next heartbeat: each is returned twice.
+func (t *Table) TakeBegun() []Begun {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := append(slices.Clone(t.sent), t.pending...)
+	t.sent, t.pending = t.pending, nil
+	return list
+}
+
+// Merge records streams that another router began.
+func (t *Table) Merge(now time.Time, list []Begun) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, b := range list {
+		for _, k := range b.Streams {
+			t.record(now, k, b.Origin)
+		}
+	}
+}
+
+// Observe records the versions that are in the registry now.
+func (t *Table) Observe(now time.Time, present []Origin) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, o := range present {
+		t.seen[o] = now
+	}
+	for o, at := range t.seen {
+		if now.Sub(at) > retention {
+			delete(t.seen, o)
+		}
+	}
+}
+
+// Answer returns what this router knows of a stream that one of services began.
+func (t *Table) Answer(now time.Time, k Key, services []string) Answer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a := Answer{Complete: now.Sub(t.complete) >= retention}
+	if o, ok := t.origins[k]; ok {
+		a.Origin = &o
+		return a
+	}
+	for o, at := range t.seen {
+		if slices.Contains(services, o.Service) && now.Sub(at) <= retention {
+			a.Seen = append(a.Seen, o)
+		}
+	}
+	slices.SortFunc(a.Seen, Origin.compare)
+	return a
+}
+
+// Combine returns the origin of a stream by the answers of several routers. Without a
+// router that knows the stream, it is certain only if all have seen the same single
+// version and one of them has seen all of the time in which the stream can have begun.
+func Combine(answers []Answer) (Origin, bool) {
+	var seen []Origin
+	complete := false
+	for _, a := range answers {
+		if a.Origin != nil {
+			return *a.Origin, true
+		}
+		seen = append(seen, a.Seen...)
+		complete = complete || a.Complete
+	}
+	slices.SortFunc(seen, Origin.compare)
+	if seen = slices.Compact(seen); len(seen) != 1 || !complete {
+		return Origin{}, false
+	}
+	return seen[0], true
+}
+
+// History returns what to save.
+func (t *Table) History(now time.Time) History {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := History{SavedAtMS: now.UnixMilli(), CompleteMS: now.Sub(t.complete).Milliseconds()}
+	for o, at := range t.seen {
+		h.Seen = append(h.Seen, Age{Origin: o, AgoMS: now.Sub(at).Milliseconds()})
+	}
+	slices.SortFunc(h.Seen, func(a, b Age) int { return a.Origin.compare(b.Origin) })
+	return h
+}
+
+// Restore adds a saved History. One that is too old does not make this one complete.
+func (t *Table) Restore(now time.Time, h History) {
+	age := now.Sub(time.UnixMilli(h.SavedAtMS))
+	if age < -maxClockOffset || age > maxRestoreAge {
+		return
+	}
+	age = max(0, age)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range h.Seen {
+		at := now.Add(-age - time.Duration(s.AgoMS)*time.Millisecond)
+		if at.After(t.seen[s.Origin]) {
+			t.seen[s.Origin] = at
+		}
+	}
+	if complete := now.Add(-age - time.Duration(h.CompleteMS)*time.Millisecond); complete.Before(t.complete) {
+		t.complete = complete
+	}
+}
--- a/process/peers/doc.go
+++ b/process/peers/doc.go
@@ -3,5 +3,5 @@
 // another in the platform's store and then exchange heartbeats as UDP datagrams. A
 // router without a recent heartbeat is no longer named to callers.
 //
-// Lock order: Table.mu is a leaf.
+// Lock order: Table.mu and Exchange.queriesMu are leaves.
 package peers
--- a/process/peers/exchange.go
+++ b/process/peers/exchange.go
@@ -4,10 +4,13 @@
 	"context"
 	"encoding/json"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
+
+	"github.com/stoatmount/stoatmount/process/origins"
 )
 
 const (
@@ -38,9 +41,14 @@
 	Self        func() Heartbeat                 // returns this router's heartbeat; Number is set by Run
 	OnHeartbeat func(now time.Time, h Heartbeat) // called with each heartbeat received, outdated ones too
 	OnRelay     func(now time.Time, r Relay)     // called with records that another router read
-	Wake        chan struct{}                    // makes Run send a heartbeat at once; buffers one
+	OnQuery     func(now time.Time, q OriginQuery) origins.Answer
+	Wake        chan struct{} // makes Run send a heartbeat at once; buffers one
 
 	number int64
+
+	queriesMu sync.Mutex // guards the fields below; leaf
+	queries   map[int64]chan origins.Answer
+	lastQuery int64
 }
 
 // Run sends and receives until ctx ends, and then sends the final heartbeats.
@@ -87,7 +95,9 @@
 // datagram are not sent; the others read them from the log.
 func (e *Exchange) Relay(r Relay) { e.broadcast(message{Relay: &r}) }
 
-func (e *Exchange) broadcast(m message) {
+func (e *Exchange) broadcast(m message) { e.sendTo(m, e.Table.Addresses()) }
+
+func (e *Exchange) sendTo(m message, addrs []string) {
 	data, err := json.Marshal(m)
 	if err != nil {
 		e.Log.Error(err, "encoding datagram failed")
@@ -96,7 +106,7 @@
 	if data = compress(data); len(data) > maxDatagramBytes {
 		return
 	}
-	for _, addr := range e.Table.Addresses() {
+	for _, addr := range addrs {
 		udp, err := net.ResolveUDPAddr("udp", addr)
 		if err != nil {
 			e.Log.Info("resolving router address failed", "addr", addr, "error", err.Error())
@@ -138,6 +148,12 @@
 	if m.Relay != nil {
 		e.OnRelay(now, *m.Relay)
 	}
+	if m.Query != nil {
+		e.handleQuery(now, *m.Query, from)
+	}
+	if m.Reply != nil {
+		e.handleReply(*m.Reply)
+	}
 	if m.Heartbeat == nil {
 		return
 	}
--- a/process/peers/peers_test.go
+++ b/process/peers/peers_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/stoatmount/stoatmount/process/feed"
+	"github.com/stoatmount/stoatmount/process/origins"
 )
 
 var t0 = time.Unix(1_700_000_000, 0)
@@ -74,6 +76,31 @@
 type node struct {
 	*Exchange
 	relayed chan Relay
+	origin  atomic.Pointer[origins.Origin] // in its answers
+}
+
+// A router that knows the stream answers; without one, all that are alive do.
+func TestAskOtherRouters(t *testing.T) {
+	c := qt.New(t)
+	a, b, d := start(c, "a"), start(c, "b"), start(c, "d")
+	ctx := context.Background()
+	c.Assert(a.Ask(ctx, OriginQuery{Stream: 1}), qt.HasLen, 0)
+	for _, other := range []*node{b, d} {
+		a.Table.Register(time.Now(), Registration{Name: other.Table.self, Addr: other.Conn.LocalAddr().String()})
+	}
+	a.SendNow()
+	for range 1000 {
+		if a.Table.CountAlive(time.Now()) == 2 {
+			break
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	c.Assert(a.Ask(ctx, OriginQuery{Stream: 1}), qt.HasLen, 2)
+	want := &origins.Origin{Service: "s", Version: "v1"}
+	d.origin.Store(want)
+	answers := a.Ask(ctx, OriginQuery{Stream: 1})
+	c.Assert(answers[len(answers)-1].Origin, qt.DeepEquals, want)
+	c.Assert(a.queries, qt.HasLen, 0)
 }
 
 func start(c *qt.C, name string) *node {
@@ -82,7 +109,10 @@
 	n := &node{relayed: make(chan Relay, 4)}
 	n.Exchange = &Exchange{Table: New(name, DeadAfter(3)), Conn: conn, Log: logr.Discard(), Wake: make(chan struct{}, 1),
 		Self:        func() Heartbeat { return Heartbeat{Name: name, Incarnation: 1, Ready: true} },
-		OnHeartbeat: func(time.Time, Heartbeat) {}, OnRelay: func(_ time.Time, r Relay) { n.relayed <- r }}
+		OnHeartbeat: func(time.Time, Heartbeat) {}, OnRelay: func(_ time.Time, r Relay) { n.relayed <- r },
+		OnQuery: func(time.Time, OriginQuery) origins.Answer {
+			return origins.Answer{Router: name, Origin: n.origin.Load()}
+		}}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { n.Run(ctx); close(done) }()
@@ -130,11 +160,18 @@
 	c.Assert(got.Topic, qt.Equals, 2)
 }
 
+// discard drops what is sent.
+type discard struct{ net.PacketConn }
+
+func (discard) WriteTo(p []byte, _ net.Addr) (int, error) { return len(p), nil }
+
 func FuzzMessage(f *testing.F) {
 	f.Add([]byte(`{"beat":{"name":"a","boot":1,"n":2,"front":"a:1","ready":true,"running":{"e":1},"placed":[{"k":1,"e":"e"}]}}`))
+	f.Add([]byte(`{"query":{"n":1,"stream":2,"services":["s"]},"reply":{"n":1,"router":"a","origin":{"service":"s","version":"v"}}}`))
 	f.Add([]byte(`{"relay":{"topic":-1,"batch":{"from":1,"next":0}}}`))
 	f.Fuzz(func(_ *testing.T, data []byte) {
-		e := &Exchange{Table: New("self", time.Second), Log: logr.Discard(), OnHeartbeat: func(time.Time, Heartbeat) {}, OnRelay: func(time.Time, Relay) {}}
+		e := &Exchange{Table: New("self", time.Second), Log: logr.Discard(), OnHeartbeat: func(time.Time, Heartbeat) {}, OnRelay: func(time.Time, Relay) {},
+			OnQuery: func(time.Time, OriginQuery) origins.Answer { return origins.Answer{} }, Conn: discard{}}
 		e.receiveOne(t0, data, "1.1.1.1:1")
 		e.Table.Ready(t0)
 		e.Table.Running(t0)
--- a/process/peers/table.go
+++ b/process/peers/table.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stoatmount/stoatmount/process/feed"
+	"github.com/stoatmount/stoatmount/process/origins"
 	"github.com/stoatmount/stoatmount/process/quarantine"
 )
 
@@ -22,6 +23,7 @@
 	Draining       bool                `json:"leaving,omitempty"` // the process is shutting down
 	StoreReachable bool                `json:"store"`             // it reaches the platform's store
 	Offsets        []int64             `json:"offsets,omitempty"` // next offset to read, by topic
+	Begun          []origins.Begun     `json:"begun,omitempty"`   // streams begun since the previous heartbeats
 	Crashes        []quarantine.Report `json:"crashes,omitempty"` // bodies that crashed endpoints
 }
 
@@ -33,8 +35,10 @@
 
 // message is the content of one datagram.
 type message struct {
-	Heartbeat *Heartbeat `json:"beat,omitempty"`
-	Relay     *Relay     `json:"relay,omitempty"`
+	Heartbeat *Heartbeat   `json:"beat,omitempty"`
+	Relay     *Relay       `json:"relay,omitempty"`
+	Query     *OriginQuery `json:"query,omitempty"`
+	Reply     *originReply `json:"reply,omitempty"`
 }
 
 // Placement means that a request of a prompt key went to an endpoint, which now
@@ -207,6 +211,19 @@
 	return names
 }
 
+// CountAlive returns the number of other routers with a recent heartbeat.
+func (t *Table) CountAlive(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, p := range t.peers {
+		if now.Sub(p.lastHeartbeatAt) < t.deadAfter {
+			n++
+		}
+	}
+	return n
+}
+
 // Running returns the sum of the requests that the other routers run, by endpoint.
 // Routers without a recent heartbeat do not count.
 func (t *Table) Running(now time.Time) map[string]float64 {
--- a/process/router/adapter.go
+++ b/process/router/adapter.go
@@ -7,6 +7,7 @@
 
 	"github.com/stoatmount/stoatmount/connection/forward"
 	"github.com/stoatmount/stoatmount/process/feed"
+	"github.com/stoatmount/stoatmount/process/origins"
 	"github.com/stoatmount/stoatmount/process/peers"
 	"github.com/stoatmount/stoatmount/process/quarantine"
 	"github.com/stoatmount/stoatmount/process/upstream"
@@ -30,6 +31,7 @@
 type Hints struct {
 	Placements Placements
 	Crashes    []quarantine.Report
+	Versions   origins.History
 }
 
 // OperatorChange is a record written by operators: a configuration, or a zone that
@@ -49,10 +51,9 @@
 	Topic(t Topic) feed.Source
 	// Register writes this router's own record; nil removes it.
 	Register(ctx context.Context, name string, r *peers.Registration) error
-	// SavePlacements, SaveCrashes and LoadHints store what processes need that start
-	// when no other router is running.
-	SavePlacements(ctx context.Context, p Placements) error
-	SaveCrashes(ctx context.Context, reports []quarantine.Report) error
+	// SaveHints and LoadHints store what processes need that start when no other router
+	// is running.
+	SaveHints(ctx context.Context, h Hints) error
 	LoadHints(ctx context.Context) (Hints, error)
 	DecodeOperator(r feed.Record) (OperatorChange, error)
 	DecodeEndpoint(r feed.Record) (upstream.Change, error)
--- a/process/router/follow.go
+++ b/process/router/follow.go
@@ -80,7 +80,7 @@
 		r.group.Go(func() { f.Run(ctx) })
 	}
 	r.group.Go(func() { r.register(ctx) })
-	r.group.Go(func() { r.syncPlacements(ctx) })
+	r.group.Go(func() { r.syncHints(ctx) })
 }
 
 // isStoreReader reports whether this router reads the store for the others.
@@ -214,5 +214,6 @@
 		r.log.Info("endpoint "+event.Action, "endpoint", event.ID, "service", event.Service, "zone", event.Zone,
 			"cold_ms", event.ColdFor.Milliseconds(), "after_gap", b.Gap)
 	}
+	r.origins.Observe(time.Now(), r.endpoints.Versions())
 	r.endpointsRead.Store(true)
 }
--- /dev/null
+++ b/process/router/hints.go
@@ -0,0 +1,72 @@
+package router
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// saveInterval is the pause between writes of the hints.
+	saveInterval = 2500 * time.Millisecond
+	// saveWindow limits the placements that are saved to those of recent requests.
+	saveWindow = 30 * time.Second
+	// loadAttempts bounds the reads of the hints at the start, for which readiness waits.
+	loadAttempts = 2
+)
+
+// syncHints reads the hints that an earlier process saved, and then saves the current
+// ones of all routers while this router is the writer. Two writers do no harm. Without
+// one, processes that start when no other router runs find fewer prompts cached, may
+// send a quarantined body again, and refuse streams of before their start.
+func (r *Router) syncHints(ctx context.Context) {
+	r.loadHints(ctx)
+	r.hintsTried.Store(true)
+	tick := time.NewTicker(saveInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		if r.isHintWriter() {
+			r.saveHints(ctx, time.Now())
+		}
+	}
+}
+
+func (r *Router) saveHints(ctx context.Context, now time.Time) {
+	h := Hints{Placements: r.endpoints.Placements(now.Add(-saveWindow)), Crashes: r.quarantine.Reports(now), Versions: r.origins.History(now)}
+	call, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if err := r.adapter.SaveHints(call, h); err != nil {
+		r.log.Info("saving hints failed", "keys", len(h.Placements), "error", err.Error())
+	}
+}
+
+// isHintWriter reports whether this router has the first name of those that
+// take requests.
+func (r *Router) isHintWriter() bool {
+	if !r.Ready() {
+		return false
+	}
+	ready := r.peers.Ready(time.Now())
+	return len(ready) == 0 || r.s.Name < ready[0].Name
+}
+
+func (r *Router) loadHints(ctx context.Context) {
+	for range loadAttempts {
+		call, cancel := context.WithTimeout(ctx, storeTimeout)
+		h, err := r.adapter.LoadHints(call)
+		cancel()
+		if err == nil {
+			now := time.Now()
+			r.endpoints.RestorePlacements(now, h.Placements)
+			r.quarantine.Merge(now, h.Crashes)
+			r.origins.Restore(now, h.Versions)
+			r.log.Info("hints loaded", "keys", len(h.Placements), "crashing_bodies", len(h.Crashes))
+			return
+		}
+		r.log.Info("loading hints failed", "error", err.Error())
+	}
+}
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -18,6 +18,7 @@
 	"github.com/stoatmount/stoatmount/connection/frontend"
 	"github.com/stoatmount/stoatmount/connection/http1"
 	"github.com/stoatmount/stoatmount/process/feed"
+	"github.com/stoatmount/stoatmount/process/origins"
 	"github.com/stoatmount/stoatmount/process/peers"
 	"github.com/stoatmount/stoatmount/process/quarantine"
 	"github.com/stoatmount/stoatmount/process/suspect"
@@ -76,13 +77,14 @@
 	pool        *http1.Pool
 	retryBudget *retry.SharedBudget
 	quarantine  *quarantine.Table
+	origins     *origins.Table
 	front       *frontend.Server
 	exchange    *peers.Exchange
 	followers   [followedTopics]*feed.Follower // by topic
 	incarnation int64
 
 	endpointsRead      atomic.Bool // the endpoints' topic was read at least once
-	placementsTried    atomic.Bool // the placements were loaded, or loading failed
+	hintsTried         atomic.Bool // the hints were loaded, or loading failed
 	draining           atomic.Bool
 	acceptStreamsUntil atomic.Int64 // Unix time in ns until which new streams are accepted; 0 if not draining
 
@@ -111,9 +113,10 @@
 	r.pool = http1.NewPool(endpointAckTimeout)
 	r.retryBudget = retry.NewSharedBudget(s.RetryWindow)
 	r.setBounds(s.Bounds)
+	r.origins = origins.New(time.Now())
 	r.quarantine = quarantine.New(r.onCrashChange, r.runsTrials)
 	handler := &forward.Server{Codec: adapter.Codec(), Table: r.config.Load, Endpoints: r.endpoints, Pool: r.pool,
-		RetryBudget: sharedRetries{r.retryBudget, r.members}, Quarantine: r.quarantine, Observer: observer, RouterCount: r.members,
+		RetryBudget: sharedRetries{r.retryBudget, r.members}, Quarantine: r.quarantine, Origins: streamOrigins{r}, Observer: observer, RouterCount: r.members,
 		RefusesStreams: r.refusesStreams}
 	r.front = &frontend.Server{Handler: handler, Limits: r.limits, Log: log,
 		MaxConnections: int(callerDescriptorShare * float64(s.Descriptors))}
@@ -145,7 +148,7 @@
 
 // Ready reports whether the router takes requests.
 func (r *Router) Ready() bool {
-	return !r.draining.Load() && r.config.Load() != nil && r.endpointsRead.Load() && r.placementsTried.Load()
+	return !r.draining.Load() && r.config.Load() != nil && r.endpointsRead.Load() && r.hintsTried.Load()
 }
 
 // ConfigVersion returns the version of the configuration in force, or 0.
@@ -239,7 +242,7 @@
 	if err != nil {
 		return errors.Wrap(err, "peers")
 	}
-	r.exchange = &peers.Exchange{Table: r.peers, Conn: conn, Log: r.log, Self: r.heartbeat, OnHeartbeat: r.onHeartbeat, OnRelay: r.onRelay,
+	r.exchange = &peers.Exchange{Table: r.peers, Conn: conn, Log: r.log, Self: r.heartbeat, OnHeartbeat: r.onHeartbeat, OnRelay: r.onRelay, OnQuery: r.onQuery,
 		Wake: make(chan struct{}, 1)}
 	r.group.Go(func() { r.exchange.Run(ctx) })
 	return nil
@@ -255,6 +258,7 @@
 	for key, id := range r.endpoints.TakeNewPlacements() {
 		h.Placements = append(h.Placements, peers.Placement{Key: key, Endpoint: id})
 	}
+	h.Begun = r.origins.TakeBegun()
 	h.Crashes = r.quarantine.Reports(time.Now())
 	return h
 }
@@ -290,6 +294,7 @@
 	for _, p := range h.Placements {
 		r.endpoints.RecordPlacement(now, p.Key, p.Endpoint)
 	}
+	r.origins.Merge(now, h.Begun)
 	r.quarantine.Merge(now, h.Crashes)
 	r.updatePeers(now)
 }
@@ -323,6 +328,7 @@
 			now := time.Now()
 			r.pool.Expire(now)
 			r.endpoints.Sweep(now)
+			r.origins.Observe(now, r.endpoints.Versions())
 			r.updatePeers(now)
 		}
 	}
--- a/process/upstream/acquire.go
+++ b/process/upstream/acquire.go
@@ -56,7 +56,7 @@
 	healthy, ejected := t.healthy[:0], t.ejected[:0]
 	cold := 0
 	for _, ep := range t.endpointsOf(req.Service) {
-		if ep.Draining || t.zonesOutOfService[ep.Zone] {
+		if ep.Draining || t.zonesOutOfService[ep.Zone] || !ep.hasVersion(req.Version) {
 			continue
 		}
 		switch {
@@ -78,11 +78,15 @@
 		if cold > 0 {
 			code = outcome.EndpointCold
 		}
-		return nil, &balance.Refusal{Code: code, RetryAfter: t.retryAfter(now, req.Service, code)}
+		return nil, &balance.Refusal{Code: code, RetryAfter: t.retryAfter(now, req, code)}
 	}
 	return healthy, nil
 }
 
+// hasVersion reports whether the endpoint may get a request that needs a version; nil
+// is any.
+func (e *endpoint) hasVersion(version *string) bool { return version == nil || e.Version == *version }
+
 // ServiceDown reports whether some service was found without endpoints recently
 // and has served nothing since.
 func (t *Table) ServiceDown(now time.Time) bool {
@@ -109,13 +113,17 @@
 // retryAfter returns when a caller should retry a service that has no endpoint
 // now: when a cold endpoint has capacity, or when lost endpoints are likely to
 // serve again.
-func (t *Table) retryAfter(now time.Time, service string, code outcome.Code) time.Duration {
+func (t *Table) retryAfter(now time.Time, req balance.Request, code outcome.Code) time.Duration {
 	wait := coldWindow / 2
-	if code != outcome.EndpointCold {
-		since, ok := t.downSince[service]
+	switch {
+	case code == outcome.EndpointCold:
+	case req.Version != nil: // the service may have endpoints of other versions
+		wait = endpointRestartTime
+	default:
+		since, ok := t.downSince[req.Service]
 		if !ok || now.Sub(since) > 2*endpointRestartTime {
 			since = now
-			t.downSince[service] = now
+			t.downSince[req.Service] = now
 		}
 		wait = max(minRetryAfter, endpointRestartTime-now.Sub(since))
 	}
@@ -128,7 +136,7 @@
 	defer t.mu.Unlock()
 	n := 0
 	for _, ep := range t.endpointsOf(req.Service) {
-		if !ep.Draining && !t.zonesOutOfService[ep.Zone] && !contains(req.Exclude, ep.ID) &&
+		if !ep.Draining && !t.zonesOutOfService[ep.Zone] && !contains(req.Exclude, ep.ID) && ep.hasVersion(req.Version) &&
 			!now.Before(ep.health.ejectedUntil) && !t.inColdStart(now, ep) {
 			n++
 		}
--- a/process/upstream/load.go
+++ b/process/upstream/load.go
@@ -30,9 +30,10 @@
 }
 
 // shed sets the limit of each candidate and reports whether the request is shed
-// because all are busy. A retry was admitted before: it is not shed and has no limits.
+// because all are busy. A retry, or a stream that goes on, was admitted before: it is
+// not shed and has no limits.
 func (t *Table) shed(now time.Time, req balance.Request, list []balance.Candidate) bool {
-	if len(req.Exclude) > 0 {
+	if len(req.Exclude) > 0 || req.Version != nil {
 		return false
 	}
 	load := t.loadOf(req.Service)
--- a/process/upstream/table.go
+++ b/process/upstream/table.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/stoatmount/stoatmount/process/origins"
 	"github.com/stoatmount/stoatmount/request/balance"
 )
 
@@ -243,6 +244,19 @@
 	}
 }
 
+// Versions returns the software versions that each service has.
+func (t *Table) Versions() []origins.Origin {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []origins.Origin
+	for _, ep := range t.byID {
+		if o := (origins.Origin{Service: ep.Service, Version: ep.Version}); !slices.Contains(list, o) {
+			list = append(list, o)
+		}
+	}
+	return list
+}
+
 // Running returns this router's requests by endpoint, smoothed over a heartbeat
 // interval: where that is longer than most requests, the number at one instant says
 // little about the next.
--- a/process/upstream/table_test.go
+++ b/process/upstream/table_test.go
@@ -348,3 +348,28 @@
 	table.Sweep(t0.Add(time.Minute))
 	c.Assert(ids("s"), qt.DeepEquals, []string{"e0", "e5"})
 }
+
+// A stream that goes on gets only endpoints of its version. That none is left says
+// nothing about the service.
+func TestRequestOfAVersionGetsOnlyItsEndpoints(t *testing.T) {
+	c := qt.New(t)
+	table := newTable(0)
+	for i := range 4 {
+		table.Apply(t0, []Change{put(i, func(e *Entry) { e.Version = fmt.Sprintf("v%d", i%2) })}, false)
+	}
+	version := "v1"
+	req := balance.Request{Service: "s", Version: &version, Key: 7, HasKey: true}
+	for range 20 {
+		g, refusal := table.Acquire(t0, req)
+		c.Assert(refusal, qt.IsNil)
+		c.Assert(g.Version, qt.Equals, version)
+	}
+	c.Assert(table.CountHealthy(t0, req), qt.Equals, 2)
+	table.Apply(t0, []Change{{ID: "e1"}, {ID: "e3"}}, false)
+	_, refusal := table.Acquire(t0, req)
+	c.Assert(refusal.Code, qt.Equals, outcome.NoEndpoint)
+	c.Assert(refusal.RetryAfter > 0, qt.IsTrue)
+	c.Assert(table.ServiceDown(t0), qt.IsFalse)
+	_, refusal = acquire(table, t0)
+	c.Assert(refusal, qt.IsNil)
+}
--- a/request/balance/grant.go
+++ b/request/balance/grant.go
@@ -12,7 +12,10 @@
 	Key     uint64 // hash of the prompt's shared parts
 	HasKey  bool
 	Exclude []string // endpoints that the request has tried
-	Class   string   // requests of the same class cause about the same work
+	// Version is the software version that the endpoint must have, for a stream that goes
+	// on; nil for other requests.
+	Version *string
+	Class   string // requests of the same class cause about the same work
 	// Workspace sent the request; "" on public routes.
 	Workspace string
 	// Objective is the time in which the first byte of the response is due.
