--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -192,10 +192,11 @@
 
 // faulty is the behaviour of an endpoint that fails part of its requests.
 func (env *environment) faulty(e *platformtest.Endpoint) func(*http.Request, int) platformtest.Behaviour {
+	resetAt := 1 + env.rng.IntN(streamEvents)
 	faults := []func(*platformtest.Behaviour){
 		func(b *platformtest.Behaviour) { b.ResetAfterRun = true }, func(b *platformtest.Behaviour) { b.Status = 500; b.Events = 0 },
 		func(b *platformtest.Behaviour) { b.Garbage = true }, func(b *platformtest.Behaviour) { b.Shed = true },
-		func(b *platformtest.Behaviour) { b.ResetAt = 1 + env.rng.IntN(streamEvents) }, func(b *platformtest.Behaviour) { b.StallAt = 4 },
+		func(b *platformtest.Behaviour) { b.ResetAt = resetAt }, func(b *platformtest.Behaviour) { b.StallAt = 4 },
 		func(b *platformtest.Behaviour) { b.Close = true }, func(b *platformtest.Behaviour) { b.Work = 300 * time.Millisecond },
 	}
 	fault, every, healthy := faults[env.rng.IntN(len(faults))], 2+env.rng.IntN(3), env.healthy(e)
