Tell routers that start which bodies crashed endpoints

A restarted router that is the body's home has no record, and its own verdict is none, so it lets the body run as a new one. Change: a router that sees a new incarnation of another one sends it the losses of suspected and blocked bodies; those of a body that was trusted before its losses are left out, as they would block it. Why it works: the home, or the router that asks it, knows the block before the first request that it takes after joining. A restart of all routers at the same moment still forgets.

--- a/process/node/loops.go
+++ b/process/node/loops.go
@@ -64,7 +64,9 @@
 	if n.follower.Ready() {
 		n.gossip(messages)
 	}
-	n.roster.update(now, n.members.Live(now))
+	live := n.members.Live(now)
+	n.roster.update(now, live)
+	n.informStarted(now, live)
 	n.applyConfigGossip(now)
 	majority := n.members.MajorityAge(now) < n.settings.Member.DeadAfter.Std()
 	n.suspects.SetAuthority(n.members.ViewSince().Add(n.settings.Member.Promise.Std()), majority)
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -78,6 +78,7 @@
 	retryBudget    *retry.Budget
 	breakers       *breaker.Breakers
 	suspects       *suspect.Table
+	informed       map[string]uint64 // incarnations of the routers that were told of suspects; used by tick only
 	runs           *suspect.Running
 	durations      *durations
 	loadReports    *loadTable
--- a/process/node/provision.go
+++ b/process/node/provision.go
@@ -95,6 +95,7 @@
 	if n.directory, err = directory.New(directoryChats); err != nil {
 		return err
 	}
+	n.informed = make(map[string]uint64)
 	if n.suspects, err = suspect.New(suspect.DefaultCapacity, defaultCrashLimit); err != nil {
 		return err
 	}
--- a/process/node/suspects.go
+++ b/process/node/suspects.go
@@ -155,6 +155,20 @@
 	}
 }
 
+// informStarted sends what is known of bodies with losses to routers that started since
+// the last call. It is called by one goroutine.
+func (n *Node) informStarted(now time.Time, live []member.Member) {
+	for _, m := range live {
+		if m.Name == n.self.Name || m.Incarnation == 0 || n.informed[m.Name] == m.Incarnation {
+			continue
+		}
+		n.informed[m.Name] = m.Incarnation
+		for _, notice := range n.suspects.Notices(now) {
+			n.links.Send(m.Peer, &peerpb.Envelope{Body: &peerpb.Envelope_Suspect{Suspect: notice}})
+		}
+	}
+}
+
 // Crashed implements serve.Dependencies.
 func (n *Node) Crashed(_ *serve.Job, endpoint string, incarnation uint64) {
 	for _, m := range n.runs.EndpointLost(endpoint, incarnation) {
--- a/process/suspect/doc.go
+++ b/process/suspect/doc.go
@@ -8,7 +8,8 @@
 // When an endpoint is lost, all bodies that ran there become suspects. A suspect
 // runs alone; it is cleared when it completes and blocked when the endpoint where it
 // runs alone is lost too. The home sends each loss and each clearance of a suspect to
-// the member that would be the next home, and each block to all other known routers.
+// the member that would be the next home, and each block to all other known routers. A
+// router that starts learns of suspects and blocks from the others.
 //
 // With a crash limit of n, a body crashes at most n endpoints in total. Until its first
 // block it crashes at most one before it is a suspect, one when it runs alone, and one more
--- a/process/suspect/suspect_test.go
+++ b/process/suspect/suspect_test.go
@@ -146,3 +146,27 @@
 	c.Check(FingerprintOf("ab", "c", "x", nil), qt.Not(qt.Equals), a)
 	c.Check(FingerprintOf("ab", "c", "", []byte("x")), qt.Equals, a)
 }
+
+func TestRouterThatStartedLaterLearnsOfSuspects(t *testing.T) {
+	c := qt.New(t)
+	table, started := newTable(c), newTable(c)
+	table.Handle(testNow, crashMessage(1, "a", 1, false))
+	table.Handle(testNow, crashMessage(2, "a", 1, false))
+	table.Handle(testNow, crashMessage(2, "b", 1, true))
+	for range trustedRuns {
+		ask(table, testNow, 3, "a")
+		table.Handle(testNow, clearMessage(3, "a", false))
+	}
+	for _, endpoint := range []string{"a", "b", "c"} {
+		table.Handle(testNow, crashMessage(3, endpoint, 1, false))
+	}
+	for range 2 {
+		for _, m := range table.Notices(testNow) {
+			started.ApplyNotice(testNow, m)
+		}
+	}
+	c.Check(started.Verdict(testNow, 1), qt.Equals, Suspected)
+	c.Check(started.Verdict(testNow, 2), qt.Equals, Blocked)
+	c.Check(started.Verdict(testNow, 3), qt.Equals, None)
+	c.Check(started.Verdict(testNow, 4), qt.Equals, None)
+}
--- a/process/suspect/table.go
+++ b/process/suspect/table.go
@@ -254,3 +254,27 @@
 	}
 	return r.verdict(now, t.limit)
 }
+
+// maxNotices bounds the bodies in Notices.
+const maxNotices = 256
+
+// Notices returns the notices from which a router that started later learns of the
+// newest bodies that are suspected or blocked.
+func (t *Table) Notices(now time.Time) []*peerpb.Suspect {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	keys := t.withLosses.Keys() // oldest first
+	var notices []*peerpb.Suspect
+	for _, f := range keys[max(0, len(keys)-maxNotices):] {
+		r, _ := t.withLosses.Peek(f)
+		verdict := r.verdict(now, t.limit)
+		if verdict == None || r.trustedBeforeLoss { // the losses of a trusted body alone would block it elsewhere
+			continue
+		}
+		for i, l := range r.losses {
+			notices = append(notices, &peerpb.Suspect{Fingerprint: uint64(f), Endpoint: l.endpoint, Boot: l.incarnation, Crashed: true,
+				Alone: verdict == Blocked && i == len(r.losses)-1})
+		}
+	}
+	return notices
+}
