Keep the origins of streams as long as the configuration lets streams last

Cause: streams were forgotten after 30 s, and a version 30 s after it was last seen; on a deployment with longer streams one that began before would count as unknown, or a version that is gone as never seen. Change: the time is twice the longest timeout of the routes of streams, 30 s at least.

--- a/process/origins/origins.go
+++ b/process/origins/origins.go
@@ -10,9 +10,8 @@
 )
 
 const (
-	// retention is how long a stream can be taken up after it began, and how long a
-	// version counts as having served after it was last seen.
-	retention = 30 * time.Second
+	// minRetention is the minimum of Table.retention.
+	minRetention = 30 * time.Second
 	// maxStreams bounds the streams that are tracked.
 	maxStreams = 1 << 15
 	// maxRestoreAge is the age of a saved History, by the hosts' clocks, up to which no
@@ -76,18 +75,28 @@
 
 // Table holds the origins of recent streams. It is safe for concurrent use.
 type Table struct {
-	mu       sync.Mutex
-	origins  map[Key]Origin
-	order    []stream
-	pending  []Begun // own, to send with the next heartbeat
-	sent     []Begun // own, sent with the last heartbeat; sent twice, since heartbeats get lost
-	seen     map[Origin]time.Time
-	complete time.Time // seen is complete since then
+	mu sync.Mutex
+	// retention is how long a stream can be taken up after it began, and how long a
+	// version counts as having served after it was last seen.
+	retention time.Duration
+	origins   map[Key]Origin
+	order     []stream
+	pending   []Begun // own, to send with the next heartbeat
+	sent      []Begun // own, sent with the last heartbeat; sent twice, since heartbeats get lost
+	seen      map[Origin]time.Time
+	complete  time.Time // seen is complete since then
 }
 
 // New returns an empty Table.
 func New(now time.Time) *Table {
-	return &Table{origins: make(map[Key]Origin), seen: make(map[Origin]time.Time), complete: now}
+	return &Table{retention: minRetention, origins: make(map[Key]Origin), seen: make(map[Origin]time.Time), complete: now}
+}
+
+// SetStreamTime sets how long a stream can last over all attempts of its caller.
+func (t *Table) SetStreamTime(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.retention = max(minRetention, d)
 }
 
 // Begin records a stream that this router began.
@@ -109,7 +118,7 @@
 		return // the first event decides
 	}
 	drop := 0
-	for drop < len(t.order) && (now.Sub(t.order[drop].at) > retention || len(t.order)-drop >= maxStreams) {
+	for drop < len(t.order) && (now.Sub(t.order[drop].at) > t.retention || len(t.order)-drop >= maxStreams) {
 		delete(t.origins, t.order[drop].key)
 		drop++
 	}
@@ -145,7 +154,7 @@
 		t.seen[o] = now
 	}
 	for o, at := range t.seen {
-		if now.Sub(at) > retention {
+		if now.Sub(at) > t.retention {
 			delete(t.seen, o)
 		}
 	}
@@ -155,13 +164,13 @@
 func (t *Table) Answer(now time.Time, k Key, services []string) Answer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	a := Answer{Complete: now.Sub(t.complete) >= retention}
+	a := Answer{Complete: now.Sub(t.complete) >= t.retention}
 	if o, ok := t.origins[k]; ok {
 		a.Origin = &o
 		return a
 	}
 	for o, at := range t.seen {
-		if slices.Contains(services, o.Service) && now.Sub(at) <= retention {
+		if slices.Contains(services, o.Service) && now.Sub(at) <= t.retention {
 			a.Seen = append(a.Seen, o)
 		}
 	}
--- a/process/origins/origins_test.go
+++ b/process/origins/origins_test.go
@@ -23,8 +23,8 @@
 	table.Merge(t0, []Begun{{Origin: v2, Streams: []Key{1, 2}}})
 	c.Assert(*table.Answer(t0, 1, services).Origin, qt.Equals, v1)
 	c.Assert(*table.Answer(t0, 2, services).Origin, qt.Equals, v2)
-	table.Begin(t0.Add(2*retention), 3, v1)
-	c.Assert(table.Answer(t0.Add(2*retention), 1, services).Origin, qt.IsNil)
+	table.Begin(t0.Add(2*minRetention), 3, v1)
+	c.Assert(table.Answer(t0.Add(2*minRetention), 1, services).Origin, qt.IsNil)
 	c.Assert(table.origins, qt.HasLen, 1)
 }
 
@@ -116,3 +116,16 @@
 		}
 	}
 }
+
+func TestLongStreamsAreKept(t *testing.T) {
+	c := qt.New(t)
+	table := New(t0)
+	table.SetStreamTime(2 * minRetention)
+	table.Observe(t0, []Origin{v1})
+	table.Begin(t0, 1, v1)
+	now := t0.Add(2 * minRetention)
+	table.Begin(now, 2, v2)
+	table.Observe(now, []Origin{v2})
+	c.Assert(*table.Answer(now, 1, services).Origin, qt.Equals, v1)
+	c.Assert(table.Answer(now, 3, services).Seen, qt.DeepEquals, []Origin{v1, v2})
+}
--- a/process/router/follow.go
+++ b/process/router/follow.go
@@ -28,6 +28,9 @@
 	serviceDownInterval = 100 * time.Millisecond
 	// storeTimeout bounds a call to the store.
 	storeTimeout = time.Second
+	// callerAttempts is how many attempts of a caller one stream may take, each bounded
+	// by the timeout of its route.
+	callerAttempts = 2
 	// registerRetryInterval is the pause between attempts to write the own record.
 	registerRetryInterval = 500 * time.Millisecond
 	// storeReaders is the number of routers that read the store for all. The second one
@@ -195,6 +198,7 @@
 		}
 	})
 	r.endpoints.SetColdRates(rates)
+	r.origins.SetStreamTime(callerAttempts * t.LongestStream())
 	r.config.Store(t)
 	r.log.Info("configuration in force", "version", t.Version, "routes", t.RouteCount, "offset", offset)
 }
--- a/version/routing/table.go
+++ b/version/routing/table.go
@@ -169,6 +169,19 @@
 	return nil, false
 }
 
+// LongestStream returns the longest timeout of the routes of streams.
+func (t *Table) LongestStream() time.Duration {
+	longest := time.Duration(0)
+	for _, list := range t.hosts {
+		for _, r := range list {
+			if r.Kind == Stream {
+				longest = max(longest, r.Timeout)
+			}
+		}
+	}
+	return longest
+}
+
 // Rank returns the number of distinct priorities of the service's routes that are
 // more urgent than priority.
 func (t *Table) Rank(service string, priority int) int {
