Count a connection as idle from the last write of its response

Callers saw: at the connection limit, a connection that had just become idle was closed in place of the one idle longest. Cause: idleSince was set by the connection's goroutine some steps after the response was written, so under load it lay after that of a connection opened next. Change: it is set before the last part of the response is written. A connection that is chosen at that moment is closed after the response; connections that are closing so may exceed the limit by a quarter.

--- a/connection/frontend/conn.go
+++ b/connection/frontend/conn.go
@@ -30,9 +30,9 @@
 	s    *Server
 	nc   net.Conn
 	r    *bufio.Reader
-	busy atomic.Bool // from the first byte of a request to the last of its response
-	// idleSince is when the connection became idle, as Unix time in ns; 0 while it
-	// is busy or closed.
+	busy atomic.Bool // from the first byte of a request until its goroutine has ended the response
+	// idleSince is when the connection became idle, as Unix time in ns; 0 while it has a
+	// request without a complete response, or is closed.
 	idleSince atomic.Int64
 
 	idleMu sync.Mutex // held while an idle connection is closed or becomes busy
@@ -40,7 +40,9 @@
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
-	return &conn{s: s, nc: nc, r: bufio.NewReaderSize(nc, readBufferBytes)}
+	c := &conn{s: s, nc: nc, r: bufio.NewReaderSize(nc, readBufferBytes)}
+	c.idleSince.Store(time.Now().UnixNano())
+	return c
 }
 
 // serve handles the connection's requests one after the other.
@@ -64,7 +66,9 @@
 	if c.nc.SetReadDeadline(time.Now().Add(idle)) != nil {
 		return false
 	}
-	c.idleSince.Store(time.Now().UnixNano())
+	if !c.beginIdle() {
+		return false
+	}
 	_, err := c.r.Peek(1)
 	c.idleMu.Lock()
 	defer c.idleMu.Unlock()
@@ -76,17 +80,31 @@
 	return !c.closed
 }
 
-// closeIfIdle closes the connection unless a request has begun, and reports
-// whether it closed it.
+// beginIdle marks the connection idle unless its last response did, and reports whether it
+// is still open.
+func (c *conn) beginIdle() bool {
+	c.idleMu.Lock()
+	defer c.idleMu.Unlock()
+	if c.closed {
+		return false
+	}
+	c.idleSince.CompareAndSwap(0, time.Now().UnixNano())
+	return true
+}
+
+// closeIfIdle closes the connection unless it has a request without a complete
+// response, and reports whether it closed it. While the last part of a response is being
+// written, the connection is closed after that.
 func (c *conn) closeIfIdle() bool {
 	c.idleMu.Lock()
 	defer c.idleMu.Unlock()
-	if c.busy.Load() || c.closed {
+	if c.idleSince.Swap(0) == 0 || c.closed {
 		return false
 	}
 	c.closed = true
-	c.idleSince.Store(0)
-	_ = c.nc.Close()
+	if !c.busy.Load() {
+		_ = c.nc.Close()
+	}
 	return true
 }
 
--- a/connection/frontend/exchange.go
+++ b/connection/frontend/exchange.go
@@ -30,9 +30,7 @@
 	if x.Head == nil || x.Head.Method != http.MethodHead {
 		x.buf = append(x.buf, body...)
 	}
-	err := x.flush()
-	x.complete = err == nil
-	return err
+	return x.flushLast()
 }
 
 // WriteHead writes the head of a response of unknown length. Write and End
@@ -70,9 +68,7 @@
 	if x.chunked {
 		x.buf = append(x.buf, "0\r\n\r\n"...)
 	}
-	err := x.flush()
-	x.complete = err == nil
-	return err
+	return x.flushLast()
 }
 
 // Abort makes the server close the connection before the response is complete. If
@@ -107,6 +103,15 @@
 	}
 }
 
+// flushLast writes the last part of the response. The connection counts as idle from
+// now on, since the caller may have the response before the write returns.
+func (x *Exchange) flushLast() error {
+	x.conn.idleSince.Store(time.Now().UnixNano())
+	err := x.flush()
+	x.complete = err == nil
+	return err
+}
+
 func (x *Exchange) flush() error {
 	if len(x.buf) == 0 {
 		return nil
--- a/connection/frontend/server.go
+++ b/connection/frontend/server.go
@@ -112,14 +112,18 @@
 	}
 }
 
+// minClosing is the number of connections beyond MaxConnections that may be closing at
+// least; in a large server a quarter of MaxConnections may.
+const minClosing = 16
+
 // makeRoom reports whether another connection may be opened, closing an idle one
 // at the limit. It logs when the result changes.
 func (s *Server) makeRoom() bool {
 	if s.MaxConnections <= 0 {
 		return true
 	}
-	open := s.openConns.Load()
-	full := open >= int64(s.MaxConnections) && !s.closeLongestIdle()
+	open, most := s.openConns.Load(), int64(s.MaxConnections)
+	full := open >= most && (open >= most+max(minClosing, most/4) || !s.closeLongestIdle())
 	if s.full.Swap(full) != full {
 		s.Log.Info("connection limit reached or cleared", "full", full, "open", open, "most", s.MaxConnections)
 	}
