Count the notice of dropped log lines in the bound of the buffer

Operators saw: nothing; the buffer of log lines could pass its 256 KiB by about 75 bytes. Cause: AsyncWriter.Write compared buffer and line with the bound and then added the notice. Change: the notice counts; a line that does not fit with it is dropped, and the next notice counts it too. Result: TestNoticeOfDroppedLinesCounts fails without the change and passes; go test -race ./process/logging -count=10 passes.

--- a/process/logging/async.go
+++ b/process/logging/async.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// asyncBytes bounds the lines buffered for a slow reader, without the count of dropped lines.
+	// asyncBytes bounds the lines buffered for a slow reader.
 	asyncBytes = 256 << 10
 	// asyncFlushInterval is how long lines are collected before they are written.
 	asyncFlushInterval = 100 * time.Millisecond
@@ -44,16 +44,18 @@
 func (a *AsyncWriter) Write(line []byte) (int, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if len(a.buffered)+len(line) > asyncBytes {
+	notice := ""
+	if a.droppedSinceLast > 0 {
+		notice = fmt.Sprintf("{\"level\":\"info\",\"msg\":\"log lines left out\",\"reason\":\"slow reader\",\"lines\":%d}\n", a.droppedSinceLast)
+	}
+	if len(a.buffered)+len(notice)+len(line) > asyncBytes {
 		a.droppedSinceLast++
 		a.dropped.Add(1)
 		return len(line), nil
 	}
 	wasEmpty := len(a.buffered) == 0
-	if a.droppedSinceLast > 0 {
-		a.buffered = fmt.Appendf(a.buffered, "{\"level\":\"info\",\"msg\":\"log lines left out\",\"reason\":\"slow reader\",\"lines\":%d}\n", a.droppedSinceLast)
-		a.droppedSinceLast = 0
-	}
+	a.buffered = append(a.buffered, notice...)
+	a.droppedSinceLast = 0
 	if wasEmpty {
 		select {
 		case a.wake <- struct{}{}:
--- a/process/logging/async_test.go
+++ b/process/logging/async_test.go
@@ -61,6 +61,25 @@
 	}
 }
 
+// A short line that would fit by itself must not bring the notice of dropped lines over the bound.
+func TestNoticeOfDroppedLinesCounts(t *testing.T) {
+	c := qt.New(t)
+	out := &blockedWriter{wait: make(chan struct{})}
+	a := NewAsyncWriter(out)
+	line := bytes.Repeat([]byte("x"), asyncBytes/100) // leaves room for a short line, but not for the notice
+	for a.Dropped() == 0 {
+		_, _ = a.Write(line)
+	}
+	for range len(line) {
+		_, _ = a.Write([]byte("x"))
+	}
+	a.mu.Lock()
+	c.Assert(len(a.buffered) <= asyncBytes, qt.IsTrue, qt.Commentf("%d bytes", len(a.buffered)))
+	a.mu.Unlock()
+	close(out.wait)
+	a.Close(5 * time.Second)
+}
+
 func TestCloseReturnsDespiteStuckReader(t *testing.T) {
 	c := qt.New(t)
 	out := &blockedWriter{wait: make(chan struct{})}
