Do not count connections that are closed after a refusal

Callers of stoatmount serve saw: at the limit of connections, now and then a reset in place of a coded refusal. Cause: the connection of a refusal was counted until the server had closed it, so that the next one could count as the one above the hard limit and be closed unread. Change: a connection over the limit is no longer counted once its refusal is written, and is always closed after it.

--- a/connection/caller/serve.go
+++ b/connection/caller/serve.go
@@ -29,6 +29,9 @@
 	received := s.clock.Now()
 	id := s.router.NextID()
 	if refusal := s.admit(); refusal != nil {
+		if refusal.Code == outcome.TooManyConnections {
+			s.releaseConnection(w, r)
+		}
 		s.refuseBeforeServe(w, r, id, refusal)
 		return
 	}
--- a/connection/caller/server.go
+++ b/connection/caller/server.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -43,7 +44,8 @@
 	clock     clockwork.Clock
 	log       logr.Logger
 	http      *http.Server
-	openConns atomic.Int64 // number of connections
+	openConns atomic.Int64 // number of connections, without those in released
+	released  sync.Map     // connections (net.Conn) that are closed after the refusal being written
 }
 
 // NewServer returns a server that is not listening yet.
@@ -56,6 +58,9 @@
 		MaxHeaderBytes:    2 * options.HeaderBytes, // above the limit of checkHeaderSize, which refuses with a code
 		TLSConfig:         options.TLS,
 		ConnState:         s.countConnection,
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, conn)
+		},
 	}
 	return s
 }
@@ -94,11 +99,29 @@
 			_ = conn.Close()
 		}
 	case http.StateClosed, http.StateHijacked:
-		s.openConns.Add(-1)
+		if _, released := s.released.LoadAndDelete(conn); !released {
+			s.openConns.Add(-1)
+		}
 	case http.StateActive, http.StateIdle:
 	}
 }
 
+// connKey is the context key of a request's connection.
+type connKey struct{}
+
+// releaseConnection stops counting a connection that is closed after the next
+// response, since its caller may open the next one as soon as it has that.
+func (s *Server) releaseConnection(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Connection", "close")
+	conn, ok := r.Context().Value(connKey{}).(net.Conn)
+	if !ok {
+		return
+	}
+	if _, released := s.released.LoadOrStore(conn, true); !released {
+		s.openConns.Add(-1)
+	}
+}
+
 func (s *Server) routes() http.Handler {
 	mux := httprouter.New()
 	mux.RedirectTrailingSlash = false
