Notice crashes that leave the connection open or are found one by one

Callers would have seen: a request whose endpoints go silent is still sent on: a crash was counted only if the attempt failed before the request's deadline, and copies that were sent before the first crash was known counted as one, though they failed seconds apart. Cause: the check ran only while the request was in progress; the count followed what was known when a copy was sent. Change: at the deadline the check goes on after the response, 16 at a time at most; a crash 0.3 s or more after the last one counts as the next; an address that belongs to another process means that the endpoint went down.

--- a/connection/forward/crash.go
+++ b/connection/forward/crash.go
@@ -1,8 +1,10 @@
 package forward
 
 import (
+	"context"
 	"time"
 
+	"github.com/stoatmount/stoatmount/process/quarantine"
 	"github.com/stoatmount/stoatmount/process/suspect"
 	"github.com/stoatmount/stoatmount/request/balance"
 )
@@ -27,36 +29,49 @@
 	return wait
 }
 
-// recordCrash records a failed attempt whose endpoint went down with it.
+// maxCrashChecks bounds the checks in progress after the end of their requests.
+const maxCrashChecks = 16
+
+// recordCrash records a failed attempt whose endpoint went down with it. If the
+// request has ended, the check goes on after its response.
 func (j *job) recordCrash(a *attempt) {
 	lost := a.failure == balance.Broken || a.failure == balance.TimedOut
-	if a.reached && lost && j.ctx.Err() == nil && j.endpointDown(a) {
-		j.s.Quarantine.Crashed(time.Now(), j.fingerprint(), j.sent)
+	if !a.reached || !lost {
+		return
+	}
+	j.fingerprint() // before a check that goes on beside the rest of the request
+	if j.ctx.Err() == nil {
+		j.checkCrash(j.ctx, a, j.sent)
+		return
+	}
+	if j.s.crashChecks.Add(1) > maxCrashChecks {
+		j.s.crashChecks.Add(-1)
+		return
 	}
+	sent := j.sent
+	go func() {
+		defer j.s.crashChecks.Add(-1)
+		j.checkCrash(context.WithoutCancel(j.ctx), a, sent)
+	}()
 }
 
-// endpointDown reports whether no connection to the endpoint can be opened any more.
-// It tells a crash from a single connection that broke.
-func (j *job) endpointDown(a *attempt) bool {
-	if j.s.Endpoints.UnreachableSince(a.sentAt, a.grant) {
-		return true
-	}
-	conn, err := j.s.Pool.Dial(j.ctx, a.grant.Addr, connectTimeout)
-	now := time.Now()
-	if j.ctx.Err() != nil {
+// checkCrash records a crash if no connection to the endpoint can be opened any more,
+// which tells it from a single connection that broke.
+func (j *job) checkCrash(ctx context.Context, a *attempt, sent quarantine.State) {
+	if !j.s.Endpoints.DownSince(a.sentAt, a.grant) {
+		conn, err := j.s.Pool.Dial(ctx, a.grant.Addr, connectTimeout)
+		now := time.Now()
 		if err == nil {
-			_ = conn.Close()
+			j.s.Pool.Put(conn, now, 0, j.maxIdle(a.grant.Service))
+			return
+		}
+		if ctx.Err() != nil {
+			return // the request ended while connecting
 		}
-		return false
-	}
-	if err != nil {
 		j.s.Endpoints.RecordUnreachable(now, a.grant)
 		j.s.Pool.CloseIdle(a.grant.Addr)
-		return true
 	}
-	j.rec.Dials++
-	j.s.Pool.Put(conn, now, 0, j.maxIdle(a.grant.Service))
-	return false
+	j.s.Quarantine.Crashed(time.Now(), j.body, sent)
 }
 
 // recordCompletion records that the request ran to its end.
--- a/connection/forward/server.go
+++ b/connection/forward/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -29,9 +30,9 @@
 	Release(now time.Time, g *balance.Grant, f balance.Failure, latency time.Duration) bool
 	// RecordUnreachable ejects an endpoint to which no connection could be opened.
 	RecordUnreachable(now time.Time, g *balance.Grant)
-	// UnreachableSince reports whether no connection to the endpoint could be opened at
-	// some time after since.
-	UnreachableSince(since time.Time, g *balance.Grant) bool
+	// DownSince reports whether the endpoint is known to have gone down at some time
+	// after since.
+	DownSince(since time.Time, g *balance.Grant) bool
 }
 
 // RetryBudget bounds the retries of a service over all routers.
@@ -66,6 +67,8 @@
 	// RefusesStreams reports whether the process ends so soon that a new stream
 	// may not complete.
 	RefusesStreams func() bool
+
+	crashChecks atomic.Int64 // in progress after the end of their requests
 }
 
 const (
--- a/process/quarantine/doc.go
+++ b/process/quarantine/doc.go
@@ -5,9 +5,10 @@
 // caller has a new id. A run crashed its endpoint if its connection was lost and no
 // new connection could be opened. Crashes count one after the other: an attempt
 // carries the State that was known when it was sent, and its crash is the one after
-// that. Copies that are lost together, for example with a zone, therefore count as one
-// crash, and a run that completes anywhere starts the count again. A body that reaches
-// the limit is refused, but for a trial now and then by one of the routers.
+// that, or after the last known one if that was some time ago. Copies that are lost
+// together, for example with a zone, therefore count as one crash, and a run that
+// completes anywhere starts the count again. A body that reaches the limit is refused,
+// but for a trial now and then by one of the routers.
 //
 // The routers exchange Reports. Merging keeps the later State, so that reports may be
 // lost, repeated or reordered.
--- a/process/quarantine/quarantine.go
+++ b/process/quarantine/quarantine.go
@@ -13,6 +13,9 @@
 const (
 	// crashLimit is the number of consecutive crashes after which a body is refused.
 	crashLimit = 3
+	// crashSpacing is the time after a crash from which another one counts though its copy
+	// was sent before: endpoints of one zone are lost within less.
+	crashSpacing = 300 * time.Millisecond
 	// quietTime is how long no copy may arrive until a body is forgotten.
 	quietTime = time.Hour
 	// firstTrial is the time from a body's quarantine until one copy may run again, so
@@ -55,6 +58,7 @@
 type body struct {
 	State
 	lastArrival time.Time
+	crashedAt   time.Time // when the last crash became known
 	changedAt   time.Time // last change by a request of this router
 	nextTrial   time.Time // if quarantined
 }
@@ -109,7 +113,13 @@
 // Crashed records that a body crashed its endpoint. sent is what Check returned
 // before it was sent.
 func (t *Table) Crashed(now time.Time, f suspect.Fingerprint, sent State) {
-	t.set(now, f, State{Resets: sent.Resets, Crashes: sent.Crashes + 1}, now, true)
+	next := State{Resets: sent.Resets, Crashes: sent.Crashes + 1}
+	t.mu.Lock()
+	if b := t.bodies[f]; b != nil && b.Resets == sent.Resets && now.Sub(b.crashedAt) >= crashSpacing {
+		next.Crashes = b.Crashes + 1
+	}
+	t.mu.Unlock()
+	t.set(now, f, next, now, true)
 }
 
 // Completed records that a body ran to its end.
@@ -140,7 +150,7 @@
 	}
 	changed := s.compare(b.State) > 0
 	if changed {
-		b.State = s
+		b.State, b.crashedAt = s, now
 		b.nextTrial = now.Add(firstTrial << min(max(0, s.Crashes-crashLimit), maxDoublings))
 	}
 	if changed && own {
--- a/process/quarantine/quarantine_test.go
+++ b/process/quarantine/quarantine_test.go
@@ -48,6 +48,18 @@
 	c.Assert(refused(table, t0, 1), qt.IsFalse)
 }
 
+// Copies that were sent before the first crash was known, but are lost one by one.
+func TestEndpointsLostOneByOneCount(t *testing.T) {
+	c := qt.New(t)
+	table := newTable()
+	sent, _ := table.Check(t0, 1)
+	for i := range crashLimit {
+		c.Assert(refused(table, t0, 1), qt.IsFalse)
+		table.Crashed(t0.Add(time.Duration(i)*crashSpacing), 1, sent)
+	}
+	c.Assert(refused(table, t0, 1), qt.IsTrue)
+}
+
 func TestCompletedRunClearsBody(t *testing.T) {
 	c := qt.New(t)
 	table := newTable()
--- a/process/upstream/acquire.go
+++ b/process/upstream/acquire.go
@@ -355,13 +355,19 @@
 	}
 }
 
-// UnreachableSince reports whether no connection to the endpoint could be opened at
-// some time after since.
-func (t *Table) UnreachableSince(since time.Time, g *balance.Grant) bool {
+// DownSince reports whether the process of the endpoint is known to have ended: its
+// address belongs to another one, or no connection could be opened at some time after
+// since.
+func (t *Table) DownSince(since time.Time, g *balance.Grant) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	ep := t.byID[g.ID]
-	return ep != nil && ep.Started == g.Started && ep.health.unreachableAt.After(since)
+	for _, ep := range t.endpointsOf(g.Service) {
+		same := ep.ID == g.ID && ep.Started == g.Started
+		if same && ep.health.unreachableAt.After(since) || !same && ep.Addr == g.Addr {
+			return true
+		}
+	}
+	return false
 }
 
 func (t *Table) othersErrorRate(self *endpoint) float64 {
