Send nothing more to an endpoint that announces that it leaves

Callers would have seen: requests that reach an endpoint too late to be served, while its registry entry still says that it is ready. Change: the mark in any response ends new requests to that process at once, whatever its entry says, also if the entry comes back; other routers hear of it at once. A process that starts under the id is another one.

--- a/connection/forward/attempt.go
+++ b/connection/forward/attempt.go
@@ -177,6 +177,9 @@
 		}
 		a.firstAt = time.Now()
 		response := j.s.Codec.DecodeResponse(head)
+		if response.Leaving && (response.EndpointID == "" || response.EndpointID == a.grant.ID) && j.s.Endpoints.RecordLeaving(a.firstAt, a.grant) {
+			j.s.OnLeaving(a.grant)
+		}
 		body := http1.NewBody(a.conn.R, head.Length)
 		if response.RequestID == "" || response.RequestID == j.req.ID {
 			a.head, a.response, a.body = head, response, body
--- a/connection/forward/server.go
+++ b/connection/forward/server.go
@@ -26,6 +26,9 @@
 	CountHealthy(now time.Time, req balance.Request) int
 	// RecordLoad sets the number of requests that an endpoint reported to run and queue.
 	RecordLoad(now time.Time, g *balance.Grant, requests int)
+	// RecordLeaving records that an endpoint announced that it leaves, and reports whether
+	// that is new.
+	RecordLeaving(now time.Time, g *balance.Grant) bool
 	// Release ends a grant and reports whether the endpoint was ejected.
 	Release(now time.Time, g *balance.Grant, f balance.Failure, latency time.Duration) bool
 	// RecordUnreachable ejects an endpoint to which no connection could be opened.
@@ -63,7 +66,8 @@
 	Quarantine  *quarantine.Table // bodies that crashed endpoints
 	Origins     Origins
 	Observer    Observer
-	RouterCount func() int // routers that share the connections of an endpoint
+	OnLeaving   func(g *balance.Grant) // called when an endpoint announces that it leaves
+	RouterCount func() int             // routers that share the connections of an endpoint
 	// RefusesStreams reports whether the process ends so soon that a new stream
 	// may not complete.
 	RefusesStreams func() bool
--- a/connection/forward/types.go
+++ b/connection/forward/types.go
@@ -45,6 +45,7 @@
 	Signed     bool   // the response has an endpoint's signature, which is not verified
 	NotRun     bool   // the endpoint has not run the request
 	EndpointID string // of the endpoint that responded
+	Leaving    bool   // the endpoint announces that it leaves
 	HasLoad    bool
 	Load       Load
 }
--- a/process/peers/table.go
+++ b/process/peers/table.go
@@ -8,23 +8,25 @@
 	"github.com/stoatmount/stoatmount/process/feed"
 	"github.com/stoatmount/stoatmount/process/origins"
 	"github.com/stoatmount/stoatmount/process/quarantine"
+	"github.com/stoatmount/stoatmount/process/upstream"
 )
 
 // Heartbeat is what a router periodically sends to the others.
 type Heartbeat struct {
-	Name           string              `json:"name"`
-	Incarnation    int64               `json:"boot"` // start of the process, Unix time in ns
-	Number         int64               `json:"n"`    // increases with each heartbeat of a process
-	Front          string              `json:"front"`
-	Zone           string              `json:"zone"`
-	Ready          bool                `json:"ready"`
-	Running        map[string]float64  `json:"running,omitempty"` // requests by endpoint, smoothed
-	Placements     []Placement         `json:"placed,omitempty"`  // new since the previous heartbeats
-	Draining       bool                `json:"leaving,omitempty"` // the process is shutting down
-	StoreReachable bool                `json:"store"`             // it reaches the platform's store
-	Offsets        []int64             `json:"offsets,omitempty"` // next offset to read, by topic
-	Begun          []origins.Begun     `json:"begun,omitempty"`   // streams begun since the previous heartbeats
-	Crashes        []quarantine.Report `json:"crashes,omitempty"` // bodies that crashed endpoints
+	Name           string                 `json:"name"`
+	Incarnation    int64                  `json:"boot"` // start of the process, Unix time in ns
+	Number         int64                  `json:"n"`    // increases with each heartbeat of a process
+	Front          string                 `json:"front"`
+	Zone           string                 `json:"zone"`
+	Ready          bool                   `json:"ready"`
+	Running        map[string]float64     `json:"running,omitempty"`           // requests by endpoint, smoothed
+	Placements     []Placement            `json:"placed,omitempty"`            // new since the previous heartbeats
+	Draining       bool                   `json:"leaving,omitempty"`           // the process is shutting down
+	StoreReachable bool                   `json:"store"`                       // it reaches the platform's store
+	Offsets        []int64                `json:"offsets,omitempty"`           // next offset to read, by topic
+	Begun          []origins.Begun        `json:"begun,omitempty"`             // streams begun since the previous heartbeats
+	Leaving        []upstream.Incarnation `json:"endpoints_leaving,omitempty"` // announced by endpoints since the previous heartbeats
+	Crashes        []quarantine.Report    `json:"crashes,omitempty"`           // bodies that crashed endpoints
 }
 
 // Relay carries records that one router read from the log for all routers.
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -116,7 +116,7 @@
 	r.origins = origins.New(time.Now())
 	r.quarantine = quarantine.New(r.onCrashChange, r.runsTrials)
 	handler := &forward.Server{Codec: adapter.Codec(), Table: r.config.Load, Endpoints: r.endpoints, Pool: r.pool,
-		RetryBudget: sharedRetries{r.retryBudget, r.members}, Quarantine: r.quarantine, Origins: streamOrigins{r}, Observer: observer, RouterCount: r.members,
+		RetryBudget: sharedRetries{r.retryBudget, r.members}, Quarantine: r.quarantine, Origins: streamOrigins{r}, Observer: observer, OnLeaving: r.onLeaving, RouterCount: r.members,
 		RefusesStreams: r.refusesStreams}
 	r.front = &frontend.Server{Handler: handler, Limits: r.limits, Log: log,
 		MaxConnections: int(callerDescriptorShare * float64(s.Descriptors))}
@@ -259,6 +259,7 @@
 		h.Placements = append(h.Placements, peers.Placement{Key: key, Endpoint: id})
 	}
 	h.Begun = r.origins.TakeBegun()
+	h.Leaving = r.endpoints.NewlyLeaving(time.Now())
 	h.Crashes = r.quarantine.Reports(time.Now())
 	return h
 }
@@ -275,6 +276,14 @@
 	return true
 }
 
+// onLeaving logs that an endpoint announced that it leaves, and tells the other routers.
+func (r *Router) onLeaving(g *balance.Grant) {
+	r.log.Info("endpoint leaving", "endpoint", g.ID, "service", g.Service, "zone", g.Zone, "announced", true)
+	if r.exchange != nil {
+		r.exchange.SendNow()
+	}
+}
+
 // onCrashChange logs the change of a body that crashed endpoints, and tells the other
 // routers at once of a change that this router saw.
 func (r *Router) onCrashChange(f suspect.Fingerprint, s quarantine.State, own bool) {
@@ -295,6 +304,7 @@
 		r.endpoints.RecordPlacement(now, p.Key, p.Endpoint)
 	}
 	r.origins.Merge(now, h.Begun)
+	r.endpoints.MergeLeaving(now, h.Leaving)
 	r.quarantine.Merge(now, h.Crashes)
 	r.updatePeers(now)
 }
--- a/process/upstream/acquire.go
+++ b/process/upstream/acquire.go
@@ -56,7 +56,7 @@
 	healthy, ejected := t.healthy[:0], t.ejected[:0]
 	cold := 0
 	for _, ep := range t.endpointsOf(req.Service) {
-		if ep.Draining || t.zonesOutOfService[ep.Zone] || !ep.hasVersion(req.Version) {
+		if t.isDraining(ep) || t.zonesOutOfService[ep.Zone] || !ep.hasVersion(req.Version) {
 			continue
 		}
 		switch {
@@ -136,7 +136,7 @@
 	defer t.mu.Unlock()
 	n := 0
 	for _, ep := range t.endpointsOf(req.Service) {
-		if !ep.Draining && !t.zonesOutOfService[ep.Zone] && !contains(req.Exclude, ep.ID) && ep.hasVersion(req.Version) &&
+		if !t.isDraining(ep) && !t.zonesOutOfService[ep.Zone] && !contains(req.Exclude, ep.ID) && ep.hasVersion(req.Version) &&
 			!now.Before(ep.health.ejectedUntil) && !t.inColdStart(now, ep) {
 			n++
 		}
@@ -373,7 +373,7 @@
 func (t *Table) othersErrorRate(self *endpoint) float64 {
 	sum, n := 0.0, 0
 	for _, ep := range t.endpointsOf(self.Service) {
-		if ep != self && !ep.Draining {
+		if ep != self && !t.isDraining(ep) {
 			sum += ep.health.errorRate
 			n++
 		}
--- a/process/upstream/holders.go
+++ b/process/upstream/holders.go
@@ -128,7 +128,7 @@
 	merged := make(map[uint64][]string)
 	for key, list := range t.holders.byKey {
 		for id, at := range list {
-			if ep := t.byID[id]; ep != nil && !ep.Draining && !at.Before(since) {
+			if ep := t.byID[id]; ep != nil && !t.isDraining(ep) && !at.Before(since) {
 				merged[key] = append(merged[key], id)
 			}
 		}
--- a/process/upstream/table.go
+++ b/process/upstream/table.go
@@ -92,6 +92,7 @@
 	downSince    map[string]time.Time
 	holders      holders
 	loads        map[string]*serviceLoad
+	leaving      map[Incarnation]leavingMark
 	readyRouters int // other routers that take requests
 	draw         func() float64
 
@@ -104,7 +105,7 @@
 func New(cfg Config, draw func() float64) *Table {
 	return &Table{cfg: cfg, byID: make(map[string]*endpoint), services: make(map[string][]*endpoint), removed: make(map[string]*endpoint), zonesOutOfService: make(map[string]bool),
 		coldRate: make(map[string]float64), downSince: make(map[string]time.Time), holders: newHolders(),
-		loads: make(map[string]*serviceLoad), draw: draw}
+		loads: make(map[string]*serviceLoad), leaving: make(map[Incarnation]leavingMark), draw: draw}
 }
 
 // Apply applies records of the registry in order. gap means that the registry was
