Keep the Retry-After of endpoints

Callers would have seen: refusals by an endpoint that had said for how long it wants nothing, and a retry spent on each. Change: that process gets nothing from this router until then, 10 minutes at most; values that are no positive number of seconds mean nothing. While all endpoints want a pause, callers are refused at once with the end of the first.

--- a/connection/forward/attempt.go
+++ b/connection/forward/attempt.go
@@ -180,6 +180,9 @@
 		if response.Leaving && (response.EndpointID == "" || response.EndpointID == a.grant.ID) && j.s.Endpoints.RecordLeaving(a.firstAt, a.grant) {
 			j.s.OnLeaving(a.grant)
 		}
+		if response.RetryAfter > 0 {
+			j.s.Endpoints.RecordRetryAfter(a.firstAt, a.grant, response.RetryAfter)
+		}
 		body := http1.NewBody(a.conn.R, head.Length)
 		if response.RequestID == "" || response.RequestID == j.req.ID {
 			a.head, a.response, a.body = head, response, body
--- a/connection/forward/server.go
+++ b/connection/forward/server.go
@@ -29,6 +29,8 @@
 	// RecordLeaving records that an endpoint announced that it leaves, and reports whether
 	// that is new.
 	RecordLeaving(now time.Time, g *balance.Grant) bool
+	// RecordRetryAfter records for how long an endpoint wants no requests from this router.
+	RecordRetryAfter(now time.Time, g *balance.Grant, after time.Duration)
 	// Release ends a grant and reports whether the endpoint was ejected.
 	Release(now time.Time, g *balance.Grant, f balance.Failure, latency time.Duration) bool
 	// RecordUnreachable ejects an endpoint to which no connection could be opened.
--- a/connection/forward/types.go
+++ b/connection/forward/types.go
@@ -42,10 +42,11 @@
 // Response holds the decoded headers of an endpoint's response.
 type Response struct {
 	RequestID  string
-	Signed     bool   // the response has an endpoint's signature, which is not verified
-	NotRun     bool   // the endpoint has not run the request
-	EndpointID string // of the endpoint that responded
-	Leaving    bool   // the endpoint announces that it leaves
+	Signed     bool          // the response has an endpoint's signature, which is not verified
+	NotRun     bool          // the endpoint has not run the request
+	EndpointID string        // of the endpoint that responded
+	Leaving    bool          // the endpoint announces that it leaves
+	RetryAfter time.Duration // with a refusal: for how long the endpoint wants no requests from this router
 	HasLoad    bool
 	Load       Load
 }
--- a/process/upstream/acquire.go
+++ b/process/upstream/acquire.go
@@ -54,13 +54,18 @@
 // usable returns the endpoints that may get the request, ordered by ID.
 func (t *Table) usable(now time.Time, req balance.Request) ([]*endpoint, *balance.Refusal) {
 	healthy, ejected := t.healthy[:0], t.ejected[:0]
-	cold := 0
+	cold, soonest := 0, time.Duration(0) // soonest end of a pause; 0 if none is paused
 	for _, ep := range t.endpointsOf(req.Service) {
 		if t.isDraining(ep) || t.zonesOutOfService[ep.Zone] || !ep.hasVersion(req.Version) {
 			continue
 		}
+		pause := t.pausedFor(now, ep)
 		switch {
 		case contains(req.Exclude, ep.ID):
+		case pause > 0:
+			if soonest == 0 || pause < soonest {
+				soonest = pause
+			}
 		case t.inColdStart(now, ep) && !t.hasColdCapacity(now, ep):
 			cold++
 		case now.Before(ep.health.ejectedUntil):
@@ -78,6 +83,9 @@
 		if cold > 0 {
 			code = outcome.EndpointCold
 		}
+		if soonest > 0 {
+			return nil, &balance.Refusal{Code: outcome.EndpointAtCap, RetryAfter: soonest}
+		}
 		return nil, &balance.Refusal{Code: code, RetryAfter: t.retryAfter(now, req, code)}
 	}
 	return healthy, nil
@@ -136,7 +144,7 @@
 	defer t.mu.Unlock()
 	n := 0
 	for _, ep := range t.endpointsOf(req.Service) {
-		if !t.isDraining(ep) && !t.zonesOutOfService[ep.Zone] && !contains(req.Exclude, ep.ID) && ep.hasVersion(req.Version) &&
+		if !t.isDraining(ep) && !t.zonesOutOfService[ep.Zone] && !contains(req.Exclude, ep.ID) && ep.hasVersion(req.Version) && t.pausedFor(now, ep) == 0 &&
 			!now.Before(ep.health.ejectedUntil) && !t.inColdStart(now, ep) {
 			n++
 		}
--- a/process/upstream/table.go
+++ b/process/upstream/table.go
@@ -93,7 +93,8 @@
 	holders      holders
 	loads        map[string]*serviceLoad
 	leaving      map[Incarnation]leavingMark
-	readyRouters int // other routers that take requests
+	paused       map[Incarnation]time.Time // until when an endpoint wants no requests from this router
+	readyRouters int                       // other routers that take requests
 	draw         func() float64
 
 	// Buffers reused between calls to save allocations. Valid within a call.
@@ -105,7 +106,8 @@
 func New(cfg Config, draw func() float64) *Table {
 	return &Table{cfg: cfg, byID: make(map[string]*endpoint), services: make(map[string][]*endpoint), removed: make(map[string]*endpoint), zonesOutOfService: make(map[string]bool),
 		coldRate: make(map[string]float64), downSince: make(map[string]time.Time), holders: newHolders(),
-		loads: make(map[string]*serviceLoad), leaving: make(map[Incarnation]leavingMark), draw: draw}
+		loads: make(map[string]*serviceLoad), leaving: make(map[Incarnation]leavingMark),
+		paused: make(map[Incarnation]time.Time), draw: draw}
 }
 
 // Apply applies records of the registry in order. gap means that the registry was
--- a/process/upstream/table_test.go
+++ b/process/upstream/table_test.go
@@ -373,3 +373,20 @@
 	_, refusal = acquire(table, t0)
 	c.Assert(refusal, qt.IsNil)
 }
+
+func TestPauseOfEndpointIsBounded(t *testing.T) {
+	c := qt.New(t)
+	table := newTable(1)
+	g, _ := acquire(table, t0)
+	table.RecordRetryAfter(t0, g, 24*time.Hour)
+	table.RecordRetryAfter(t0, g, time.Second) // a later, shorter one does not end it
+	_, refusal := acquire(table, t0.Add(time.Minute))
+	c.Assert(refusal.Code, qt.Equals, outcome.EndpointAtCap)
+	c.Assert(refusal.RetryAfter, qt.Equals, maxPause-time.Minute)
+	_, refusal = acquire(table, t0.Add(maxPause))
+	c.Assert(refusal, qt.IsNil)
+	table.RecordRetryAfter(t0.Add(maxPause), g, time.Minute)
+	table.Apply(t0, []Change{put(0, func(e *Entry) { e.Started++ })}, false)
+	_, refusal = acquire(table, t0.Add(maxPause))
+	c.Assert(refusal, qt.IsNil)
+}
