Follow a store that comes back from an older copy

Callers would have seen: configurations and endpoints that are never taken on: after a drill, records at offsets that were given out before were taken for known ones, and a router asked for an offset that the store does not have, again and again without a pause. Change: each read has its era. Relays and heartbeats carry the era.

--- a/process/feed/feed.go
+++ b/process/feed/feed.go
@@ -19,17 +19,31 @@
 // ErrExpired is returned by Read if the requested records are gone.
 var ErrExpired = errors.New("records expired")
 
+// errNewEra is the result of a read whose response came from a newer era of the log.
+var errNewEra = errors.New("the log came back from an older copy")
+
 // errNewerRecords is the result of a long poll that ObserveOffset cancelled.
 var errNewerRecords = errors.New("another process has newer records")
 
+// Page is the result of one read of a topic.
+type Page struct {
+	Records []Record
+	Next    int64 // offset to read on from
+	// Era rises each time that the log comes back from an older copy. Records that were
+	// written since that copy are lost, and their offsets are given out again.
+	Era int64
+}
+
+// UnknownEra is the Era of a Page whose log did not tell it.
+const UnknownEra = -1
+
 // Source reads one keyed topic.
 type Source interface {
-	// Newest returns the newest record of each key and the offset to read on from.
-	Newest(ctx context.Context) (records []Record, next int64, err error)
-	// Read returns the records from an offset on and the next offset. With a wait it
-	// blocks up to that long if there are none. It returns ErrExpired if the records are
-	// gone.
-	Read(ctx context.Context, from int64, wait time.Duration) (records []Record, next int64, err error)
+	// Newest returns the newest record of each key.
+	Newest(ctx context.Context) (Page, error)
+	// Read returns the records from an offset on. With a wait it blocks up to that long
+	// if there are none. It returns ErrExpired if the log does not have the offset.
+	Read(ctx context.Context, from int64, wait time.Duration) (Page, error)
 }
 
 // Batch is the result of one read.
@@ -39,6 +53,10 @@
 	Records  []Record `json:"records"`
 	Snapshot bool     `json:"whole,omitempty"` // Records holds all keys; others were removed
 	Gap      bool     `json:"gap,omitempty"`   // the log was unreachable before
+	Era      int64    `json:"era,omitempty"`   // of the log
+	// Rewound means that the snapshot is the first of a new era: it may lack records that
+	// were applied before, and hold older ones of their keys.
+	Rewound bool `json:"-"`
 }
 
 // Config is how a topic is read.
@@ -58,6 +76,8 @@
 	// IsReader returns whether this process reads the log for others. One that does not
 	// takes the batches that it is offered and reads only what it missed. nil is always.
 	IsReader func() bool
+	// OnEra is called after the first read of a new era. May be nil.
+	OnEra func(era int64)
 	// Publish sends a batch that was read to other processes. May be nil.
 	Publish func(Batch)
 }
@@ -84,6 +104,8 @@
 
 	mu             sync.Mutex
 	next           int64
+	era            int64
+	everLoaded     bool
 	offsets        map[string]int64   // newest offset seen of each key
 	loaded         bool               // the newest records were read
 	lastReadAt     time.Time          // last successful read
@@ -119,7 +141,7 @@
 			if f.cfg.MinInterval != nil {
 				sleep(ctx, f.cfg.MinInterval())
 			}
-		case errors.Is(err, errNewerRecords): // read again at once, without a long poll
+		case errors.Is(err, errNewerRecords), errors.Is(err, errNewEra): // read again at once, without a long poll
 		case errors.Is(err, ErrExpired):
 			f.log.Info("records expired; reading the newest of each key", "from", f.Next())
 			f.mu.Lock()
@@ -161,6 +183,13 @@
 	return f.next
 }
 
+// Era returns the era of the last read.
+func (f *Follower) Era() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.era
+}
+
 // Reachable reports whether the last read of the log succeeded; false before the
 // first.
 func (f *Follower) Reachable() bool {
@@ -174,19 +203,37 @@
 func (f *Follower) Offer(b Batch) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.loaded || b.Snapshot || b.From > f.next || b.Next <= f.next {
+	if b.Era > f.era {
+		f.reload()
+		return
+	}
+	if b.Era < f.era || !f.loaded || b.Snapshot || b.From > f.next || b.Next <= f.next {
 		return
 	}
 	f.accept(b, false)
 }
 
-// ObserveOffset records that another process has all records before next. If they
-// have not arrived relayTimeout after the first such call, the next such call starts a read.
-func (f *Follower) ObserveOffset(now time.Time, next int64) {
+// reload makes Run read the newest record of each key at once.
+func (f *Follower) reload() {
+	f.loaded = false
+	if f.cancelLongPoll != nil {
+		f.cancelLongPoll()
+	}
+	select {
+	case f.newerRecords <- struct{}{}:
+	default:
+	}
+}
+
+// ObserveOffset records that another process has all records of an era before next. If
+// they have not arrived relayTimeout after the first such call, the next such call starts a read.
+func (f *Follower) ObserveOffset(now time.Time, era, next int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch {
-	case next <= f.next:
+	case era > f.era && f.everLoaded:
+		f.reload()
+	case era < f.era || next <= f.next:
 		return
 	case f.behindSince.IsZero():
 		f.behindSince = now
@@ -216,6 +263,7 @@
 	}
 	f.mu.Unlock()
 	b := Batch{From: from, Snapshot: !loaded, Gap: gap}
+	var page Page
 	var err error
 	if loaded {
 		if !f.cfg.ProbesReachability {
@@ -223,21 +271,35 @@
 			defer stop()
 			ctx = readCtx
 		}
-		b.Records, b.Next, err = f.source.Read(ctx, from, wait)
+		page, err = f.source.Read(ctx, from, wait)
 	} else {
-		b.Records, b.Next, err = f.source.Newest(ctx)
+		page, err = f.source.Newest(ctx)
 	}
+	b.Records, b.Next, b.Era = page.Records, page.Next, page.Era
 	f.mu.Lock()
+	if b.Era == UnknownEra {
+		b.Era = f.era
+	}
 	f.cancelLongPoll = nil
-	if err == nil {
+	newEra := f.everLoaded && b.Era > f.era
+	switch {
+	case err == nil && newEra && !b.Snapshot:
+		f.loaded = false
+		err = errNewEra
+	case err == nil && b.Era < f.era:
+		err = errors.Errorf("response of era %d after era %d", b.Era, f.era)
+	case err == nil:
 		f.accept(b, true)
-	} else if wait > 0 && !f.behindSince.IsZero() && errors.Is(err, context.Canceled) {
+	case wait > 0 && (!f.behindSince.IsZero() || !f.loaded) && errors.Is(err, context.Canceled):
 		err = errNewerRecords
 	}
 	f.mu.Unlock()
 	if err != nil {
 		return err
 	}
+	if newEra && f.cfg.OnEra != nil {
+		f.cfg.OnEra(b.Era)
+	}
 	if f.cfg.Publish != nil && !b.Snapshot && len(b.Records) > 0 {
 		f.cfg.Publish(b)
 	}
@@ -250,6 +312,10 @@
 	if own {
 		f.lastReadAt, f.loaded = time.Now(), true
 	}
+	if f.everLoaded && b.Era > f.era {
+		f.rewind(&b)
+	}
+	f.era, f.everLoaded = b.Era, true
 	fresh := make([]Record, 0, len(b.Records))
 	present := make(map[string]bool, len(b.Records))
 	for _, r := range b.Records {
@@ -258,6 +324,9 @@
 			continue
 		}
 		f.offsets[r.Key] = r.Offset
+		if b.Rewound && r.Value == nil {
+			delete(f.offsets, r.Key) // it may be written again at any offset
+		}
 		fresh = append(fresh, r)
 	}
 	if b.Snapshot {
@@ -277,6 +346,23 @@
 	f.apply(b)
 }
 
+// rewind prepares the first snapshot of a new era: offsets of before say nothing any
+// more, and keys that the older copy lacks are removed with its records.
+func (f *Follower) rewind(b *Batch) {
+	f.log.Info("the store came back from an older copy", "era", b.Era, "next", b.Next, "next_before", f.next)
+	present := make(map[string]bool, len(b.Records))
+	for _, r := range b.Records {
+		present[r.Key] = true
+	}
+	for key := range f.offsets {
+		if !present[key] {
+			b.Records = append(b.Records, Record{Key: key, Offset: b.Next})
+		}
+	}
+	f.offsets, f.next = make(map[string]int64), b.Next
+	b.Gap, b.Rewound = true, true
+}
+
 func (f *Follower) readFailed(err error) {
 	if f.cfg.ProbesReachability {
 		f.reachability.setUnreachable(true)
--- a/process/feed/feed_test.go
+++ b/process/feed/feed_test.go
@@ -16,6 +16,7 @@
 	mu      sync.Mutex
 	records []Record
 	first   int64
+	era     int64
 	fault   func(ctx context.Context) error
 	reads   int
 	changed chan struct{}
@@ -52,9 +53,9 @@
 	return nil
 }
 
-func (l *log) Newest(ctx context.Context) ([]Record, int64, error) {
+func (l *log) Newest(ctx context.Context) (Page, error) {
 	if err := l.begin(ctx); err != nil {
-		return nil, 0, err
+		return Page{}, err
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -68,33 +69,33 @@
 			list = append(list, r)
 		}
 	}
-	return list, l.first + int64(len(l.records)), nil
+	return Page{list, l.first + int64(len(l.records)), l.era}, nil
 }
 
-func (l *log) Read(ctx context.Context, from int64, wait time.Duration) ([]Record, int64, error) {
+func (l *log) Read(ctx context.Context, from int64, wait time.Duration) (Page, error) {
 	if err := l.begin(ctx); err != nil {
-		return nil, 0, err
+		return Page{}, err
 	}
 	deadline := time.After(wait)
 	for {
 		l.mu.Lock()
-		end, changed := l.first+int64(len(l.records)), l.changed
-		if from < l.first {
+		end, changed, era := l.first+int64(len(l.records)), l.changed, l.era
+		if from < l.first || from > end {
 			l.mu.Unlock()
-			return nil, 0, ErrExpired
+			return Page{}, ErrExpired
 		}
 		if from < end || wait == 0 {
 			list := append([]Record(nil), l.records[from-l.first:]...)
 			l.mu.Unlock()
-			return list, end, nil
+			return Page{list, end, era}, nil
 		}
 		l.mu.Unlock()
 		select {
 		case <-changed:
 		case <-deadline:
-			return nil, end, nil
+			return Page{nil, end, era}, nil
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return Page{}, ctx.Err()
 		}
 	}
 }
@@ -254,7 +255,7 @@
 	eventually(c, func() bool { return v.get("b") == "1" })
 	c.Assert(w.get("a"), qt.Equals, "2")
 	eventually(c, func() bool {
-		follower.ObserveOffset(time.Now(), reader.Next())
+		follower.ObserveOffset(time.Now(), 0, reader.Next())
 		return w.get("a") == "3" && w.get("b") == "1"
 	})
 	follower.Offer(Batch{From: 100, Next: 101, Records: []Record{{Key: "z", Value: []byte("1"), Offset: 100}}})
@@ -309,10 +310,85 @@
 	l.records = append(l.records, Record{Key: "a", Value: []byte("2"), Offset: 1}) // the long poll is not woken
 	l.mu.Unlock()
 	eventually(c, func() bool {
-		f.ObserveOffset(time.Now(), 2)
+		f.ObserveOffset(time.Now(), 0, 2)
 		return v.get("a") == "2"
 	})
 	c.Assert(f.Reachable(), qt.IsTrue)
 }
 
 func constant(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
+
+// rewind brings the log back from a copy that has its first n records.
+func (l *log) rewind(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.records = l.records[:n:n]
+	l.era++
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// A log that comes back from an older copy gives offsets out again: their new records
+// count, those of the earlier era do not, and the reads do not spin.
+func TestLogFromOlderCopy(t *testing.T) {
+	c := qt.New(t)
+	l := newLog()
+	l.put("a", "1")
+	l.put("b", "1")
+	var mu sync.Mutex
+	var batches []Batch
+	eras := make(chan int64, 10)
+	f := New(Config{Name: "t", LongPoll: func() time.Duration { return 200 * time.Millisecond }, Timeout: time.Second,
+		OnEra: func(era int64) { eras <- era }}, NewReachability(), l, logr.Discard(), func(b Batch) {
+		mu.Lock()
+		defer mu.Unlock()
+		batches = append(batches, b)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { f.Run(ctx); close(done) }()
+	defer func() { cancel(); <-done }()
+	await := func(next, era int64) {
+		c.Helper()
+		for range 1000 {
+			if f.Next() == next && f.Era() == era {
+				return
+			}
+			time.Sleep(2 * time.Millisecond)
+		}
+		c.Fatalf("next %d in era %d", f.Next(), f.Era())
+	}
+	await(2, 0)
+	l.put("c", "1")
+	l.put("d", "1")
+	await(4, 0)
+	l.rewind(2)
+	await(2, 1)
+	c.Assert(<-eras, qt.Equals, int64(1))
+	mu.Lock()
+	last := batches[len(batches)-1]
+	mu.Unlock()
+	c.Assert(last.Rewound && last.Gap && last.Snapshot, qt.IsTrue)
+	removed := 0
+	for _, r := range last.Records {
+		if r.Value == nil {
+			removed++
+		}
+	}
+	c.Assert(removed, qt.Equals, 2) // c and d
+	l.put("c", "2")
+	await(3, 1)
+	f.Offer(Batch{From: 3, Next: 4, Records: []Record{{Key: "d", Value: []byte("1"), Offset: 3}}}) // relayed in the earlier era
+	f.ObserveOffset(time.Now(), 0, 9)
+	c.Assert(f.Next(), qt.Equals, int64(3))
+	l.mu.Lock()
+	before := l.reads
+	l.mu.Unlock()
+	time.Sleep(500 * time.Millisecond)
+	l.mu.Lock()
+	c.Assert(l.reads-before <= 5, qt.IsTrue, qt.Commentf("%d reads", l.reads-before))
+	l.mu.Unlock()
+	l.rewind(1)
+	f.Offer(Batch{From: 1, Next: 2, Era: 2, Records: []Record{{Key: "e", Value: []byte("1"), Offset: 1}}}) // by one that saw the era first
+	await(1, 2)
+}
--- a/process/peers/table.go
+++ b/process/peers/table.go
@@ -24,6 +24,7 @@
 	Draining       bool                   `json:"leaving,omitempty"`           // the process is shutting down
 	StoreReachable bool                   `json:"store"`                       // it reaches the platform's store
 	Offsets        []int64                `json:"offsets,omitempty"`           // next offset to read, by topic
+	Eras           []int64                `json:"eras,omitempty"`              // of the store, by topic
 	Begun          []origins.Begun        `json:"begun,omitempty"`             // streams begun since the previous heartbeats
 	Leaving        []upstream.Incarnation `json:"endpoints_leaving,omitempty"` // announced by endpoints since the previous heartbeats
 	Crashes        []quarantine.Report    `json:"crashes,omitempty"`           // bodies that crashed endpoints
--- a/process/router/follow.go
+++ b/process/router/follow.go
@@ -28,6 +28,9 @@
 	serviceDownInterval = 100 * time.Millisecond
 	// storeTimeout bounds a call to the store.
 	storeTimeout = time.Second
+	// rewindGrace is how long a zone stays out of service whose mark is missing in an older
+	// copy of the store; operators write again what was lost.
+	rewindGrace = 5 * time.Second
 	// callerAttempts is how many attempts of a caller one stream may take, each bounded
 	// by the timeout of its route.
 	callerAttempts = 2
@@ -45,6 +48,7 @@
 	reachability := feed.NewReachability()
 	follower := func(t Topic, cfg feed.Config, apply func(feed.Batch)) {
 		cfg.Timeout, cfg.IsReader = storeTimeout, r.isStoreReader
+		cfg.OnEra = r.onEra
 		cfg.Publish = func(b feed.Batch) { r.publishRelay(t, b) }
 		r.followers[t] = feed.New(cfg, reachability, r.adapter.Topic(t), r.log, apply)
 	}
@@ -105,6 +109,15 @@
 	}
 }
 
+// onEra writes again what the store lost when it came back from an older copy. Hints
+// are written again at their next turn.
+func (r *Router) onEra(era int64) {
+	if r.era.Swap(era) == era {
+		return // the other follower was first
+	}
+	r.group.Go(func() { r.register(r.ctx) })
+}
+
 // register writes this router's record and then reads those of the others, in this
 // order, so that of two routers that start together at least one finds the other.
 func (r *Router) register(ctx context.Context) {
@@ -127,12 +140,12 @@
 func (r *Router) readRouters(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	records, _, err := r.adapter.Topic(Routers).Newest(ctx)
+	page, err := r.adapter.Topic(Routers).Newest(ctx)
 	if err != nil {
 		return err
 	}
 	now := time.Now()
-	for _, record := range records {
+	for _, record := range page.Records {
 		reg, present, err := r.adapter.DecodeRouter(record)
 		switch {
 		case err != nil:
@@ -167,15 +180,49 @@
 			r.applyConfig(change.Config, record.Offset)
 			continue
 		}
-		if r.zones[change.Zone] != change.Out {
-			r.log.Info("zone changed", "zone", change.Zone, "out", change.Out, "offset", record.Offset)
-		}
-		if change.Out {
-			r.zones[change.Zone] = true
-		} else {
-			delete(r.zones, change.Zone)
+		r.applyZone(change.Zone, change.Out, b.Rewound, record.Offset)
+	}
+	r.updateZonesOut()
+}
+
+// applyZone takes a zone out of service or puts it back. A zone that is missing in an older copy
+// of the store stays out until the operator had time to write that again.
+func (r *Router) applyZone(zone string, out, rewound bool, offset int64) {
+	if !out && rewound && r.zones[zone] {
+		r.zoneHolds[zone] = time.Now().Add(rewindGrace)
+		return
+	}
+	if r.zones[zone] != out {
+		r.log.Info("zone changed", "zone", zone, "out", out, "offset", offset)
+	}
+	delete(r.zoneHolds, zone)
+	if out {
+		r.zones[zone] = true
+	} else {
+		delete(r.zones, zone)
+	}
+}
+
+// expireZoneHolds puts zones back whose mark was lost with the store's records and not
+// written again.
+func (r *Router) expireZoneHolds(now time.Time) {
+	r.zonesMu.Lock()
+	defer r.zonesMu.Unlock()
+	if len(r.zoneHolds) == 0 {
+		return
+	}
+	for zone, until := range r.zoneHolds {
+		if !now.Before(until) {
+			delete(r.zoneHolds, zone)
+			delete(r.zones, zone)
+			r.log.Info("zone changed", "zone", zone, "out", false, "reason", "not written again")
 		}
 	}
+	r.updateZonesOut()
+}
+
+// updateZonesOut passes the zones out of service on to the endpoint table.
+func (r *Router) updateZonesOut() {
 	out := make([]string, 0, len(r.zones))
 	for z := range r.zones {
 		out = append(out, z)
@@ -214,7 +261,11 @@
 		}
 		changes = append(changes, c)
 	}
-	for _, event := range r.endpoints.Apply(time.Now(), changes, b.Gap) {
+	apply := func() []upstream.Event { return r.endpoints.Apply(time.Now(), changes, b.Gap) }
+	if b.Rewound {
+		apply = func() []upstream.Event { return r.endpoints.ApplyRewound(time.Now(), changes) }
+	}
+	for _, event := range apply() {
 		r.log.Info("endpoint "+event.Action, "endpoint", event.ID, "service", event.Service, "zone", event.Zone,
 			"cold_ms", event.ColdFor.Milliseconds(), "after_gap", b.Gap)
 	}
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -88,12 +88,15 @@
 	draining           atomic.Bool
 	acceptStreamsUntil atomic.Int64 // Unix time in ns until which new streams are accepted; 0 if not draining
 
-	zonesMu sync.Mutex // guards zones; only upstream.Table.mu and the logger's locks are taken under it
-	zones   map[string]bool
+	zonesMu   sync.Mutex // guards zones and zoneHolds; only upstream.Table.mu and the logger's locks are taken under it
+	zones     map[string]bool
+	zoneHolds map[string]time.Time // until when a zone stays out whose mark the store lost
 
 	listeners listeners
 	group     conc.WaitGroup
+	ctx       context.Context // ends when the process stops; set by Start
 	stop      context.CancelFunc
+	era       atomic.Int64 // of the store, when this router registered
 	closing   sync.Once
 }
 
@@ -106,7 +109,7 @@
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	}
-	r := &Router{s: s, log: log, adapter: adapter, incarnation: time.Now().UnixNano(), zones: make(map[string]bool)}
+	r := &Router{s: s, log: log, adapter: adapter, incarnation: time.Now().UnixNano(), zones: make(map[string]bool), zoneHolds: make(map[string]time.Time)}
 	r.endpoints = upstream.New(upstream.Config{Zone: s.Zone, RemovalGrace: removalGrace, Bound: loadBound,
 		StaleBound: staleBound, StaleInterval: staleInterval, CapExtra: capExtra}, rand.Float64)
 	r.peers = peers.New(s.Name, peers.DeadAfter(1))
@@ -184,7 +187,7 @@
 		}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	r.stop = cancel
+	r.ctx, r.stop = ctx, cancel
 	r.prepareFollowers()
 	if err := r.startPeers(ctx); err != nil {
 		cancel()
@@ -254,6 +257,7 @@
 	for _, f := range r.followers {
 		h.StoreReachable = h.StoreReachable && f.Reachable()
 		h.Offsets = append(h.Offsets, f.Next())
+		h.Eras = append(h.Eras, f.Era())
 	}
 	for key, id := range r.endpoints.TakeNewPlacements() {
 		h.Placements = append(h.Placements, peers.Placement{Key: key, Endpoint: id})
@@ -298,7 +302,11 @@
 // onHeartbeat handles the heartbeat of another router.
 func (r *Router) onHeartbeat(now time.Time, h peers.Heartbeat) {
 	for i, next := range h.Offsets[:min(len(h.Offsets), len(r.followers))] {
-		r.followers[i].ObserveOffset(now, next)
+		era := int64(0) // of a build that does not know eras
+		if i < len(h.Eras) {
+			era = h.Eras[i]
+		}
+		r.followers[i].ObserveOffset(now, era, next)
 	}
 	for _, p := range h.Placements {
 		r.endpoints.RecordPlacement(now, p.Key, p.Endpoint)
@@ -338,6 +346,7 @@
 			now := time.Now()
 			r.pool.Expire(now)
 			r.endpoints.Sweep(now)
+			r.expireZoneHolds(now)
 			r.origins.Observe(now, r.endpoints.Versions())
 			r.updatePeers(now)
 		}
--- a/process/upstream/table.go
+++ b/process/upstream/table.go
@@ -21,6 +21,7 @@
 	Slots    int
 	Draining bool          // takes no new requests
 	ColdFor  time.Duration // remaining cold start when the entry was read
+	Sequence int64         // rises with each write of the entry by its process
 	Started  int64         // start time of its process, Unix ms; a new value means a new process
 }
 
@@ -82,6 +83,7 @@
 	mu                sync.Mutex
 	byID              map[string]*endpoint
 	services          map[string][]*endpoint // byID by service, ordered by ID; dropped when byID changes
+	ended             map[Incarnation]ended  // endpoints that drain or were removed
 	removed           map[string]*endpoint   // entry removed; dropped at removeAt
 	zonesOutOfService map[string]bool        // by zone
 	self              string                 // name of this router
@@ -107,7 +109,7 @@
 	return &Table{cfg: cfg, byID: make(map[string]*endpoint), services: make(map[string][]*endpoint), removed: make(map[string]*endpoint), zonesOutOfService: make(map[string]bool),
 		coldRate: make(map[string]float64), downSince: make(map[string]time.Time), holders: newHolders(),
 		loads: make(map[string]*serviceLoad), leaving: make(map[Incarnation]leavingMark),
-		paused: make(map[Incarnation]time.Time), draw: draw}
+		ended: make(map[Incarnation]ended), paused: make(map[Incarnation]time.Time), draw: draw}
 }
 
 // Apply applies records of the registry in order. gap means that the registry was
@@ -157,6 +159,9 @@
 	} else if e.Draining && !ep.Draining {
 		event = &Event{Action: "leaving", Entry: e}
 	}
+	if e.Draining {
+		t.markEnded(now, &e, false)
+	}
 	ep.Entry, ep.readAt, ep.removeAt = e, now, time.Time{}
 	ep.coldUntil = now.Add(e.ColdFor)
 	return event
@@ -168,6 +173,7 @@
 	case ep == nil:
 		return nil
 	case !gap || ep.Draining:
+		t.markEnded(now, &ep.Entry, true)
 		delete(t.byID, id)
 		delete(t.services, ep.Service)
 		ep.removeAt = now.Add(removedServesFor)
@@ -206,6 +212,7 @@
 func (t *Table) sweep(now time.Time) {
 	for id, ep := range t.byID {
 		if !ep.removeAt.IsZero() && !now.Before(ep.removeAt) {
+			t.markEnded(now, &ep.Entry, true)
 			delete(t.byID, id)
 			delete(t.services, ep.Service)
 		}
