Soak stores that come back from older copies and endpoints that leave

Change: the store is restored from a copy, some seconds old, and operators and endpoints write again; replaced endpoints say in their responses that they leave; some refusals bear Retry-After.

--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -117,7 +117,7 @@
 			p.crash(crashDownTime)
 			return platformtest.Behaviour{ResetAfterRun: true}
 		}
-		b := platformtest.Behaviour{Work: 3 * time.Millisecond}
+		b := platformtest.Behaviour{Work: 3 * time.Millisecond, Leaving: env.isGone(e)}
 		if e.Service == "llm" {
 			b.Events, b.Pause, b.ShowVersion = streamEvents, 8*time.Millisecond, true
 		}
@@ -128,6 +128,7 @@
 // injectFaults injects overlapping faults for length.
 func (env *environment) injectFaults(length time.Duration) {
 	busy := make(map[*router]bool) // a restart or a pause is in progress
+	copied := env.store.Copy()
 	done := make(chan *router, 64)
 	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(time.Duration(50+env.rng.IntN(250)) * time.Millisecond) {
 		for len(done) > 0 {
@@ -149,7 +150,12 @@
 					disrupt(r, how)
 				}
 			}
+		case n == 12:
+			env.store.Restore(copied)
+			env.rewrite()
+			copied = env.store.Copy()
 		case n >= 10:
+			copied = env.store.Copy()
 			env.release()
 		case n < 5:
 			r.setStore(mode(env.rng.IntN(int(delay) + 1)))
@@ -171,6 +177,22 @@
 	}
 }
 
+// rewrite writes again what operators and endpoints had written, after the store came back
+// from an older copy. Entries of endpoints that are gone expire a little later.
+func (env *environment) rewrite() {
+	env.configure()
+	for _, e := range env.endpoints {
+		if !env.isGone(e) {
+			env.mu.Lock()
+			state := env.states[e.ID]
+			env.mu.Unlock()
+			env.putEntry(e, state)
+			continue
+		}
+		time.AfterFunc(replacedServesFor, func() { env.store.Put(platform.TopicEndpoints, e.ID, nil) })
+	}
+}
+
 // disrupt kills (how 0), stops (1) or pauses (2) a process.
 func (env *environment) disrupt(r *router, how int, pause time.Duration, done chan<- *router) {
 	end := r.disturb()
@@ -197,7 +219,7 @@
 		func(b *platformtest.Behaviour) { b.ResetAfterRun = true }, func(b *platformtest.Behaviour) { b.Status = 500; b.Events = 0 },
 		func(b *platformtest.Behaviour) { b.Garbage = true }, func(b *platformtest.Behaviour) { b.Shed = true },
 		func(b *platformtest.Behaviour) { b.ResetAt = resetAt }, func(b *platformtest.Behaviour) { b.StallAt = 4 },
-		func(b *platformtest.Behaviour) { b.Close = true }, func(b *platformtest.Behaviour) { b.Work = 300 * time.Millisecond },
+		func(b *platformtest.Behaviour) { b.Shed, b.RetryAfter = true, "0.7" }, func(b *platformtest.Behaviour) { b.Close = true }, func(b *platformtest.Behaviour) { b.Work = 300 * time.Millisecond },
 	}
 	fault, every, healthy := faults[env.rng.IntN(len(faults))], 2+env.rng.IntN(3), env.healthy(e)
 	return func(r *http.Request, n int) platformtest.Behaviour {
