Know that no version served before the first start

Callers saw: in the first half minute after the first start, and after a loss of all hosts, broken streams that they took up were refused, though the service had one version only. Cause: the versions seen count as complete only after 30 s of a process or of a saved history; a first start has no history. Change: the platform's settings say when no router has run before; without a saved history the versions seen are then complete. These clients do not send Resumes.

--- a/process/origins/origins.go
+++ b/process/origins/origins.go
@@ -92,6 +92,15 @@
 	return &Table{retention: minRetention, origins: make(map[Key]Origin), seen: make(map[Origin]time.Time), complete: now}
 }
 
+// SetFirst declares that no router ran before this process, so that no version served
+// unseen.
+func (t *Table) SetFirst(now time.Time) {
+	const longest = 24 * time.Hour // no stream lasts as long
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.complete = now.Add(-longest)
+}
+
 // SetStreamTime sets how long a stream can last over all attempts of its caller.
 func (t *Table) SetStreamTime(d time.Duration) {
 	t.mu.Lock()
--- a/process/origins/origins_test.go
+++ b/process/origins/origins_test.go
@@ -129,3 +129,16 @@
 	c.Assert(*table.Answer(now, 1, services).Origin, qt.Equals, v1)
 	c.Assert(table.Answer(now, 3, services).Seen, qt.DeepEquals, []Origin{v1, v2})
 }
+
+func TestFirstProcessKnowsAllVersions(t *testing.T) {
+	c := qt.New(t)
+	table := New(t0)
+	table.Observe(t0, []Origin{v1})
+	c.Assert(table.Answer(t0, 1, services).Complete, qt.IsFalse)
+	table.SetFirst(t0)
+	c.Assert(table.Answer(t0, 1, services), qt.DeepEquals, Answer{Seen: []Origin{v1}, Complete: true})
+	later := t0.Add(5 * time.Second)
+	after := New(later)
+	after.Restore(later, table.History(t0))
+	c.Assert(after.Answer(later, 1, services).Complete, qt.IsTrue)
+}
--- a/process/router/hints.go
+++ b/process/router/hints.go
@@ -64,6 +64,9 @@
 			r.endpoints.RestorePlacements(now, h.Placements)
 			r.quarantine.Merge(now, h.Crashes)
 			r.origins.Restore(now, h.Versions)
+			if r.s.FirstStart && h.Versions.SavedAtMS == 0 {
+				r.origins.SetFirst(now)
+			}
 			r.log.Info("hints loaded", "keys", len(h.Placements), "crashing_bodies", len(h.Crashes))
 			return
 		}
--- a/process/router/reload.go
+++ b/process/router/reload.go
@@ -17,6 +17,7 @@
 	s = s.withDefaults()
 	old, next := *r.bounds.Load(), s.Bounds
 	s.Bounds, s.Metrics = r.s.Bounds, r.s.Metrics // Metrics is a command-line argument
+	s.FirstStart = r.s.FirstStart                 // says nothing about a running process
 	restart := s != r.s
 	r.setBounds(next)
 	r.log.Info("settings reloaded", "bounds_changed", old != next, "old", fmt.Sprintf("%+v", old), "new", fmt.Sprintf("%+v", next), "restart_needed", restart)
--- a/process/router/settings.go
+++ b/process/router/settings.go
@@ -36,6 +36,8 @@
 	Metrics   string // metrics; "" to disable
 	Store     string // the platform's metadata store
 
+	FirstStart bool // no router has run before
+
 	MemoryBytes int64 // that the process may use; 0 is unknown
 	Descriptors int   // that the process may open; 0 is unknown
 
