Find the streams of partitioned routers in the store

Callers would have seen: while routers are cut from one another but reach callers, endpoints and the store, about half of the streams that are taken up on the other side are refused: their routers do not hear what the others began. Cause: what began a stream went from router to router only. The soak cannot cut datagrams, so that a partition was played between routers without heartbeats only.

--- a/connection/forward/record.go
+++ b/connection/forward/record.go
@@ -34,7 +34,7 @@
 	MismatchedResponses int    // responses to other requests on its connection
 	HeadSent            bool   // the head of the response was sent to the caller
 	Events              int    // of a stream, passed on
-	Resumes             string // id of the caller\'s attempt that began the stream; "" if this one did
+	Resumes             string // id of the caller's attempt that began the stream; "" if this one did
 	LastEventID         int64  // last event that the caller had when the request arrived; -1 if none
 	Resumed             int    // times that a stream was resumed at another endpoint
 	Ejected             string // endpoint that was ejected because of this request
--- a/process/origins/origins.go
+++ b/process/origins/origins.go
@@ -71,6 +71,7 @@
 type stream struct {
 	key Key
 	at  time.Time
+	own bool // this router began it
 }
 
 // Table holds the origins of recent streams. It is safe for concurrent use.
@@ -112,17 +113,22 @@
 func (t *Table) Begin(now time.Time, k Key, o Origin) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.record(now, k, o)
-	for i := range t.pending {
-		if t.pending[i].Origin == o {
-			t.pending[i].Streams = append(t.pending[i].Streams, k)
-			return
+	t.record(now, k, o, true)
+	t.pending = appendBegun(t.pending, k, o)
+}
+
+// appendBegun adds a stream to a list by origin.
+func appendBegun(list []Begun, k Key, o Origin) []Begun {
+	for i := range list {
+		if list[i].Origin == o {
+			list[i].Streams = append(list[i].Streams, k)
+			return list
 		}
 	}
-	t.pending = append(t.pending, Begun{Origin: o, Streams: []Key{k}})
+	return append(list, Begun{Origin: o, Streams: []Key{k}})
 }
 
-func (t *Table) record(now time.Time, k Key, o Origin) {
+func (t *Table) record(now time.Time, k Key, o Origin, own bool) {
 	if _, known := t.origins[k]; known {
 		return // the first event decides
 	}
@@ -131,7 +137,7 @@
 		delete(t.origins, t.order[drop].key)
 		drop++
 	}
-	t.order = append(t.order[drop:], stream{k, now})
+	t.order = append(t.order[drop:], stream{k, now, own})
 	t.origins[k] = o
 }
 
@@ -144,13 +150,41 @@
 	return list
 }
 
+// OwnBegun returns all streams that this router began and that can still be taken up, if
+// a service has had several versions meanwhile; otherwise nil.
+func (t *Table) OwnBegun(now time.Time) []Begun {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.severalVersions() {
+		return nil
+	}
+	var list []Begun
+	for _, s := range t.order {
+		if s.own && now.Sub(s.at) <= t.retention {
+			list = appendBegun(list, s.key, t.origins[s.key])
+		}
+	}
+	return list
+}
+
+func (t *Table) severalVersions() bool {
+	services := make(map[string]bool, len(t.seen))
+	for o := range t.seen {
+		if services[o.Service] {
+			return true
+		}
+		services[o.Service] = true
+	}
+	return false
+}
+
 // Merge records streams that another router began.
 func (t *Table) Merge(now time.Time, list []Begun) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, b := range list {
 		for _, k := range b.Streams {
-			t.record(now, k, b.Origin)
+			t.record(now, k, b.Origin, false)
 		}
 	}
 }
--- a/process/peers/peers_test.go
+++ b/process/peers/peers_test.go
@@ -56,6 +56,8 @@
 	c.Assert(table.Count(t0), qt.Equals, 3)
 	c.Assert(table.Ready(t0), qt.HasLen, 1) // no heartbeat from c yet
 	c.Assert(table.Count(t0.Add(memberTTL)), qt.Equals, 1)
+	c.Assert(table.CountLost(later, time.Minute), qt.Equals, 1) // a; nothing was ever heard of c
+	c.Assert(table.CountLost(later.Add(time.Minute), time.Minute), qt.Equals, 0)
 	gone := heartbeat("a", 1, 7)
 	gone.Draining = true
 	table.RecordHeartbeat(t0, gone, "1.1.1.1:1")
--- a/process/peers/table.go
+++ b/process/peers/table.go
@@ -227,6 +227,20 @@
 	return n
 }
 
+// CountLost returns the number of other routers that are not alive, but were at some time
+// in the last period and did not say that they stop. They may be partitioned from this one.
+func (t *Table) CountLost(now time.Time, period time.Duration) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n, lost := 0, maxLostHeartbeats*Interval(len(t.peers)+1)
+	for _, p := range t.peers {
+		if silent := now.Sub(p.lastHeartbeatAt); !p.heartbeat.Draining && silent >= lost && silent < period {
+			n++
+		}
+	}
+	return n
+}
+
 // Running returns the sum of the requests that the other routers run, by endpoint.
 // Routers without a recent heartbeat do not count.
 func (t *Table) Running(now time.Time) map[string]float64 {
--- a/process/router/adapter.go
+++ b/process/router/adapter.go
@@ -55,6 +55,10 @@
 	// is running.
 	SaveHints(ctx context.Context, h Hints) error
 	LoadHints(ctx context.Context) (Hints, error)
+	// SaveBegun and LoadBegun store the streams that a router began, for routers that do
+	// not hear of them from it. LoadBegun returns those of all routers.
+	SaveBegun(ctx context.Context, router string, list []origins.Begun) error
+	LoadBegun(ctx context.Context) ([]origins.Begun, error)
 	DecodeOperator(r feed.Record) (OperatorChange, error)
 	DecodeEndpoint(r feed.Record) (upstream.Change, error)
 	DecodeRouter(r feed.Record) (peers.Registration, bool, error) // false if the record was removed
--- a/process/router/follow.go
+++ b/process/router/follow.go
@@ -88,6 +88,7 @@
 	}
 	r.group.Go(func() { r.register(ctx) })
 	r.group.Go(func() { r.syncHints(ctx) })
+	r.group.Go(func() { r.saveBegun(ctx) })
 }
 
 // isStoreReader reports whether this router reads the store for the others.
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -119,7 +119,7 @@
 	r.origins = origins.New(time.Now())
 	r.quarantine = quarantine.New(r.onCrashChange, r.runsTrials)
 	handler := &forward.Server{Codec: adapter.Codec(), Table: r.config.Load, Endpoints: r.endpoints, Pool: r.pool,
-		RetryBudget: sharedRetries{r.retryBudget, r.members}, Quarantine: r.quarantine, Origins: streamOrigins{r}, Observer: observer, OnLeaving: r.onLeaving, RouterCount: r.members,
+		RetryBudget: sharedRetries{r.retryBudget, r.members}, Quarantine: r.quarantine, Origins: &streamOrigins{r: r}, Observer: observer, OnLeaving: r.onLeaving, RouterCount: r.members,
 		RefusesStreams: r.refusesStreams}
 	r.front = &frontend.Server{Handler: handler, Limits: r.limits, Log: log,
 		MaxConnections: int(callerDescriptorShare * float64(s.Descriptors))}
