Load the saved hints once the store responds

Callers would have seen: after a restart of all routers while the store does not respond, a quarantined body is sent on again. Cause: the hints were read twice at the start and then never again, and the writer wrote over them. Change: the read is tried again at each turn for 30 s; until then a process writes none.

--- a/process/router/hints.go
+++ b/process/router/hints.go
@@ -12,6 +12,8 @@
 	saveWindow = 30 * time.Second
 	// loadAttempts bounds the reads of the hints at the start, for which readiness waits.
 	loadAttempts = 2
+	// loadTime is how long further attempts are made, at the pace of saveInterval.
+	loadTime = 30 * time.Second
 )
 
 // syncHints reads the hints that an earlier process saved, and then saves the current
@@ -19,8 +21,12 @@
 // one, processes that start when no other router runs find fewer prompts cached, may
 // send a quarantined body again, and refuse streams of before their start.
 func (r *Router) syncHints(ctx context.Context) {
-	r.loadHints(ctx)
+	loaded := false
+	for n := 0; n < loadAttempts && !loaded; n++ {
+		loaded = r.loadHints(ctx)
+	}
 	r.hintsTried.Store(true)
+	giveUp := time.Now().Add(loadTime)
 	tick := time.NewTicker(saveInterval)
 	defer tick.Stop()
 	for {
@@ -29,7 +35,9 @@
 			return
 		case <-tick.C:
 		}
-		if r.isHintWriter() {
+		if !loaded && time.Now().Before(giveUp) {
+			loaded = r.loadHints(ctx) // before they are overwritten
+		} else if r.isHintWriter() {
 			r.saveHints(ctx, time.Now())
 		}
 	}
@@ -54,22 +62,22 @@
 	return len(ready) == 0 || r.s.Name < ready[0].Name
 }
 
-func (r *Router) loadHints(ctx context.Context) {
-	for range loadAttempts {
-		call, cancel := context.WithTimeout(ctx, storeTimeout)
-		h, err := r.adapter.LoadHints(call)
-		cancel()
-		if err == nil {
-			now := time.Now()
-			r.endpoints.RestorePlacements(now, h.Placements)
-			r.quarantine.Merge(now, h.Crashes)
-			r.origins.Restore(now, h.Versions)
-			if r.s.FirstStart && h.Versions.SavedAtMS == 0 {
-				r.origins.SetFirst(now)
-			}
-			r.log.Info("hints loaded", "keys", len(h.Placements), "crashing_bodies", len(h.Crashes))
-			return
-		}
+// loadHints reads the hints once and reports whether that succeeded.
+func (r *Router) loadHints(ctx context.Context) bool {
+	call, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	h, err := r.adapter.LoadHints(call)
+	if err != nil {
 		r.log.Info("loading hints failed", "error", err.Error())
+		return false
+	}
+	now := time.Now()
+	r.endpoints.RestorePlacements(now, h.Placements)
+	r.quarantine.Merge(now, h.Crashes)
+	r.origins.Restore(now, h.Versions)
+	if r.s.FirstStart && h.Versions.SavedAtMS == 0 {
+		r.origins.SetFirst(now)
 	}
+	r.log.Info("hints loaded", "keys", len(h.Placements), "crashing_bodies", len(h.Crashes))
+	return true
 }
