Share the loop of periodic work among the files of the router

Cause: three files had the same loop around a ticker. Change: every, in router.go. Result: go test ./process/router, and ./platform -run 'Stream|Crash|OlderCopy|Zone|Director' pass.

--- a/process/router/hints.go
+++ b/process/router/hints.go
@@ -27,20 +27,13 @@
 	}
 	r.hintsTried.Store(true)
 	giveUp := time.Now().Add(loadTime)
-	tick := time.NewTicker(saveInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-		if !loaded && time.Now().Before(giveUp) {
+	every(ctx, saveInterval, func(now time.Time) {
+		if !loaded && now.Before(giveUp) {
 			loaded = r.loadHints(ctx) // before they are overwritten
 		} else if r.isHintWriter() {
-			r.saveHints(ctx, time.Now())
+			r.saveHints(ctx, now)
 		}
-	}
+	})
 }
 
 func (r *Router) saveHints(ctx context.Context, now time.Time) {
--- a/process/router/origins.go
+++ b/process/router/origins.go
@@ -78,28 +78,20 @@
 // saveBegun saves the streams that this router began while a service has several
 // versions and another router may be partitioned from this one.
 func (r *Router) saveBegun(ctx context.Context) {
-	tick := time.NewTicker(saveBegunInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-		now := time.Now()
+	every(ctx, saveBegunInterval, func(now time.Time) {
 		if r.exchange != nil && r.peers.CountLost(now, lostRouterTime) == 0 {
-			continue
+			return
 		}
 		list := r.origins.OwnBegun(now)
 		if len(list) == 0 {
-			continue
+			return
 		}
 		call, cancel := context.WithTimeout(ctx, storeTimeout)
 		if err := r.adapter.SaveBegun(call, r.s.Name, list); err != nil {
 			r.log.Info("saving begun streams failed", "error", err.Error())
 		}
 		cancel()
-	}
+	})
 }
 
 // answer returns what this router knows of a stream.
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -336,19 +336,25 @@
 
 // runHousekeeping periodically drops expired state.
 func (r *Router) runHousekeeping(ctx context.Context) {
-	tick := time.NewTicker(housekeepingInterval)
+	every(ctx, housekeepingInterval, func(now time.Time) {
+		r.pool.Expire(now)
+		r.endpoints.Sweep(now)
+		r.expireZoneHolds(now)
+		r.origins.Observe(now, r.endpoints.Versions())
+		r.updatePeers(now)
+	})
+}
+
+// every calls step at an interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, step func(now time.Time)) {
+	tick := time.NewTicker(interval)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			now := time.Now()
-			r.pool.Expire(now)
-			r.endpoints.Sweep(now)
-			r.expireZoneHolds(now)
-			r.origins.Observe(now, r.endpoints.Versions())
-			r.updatePeers(now)
+			step(time.Now())
 		}
 	}
 }
