Test heartbeats between builds

Cause: hosts are replaced one at a time, so that builds with and without eras, streams and crashing bodies exchange heartbeats. Change: a test reads a heartbeat of an earlier build, and one of this build with the earlier build's fields. Result: go test -race ./process/peers passes.

--- a/process/peers/peers_test.go
+++ b/process/peers/peers_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"net"
 	"sync/atomic"
@@ -14,6 +15,8 @@
 
 	"github.com/stoatmount/stoatmount/process/feed"
 	"github.com/stoatmount/stoatmount/process/origins"
+	"github.com/stoatmount/stoatmount/process/quarantine"
+	"github.com/stoatmount/stoatmount/process/upstream"
 )
 
 var t0 = time.Unix(1_700_000_000, 0)
@@ -179,3 +182,34 @@
 		e.Table.Running(t0)
 	})
 }
+
+// Hosts are replaced one at a time: heartbeats of builds that know neither eras nor
+// streams stay readable, and they can read those of this one.
+func TestHeartbeatsOfOtherBuilds(t *testing.T) {
+	c := qt.New(t)
+	var got Heartbeat
+	e := &Exchange{Table: New("self", time.Second), Log: logr.Discard(), OnHeartbeat: func(_ time.Time, h Heartbeat) { got = h }}
+	e.receiveOne(t0, []byte(`{"beat":{"name":"a","boot":1,"n":2,"front":"a:1","zone":"z","ready":true,"running":{"e":1},"store":true,"offsets":[4,5]}}`), "1.1.1.1:1")
+	c.Assert(got.Offsets, qt.DeepEquals, []int64{4, 5})
+	c.Assert(got.Eras, qt.HasLen, 0)
+	c.Assert(e.Table.Ready(t0), qt.HasLen, 1)
+
+	h := heartbeat("b", 1, 1)
+	h.Eras, h.Begun = []int64{3, 3}, []origins.Begun{{Origin: origins.Origin{Service: "s", Version: "v1"}, Streams: []origins.Key{1 << 63}}}
+	h.Leaving, h.Crashes = []upstream.Incarnation{{ID: "e", Started: 5}}, []quarantine.Report{{Fingerprint: 1 << 63}}
+	data, err := json.Marshal(message{Heartbeat: &h})
+	c.Assert(err, qt.IsNil)
+	var older struct {
+		Heartbeat *struct {
+			Name     string             `json:"name"`
+			Ready    bool               `json:"ready"`
+			Running  map[string]float64 `json:"running"`
+			Draining bool               `json:"leaving"`
+		} `json:"beat"`
+	}
+	c.Assert(json.Unmarshal(data, &older), qt.IsNil)
+	c.Assert(older.Heartbeat.Name, qt.Equals, "b")
+	c.Assert(older.Heartbeat.Draining, qt.IsFalse)
+	e.receiveOne(t0, data, "1.1.1.1:2")
+	c.Assert(got, qt.DeepEquals, h)
+}
