Log the parts of failed prompts and the attempts that crashed endpoints

Change: a request's line with a failed attempt has the ids of its prompt's parts, and each failed attempt says whether its endpoint was found to be down after it. Result: TestLogLineContentAndBudget checks both fields; behaviour is as before.

--- a/connection/forward/attempt.go
+++ b/connection/forward/attempt.go
@@ -46,6 +46,7 @@
 	err      error
 	failure  balance.Failure
 	released bool
+	crashed  bool // the endpoint was found to be down after it
 }
 
 // bufferedResponse is a response whose body was read to its end.
@@ -347,7 +348,7 @@
 
 // recordFailure adds a failed attempt to the record.
 func (j *job) recordFailure(a *attempt) {
-	f := FailedAttempt{Endpoint: a.grant.ID, Failure: a.failure, Run: a.run, AfterMS: time.Since(j.rec.Arrived).Milliseconds()}
+	f := FailedAttempt{Endpoint: a.grant.ID, Failure: a.failure, Run: a.run, AfterMS: time.Since(j.rec.Arrived).Milliseconds(), Crashed: a.crashed}
 	if a.err != nil {
 		f.Error = a.err.Error()
 	} else if a.head != nil {
@@ -355,4 +356,7 @@
 	}
 	j.rec.FailedAttempts = append(j.rec.FailedAttempts, f)
 	j.rec.Fingerprint = j.fingerprint()
+	if j.rec.Parts == nil {
+		j.rec.Parts = partIDs(j.req.Parts)
+	}
 }
--- a/connection/forward/crash.go
+++ b/connection/forward/crash.go
@@ -41,7 +41,7 @@
 	}
 	j.fingerprint() // before a check that goes on beside the rest of the request
 	if j.ctx.Err() == nil {
-		j.checkCrash(j.ctx, a, j.sent)
+		a.crashed = j.checkCrash(j.ctx, a, j.sent)
 		return
 	}
 	if j.s.crashChecks.Add(1) > maxCrashChecks {
@@ -55,23 +55,24 @@
 	}()
 }
 
-// checkCrash records a crash if no connection to the endpoint can be opened any more,
-// which tells it from a single connection that broke.
-func (j *job) checkCrash(ctx context.Context, a *attempt, sent quarantine.State) {
+// checkCrash records a crash, and returns true, if no connection to the endpoint can be
+// opened any more, which tells it from a single connection that broke.
+func (j *job) checkCrash(ctx context.Context, a *attempt, sent quarantine.State) bool {
 	if !j.s.Endpoints.DownSince(a.sentAt, a.grant) {
 		conn, err := j.s.Pool.Dial(ctx, a.grant.Addr, connectTimeout)
 		now := time.Now()
 		if err == nil {
 			j.s.Pool.Put(conn, now, 0, j.maxIdle(a.grant.Service))
-			return
+			return false
 		}
 		if ctx.Err() != nil {
-			return // the request ended while connecting
+			return false // the request ended while connecting
 		}
 		j.s.Endpoints.RecordUnreachable(now, a.grant)
 		j.s.Pool.CloseIdle(a.grant.Addr)
 	}
 	j.s.Quarantine.Crashed(time.Now(), j.body, sent)
+	return true
 }
 
 // recordCompletion records that the request ran to its end.
--- a/connection/forward/record.go
+++ b/connection/forward/record.go
@@ -24,6 +24,7 @@
 	RetryAfter          time.Duration
 	Fingerprint         suspect.Fingerprint // of the body, if an attempt failed; 0 otherwise
 	PromptKey           uint64              // of the prompt's shared parts; 0 if none
+	Parts               []uint64            // of the prompt, in order; if an attempt failed
 	SharedTokens        int                 // tokens of these parts
 	Endpoints           []string            // chosen for it, in order, also those not reached
 	EndpointVersions    []string            // their software versions
@@ -46,7 +47,8 @@
 	Endpoint string          `json:"endpoint"`
 	Failure  balance.Failure `json:"failure"`
 	Run      outcome.Run     `json:"run"`
-	Status   int             `json:"status,omitempty"` // of the endpoint's response
-	AfterMS  int64           `json:"after_ms"`         // from the request's arrival
+	Status   int             `json:"status,omitempty"`  // of the endpoint's response
+	AfterMS  int64           `json:"after_ms"`          // from the request's arrival
+	Crashed  bool            `json:"crashed,omitempty"` // the endpoint was found to be down after it
 	Error    string          `json:"error,omitempty"`
 }
--- a/connection/forward/server.go
+++ b/connection/forward/server.go
@@ -279,6 +279,15 @@
 	}
 }
 
+// partIDs returns the ids of a prompt's parts.
+func partIDs(parts []PromptPart) []uint64 {
+	ids := make([]uint64, len(parts))
+	for i, p := range parts {
+		ids[i] = p.ID
+	}
+	return ids
+}
+
 // sharedTokens returns the tokens of the parts that a prompt shares.
 func sharedTokens(parts []PromptPart) int {
 	sum := 0
--- a/process/observe/observe_test.go
+++ b/process/observe/observe_test.go
@@ -35,8 +35,8 @@
 		r.Request(served(n, outcome.OK))
 	}
 	failed := served(9999, outcome.EndpointFailed)
-	failed.FailedAttempts = []forward.FailedAttempt{{Endpoint: "e1", Failure: balance.Broken, AfterMS: 12, Error: "reset"}}
-	failed.Fingerprint = 0xb0d1
+	failed.FailedAttempts = []forward.FailedAttempt{{Endpoint: "e1", Failure: balance.Broken, AfterMS: 12, Crashed: true, Error: "reset"}}
+	failed.Fingerprint, failed.Parts = 0xb0d1, []uint64{0xf1, 0xa}
 	r.Request(failed)
 	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
 	c.Assert(lines, qt.HasLen, servedLinesPerSecond+1)
@@ -46,11 +46,12 @@
 	c.Assert(line["result"], qt.Equals, "endpoint_failed")
 	c.Assert(line["config"], qt.Equals, 7.0)
 	c.Assert(line["entry_age_ms"], qt.Equals, 1000.0)
-	c.Assert(line["failed"], qt.DeepEquals, []any{map[string]any{"endpoint": "e1", "failure": "broken", "run": "unknown", "after_ms": 12.0, "error": "reset"}})
+	c.Assert(line["failed"], qt.DeepEquals, []any{map[string]any{"endpoint": "e1", "failure": "broken", "run": "unknown", "after_ms": 12.0, "crashed": true, "error": "reset"}})
 	c.Assert(line["versions"], qt.DeepEquals, []any{"v2"})
 	c.Assert(line["resumes"], qt.Equals, "r0")
 	c.Assert(line["last_event"], qt.Equals, 4.0)
 	c.Assert(line["body"], qt.Equals, "b0d1")
+	c.Assert(line["parts"], qt.DeepEquals, []any{"f1", "a"})
 	c.Assert(vars["log_lines_over_budget"].String(), qt.Equals, fmt.Sprint(9*servedLinesPerSecond))
 	c.Assert(vars["requests_by_result"].String(), qt.Equals, fmt.Sprintf(`{"endpoint_failed": 1, "ok": %d}`, 10*servedLinesPerSecond))
 	c.Assert(vars["first_byte_ms"].String(), qt.Equals, fmt.Sprintf(`{"Count":%d,"P50":20,"P90":20,"P99":20,"Max":20}`, 10*servedLinesPerSecond+1))
--- a/process/observe/requests.go
+++ b/process/observe/requests.go
@@ -176,9 +176,21 @@
 	}
 	if len(rec.FailedAttempts) > 0 {
 		kv = append(kv, "failed", rec.FailedAttempts, "body", rec.Fingerprint.Key())
+		if len(rec.Parts) > 0 {
+			kv = append(kv, "parts", hexIDs(rec.Parts))
+		}
 	}
 	r.log.Info("request", kv...)
 }
 
+// hexIDs formats the ids of a prompt's parts as callers send them.
+func hexIDs(ids []uint64) []string {
+	list := make([]string, len(ids))
+	for i, id := range ids {
+		list[i] = strconv.FormatUint(id, 16)
+	}
+	return list
+}
+
 // tenths rounds to one decimal for the log.
 func tenths(x float64) float64 { return math.Round(10*x) / 10 }
