Do not take a crash at the end of a response without a length for its end

Cause: a response without a length ends with its connection, and so does a crash. Such an end counted as a completed run, which also started the count of the body's crashes again. Change: after such a response another connection is opened. Where the endpoint refuses it, the response counts as broken: a stream that may be resumed goes on elsewhere, others are cut. An endpoint that cannot be reached for other reasons had closed in order. As an endpoint may listen again by then, these responses clear no body either way.

--- a/connection/forward/attempt.go
+++ b/connection/forward/attempt.go
@@ -255,6 +255,9 @@
 		return false // the caller already has a part of another endpoint's response
 	}
 	data, err := a.body.ReadAll(maxBufferedBytes)
+	if err == nil && j.endedByCrash(a) {
+		err = errEndedByCrash
+	}
 	if err != nil {
 		a.err, a.failure = errors.Wrap(err, "response truncated"), j.classify(a, err)
 		j.endFailed(a)
--- a/connection/forward/crash.go
+++ b/connection/forward/crash.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"github.com/stoatmount/stoatmount/connection/http1"
 	"github.com/stoatmount/stoatmount/process/quarantine"
 	"github.com/stoatmount/stoatmount/process/suspect"
 	"github.com/stoatmount/stoatmount/request/balance"
@@ -55,29 +59,48 @@
 	}()
 }
 
+// errEndedByCrash is the error of a response without a length whose endpoint went down.
+var errEndedByCrash = errors.New("the endpoint went down at the end of a response without a length")
+
+// endedByCrash reports whether a response without a length, which ends with its
+// connection, ended because its endpoint crashed. An endpoint that cannot be reached
+// for other reasons had closed the connection in order.
+func (j *job) endedByCrash(a *attempt) bool {
+	return a.head.Length == http1.UntilClose && errors.Is(j.connectAgain(j.ctx, a), syscall.ECONNREFUSED)
+}
+
 // checkCrash records a crash, and returns true, if no connection to the endpoint can be
 // opened any more, which tells it from a single connection that broke.
 func (j *job) checkCrash(ctx context.Context, a *attempt, sent quarantine.State) bool {
-	if !j.s.Endpoints.DownSince(a.sentAt, a.grant) {
-		conn, err := j.s.Pool.Dial(ctx, a.grant.Addr, connectTimeout)
-		now := time.Now()
-		if err == nil {
-			j.s.Pool.Put(conn, now, 0, j.maxIdle(a.grant.Service))
-			return false
-		}
-		if ctx.Err() != nil {
-			return false // the request ended while connecting
-		}
-		j.s.Endpoints.RecordUnreachable(now, a.grant)
-		j.s.Pool.CloseIdle(a.grant.Addr)
+	if !j.s.Endpoints.DownSince(a.sentAt, a.grant) && j.connectAgain(ctx, a) == nil {
+		return false
 	}
 	j.s.Quarantine.Crashed(time.Now(), j.body, sent)
 	return true
 }
 
-// recordCompletion records that the request ran to its end.
+// connectAgain opens another connection to the endpoint of an attempt, which the pool
+// keeps, and ejects an endpoint that cannot be reached. It returns nil if the request
+// ended meanwhile.
+func (j *job) connectAgain(ctx context.Context, a *attempt) error {
+	conn, err := j.s.Pool.Dial(ctx, a.grant.Addr, connectTimeout)
+	now := time.Now()
+	switch {
+	case err == nil:
+		j.s.Pool.Put(conn, now, 0, j.maxIdle(a.grant.Service))
+	case ctx.Err() != nil:
+		return nil
+	default:
+		j.s.Endpoints.RecordUnreachable(now, a.grant)
+		j.s.Pool.CloseIdle(a.grant.Addr)
+	}
+	return err
+}
+
+// recordCompletion records that the request ran to its end. A response without a length
+// does not show that, as its endpoint may listen again after a crash.
 func (j *job) recordCompletion(a *attempt) {
-	if a.head.Status < 300 && !j.s.Quarantine.Empty() {
+	if a.head.Status < 300 && a.head.Length != http1.UntilClose && !j.s.Quarantine.Empty() {
 		j.s.Quarantine.Completed(time.Now(), j.fingerprint())
 	}
 }
--- a/connection/forward/stream.go
+++ b/connection/forward/stream.go
@@ -19,6 +19,9 @@
 		j.rec.Resumed++
 	}
 	err := j.copyEvents(a)
+	if err == io.EOF && j.endedByCrash(a) {
+		err = errEndedByCrash
+	}
 	if err == io.EOF {
 		j.release(a)
 		j.recordCompletion(a)
