Count copies that are lost together once a later copy crashes too

Callers saw: a service of four endpoints lost whole, again and again, by copies of one request that come four at once. Cause: copies that are sent before the first crash is known count as one crash, so that a loss of a zone blames nobody. Change: routers tell which endpoints went down with copies of a body. A loss within a moment still counts as one, retries included. Result: TestCopiesLostTogetherCountOnceALaterCopyCrashes failed before (the body ran on); TestRetriesDuringALossOfManyEndpointsDoNotCount guards the other side.

--- a/connection/forward/crash.go
+++ b/connection/forward/crash.go
@@ -75,7 +75,7 @@
 	if !j.s.Endpoints.DownSince(a.sentAt, a.grant) && j.connectAgain(ctx, a) == nil {
 		return false
 	}
-	j.s.Quarantine.Crashed(time.Now(), j.body, sent)
+	j.s.Quarantine.Crashed(time.Now(), j.body, sent, a.grant.ID, a.sentAt)
 	return true
 }
 
--- a/process/quarantine/quarantine.go
+++ b/process/quarantine/quarantine.go
@@ -31,6 +31,8 @@
 	maxReports = 64
 	// maxBodies bounds the bodies that are tracked.
 	maxBodies = 1024
+	// maxLost bounds the lost endpoints that are kept for a body.
+	maxLost = 2 * crashLimit
 )
 
 // State is the result of the runs of a body, as far as one router knows it.
@@ -51,12 +53,15 @@
 type Report struct {
 	Fingerprint suspect.Fingerprint `json:"body"`
 	State
-	QuietMS int64 `json:"quiet_ms"` // since the last copy arrived
+	QuietMS int64    `json:"quiet_ms"`       // since the last copy arrived
+	Lost    []string `json:"lost,omitempty"` // endpoints that went down with a copy since the last completed run
 }
 
 // body is the record of a fingerprint.
 type body struct {
 	State
+	lost        []string
+	firstCrash  time.Time // since the last completed run
 	lastArrival time.Time
 	crashedAt   time.Time // when the last crash became known
 	changedAt   time.Time // last change by a request of this router
@@ -110,16 +115,23 @@
 	return b.State, 0
 }
 
-// Crashed records that a body crashed its endpoint. sent is what Check returned
-// before it was sent.
-func (t *Table) Crashed(now time.Time, f suspect.Fingerprint, sent State) {
+// Crashed records that a copy of a body crashed its endpoint. sent is what Check returned
+// before the copy was sent, at sentAt.
+func (t *Table) Crashed(now time.Time, f suspect.Fingerprint, sent State, endpoint string, sentAt time.Time) {
 	next := State{Resets: sent.Resets, Crashes: sent.Crashes + 1}
+	lost := []string{endpoint}
 	t.mu.Lock()
-	if b := t.bodies[f]; b != nil && b.Resets == sent.Resets && now.Sub(b.crashedAt) >= crashSpacing {
-		next.Crashes = b.Crashes + 1
+	if b := t.bodies[f]; b != nil && b.Resets == sent.Resets {
+		if now.Sub(b.crashedAt) >= crashSpacing {
+			next.Crashes = b.Crashes + 1
+		}
+		lost = union(b.lost, lost)
+		if b.Crashes > 0 && sentAt.Sub(b.firstCrash) >= crashSpacing && len(lost) >= crashLimit {
+			next.Crashes = max(next.Crashes, crashLimit)
+		}
 	}
 	t.mu.Unlock()
-	t.set(now, f, next, now, true)
+	t.set(now, Report{Fingerprint: f, State: next, Lost: lost}, now, true)
 }
 
 // Completed records that a body ran to its end.
@@ -132,41 +144,59 @@
 	}
 	next := State{Resets: b.Resets + 1}
 	t.mu.Unlock()
-	t.set(now, f, next, now, true)
+	t.set(now, Report{Fingerprint: f, State: next}, now, true)
 }
 
-// set replaces the State of a body by a later one.
-func (t *Table) set(now time.Time, f suspect.Fingerprint, s State, lastArrival time.Time, own bool) {
+// set replaces the State of a body by a later one, and adds to the endpoints lost to the
+// same one.
+func (t *Table) set(now time.Time, r Report, lastArrival time.Time, own bool) {
 	t.mu.Lock()
-	b := t.bodies[f]
+	b := t.bodies[r.Fingerprint]
 	if b == nil {
 		t.makeRoom(now)
 		b = &body{}
-		t.bodies[f] = b
+		t.bodies[r.Fingerprint] = b
 		t.size.Store(int64(len(t.bodies)))
 	}
 	if lastArrival.After(b.lastArrival) {
 		b.lastArrival = lastArrival
 	}
-	changed := s.compare(b.State) > 0
+	changed := r.compare(b.State) > 0
+	if r.Resets > b.Resets || b.Crashes == 0 {
+		b.lost, b.firstCrash = nil, now
+	}
 	if changed {
-		b.State, b.crashedAt = s, now
-		b.nextTrial = now.Add(firstTrial << min(max(0, s.Crashes-crashLimit), maxDoublings))
+		b.State, b.crashedAt = r.State, now
+		b.nextTrial = now.Add(firstTrial << min(max(0, r.Crashes-crashLimit), maxDoublings))
+	}
+	if r.Resets == b.Resets {
+		b.lost = union(b.lost, r.Lost)
 	}
 	if changed && own {
 		b.changedAt = now
 	}
 	t.mu.Unlock()
 	if changed {
-		t.onChange(f, s, own)
+		t.onChange(r.Fingerprint, r.State, own)
+	}
+}
+
+// union returns the endpoints of both lists, up to maxLost.
+func union(a, b []string) []string {
+	all := slices.Clone(a)
+	for _, e := range b {
+		if len(all) < maxLost && !slices.Contains(all, e) {
+			all = append(all, e)
+		}
 	}
+	return all
 }
 
 // Merge applies the reports of another router.
 func (t *Table) Merge(now time.Time, reports []Report) {
 	for _, r := range reports {
 		if quiet := time.Duration(r.QuietMS) * time.Millisecond; quiet < quietTime {
-			t.set(now, r.Fingerprint, r.State, now.Add(-quiet), false)
+			t.set(now, r, now.Add(-quiet), false)
 		}
 	}
 }
@@ -186,7 +216,7 @@
 			continue
 		}
 		if b.Quarantined() || now.Sub(b.changedAt) < reportFor {
-			list = append(list, Report{Fingerprint: f, State: b.State, QuietMS: now.Sub(b.lastArrival).Milliseconds()})
+			list = append(list, Report{Fingerprint: f, State: b.State, QuietMS: now.Sub(b.lastArrival).Milliseconds(), Lost: b.lost})
 		}
 	}
 	slices.SortFunc(list, func(a, b Report) int {
--- a/process/quarantine/quarantine_test.go
+++ b/process/quarantine/quarantine_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -19,7 +20,7 @@
 // crash records a run of body f that began and crashed its endpoint.
 func crash(t *Table, now time.Time, f suspect.Fingerprint) {
 	sent, _ := t.Check(now, f)
-	t.Crashed(now, f, sent)
+	t.Crashed(now, f, sent, "e", now)
 }
 
 func refused(t *Table, now time.Time, f suspect.Fingerprint) bool {
@@ -42,8 +43,8 @@
 	c := qt.New(t)
 	table := newTable()
 	sent, _ := table.Check(t0, 1)
-	for range 3 * crashLimit {
-		table.Crashed(t0, 1, sent)
+	for i := range 3 * crashLimit {
+		table.Crashed(t0, 1, sent, fmt.Sprint("e", i), t0)
 	}
 	c.Assert(refused(table, t0, 1), qt.IsFalse)
 }
@@ -55,19 +56,51 @@
 	sent, _ := table.Check(t0, 1)
 	for i := range crashLimit {
 		c.Assert(refused(table, t0, 1), qt.IsFalse)
-		table.Crashed(t0.Add(time.Duration(i)*crashSpacing), 1, sent)
+		table.Crashed(t0.Add(time.Duration(i)*crashSpacing), 1, sent, fmt.Sprint("e", i), t0)
 	}
 	c.Assert(refused(table, t0, 1), qt.IsTrue)
 }
 
+// Copies that are sent at once crash several endpoints before any router knows of the body.
+func TestCopiesLostTogetherCountOnceALaterCopyCrashes(t *testing.T) {
+	c := qt.New(t)
+	tables := []*Table{newTable(), newTable(), newTable()}
+	for i, table := range tables {
+		sent, _ := table.Check(t0, 1)
+		table.Crashed(t0, 1, sent, fmt.Sprint("e", i), t0)
+	}
+	for _, from := range tables {
+		for _, to := range tables {
+			to.Merge(t0, from.Reports(t0))
+		}
+	}
+	now := t0.Add(time.Second)
+	c.Assert(refused(tables[0], now, 1), qt.IsFalse)
+	crash(tables[0], now, 1)
+	c.Assert(refused(tables[0], now, 1), qt.IsTrue)
+}
+
+// A rack goes down within the crash spacing while a router retries copies.
+func TestRetriesDuringALossOfManyEndpointsDoNotCount(t *testing.T) {
+	c := qt.New(t)
+	table := newTable()
+	sent, _ := table.Check(t0, 1)
+	for i := range 3 * crashLimit {
+		table.Crashed(t0, 1, sent, fmt.Sprint("e", i), t0)
+	}
+	sent, _ = table.Check(t0, 1)
+	table.Crashed(t0.Add(crashSpacing/2), 1, sent, "retry", t0.Add(crashSpacing/3))
+	c.Assert(refused(table, t0.Add(crashSpacing), 1), qt.IsFalse)
+}
+
 func TestCompletedRunClearsBody(t *testing.T) {
 	c := qt.New(t)
 	table := newTable()
 	for range 5 * crashLimit {
 		sent, _ := table.Check(t0, 1)
-		table.Crashed(t0, 1, sent)
+		table.Crashed(t0, 1, sent, "e", t0)
 		table.Completed(t0, 1)
-		table.Crashed(t0, 1, sent) // of a copy that was sent before the completed run
+		table.Crashed(t0, 1, sent, "e", t0) // of a copy that was sent before the completed run
 		c.Assert(refused(table, t0, 1), qt.IsFalse)
 	}
 }
@@ -86,7 +119,7 @@
 		if wait == 0 {
 			trials++
 			c.Assert(refused(table, now, 1), qt.IsTrue)
-			table.Crashed(now, 1, sent)
+			table.Crashed(now, 1, sent, "e", now)
 		}
 	}
 	c.Assert(trials, qt.Equals, 11) // after 2, 4, 8, 16, 32 minutes and then each 64 minutes
