Look for silent crashes before the caller's deadline

Callers saw: four copies at once of a request that leaves its endpoints silent crashed them 15 or 16 times, 7 or 8 of them by copies that arrived later than the contact time after the third crash. Cause: a crash that leaves its connection open was looked for when the wait ended. While no other endpoint of the service was healthy, that was the caller's deadline, about as long as the contact time. Change: where a response has not begun after twice its objective (1.5 s at most) and the endpoint has responded to nothing else of this router since, a connection to it is opened, once a second at most. If that fails, the crash counts at once; the wait goes on, as an endpoint that stops listening may still respond.

--- a/connection/forward/attempt.go
+++ b/connection/forward/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -47,6 +48,8 @@
 	failure  balance.Failure
 	released bool
 	crashed  bool // the endpoint was found to be down after it
+
+	crashedSilently atomic.Bool // the endpoint was found to be down while its response was awaited
 }
 
 // bufferedResponse is a response whose body was read to its end.
@@ -168,6 +171,7 @@
 
 // readHead reads the head of the response to this request.
 func (j *job) readHead(a *attempt) error {
+	defer j.watchSilence(a)()
 	if err := j.awaitFirstByte(a); err != nil {
 		return err
 	}
--- a/connection/forward/crash.go
+++ b/connection/forward/crash.go
@@ -17,11 +17,15 @@
 // again send the same target and body with the same API key.
 func (j *job) fingerprint() suspect.Fingerprint {
 	if j.body == 0 {
-		j.body = suspect.FingerprintOf(j.workspace, "", j.x.Head.Method+" "+j.x.Head.Target, j.x.Body)
+		j.body = j.computeFingerprint()
 	}
 	return j.body
 }
 
+func (j *job) computeFingerprint() suspect.Fingerprint {
+	return suspect.FingerprintOf(j.workspace, "", j.x.Head.Method+" "+j.x.Head.Target, j.x.Body)
+}
+
 // checkQuarantine returns for how long the request is refused, because its body
 // crashed endpoints.
 func (j *job) checkQuarantine() time.Duration {
@@ -33,9 +37,19 @@
 	return wait
 }
 
-// maxCrashChecks bounds the checks in progress after the end of their requests.
+// maxCrashChecks bounds the checks in progress beside their requests.
 const maxCrashChecks = 16
 
+// beginCrashCheck reports whether a check may run beside its request. The caller
+// subtracts it from crashChecks at its end.
+func (s *Server) beginCrashCheck() bool {
+	if s.crashChecks.Add(1) <= maxCrashChecks {
+		return true
+	}
+	s.crashChecks.Add(-1)
+	return false
+}
+
 // recordCrash records a failed attempt whose endpoint went down with it. If the
 // request has ended, the check goes on after its response.
 func (j *job) recordCrash(a *attempt) {
@@ -43,22 +57,47 @@
 	if !a.reached || !lost {
 		return
 	}
-	j.fingerprint() // before a check that goes on beside the rest of the request
+	if a.crashedSilently.Load() {
+		a.crashed = true
+		return
+	}
+	f, sent := j.fingerprint(), j.sent
 	if j.ctx.Err() == nil {
-		a.crashed = j.checkCrash(j.ctx, a, j.sent)
+		a.crashed = j.checkCrash(j.ctx, a, f, sent)
 		return
 	}
-	if j.s.crashChecks.Add(1) > maxCrashChecks {
-		j.s.crashChecks.Add(-1)
+	if !j.s.beginCrashCheck() {
 		return
 	}
-	sent := j.sent
 	go func() {
 		defer j.s.crashChecks.Add(-1)
-		j.checkCrash(context.WithoutCancel(j.ctx), a, sent)
+		j.checkCrash(context.WithoutCancel(j.ctx), a, f, sent)
 	}()
 }
 
+// maxSilence bounds the wait for the first byte after which an endpoint is probed.
+const maxSilence = 1500 * time.Millisecond
+
+// watchSilence probes the endpoint if the response does not begin in time, as a crash may
+// leave the connection open. It only records the crash: an endpoint that accepts no
+// connections may still respond, and a run that completes clears the body. The returned
+// function ends the watch.
+func (j *job) watchSilence(a *attempt) (stop func() bool) {
+	if j.route.Objective <= 0 {
+		return func() bool { return true }
+	}
+	sent := j.sent
+	return time.AfterFunc(min(firstByteFactor*j.route.Objective, maxSilence), func() {
+		if !j.s.Endpoints.DownSince(a.sentAt, a.grant) && !j.s.Endpoints.Probe(time.Now(), a.sentAt, a.grant) || !j.s.beginCrashCheck() {
+			return
+		}
+		defer j.s.crashChecks.Add(-1)
+		if j.checkCrash(context.WithoutCancel(j.ctx), a, j.computeFingerprint(), sent) {
+			a.crashedSilently.Store(true)
+		}
+	}).Stop
+}
+
 // errEndedByCrash is the error of a response without a length whose endpoint went down.
 var errEndedByCrash = errors.New("the endpoint went down at the end of a response without a length")
 
@@ -71,11 +110,11 @@
 
 // checkCrash records a crash, and returns true, if no connection to the endpoint can be
 // opened any more, which tells it from a single connection that broke.
-func (j *job) checkCrash(ctx context.Context, a *attempt, sent quarantine.State) bool {
+func (j *job) checkCrash(ctx context.Context, a *attempt, f suspect.Fingerprint, sent quarantine.State) bool {
 	if !j.s.Endpoints.DownSince(a.sentAt, a.grant) && j.connectAgain(ctx, a) == nil {
 		return false
 	}
-	j.s.Quarantine.Crashed(time.Now(), j.body, sent, a.grant.ID, a.sentAt)
+	j.s.Quarantine.Crashed(time.Now(), f, sent, a.grant.ID, a.sentAt)
 	return true
 }
 
--- a/connection/forward/server.go
+++ b/connection/forward/server.go
@@ -38,6 +38,9 @@
 	// DownSince reports whether the endpoint is known to have gone down at some time
 	// after since.
 	DownSince(since time.Time, g *balance.Grant) bool
+	// Probe reports whether to find out whether an endpoint still runs that has not
+	// responded since.
+	Probe(now, since time.Time, g *balance.Grant) bool
 }
 
 // RetryBudget bounds the retries of a service over all routers.
--- a/process/upstream/acquire.go
+++ b/process/upstream/acquire.go
@@ -378,6 +378,23 @@
 	return false
 }
 
+// probeInterval is the shortest time between two probes of an endpoint.
+const probeInterval = time.Second
+
+// Probe reports whether to open a connection to an endpoint that has not responded to this
+// router since a request was sent to it, in order to find out whether it still runs. It
+// allows one probe in probeInterval.
+func (t *Table) Probe(now, since time.Time, g *balance.Grant) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ep := t.byID[g.ID]
+	if ep == nil || ep.Started != g.Started || ep.reportedAt.After(since) || now.Sub(ep.probedAt) < probeInterval {
+		return false
+	}
+	ep.probedAt = now
+	return true
+}
+
 func (t *Table) othersErrorRate(self *endpoint) float64 {
 	sum, n := 0.0, 0
 	for _, ep := range t.endpointsOf(self.Service) {
--- a/process/upstream/table.go
+++ b/process/upstream/table.go
@@ -71,6 +71,7 @@
 	smoothedAt      time.Time
 	reportedLoad    int // requests of the other routers, by the endpoint's last load report
 	reportedAt      time.Time
+	probedAt        time.Time     // last time that Probe allowed a probe
 	reportTTL       time.Duration // how long reportedLoad replaces peerRunning if it is higher
 	coldRequests    []time.Time
 	health          health
--- a/process/upstream/table_test.go
+++ b/process/upstream/table_test.go
@@ -390,3 +390,19 @@
 	_, refusal = acquire(table, t0.Add(maxPause))
 	c.Assert(refusal, qt.IsNil)
 }
+
+func TestSilentEndpointIsProbedRarely(t *testing.T) {
+	c := qt.New(t)
+	table := newTable(1)
+	g, _ := acquire(table, t0)
+	sent := t0
+	c.Assert(table.Probe(t0.Add(time.Second), sent, g), qt.IsTrue)
+	c.Assert(table.Probe(t0.Add(probeInterval), sent, g), qt.IsFalse, qt.Commentf("probed a moment before"))
+	later := t0.Add(time.Second + probeInterval)
+	c.Assert(table.Probe(later, sent, g), qt.IsTrue)
+	table.RecordLoad(later.Add(time.Millisecond), g, 3)
+	c.Assert(table.Probe(later.Add(2*probeInterval), sent, g), qt.IsFalse, qt.Commentf("it responded meanwhile"))
+	other := *g
+	other.Started++
+	c.Assert(table.Probe(later.Add(3*probeInterval), later.Add(probeInterval), &other), qt.IsFalse, qt.Commentf("another process"))
+}
