Quarantine parts of prompts that crash endpoints

Cause: crashes were counted by the body only. The class: what is at fault need not be the whole request. Change: routers tell one another which runs were lost with an endpoint and which of their parts had runs that completed. The parts are held against the crashes: again and again the one with the best case explains its crashes, which then count for no other. Endpoints that are lost together count once, a run that wrote its response for a second clears its parts, and a part with completed runs needs more crashes. A suspected part is refused for the moment; then one run by one router decides. A quarantined part is a record like a body's, with reports, hints and trials as there. It is refused only together with other unproven parts that it always came with. 503 part_quarantined (4012).

--- a/connection/forward/attempt.go
+++ b/connection/forward/attempt.go
@@ -36,6 +36,7 @@
 	stopWatch    func() bool // stops watching the context
 	sentAt       time.Time
 	firstAt      time.Time // first byte of the response
+	begunAt      time.Time // first event of a stream
 	head         *http1.Head
 	response     Response
 	body         *http1.Body
--- a/connection/forward/crash.go
+++ b/connection/forward/crash.go
@@ -11,6 +11,7 @@
 	"github.com/stoatmount/stoatmount/process/quarantine"
 	"github.com/stoatmount/stoatmount/process/suspect"
 	"github.com/stoatmount/stoatmount/request/balance"
+	"github.com/stoatmount/stoatmount/request/outcome"
 )
 
 // fingerprint identifies the request among those of other ids. Callers that try
@@ -26,15 +27,32 @@
 	return suspect.FingerprintOf(j.workspace, "", j.x.Head.Method+" "+j.x.Head.Target, j.x.Body)
 }
 
-// checkQuarantine returns for how long the request is refused, because its body
-// crashed endpoints.
-func (j *job) checkQuarantine() time.Duration {
+// checkQuarantine refuses the request, for the time that it returns, if its body or a part of
+// its prompt crashed endpoints.
+func (j *job) checkQuarantine() (outcome.Code, time.Duration) {
+	now := time.Now()
+	part, wait := j.s.Quarantine.CheckParts(now, j.sharedParts())
+	if wait > 0 {
+		j.rec.QuarantinedPart = part
+		return outcome.PartQuarantined, wait
+	}
 	if j.s.Quarantine.Empty() {
-		return 0
+		return outcome.OK, 0
+	}
+	j.sent, wait = j.s.Quarantine.Check(now, j.fingerprint())
+	if wait > 0 {
+		return outcome.BodyQuarantined, wait
+	}
+	return outcome.OK, 0
+}
+
+// sharedParts returns the parts of the prompt but the last, which belongs to the request
+// or its session.
+func (j *job) sharedParts() []uint64 {
+	if j.shared == nil && len(j.req.Parts) > 1 {
+		j.shared = partIDs(j.req.Parts[:len(j.req.Parts)-1])
 	}
-	var wait time.Duration
-	j.sent, wait = j.s.Quarantine.Check(time.Now(), j.fingerprint())
-	return wait
+	return j.shared
 }
 
 // maxCrashChecks bounds the checks in progress beside their requests.
@@ -62,6 +80,7 @@
 		return
 	}
 	f, sent := j.fingerprint(), j.sent
+	j.sharedParts()
 	if j.ctx.Err() == nil {
 		a.crashed = j.checkCrash(j.ctx, a, f, sent)
 		return
@@ -87,6 +106,7 @@
 		return func() bool { return true }
 	}
 	sent := j.sent
+	j.sharedParts() // before the goroutine of the timer reads them
 	return time.AfterFunc(min(firstByteFactor*j.route.Objective, maxSilence), func() {
 		if !j.s.Endpoints.DownSince(a.sentAt, a.grant) && !j.s.Endpoints.Probe(time.Now(), a.sentAt, a.grant) || !j.s.beginCrashCheck() {
 			return
@@ -114,7 +134,9 @@
 	if !j.s.Endpoints.DownSince(a.sentAt, a.grant) && j.connectAgain(ctx, a) == nil {
 		return false
 	}
-	j.s.Quarantine.Crashed(time.Now(), f, sent, a.grant.ID, a.sentAt)
+	now := time.Now()
+	j.s.Quarantine.PartsLost(now, quarantine.Run{Endpoint: a.grant.ID, SentAt: a.sentAt, BegunAt: a.begunAt, Parts: j.shared})
+	j.s.Quarantine.Crashed(now, f, sent, a.grant.ID, a.sentAt)
 	return true
 }
 
@@ -139,7 +161,12 @@
 // recordCompletion records that the request ran to its end. A response without a length
 // does not show that, as its endpoint may listen again after a crash.
 func (j *job) recordCompletion(a *attempt) {
-	if a.head.Status < 300 && a.head.Length != http1.UntilClose && !j.s.Quarantine.Empty() {
-		j.s.Quarantine.Completed(time.Now(), j.fingerprint())
+	if a.head.Status >= 300 || a.head.Length == http1.UntilClose {
+		return
+	}
+	now := time.Now()
+	j.s.Quarantine.PartsCompleted(now, j.sharedParts())
+	if !j.s.Quarantine.Empty() {
+		j.s.Quarantine.Completed(now, j.fingerprint())
 	}
 }
--- a/connection/forward/record.go
+++ b/connection/forward/record.go
@@ -23,6 +23,7 @@
 	Status              int
 	RetryAfter          time.Duration
 	Fingerprint         suspect.Fingerprint // of the body, if an attempt failed; 0 otherwise
+	QuarantinedPart     uint64              // of the prompt, for which it was refused; 0 if none
 	PromptKey           uint64              // of the prompt's shared parts; 0 if none
 	Parts               []uint64            // of the prompt, in order; if an attempt failed
 	SharedTokens        int                 // tokens of these parts
--- a/connection/forward/server.go
+++ b/connection/forward/server.go
@@ -68,7 +68,7 @@
 	Endpoints   Endpoints
 	Pool        *http1.Pool
 	RetryBudget RetryBudget
-	Quarantine  *quarantine.Table // bodies that crashed endpoints
+	Quarantine  *quarantine.Table // bodies and parts of prompts that crashed endpoints
 	Origins     Origins
 	Observer    Observer
 	OnLeaving   func(g *balance.Grant) // called when an endpoint announces that it leaves
@@ -198,8 +198,9 @@
 
 	origin *origins.Origin // of the stream's events; nil before the first
 
-	body suspect.Fingerprint // 0 until fingerprint is called
-	sent quarantine.State    // of the body when it was last checked
+	body   suspect.Fingerprint // 0 until fingerprint is called
+	sent   quarantine.State    // of the body when it was last checked
+	shared []uint64            // parts of the prompt but the last; nil until sharedParts is called
 }
 
 // run sends the request until it has a final response.
@@ -210,8 +211,8 @@
 		return
 	}
 	for {
-		if wait := j.checkQuarantine(); wait > 0 {
-			j.fail(outcome.BodyQuarantined, wait)
+		if code, wait := j.checkQuarantine(); code != outcome.OK {
+			j.fail(code, wait)
 			return
 		}
 		g, refusal := j.acquire()
--- a/connection/forward/stream.go
+++ b/connection/forward/stream.go
@@ -67,6 +67,9 @@
 		if b.first >= 0 && b.first <= j.lastEventID {
 			return errors.Errorf("event %d was already passed on", b.first)
 		}
+		if a.begunAt.IsZero() {
+			a.begunAt = time.Now()
+		}
 		j.recordOrigin(a)
 		if !j.rec.HeadSent {
 			j.writeHead(a.head.Status, fields)
--- a/process/observe/requests.go
+++ b/process/observe/requests.go
@@ -174,6 +174,9 @@
 	if rec.Error != "" {
 		kv = append(kv, "error", rec.Error)
 	}
+	if rec.QuarantinedPart != 0 {
+		kv = append(kv, "quarantined_part", strconv.FormatUint(rec.QuarantinedPart, 16))
+	}
 	if len(rec.FailedAttempts) > 0 {
 		kv = append(kv, "failed", rec.FailedAttempts, "body", rec.Fingerprint.Key())
 		if len(rec.Parts) > 0 {
--- a/process/peers/table.go
+++ b/process/peers/table.go
@@ -27,7 +27,8 @@
 	Eras           []int64                `json:"eras,omitempty"`              // of the store, by topic
 	Begun          []origins.Begun        `json:"begun,omitempty"`             // streams begun since the previous heartbeats
 	Leaving        []upstream.Incarnation `json:"endpoints_leaving,omitempty"` // announced by endpoints since the previous heartbeats
-	Crashes        []quarantine.Report    `json:"crashes,omitempty"`           // bodies that crashed endpoints
+	Crashes        []quarantine.Report    `json:"crashes,omitempty"`           // bodies and parts of prompts that crashed endpoints
+	Parts          quarantine.Evidence    `json:"parts,omitzero"`              // recent runs that were lost and completed
 }
 
 // Relay carries records that one router read from the log for all routers.
--- a/process/quarantine/quarantine.go
+++ b/process/quarantine/quarantine.go
@@ -49,17 +49,21 @@
 // Quarantined reports whether the body is refused.
 func (s State) Quarantined() bool { return s.Crashes >= crashLimit }
 
-// Report is the State of a body for other routers.
+// Report is the State of a body, or of a part of prompts, for other routers.
 type Report struct {
 	Fingerprint suspect.Fingerprint `json:"body"`
+	Part        uint64              `json:"part,omitempty"` // 0 for a body
+	With        []uint64            `json:"with,omitempty"` // parts without which a prompt with Part is not refused
 	State
 	QuietMS int64    `json:"quiet_ms"`       // since the last copy arrived
 	Lost    []string `json:"lost,omitempty"` // endpoints that went down with a copy since the last completed run
 }
 
-// body is the record of a fingerprint.
+// body is the record of a fingerprint: of a body or of a part of prompts.
 type body struct {
 	State
+	part        uint64 // 0 for a body
+	with        []uint64
 	lost        []string
 	firstCrash  time.Time // since the last completed run
 	lastArrival time.Time
@@ -68,21 +72,34 @@
 	nextTrial   time.Time // if quarantined
 }
 
-// Table holds the bodies that crashed an endpoint. It is safe for concurrent use.
+// Change is a change of what is known of a body or of a part of prompts.
+type Change struct {
+	Fingerprint suspect.Fingerprint
+	Part        uint64   // 0 for a body
+	With        []uint64 // see Report
+	State
+	Suspected bool // Part explains several crashes; if not quarantined, it is refused for the moment
+	Own       bool // caused by a request of this router
+}
+
+// Table holds the bodies that crashed an endpoint, and the parts of prompts that did. It
+// is safe for concurrent use.
 type Table struct {
-	onChange func(f suspect.Fingerprint, s State, own bool)
+	onChange func(Change)
 	mayTry   func(f suspect.Fingerprint) bool
 	size     atomic.Int64 // of bodies
+	refuses  atomic.Bool  // some part is suspected or quarantined
 
-	mu     sync.Mutex
-	bodies map[suspect.Fingerprint]*body
+	mu       sync.Mutex
+	bodies   map[suspect.Fingerprint]*body
+	evidence evidence
 }
 
-// New returns an empty Table. onChange is called after each change of a State, without
-// locks; own tells whether a request of this router caused it. mayTry reports whether
-// this router is the one that runs the trials of a quarantined body; it must not block.
-func New(onChange func(f suspect.Fingerprint, s State, own bool), mayTry func(f suspect.Fingerprint) bool) *Table {
-	return &Table{onChange: onChange, mayTry: mayTry, bodies: make(map[suspect.Fingerprint]*body)}
+// New returns an empty Table. onChange is called after each change, without locks.
+// mayTry reports whether this router is the one that runs the trials of a quarantined
+// body or part; it must not block.
+func New(onChange func(Change), mayTry func(f suspect.Fingerprint) bool) *Table {
+	return &Table{onChange: onChange, mayTry: mayTry, bodies: make(map[suspect.Fingerprint]*body), evidence: newEvidence()}
 }
 
 // Empty reports whether no body is tracked, so that fingerprints need not be computed.
@@ -101,18 +118,23 @@
 		t.remove(f)
 		return State{}, 0
 	}
+	return b.State, t.wait(now, f, b)
+}
+
+// wait returns when a copy of a body may be sent, and lets one run as a trial if it is
+// time for one.
+func (t *Table) wait(now time.Time, f suspect.Fingerprint, b *body) time.Duration {
 	b.lastArrival = now
-	if !b.Quarantined() {
-		return b.State, 0
-	}
-	if now.Before(b.nextTrial) {
-		return b.State, b.nextTrial.Sub(now)
-	}
-	if !t.mayTry(f) {
-		return b.State, trialTime
+	switch {
+	case !b.Quarantined():
+		return 0
+	case now.Before(b.nextTrial):
+		return b.nextTrial.Sub(now)
+	case !t.mayTry(f):
+		return trialTime
 	}
 	b.nextTrial = now.Add(trialTime)
-	return b.State, 0
+	return 0
 }
 
 // Crashed records that a copy of a body crashed its endpoint. sent is what Check returned
@@ -154,7 +176,7 @@
 	b := t.bodies[r.Fingerprint]
 	if b == nil {
 		t.makeRoom(now)
-		b = &body{}
+		b = &body{part: r.Part, with: r.With}
 		t.bodies[r.Fingerprint] = b
 		t.size.Store(int64(len(t.bodies)))
 	}
@@ -162,6 +184,10 @@
 		b.lastArrival = lastArrival
 	}
 	changed := r.compare(b.State) > 0
+	if b.part != 0 && r.Resets > b.Resets {
+		t.evidence.completedElsewhere(now, b.part)
+		t.evidence.suspect(now)
+	}
 	if r.Resets > b.Resets || b.Crashes == 0 {
 		b.lost, b.firstCrash = nil, now
 	}
@@ -172,12 +198,17 @@
 	if r.Resets == b.Resets {
 		b.lost = union(b.lost, r.Lost)
 	}
+	b.with = both(b.with, r.With)
 	if changed && own {
 		b.changedAt = now
 	}
+	if b.part != 0 && b.Quarantined() {
+		t.refuses.Store(true)
+	}
+	c := Change{Fingerprint: r.Fingerprint, Part: b.part, With: b.with, State: b.State, Own: own}
 	t.mu.Unlock()
 	if changed {
-		t.onChange(r.Fingerprint, r.State, own)
+		t.onChange(c)
 	}
 }
 
@@ -216,7 +247,7 @@
 			continue
 		}
 		if b.Quarantined() || now.Sub(b.changedAt) < reportFor {
-			list = append(list, Report{Fingerprint: f, State: b.State, QuietMS: now.Sub(b.lastArrival).Milliseconds(), Lost: b.lost})
+			list = append(list, Report{Fingerprint: f, Part: b.part, With: b.with, State: b.State, QuietMS: now.Sub(b.lastArrival).Milliseconds(), Lost: b.lost})
 		}
 	}
 	slices.SortFunc(list, func(a, b Report) int {
--- a/process/quarantine/quarantine_test.go
+++ b/process/quarantine/quarantine_test.go
@@ -14,7 +14,7 @@
 var t0 = time.Unix(1_700_000_000, 0)
 
 func newTable() *Table {
-	return New(func(suspect.Fingerprint, State, bool) {}, func(suspect.Fingerprint) bool { return true })
+	return New(func(Change) {}, func(suspect.Fingerprint) bool { return true })
 }
 
 // crash records a run of body f that began and crashed its endpoint.
@@ -132,7 +132,7 @@
 
 func TestOnlyOneRouterRunsTrials(t *testing.T) {
 	c := qt.New(t)
-	table := New(func(suspect.Fingerprint, State, bool) {}, func(suspect.Fingerprint) bool { return false })
+	table := New(func(Change) {}, func(suspect.Fingerprint) bool { return false })
 	for range crashLimit {
 		crash(table, t0, 1)
 	}
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -265,6 +266,7 @@
 	h.Begun = r.origins.TakeBegun()
 	h.Leaving = r.endpoints.NewlyLeaving(time.Now())
 	h.Crashes = r.quarantine.Reports(time.Now())
+	h.Parts = r.quarantine.Evidence(time.Now())
 	return h
 }
 
@@ -288,13 +290,17 @@
 	}
 }
 
-// onCrashChange logs the change of a body that crashed endpoints, and tells the other
-// routers at once of a change that this router saw.
-func (r *Router) onCrashChange(f suspect.Fingerprint, s quarantine.State, own bool) {
-	if own || s.Quarantined() {
-		r.log.Info("crashing body changed", "body", f.Key(), "crashes", s.Crashes, "resets", s.Resets, "quarantined", s.Quarantined(), "own", own)
+// onCrashChange logs the change of a body or of a part of prompts that crashed endpoints,
+// and tells the other routers at once of a change that this router saw.
+func (r *Router) onCrashChange(c quarantine.Change) {
+	switch {
+	case c.Part != 0:
+		r.log.Info("crashing part changed", "part", strconv.FormatUint(c.Part, 16), "with", len(c.With), "crashes", c.Crashes, "resets", c.Resets,
+			"suspected", c.Suspected, "quarantined", !c.Suspected && c.Quarantined(), "own", c.Own)
+	case c.Own || c.Quarantined():
+		r.log.Info("crashing body changed", "body", c.Fingerprint.Key(), "crashes", c.Crashes, "resets", c.Resets, "quarantined", c.Quarantined(), "own", c.Own)
 	}
-	if own && r.exchange != nil {
+	if c.Own && r.exchange != nil {
 		r.exchange.SendNow()
 	}
 }
@@ -314,6 +320,7 @@
 	r.origins.Merge(now, h.Begun)
 	r.endpoints.MergeLeaving(now, h.Leaving)
 	r.quarantine.Merge(now, h.Crashes)
+	r.quarantine.MergeEvidence(now, quarantine.Source{Router: h.Name, Incarnation: h.Incarnation}, h.Parts)
 	r.updatePeers(now)
 }
 
--- a/request/outcome/code.go
+++ b/request/outcome/code.go
@@ -55,6 +55,7 @@
 	RequestConvicted Code = 4009
 	BodyQuarantined  Code = 4010
 	OriginUnknown    Code = 4011
+	PartQuarantined  Code = 4012
 
 	KeyInProgress Code = 5001
 	KeyTooOld     Code = 5002
@@ -125,6 +126,7 @@
 	{RequestConvicted, "request_convicted", http.StatusUnprocessableEntity, "This request has crashed endpoints and is refused for a while."},
 	{BodyQuarantined, "body_quarantined", http.StatusServiceUnavailable, "Requests with this body crashed endpoints; it is refused and has not run."},
 	{OriginUnknown, "origin_unknown", http.StatusServiceUnavailable, "It is not known which software version began the stream, so it cannot go on."},
+	{PartQuarantined, "part_quarantined", http.StatusServiceUnavailable, "Prompts with a part that this one has crashed endpoints; it is refused and has not run."},
 
 	{KeyInProgress, "key_in_progress", http.StatusConflict, "An earlier request with this key is in progress."},
 	{KeyTooOld, "key_too_old", http.StatusConflict, "The key is older than the window within which repeats are recognised."},
