Bound interim responses and trailers, and refuse other bytes at once

Cause: bytes that are no response may come without end. Interim responses and the fields after the last chunk were read on and on, and bytes without a line end were awaited up to the limit of a head. Change: all heads of a response share the limit of one; a trailer has one of 8 KiB; a response that does not begin with the protocol's name is refused at the first other byte. Result: TestEndlessMessagesAreGivenUpWithinABound failed for interim responses and trailer fields (8 MiB read, the end of the test's input); TestBytesThatAreNoResponseAreRefusedAtOnce did not end before.

--- a/connection/http1/body.go
+++ b/connection/http1/body.go
@@ -74,13 +74,19 @@
 	return n, err
 }
 
+// maxTrailerBytes bounds the fields after the last chunk.
+const maxTrailerBytes = 8 << 10
+
 // skipTrailer discards the fields after the last chunk.
 func (b *Body) skipTrailer() error {
-	for {
+	for read := 0; ; {
 		line, err := b.src.ReadSlice('\n')
 		if err != nil {
 			return io.ErrUnexpectedEOF
 		}
+		if read += len(line); read > maxTrailerBytes {
+			return errors.Wrap(ErrMalformed, "trailer over the limit")
+		}
 		if len(line) < 2 || line[len(line)-2] != '\r' {
 			return errors.Wrap(ErrMalformed, "bare line feed in the trailer")
 		}
--- a/connection/http1/head.go
+++ b/connection/http1/head.go
@@ -63,7 +63,11 @@
 
 // ReadRequest reads the head of a request. The head may have at most limit bytes.
 func ReadRequest(r *bufio.Reader, limit int) (*Head, error) {
-	h, err := readHead(r, limit, true)
+	block, err := readHeadBlock(r, limit)
+	if err != nil {
+		return nil, err
+	}
+	h, err := parseHead(block, true)
 	if err != nil {
 		return nil, err
 	}
@@ -74,10 +78,19 @@
 }
 
 // ReadResponse reads the head of the response to a request with the given
-// method. Interim responses (1xx other than 101) are skipped.
+// method. Interim responses (1xx other than 101) are skipped. All heads together may
+// have at most limit bytes.
 func ReadResponse(r *bufio.Reader, limit int, method string) (*Head, error) {
 	for {
-		h, err := readHead(r, limit, false)
+		if err := expectPrefix(r, "HTTP/1."); err != nil {
+			return nil, err
+		}
+		block, err := readHeadBlock(r, limit)
+		if err != nil {
+			return nil, err
+		}
+		limit -= len(block)
+		h, err := parseHead(block, false)
 		if err != nil {
 			return nil, err
 		}
@@ -88,11 +101,27 @@
 	}
 }
 
-func readHead(r *bufio.Reader, limit int, request bool) (*Head, error) {
-	block, err := readHeadBlock(r, limit)
-	if err != nil {
-		return nil, err
+// expectPrefix returns an error at the first byte that differs from prefix, without
+// waiting for those after it.
+func expectPrefix(r *bufio.Reader, prefix string) error {
+	for i := range len(prefix) {
+		b, err := r.Peek(i + 1)
+		if err == io.EOF && i > 0 {
+			return io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return err
+		}
+		if b[i] != prefix[i] {
+			return errors.Wrap(ErrMalformed, "invalid status line")
+		}
 	}
+	return nil
+}
+
+// parseHead parses the lines of a head as readHeadBlock returns them.
+func parseHead(block string, request bool) (*Head, error) {
+	var err error
 	h := &Head{Fields: make([]Field, 0, 16)}
 	line, rest, _ := strings.Cut(block, "\r\n")
 	if request {
--- a/connection/http1/head_test.go
+++ b/connection/http1/head_test.go
@@ -128,3 +128,70 @@
 		}
 	})
 }
+
+// endless repeats a text after a beginning, and counts the bytes that were read.
+type endless struct {
+	begin, repeat string
+	read          int
+}
+
+func (e *endless) Read(p []byte) (int, error) {
+	n := 0
+	for n < len(p) {
+		if e.read < len(e.begin) {
+			p[n] = e.begin[e.read]
+		} else {
+			p[n] = e.repeat[(e.read-len(e.begin))%len(e.repeat)]
+		}
+		n++
+		e.read++
+	}
+	if e.read > 8<<20 {
+		return 0, io.ErrUnexpectedEOF // so that the test ends
+	}
+	return n, nil
+}
+
+func TestEndlessMessagesAreGivenUpWithinABound(t *testing.T) {
+	const limit, bound = 32 << 10, 512 << 10 // a chunk of one byte takes six
+	response := func(r *bufio.Reader) error { _, err := ReadResponse(r, limit, "GET"); return err }
+	request := func(r *bufio.Reader) error { _, err := ReadRequest(r, limit); return err }
+	chunked := func(r *bufio.Reader) error { _, err := NewBody(r, Chunked).ReadAll(64 << 10); return err }
+	for name, v := range map[string]struct {
+		in   endless
+		read func(r *bufio.Reader) error
+	}{
+		"interim responses":   {endless{"", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", 0}, response},
+		"lines of a head":     {endless{"HTTP/1.1 200 OK\r\n", "A: b\r\n", 0}, response},
+		"one line of a head":  {endless{"HTTP/1.1 200 OK\r\nA: ", "b", 0}, response},
+		"no line end":         {endless{"", "\x00\x01", 0}, response},
+		"lines of a request":  {endless{"GET / HTTP/1.1\r\nHost: a\r\n", "A: b\r\n", 0}, request},
+		"target of a request": {endless{"GET /", "a", 0}, request},
+		"chunk size":          {endless{"", "0", 0}, chunked},
+		"chunk extension":     {endless{"1;", "a", 0}, chunked},
+		"extensions of each":  {endless{"", "1;" + strings.Repeat("a", 4000) + "\r\nx\r\n", 0}, chunked},
+		"chunks":              {endless{"", "1\r\nx\r\n", 0}, chunked},
+		"one chunk":           {endless{"7fffffff\r\n", "x", 0}, chunked},
+		"trailer fields":      {endless{"1\r\nx\r\n0\r\n", "A: b\r\n", 0}, chunked},
+		"trailer line":        {endless{"1\r\nx\r\n0\r\nA: ", "b", 0}, chunked},
+		"body to the close":   {endless{"", "x", 0}, func(r *bufio.Reader) error { _, err := NewBody(r, UntilClose).ReadAll(64 << 10); return err }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			c.Assert(v.read(bufio.NewReaderSize(&v.in, 4<<10)), qt.Not(qt.IsNil))
+			c.Assert(v.in.read <= bound, qt.IsTrue, qt.Commentf("%d bytes read", v.in.read))
+		})
+	}
+}
+
+// A response that begins with other bytes is refused before its line ends.
+func TestBytesThatAreNoResponseAreRefusedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	for _, begin := range []string{"x", "HTTX", "HTTP/1x", "HTTP/2"} {
+		r, w := io.Pipe()
+		go func() { _, _ = w.Write([]byte(begin)) }() // and nothing else
+		_, err := ReadResponse(bufio.NewReader(r), 1<<10, "GET")
+		c.Assert(err, qt.ErrorIs, ErrMalformed)
+		c.Assert(r.Close(), qt.IsNil)
+	}
+}
