Bound responses that come without end

Callers saw: a response that an endpoint refuses with a slow body without end kept its caller until the deadline (3 s of 3 s), though it was known not to be passed on. Responses of any number were held with up to 8 MiB each, and an event of a stream with up to 1 MiB. Cause: what is not passed on was read to its end so that the connection could be used again, with no bound but the deadline; memory was bounded for one response only. Change: a response that is not passed on is read for 20 ms and up to 64 KiB, else its connection is closed.

--- a/connection/forward/attempt.go
+++ b/connection/forward/attempt.go
@@ -20,13 +20,12 @@
 	connectTimeout = 250 * time.Millisecond
 	// responseHeadBytes bounds the head of an endpoint's response.
 	responseHeadBytes = 32 << 10
-	// maxBufferedBytes bounds a response that is buffered before it is passed on.
-	maxBufferedBytes = 8 << 20
 	// maxMismatched bounds the responses to other requests that are discarded
 	// while waiting for the response to this one.
 	maxMismatched = 2
-	// maxDiscardBytes bounds the body of a discarded response.
-	maxDiscardBytes = 1 << 20
+	// maxDrainBytes and drainTimeout bound the body of a response that is not passed on.
+	maxDrainBytes = 64 << 10
+	drainTimeout  = 20 * time.Millisecond
 )
 
 // attempt is one send of a request to an endpoint.
@@ -202,7 +201,7 @@
 		if mismatched >= maxMismatched || head.Close {
 			return errors.New("response to another request")
 		}
-		if _, err := body.ReadAll(maxDiscardBytes); err != nil {
+		if _, err := body.ReadAll(maxDrainBytes); err != nil {
 			return errors.Wrap(err, "response to another request")
 		}
 	}
@@ -259,7 +258,7 @@
 		j.endFailed(a)
 		return false // the caller already has a part of another endpoint's response
 	}
-	data, err := a.body.ReadAll(maxBufferedBytes)
+	data, err := j.readBody(a)
 	if err == nil && j.endedByCrash(a) {
 		err = errEndedByCrash
 	}
@@ -287,10 +286,14 @@
 }
 
 // drain reads a short response that is not passed on, so that its connection
-// can be reused.
+// can be reused. A body that has not arrived yet is not worth the wait.
 func (j *job) drain(a *attempt) {
-	if _, err := a.body.ReadAll(maxDiscardBytes); err != nil {
-		a.noReuse = true // an unread rest would be taken for the next response
+	a.noReuse = true // an unread rest would be taken for the next response
+	if a.head.Length == http1.UntilClose || a.conn.SetReadDeadline(time.Now().Add(drainTimeout)) != nil {
+		return
+	}
+	if _, err := a.body.ReadAll(maxDrainBytes); err == nil {
+		a.noReuse = false
 	}
 }
 
--- a/connection/forward/events.go
+++ b/connection/forward/events.go
@@ -14,7 +14,7 @@
 const (
 	eventBufferBytes = 4 << 10
 	// maxEventBytes bounds one event.
-	maxEventBytes = 1 << 20
+	maxEventBytes = 256 << 10
 )
 
 // events splits the body of a stream into complete events.
--- a/connection/forward/server.go
+++ b/connection/forward/server.go
@@ -77,7 +77,8 @@
 	// may not complete.
 	RefusesStreams func() bool
 
-	crashChecks atomic.Int64 // in progress after the end of their requests
+	crashChecks atomic.Int64 // in progress beside their requests or after their end
+	buffered    memoryBudget // of responses
 }
 
 const (
@@ -117,6 +118,7 @@
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
 	j.ctx = ctx
+	defer j.releaseMemory()
 	j.run()
 }
 
@@ -189,6 +191,7 @@
 	priority  int
 	deadline  time.Time
 
+	buffered    int64             // bytes reserved for responses
 	runs        int               // endpoints that may have run it
 	refusals    int               // by endpoints, which did not run it
 	tried       []string          // endpoints to exclude from the next attempt
