Soak crashes in four forms, copies at once, and prompts with a crashing part

Cause: the soak's endpoints crashed in one form, by one request whose copies came one after the other, and by no part of a prompt. Change: each soak crashes before the head, in the middle of a stream, silently or with a return after 20 ms; up to three callers send copies of the crashing request; one more sends prompts with a crashing part, no two alike, to all routers, the disturbed ones too.

--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -172,10 +172,15 @@
 	resumes              string // id of the attempt that began the stream
 	lastEvent            int
 	timeout              time.Duration // of the connection; 0 is the usual one
+	prompt               string        // parts of the prompt; "" is the usual one
 	cutAfter             int           // events after which the caller's connection breaks; 0 is never
 }
 
-const usualTimeout = 4 * time.Second
+const (
+	usualTimeout = 4 * time.Second
+	firstPart    = "aa:100" // of all prompts
+	usualPrompt  = firstPart + ",bb:10"
+)
 
 // sendRequest sends one request and checks its response. It returns the body of a 200, as far
 // as it came, and whether the connection can be reused.
@@ -188,8 +193,12 @@
 	if q.resumes != "" {
 		more = fmt.Sprintf("Resumes: %s\r\nLast-Event-Id: %d\r\n", q.resumes, q.lastEvent)
 	}
+	prompt := q.prompt
+	if prompt == "" {
+		prompt = usualPrompt
+	}
 	text := fmt.Sprintf("%s /%s%s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 3000\r\nAuthorization: Bearer %s\r\n"+
-		"X-Prompt-Prefix: aa:100,bb:10\r\n%sContent-Length: %d\r\n\r\n%s", method, q.kind, q.path, host, q.id, key, more, len(body), body)
+		"X-Prompt-Prefix: %s\r\n%sContent-Length: %d\r\n\r\n%s", method, q.kind, q.path, host, q.id, key, prompt, more, len(body), body)
 	timeout := q.timeout
 	if timeout == 0 {
 		timeout = usualTimeout
--- a/test/soak/environment_test.go
+++ b/test/soak/environment_test.go
@@ -95,11 +95,13 @@
 	proxies   map[string]*proxy // of endpoints, by id
 	software  int               // newest software version of the service llm
 
-	mu      sync.Mutex
-	version int64
-	gone    map[string]bool   // ids of endpoints that were replaced
-	states  map[string]string // in the entries, by endpoint
-	crashes []crash
+	mu          sync.Mutex
+	version     int64
+	gone        map[string]bool   // ids of endpoints that were replaced
+	states      map[string]string // in the entries, by endpoint
+	crashes     []crash           // of the request that crashes endpoints
+	partCrashes []crash           // of requests with the part that does
+	crashForm   crashForm
 }
 
 // Ports of routers are below the kernel's ephemeral range: an outgoing connection
@@ -132,7 +134,7 @@
 		t.Fatal(err)
 	}
 	env := &environment{t: t, rng: rand.New(rand.NewPCG(seed, 1)), binary: binary, store: store, proxies: make(map[string]*proxy),
-		software: 2, gone: make(map[string]bool), states: make(map[string]string)}
+		crashForm: crashForm(seed % uint64(crashForms)), software: 2, gone: make(map[string]bool), states: make(map[string]string)}
 	for i := range 6 {
 		env.addEndpoint(fmt.Sprintf("i-app-%d", i), "app", fmt.Sprintf("z%d", i%2), "v1")
 		env.addEndpoint(fmt.Sprintf("i-llm-%d", i), "llm", fmt.Sprintf("z%d", i%2), fmt.Sprintf("v%d", 1+i/2%2))
--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -32,6 +32,7 @@
 	mode   mode
 	closed bool
 	conns  map[net.Conn]bool
+	silent map[net.Conn]bool // connections of before the target fell silent
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -39,7 +40,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{addr: l.Addr().String(), target: target, listener: l, conns: make(map[net.Conn]bool)}
+	p := &proxy{addr: l.Addr().String(), target: target, listener: l, conns: make(map[net.Conn]bool), silent: make(map[net.Conn]bool)}
 	go p.serve(l)
 	return p, nil
 }
@@ -52,6 +53,21 @@
 		resetConn(c)
 	}
 	p.mu.Unlock()
+	p.reopenAfter(down)
+}
+
+// fallSilent keeps all connections open without another byte and refuses new ones for a time.
+func (p *proxy) fallSilent(down time.Duration) {
+	p.mu.Lock()
+	_ = p.listener.Close()
+	for c := range p.conns {
+		p.silent[c] = true
+	}
+	p.mu.Unlock()
+	p.reopenAfter(down)
+}
+
+func (p *proxy) reopenAfter(down time.Duration) {
 	time.AfterFunc(down, func() {
 		for range 100 { // the address may be taken for a moment
 			l, err := net.Listen("tcp", p.addr)
@@ -103,6 +119,12 @@
 	return p.mode
 }
 
+func (p *proxy) isSilent(c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.silent[c]
+}
+
 func resetConn(c net.Conn) {
 	if t, ok := c.(*net.TCPConn); ok {
 		_ = t.SetLinger(0)
@@ -141,6 +163,8 @@
 	p.mu.Lock()
 	delete(p.conns, c)
 	delete(p.conns, d)
+	delete(p.silent, c)
+	delete(p.silent, d)
 	p.mu.Unlock()
 	_, _ = c.Close(), d.Close()
 }
@@ -152,7 +176,7 @@
 	for {
 		n, err := from.Read(buf)
 		switch m := p.currentMode(); {
-		case m == blackhole, m == dropReplies && back:
+		case m == blackhole, m == dropReplies && back, p.isSilent(from):
 			lost = true
 		case m == delay:
 			time.Sleep(chunkDelay)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -64,6 +64,7 @@
 	}
 	env.await("all routers are ready", env.allReady)
 	stopCrashing := env.startCrashingCaller(seed)
+	stopParts := env.startPartCaller(seed)
 	c := startCallers(env, min(callersEach*len(env.routers), maxCallers), seed)
 	time.Sleep(500 * time.Millisecond)
 	env.injectFaults(*faultTime)
@@ -73,9 +74,11 @@
 	time.Sleep(observation)
 	all := c.end()
 	stopCrashing()
+	stopParts()
 	env.checkGuarantees(all, all[before:])
 	env.checkStreams(c.streams)
-	env.checkCrashes()
+	env.checkCrashes("the crashing request", env.crashes, crashesBefore)
+	env.checkCrashes("requests with the crashing part", env.partCrashes, partCrashesBefore)
 	if t.Failed() {
 		env.keepLogs(seed)
 	}
@@ -112,10 +115,13 @@
 	p := env.proxies[e.ID]
 	env.mu.Unlock()
 	return func(r *http.Request, _ int) platformtest.Behaviour {
-		if strings.HasSuffix(r.URL.Path, crashPath) {
-			env.recordCrash(r.Header.Get("X-Request-Id"))
-			p.crash(crashDownTime)
-			return platformtest.Behaviour{ResetAfterRun: true}
+		switch {
+		case strings.HasSuffix(r.URL.Path, crashPath):
+			env.recordCrash(&env.crashes, r.Header.Get("X-Request-Id"))
+			return env.crashBehaviour(p)
+		case strings.Contains(r.Header.Get("X-Prompt-Prefix"), crashPart):
+			env.recordCrash(&env.partCrashes, r.Header.Get("X-Request-Id"))
+			return env.crashBehaviour(p)
 		}
 		b := platformtest.Behaviour{Work: 3 * time.Millisecond, Leaving: env.isGone(e)}
 		if e.Service == "llm" {
@@ -224,7 +230,8 @@
 	fault, every, healthy := faults[env.rng.IntN(len(faults))], 2+env.rng.IntN(3), env.healthy(e)
 	return func(r *http.Request, n int) platformtest.Behaviour {
 		b := healthy(r, n)
-		if n%every == 0 && !strings.HasSuffix(r.URL.Path, crashPath) {
+		crashes := strings.HasSuffix(r.URL.Path, crashPath) || strings.Contains(r.Header.Get("X-Prompt-Prefix"), crashPart)
+		if n%every == 0 && !crashes {
 			fault(&b)
 		}
 		return b
