Tell a crash from the end of a response without a length in serve

Callers saw: a response of a plain service that has no length as complete, though its endpoint had crashed in the middle. Streams are not concerned, as their last event is marked. Change: at the end of such a body another connection is opened; where it is refused, the body is truncated.

--- a/connection/endpoint/client_test.go
+++ b/connection/endpoint/client_test.go
@@ -180,3 +180,38 @@
 	c.Check(IsIdleTimeout(err), qt.IsTrue)
 	c.Check(response.Body.Close(), qt.IsNil)
 }
+
+// The endpoint ends a response without a length in order, and crashes or not.
+func TestResponseThatEndsWithACrashIsNotComplete(t *testing.T) {
+	for _, crashes := range []bool{false, true} {
+		c := qt.New(t)
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		c.Assert(err, qt.IsNil)
+		c.Cleanup(func() { _ = listener.Close() })
+		go func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			request, err := http.ReadRequest(bufio.NewReader(conn))
+			if err == nil {
+				_, _ = io.Copy(io.Discard, request.Body) // an unread rest would reset the connection
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+protocol.HeaderRequestID+": "+request.Header.Get(protocol.HeaderRequestID)+"\r\n\r\npart")
+			}
+			if crashes {
+				_ = listener.Close()
+			}
+			_ = conn.Close()
+		}()
+		response, refusal := NewClient(nil).Do(context.Background(), nonIdempotentRequest(netip.MustParseAddrPort(listener.Addr().String()), "x"))
+		c.Assert(refusal == nil, qt.IsTrue)
+		data, err := io.ReadAll(response.Body)
+		c.Check(string(data), qt.Equals, "part")
+		if crashes {
+			c.Check(err, qt.Equals, io.ErrUnexpectedEOF)
+		} else {
+			c.Check(err, qt.IsNil)
+		}
+		_ = response.Body.Close()
+	}
+}
--- a/connection/endpoint/request.go
+++ b/connection/endpoint/request.go
@@ -4,12 +4,14 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
 	"net/url"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -65,6 +67,9 @@
 	}
 	watch.reset(r.IdleTimeout)
 	body := &watchedBody{ctx: ctx, inner: response.Body, watch: watch, cancel: cancel, idleTimeout: r.IdleTimeout}
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		body.refuses = func() bool { return refusesConnections(ctx, r.Address) }
+	}
 	if refusal := r.checkResponse(response); refusal != nil {
 		_ = body.Close()
 		return nil, refusal
@@ -79,6 +84,16 @@
 	}, nil
 }
 
+// refusesConnections reports whether nobody listens at an address.
+func refusesConnections(ctx context.Context, address netip.AddrPort) bool {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address.String())
+	if err == nil {
+		_ = conn.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // singleUseBody hides the bytes from net/http, which could otherwise send them a
 // second time by itself.
 type singleUseBody struct {
--- a/connection/endpoint/watchdog.go
+++ b/connection/endpoint/watchdog.go
@@ -51,6 +51,9 @@
 	watch       *watchdog
 	cancel      context.CancelCauseFunc
 	idleTimeout time.Duration
+	// refuses reports whether the endpoint refuses connections. It is nil for a body whose
+	// end is marked; others end with their connection, and so does a crash.
+	refuses func() bool
 }
 
 // Read implements io.Reader. The idle timeout runs up to the first Read and during
@@ -63,6 +66,9 @@
 	if err != nil && err != io.EOF && context.Cause(b.ctx) == errIdleTimeout {
 		return n, errIdleTimeout
 	}
+	if err == io.EOF && b.refuses != nil && b.refuses() {
+		return n, io.ErrUnexpectedEOF
+	}
 	return n, err
 }
 
