--- a/process/quarantine/parts.go
+++ b/process/quarantine/parts.go
@@ -27,7 +27,7 @@
 	defer t.mu.Unlock()
 	for _, p := range parts {
 		f := PartFingerprint(p)
-		b := t.bodies[f]
+		b := t.records[f]
 		if b == nil || !holds(parts, p, t.unproven(b.with)) {
 			continue
 		}
@@ -67,7 +67,7 @@
 	t.mu.Lock()
 	for _, p := range r.Parts {
 		f := PartFingerprint(p)
-		if b := t.bodies[f]; b != nil && b.Quarantined() && r.SentAt.After(b.crashedAt) && holds(r.Parts, p, t.unproven(b.with)) {
+		if b := t.records[f]; b != nil && b.Quarantined() && r.SentAt.After(b.crashedAt) && holds(r.Parts, p, t.unproven(b.with)) {
 			trials = append(trials, Report{Fingerprint: f, Part: p, With: both(b.with, r.Parts), State: State{Resets: b.Resets, Crashes: b.Crashes + 1}})
 		}
 	}
@@ -94,7 +94,7 @@
 	if t.refuses.Load() {
 		for _, p := range parts {
 			f := PartFingerprint(p)
-			if b := t.bodies[f]; b != nil && b.Quarantined() && holds(parts, p, t.unproven(b.with)) {
+			if b := t.records[f]; b != nil && b.Quarantined() && holds(parts, p, t.unproven(b.with)) {
 				free = append(free, Report{Fingerprint: f, Part: p, With: b.with, State: State{Resets: b.Resets + 1}})
 			}
 		}
@@ -152,7 +152,7 @@
 	for _, s := range t.evidence.suspected {
 		f := PartFingerprint(s.part)
 		r := Report{Fingerprint: f, Part: s.part, With: s.with, State: State{Crashes: crashLimit}}
-		b := t.bodies[f]
+		b := t.records[f]
 		if b != nil {
 			r.Resets = b.Resets
 		}
@@ -183,7 +183,7 @@
 				c := Change{Fingerprint: PartFingerprint(s.part), Part: s.part, With: s.with, Suspected: suspected}
 				if suspected {
 					c.Crashes = s.crashes
-				} else if b := t.bodies[c.Fingerprint]; b != nil {
+				} else if b := t.records[c.Fingerprint]; b != nil {
 					c.State = b.State
 				}
 				changes = append(changes, c)
@@ -196,7 +196,7 @@
 }
 
 func (t *Table) quarantinesPart() bool {
-	for _, b := range t.bodies {
+	for _, b := range t.records {
 		if b.part != 0 && b.Quarantined() {
 			return true
 		}
--- a/process/quarantine/quarantine.go
+++ b/process/quarantine/quarantine.go
@@ -29,8 +29,8 @@
 	reportFor = 2 * time.Second
 	// maxReports bounds the reports in one heartbeat.
 	maxReports = 64
-	// maxBodies bounds the bodies that are tracked.
-	maxBodies = 1024
+	// maxRecords bounds the bodies and parts that are tracked.
+	maxRecords = 1024
 	// maxLost bounds the lost endpoints that are kept for a body.
 	maxLost = 2 * crashLimit
 )
@@ -59,8 +59,8 @@
 	Lost    []string `json:"lost,omitempty"` // endpoints that went down with a copy since the last completed run
 }
 
-// body is the record of a fingerprint: of a body or of a part of prompts.
-type body struct {
+// record is what is known of a fingerprint: of a body or of a part of prompts.
+type record struct {
 	State
 	part        uint64 // 0 for a body
 	with        []uint64
@@ -87,11 +87,11 @@
 type Table struct {
 	onChange func(Change)
 	mayTry   func(f suspect.Fingerprint) bool
-	size     atomic.Int64 // of bodies
+	size     atomic.Int64 // of records
 	refuses  atomic.Bool  // some part is suspected or quarantined
 
 	mu       sync.Mutex
-	bodies   map[suspect.Fingerprint]*body
+	records  map[suspect.Fingerprint]*record
 	evidence evidence
 }
 
@@ -99,7 +99,7 @@
 // mayTry reports whether this router is the one that runs the trials of a quarantined
 // body or part; it must not block.
 func New(onChange func(Change), mayTry func(f suspect.Fingerprint) bool) *Table {
-	return &Table{onChange: onChange, mayTry: mayTry, bodies: make(map[suspect.Fingerprint]*body), evidence: newEvidence()}
+	return &Table{onChange: onChange, mayTry: mayTry, records: make(map[suspect.Fingerprint]*record), evidence: newEvidence()}
 }
 
 // Empty reports whether no body is tracked, so that fingerprints need not be computed.
@@ -110,7 +110,7 @@
 func (t *Table) Check(now time.Time, f suspect.Fingerprint) (State, time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	b := t.bodies[f]
+	b := t.records[f]
 	if b == nil {
 		return State{}, 0
 	}
@@ -123,7 +123,7 @@
 
 // wait returns when a copy of a body may be sent, and lets one run as a trial if it is
 // time for one.
-func (t *Table) wait(now time.Time, f suspect.Fingerprint, b *body) time.Duration {
+func (t *Table) wait(now time.Time, f suspect.Fingerprint, b *record) time.Duration {
 	b.lastArrival = now
 	switch {
 	case !b.Quarantined():
@@ -143,7 +143,7 @@
 	next := State{Resets: sent.Resets, Crashes: sent.Crashes + 1}
 	lost := []string{endpoint}
 	t.mu.Lock()
-	if b := t.bodies[f]; b != nil && b.Resets == sent.Resets {
+	if b := t.records[f]; b != nil && b.Resets == sent.Resets {
 		if now.Sub(b.crashedAt) >= crashSpacing {
 			next.Crashes = b.Crashes + 1
 		}
@@ -159,7 +159,7 @@
 // Completed records that a body ran to its end.
 func (t *Table) Completed(now time.Time, f suspect.Fingerprint) {
 	t.mu.Lock()
-	b := t.bodies[f]
+	b := t.records[f]
 	if b == nil || b.Crashes == 0 {
 		t.mu.Unlock()
 		return
@@ -173,12 +173,12 @@
 // same one.
 func (t *Table) set(now time.Time, r Report, lastArrival time.Time, own bool) {
 	t.mu.Lock()
-	b := t.bodies[r.Fingerprint]
+	b := t.records[r.Fingerprint]
 	if b == nil {
 		t.makeRoom(now)
-		b = &body{part: r.Part, with: r.With}
-		t.bodies[r.Fingerprint] = b
-		t.size.Store(int64(len(t.bodies)))
+		b = &record{part: r.Part, with: r.With}
+		t.records[r.Fingerprint] = b
+		t.size.Store(int64(len(t.records)))
 	}
 	if lastArrival.After(b.lastArrival) {
 		b.lastArrival = lastArrival
@@ -241,7 +241,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var list []Report
-	for f, b := range t.bodies {
+	for f, b := range t.records {
 		if b.expired(now) {
 			t.remove(f)
 			continue
@@ -256,30 +256,30 @@
 	return list[:min(len(list), maxReports)]
 }
 
-func (b *body) expired(now time.Time) bool { return now.Sub(b.lastArrival) >= quietTime }
+func (b *record) expired(now time.Time) bool { return now.Sub(b.lastArrival) >= quietTime }
 
 func (t *Table) remove(f suspect.Fingerprint) {
-	delete(t.bodies, f)
-	t.size.Store(int64(len(t.bodies)))
+	delete(t.records, f)
+	t.size.Store(int64(len(t.records)))
 }
 
 // makeRoom removes expired bodies and, if the table is still full, one with the
 // fewest crashes, so that a flood of other bodies does not release a quarantined one.
 func (t *Table) makeRoom(now time.Time) {
-	if len(t.bodies) < maxBodies {
+	if len(t.records) < maxRecords {
 		return
 	}
 	var least suspect.Fingerprint
-	for f, b := range t.bodies {
+	for f, b := range t.records {
 		if b.expired(now) {
 			t.remove(f)
 			continue
 		}
-		if l := t.bodies[least]; l == nil || b.Crashes < l.Crashes {
+		if l := t.records[least]; l == nil || b.Crashes < l.Crashes {
 			least = f
 		}
 	}
-	if len(t.bodies) >= maxBodies {
+	if len(t.records) >= maxRecords {
 		t.remove(least)
 	}
 }
--- a/process/quarantine/quarantine_test.go
+++ b/process/quarantine/quarantine_test.go
@@ -196,7 +196,7 @@
 	for range crashLimit {
 		crash(table, t0, 1)
 	}
-	for f := range suspect.Fingerprint(2 * maxBodies) {
+	for f := range suspect.Fingerprint(2 * maxRecords) {
 		crash(table, t0.Add(time.Second), f+2)
 	}
 	reports := table.Reports(t0.Add(time.Second))
@@ -205,5 +205,5 @@
 	other := newTable()
 	other.Merge(t0, reports)
 	c.Assert(refused(other, t0, 1), qt.IsTrue)
-	c.Assert(len(table.bodies) <= maxBodies, qt.IsTrue)
+	c.Assert(len(table.records) <= maxRecords, qt.IsTrue)
 }
