Keep heartbeats with the most evidence within a datagram

Cause: a heartbeat over the size of a datagram was dropped without a word, and its router counted as dead. Losses of long prompts could add 32 times 32 parts to it. Change: the losses of one heartbeat have 256 parts at most, and a datagram that is not sent is logged.

--- a/process/peers/exchange.go
+++ b/process/peers/exchange.go
@@ -104,6 +104,7 @@
 		return
 	}
 	if data = compress(data); len(data) > maxDatagramBytes {
+		e.Log.Info("datagram over the size limit not sent", "bytes", len(data), "heartbeat", m.Heartbeat != nil)
 		return
 	}
 	for _, addr := range addrs {
--- a/process/peers/peers_test.go
+++ b/process/peers/peers_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"sync/atomic"
@@ -16,6 +17,7 @@
 	"github.com/stoatmount/stoatmount/process/feed"
 	"github.com/stoatmount/stoatmount/process/origins"
 	"github.com/stoatmount/stoatmount/process/quarantine"
+	"github.com/stoatmount/stoatmount/process/suspect"
 	"github.com/stoatmount/stoatmount/process/upstream"
 )
 
@@ -214,3 +216,39 @@
 	e.receiveOne(t0, data, "1.1.1.1:2")
 	c.Assert(got, qt.DeepEquals, h)
 }
+
+// A router whose heartbeats do not fit counts as dead.
+func TestHeartbeatWithMostEvidenceFitsIntoADatagram(t *testing.T) {
+	c := qt.New(t)
+	rng := rand.New(rand.NewPCG(1, 1))
+	table := quarantine.New(func(quarantine.Change) {}, func(suspect.Fingerprint) bool { return true })
+	parts := func(n int) []uint64 {
+		list := make([]uint64, n)
+		for i := range list {
+			list[i] = rng.Uint64()
+		}
+		return list
+	}
+	for n := range 200 {
+		f := suspect.Fingerprint(rng.Uint64())
+		for i := range 6 {
+			sent, _ := table.Check(t0, f)
+			table.Crashed(t0, f, sent, fmt.Sprintf("i-%010x", rng.Uint64()>>24), t0.Add(time.Duration(i)*time.Second))
+		}
+		lost := parts(1 + n%32)
+		table.PartsCompleted(t0, lost)
+		table.PartsLost(t0.Add(time.Second), quarantine.Run{Endpoint: fmt.Sprintf("i-%010x", rng.Uint64()>>24), SentAt: t0, Parts: lost})
+	}
+	h := heartbeat("a", 1, 1)
+	h.Crashes, h.Parts = table.Reports(t0.Add(time.Second)), table.Evidence(t0.Add(time.Second))
+	c.Assert(len(h.Crashes) > 50 && len(h.Parts.Losses) > 10 && len(h.Parts.Completed) > 50, qt.IsTrue)
+	h.Running = make(map[string]float64)
+	for range 64 {
+		h.Running[fmt.Sprintf("i-%010x", rng.Uint64()>>24)] = rng.Float64()
+		h.Placements = append(h.Placements, Placement{Key: rng.Uint64(), Endpoint: fmt.Sprintf("i-%010x", rng.Uint64()>>24)})
+	}
+	data, err := json.Marshal(message{Heartbeat: &h})
+	c.Assert(err, qt.IsNil)
+	t.Logf("%d bytes, %d compressed", len(data), len(compress(data)))
+	c.Assert(len(compress(data)) <= maxDatagramBytes, qt.IsTrue)
+}
--- a/process/quarantine/evidence.go
+++ b/process/quarantine/evidence.go
@@ -25,8 +25,10 @@
 	maxCompletedParts = 8192
 	// maxReportedParts bounds the completed parts in one heartbeat.
 	maxReportedParts = 64
-	// maxPartsOfLoss bounds the parts of one prompt that are looked at.
+	// maxPartsOfLoss bounds the parts of one prompt that are looked at, and maxLossParts those
+	// of all losses in one heartbeat.
 	maxPartsOfLoss = 32
+	maxLossParts   = 256
 )
 
 // Loss is a run that was lost when its endpoint crashed, for other routers.
@@ -182,12 +184,14 @@
 // of recent losses.
 func (e *evidence) report(now time.Time) Evidence {
 	var r Evidence
+	lossParts := 0
 	told := make(map[uint64]bool)
 	for _, l := range slices.Backward(e.losses) {
 		if now.Sub(l.lostAt) >= lossWindow {
 			continue
 		}
-		if l.source == (Source{}) && now.Sub(l.lostAt) < reportFor && len(r.Losses) < maxReportedLosses {
+		if l.source == (Source{}) && now.Sub(l.lostAt) < reportFor && len(r.Losses) < maxReportedLosses && lossParts+len(l.parts) <= maxLossParts {
+			lossParts += len(l.parts)
 			r.Losses = append(r.Losses, Loss{Number: l.number, Endpoint: l.endpoint, SentMS: now.Sub(l.sentAt).Milliseconds(),
 				LostMS: now.Sub(l.lostAt).Milliseconds(), Parts: l.parts})
 		}
