Serve no older configuration than other routers after a start

Cause: a process that starts knows the store only, and takes what it reads for the newest. Change: heartbeats tell the version in force.

--- a/process/peers/exchange.go
+++ b/process/peers/exchange.go
@@ -158,9 +158,13 @@
 	if m.Heartbeat == nil {
 		return
 	}
+	started := !e.Table.KnowsProcess(m.Heartbeat.Name, m.Heartbeat.Incarnation)
 	if e.Table.RecordHeartbeat(now, *m.Heartbeat, from) {
 		e.Log.Info("router found", "router", m.Heartbeat.Name, "from", from)
 	}
+	if started {
+		e.SendNow() // the new process waits to hear from others
+	}
 	e.OnHeartbeat(now, *m.Heartbeat)
 }
 
--- a/process/peers/peers_test.go
+++ b/process/peers/peers_test.go
@@ -197,6 +197,7 @@
 	c.Assert(e.Table.Ready(t0), qt.HasLen, 1)
 
 	h := heartbeat("b", 1, 1)
+	h.Config = 7
 	h.Eras, h.Begun = []int64{3, 3}, []origins.Begun{{Origin: origins.Origin{Service: "s", Version: "v1"}, Streams: []origins.Key{1 << 63}}}
 	h.Leaving, h.Crashes = []upstream.Incarnation{{ID: "e", Started: 5}}, []quarantine.Report{{Fingerprint: 1 << 63, Part: 1 << 63, With: []uint64{1}}}
 	h.Parts = quarantine.Evidence{Losses: []quarantine.Loss{{Number: 1, Endpoint: "e", Parts: []uint64{1 << 63}}}, Completed: []quarantine.CompletedPart{{Part: 1 << 63}}}
--- a/process/peers/table.go
+++ b/process/peers/table.go
@@ -25,6 +25,7 @@
 	StoreReachable bool                   `json:"store"`                       // it reaches the platform's store
 	Offsets        []int64                `json:"offsets,omitempty"`           // next offset to read, by topic
 	Eras           []int64                `json:"eras,omitempty"`              // of the store, by topic
+	Config         int64                  `json:"config,omitempty"`            // version of the configuration in force
 	Begun          []origins.Begun        `json:"begun,omitempty"`             // streams begun since the previous heartbeats
 	Leaving        []upstream.Incarnation `json:"endpoints_leaving,omitempty"` // announced by endpoints since the previous heartbeats
 	Crashes        []quarantine.Report    `json:"crashes,omitempty"`           // bodies and parts of prompts that crashed endpoints
@@ -113,6 +114,14 @@
 	return p
 }
 
+// KnowsProcess reports whether a heartbeat of the router's process was recorded last.
+func (t *Table) KnowsProcess(name string, incarnation int64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.peers[name]
+	return p != nil && p.heartbeat.Incarnation == incarnation
+}
+
 // RecordHeartbeat records a heartbeat received from addr and reports whether the
 // router was unknown before. Outdated heartbeats are dropped.
 func (t *Table) RecordHeartbeat(now time.Time, h Heartbeat, addr string) bool {
--- a/process/router/follow.go
+++ b/process/router/follow.go
@@ -155,6 +155,7 @@
 			r.peers.Register(now, reg)
 		}
 	}
+	r.catchUp.foundRouters(now, len(r.peers.Addresses()))
 	r.updatePeers(now)
 	if r.exchange != nil {
 		r.exchange.SendNow()
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -73,6 +73,7 @@
 	adapter Adapter
 
 	config      atomic.Pointer[routing.Table]
+	catchUp     catchUp
 	endpoints   *upstream.Table
 	peers       *peers.Table
 	pool        *http1.Pool
@@ -119,7 +120,7 @@
 	r.setBounds(s.Bounds)
 	r.origins = origins.New(time.Now())
 	r.quarantine = quarantine.New(r.onCrashChange, r.runsTrials)
-	handler := &forward.Server{Codec: adapter.Codec(), Table: r.config.Load, Endpoints: r.endpoints, Pool: r.pool,
+	handler := &forward.Server{Codec: adapter.Codec(), Table: r.table, Endpoints: r.endpoints, Pool: r.pool,
 		RetryBudget: sharedRetries{r.retryBudget, r.members}, Quarantine: r.quarantine, Origins: &streamOrigins{r: r}, Observer: observer, OnLeaving: r.onLeaving, RouterCount: r.members,
 		RefusesStreams: r.refusesStreams}
 	r.front = &frontend.Server{Handler: handler, Limits: r.limits, Log: log,
@@ -152,7 +153,7 @@
 
 // Ready reports whether the router takes requests.
 func (r *Router) Ready() bool {
-	return !r.draining.Load() && r.config.Load() != nil && r.endpointsRead.Load() && r.hintsTried.Load()
+	return !r.draining.Load() && r.table() != nil && r.endpointsRead.Load() && r.hintsTried.Load()
 }
 
 // ConfigVersion returns the version of the configuration in force, or 0.
@@ -189,6 +190,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r.ctx, r.stop = ctx, cancel
+	r.catchUp.start(time.Now(), r.s.Peer == "")
 	r.prepareFollowers()
 	if err := r.startPeers(ctx); err != nil {
 		cancel()
@@ -253,7 +255,7 @@
 }
 
 func (r *Router) heartbeat() peers.Heartbeat {
-	h := peers.Heartbeat{Name: r.s.Name, Incarnation: r.incarnation, Front: r.s.Front, Zone: r.s.Zone, Ready: r.Ready(), Draining: r.draining.Load(),
+	h := peers.Heartbeat{Name: r.s.Name, Config: r.ConfigVersion(), Incarnation: r.incarnation, Front: r.s.Front, Zone: r.s.Zone, Ready: r.Ready(), Draining: r.draining.Load(),
 		StoreReachable: true, Running: r.endpoints.Running(time.Now())}
 	for _, f := range r.followers {
 		h.StoreReachable = h.StoreReachable && f.Reachable()
@@ -307,6 +309,7 @@
 
 // onHeartbeat handles the heartbeat of another router.
 func (r *Router) onHeartbeat(now time.Time, h peers.Heartbeat) {
+	r.catchUp.heard(h.Config)
 	for i, next := range h.Offsets[:min(len(h.Offsets), len(r.followers))] {
 		era := int64(0) // of a build that does not know eras
 		if i < len(h.Eras) {
