--- a/process/cli/platform.go
+++ b/process/cli/platform.go
@@ -51,6 +51,7 @@
 	expvar.Publish("log_lines_unread", expvar.Func(func() any { return logWriter.Dropped() }))
 	r, err := router.New(s, platform.NewAdapter(s.Store, calls.Record), requests, log)
 	if err == nil {
+		expvar.Publish("router_state", expvar.Func(func() any { return r.State() }))
 		err = r.Start()
 	}
 	if err != nil {
--- a/process/observe/observe_test.go
+++ b/process/observe/observe_test.go
@@ -74,7 +74,7 @@
 			documented[strings.Trim(name, "`")] = true
 		}
 	}
-	published := map[string]bool{"log_lines_unread": true} // published by the command
+	published := map[string]bool{"log_lines_unread": true, "router_state": true} // published by the command
 	publish := func(name string, _ expvar.Var) { published[name] = true }
 	NewRequests(logging.New(&bytes.Buffer{}, "info"), publish)
 	NewStoreCalls(publish)
--- a/process/quarantine/quarantine.go
+++ b/process/quarantine/quarantine.go
@@ -283,3 +283,23 @@
 		t.remove(least)
 	}
 }
+
+// Counts are the numbers of bodies and parts that are refused.
+type Counts struct{ Bodies, Parts, Suspected int }
+
+// Counts returns how much is refused now.
+func (t *Table) Counts() Counts {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := Counts{Suspected: len(t.evidence.suspected)}
+	for _, b := range t.records {
+		switch {
+		case !b.Quarantined():
+		case b.part != 0:
+			c.Parts++
+		default:
+			c.Bodies++
+		}
+	}
+	return c
+}
--- /dev/null
+++ b/process/router/state.go
@@ -0,0 +1,23 @@
+package router
+
+import "time"
+
+// State is what the router believes at a moment, for its metrics.
+type State struct {
+	ConfigVersion     int64 `json:"config_version"` // in force; 0 if none
+	StoreEra          int64 `json:"store_era"`      // rises when the store comes back from an older copy
+	EndpointsLeaving  int   `json:"endpoints_leaving"`
+	EndpointsPaused   int   `json:"endpoints_paused"` // want no requests from this router for a time
+	BodiesQuarantined int   `json:"bodies_quarantined"`
+	PartsQuarantined  int   `json:"parts_quarantined"`
+	PartsSuspected    int   `json:"parts_suspected"`
+}
+
+// State returns what the router believes now.
+func (r *Router) State() State {
+	now := time.Now()
+	leaving, paused := r.endpoints.Unavailable(now)
+	q := r.quarantine.Counts()
+	return State{ConfigVersion: r.ConfigVersion(), StoreEra: r.era.Load(), EndpointsLeaving: leaving, EndpointsPaused: paused,
+		BodiesQuarantined: q.Bodies, PartsQuarantined: q.Parts, PartsSuspected: q.Suspected}
+}
--- a/process/upstream/pause.go
+++ b/process/upstream/pause.go
@@ -26,6 +26,24 @@
 	}
 }
 
+// Unavailable returns how many processes of endpoints announced that they leave, and how
+// many want no requests from this router for a time.
+func (t *Table) Unavailable(now time.Time) (leaving, paused int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, mark := range t.leaving {
+		if now.Sub(mark.at) < leavingTTL {
+			leaving++
+		}
+	}
+	for _, until := range t.paused {
+		if now.Before(until) {
+			paused++
+		}
+	}
+	return leaving, paused
+}
+
 // pausedFor returns how long the endpoint wants no requests from this router.
 func (t *Table) pausedFor(now time.Time, e *endpoint) time.Duration {
 	if len(t.paused) == 0 {
