Give the watch of a silent endpoint its own copy of the run

Cause: read as a newcomer: the timer's goroutine read when the response began, which the job writes beside it. Each completed run also counted all records. Change: the run is described before the timer starts; nothing is counted while no part is refused.

--- a/connection/forward/crash.go
+++ b/connection/forward/crash.go
@@ -79,10 +79,9 @@
 		a.crashed = true
 		return
 	}
-	f, sent := j.fingerprint(), j.sent
-	j.sharedParts()
+	f, sent, run := j.fingerprint(), j.sent, j.runOf(a)
 	if j.ctx.Err() == nil {
-		a.crashed = j.checkCrash(j.ctx, a, f, sent)
+		a.crashed = j.checkCrash(j.ctx, a, f, sent, run)
 		return
 	}
 	if !j.s.beginCrashCheck() {
@@ -90,10 +89,15 @@
 	}
 	go func() {
 		defer j.s.crashChecks.Add(-1)
-		j.checkCrash(context.WithoutCancel(j.ctx), a, f, sent)
+		j.checkCrash(context.WithoutCancel(j.ctx), a, f, sent, run)
 	}()
 }
 
+// runOf describes an attempt for the search for parts that crash endpoints.
+func (j *job) runOf(a *attempt) quarantine.Run {
+	return quarantine.Run{Endpoint: a.grant.ID, SentAt: a.sentAt, BegunAt: a.begunAt, Parts: j.sharedParts()}
+}
+
 // maxSilence bounds the wait for the first byte after which an endpoint is probed.
 const maxSilence = 1500 * time.Millisecond
 
@@ -105,14 +109,13 @@
 	if j.route.Objective <= 0 {
 		return func() bool { return true }
 	}
-	sent := j.sent
-	j.sharedParts() // before the goroutine of the timer reads them
+	sent, run := j.sent, j.runOf(a) // as the job goes on beside the timer's goroutine
 	return time.AfterFunc(min(firstByteFactor*j.route.Objective, maxSilence), func() {
 		if !j.s.Endpoints.DownSince(a.sentAt, a.grant) && !j.s.Endpoints.Probe(time.Now(), a.sentAt, a.grant) || !j.s.beginCrashCheck() {
 			return
 		}
 		defer j.s.crashChecks.Add(-1)
-		if j.checkCrash(context.WithoutCancel(j.ctx), a, j.computeFingerprint(), sent) {
+		if j.checkCrash(context.WithoutCancel(j.ctx), a, j.computeFingerprint(), sent, run) {
 			a.crashedSilently.Store(true)
 		}
 	}).Stop
@@ -130,12 +133,12 @@
 
 // checkCrash records a crash, and returns true, if no connection to the endpoint can be
 // opened any more, which tells it from a single connection that broke.
-func (j *job) checkCrash(ctx context.Context, a *attempt, f suspect.Fingerprint, sent quarantine.State) bool {
+func (j *job) checkCrash(ctx context.Context, a *attempt, f suspect.Fingerprint, sent quarantine.State, run quarantine.Run) bool {
 	if !j.s.Endpoints.DownSince(a.sentAt, a.grant) && j.connectAgain(ctx, a) == nil {
 		return false
 	}
 	now := time.Now()
-	j.s.Quarantine.PartsLost(now, quarantine.Run{Endpoint: a.grant.ID, SentAt: a.sentAt, BegunAt: a.begunAt, Parts: j.shared})
+	j.s.Quarantine.PartsLost(now, run)
 	j.s.Quarantine.Crashed(now, f, sent, a.grant.ID, a.sentAt)
 	return true
 }
--- a/process/quarantine/parts.go
+++ b/process/quarantine/parts.go
@@ -91,12 +91,14 @@
 	var free []Report
 	t.mu.Lock()
 	t.evidence.complete(now, parts)
-	if t.refuses.Load() {
-		for _, p := range parts {
-			f := PartFingerprint(p)
-			if b := t.records[f]; b != nil && b.Quarantined() && holds(parts, p, t.unproven(b.with)) {
-				free = append(free, Report{Fingerprint: f, Part: p, With: b.with, State: State{Resets: b.Resets + 1}})
-			}
+	if !t.refuses.Load() {
+		t.mu.Unlock()
+		return
+	}
+	for _, p := range parts {
+		f := PartFingerprint(p)
+		if b := t.records[f]; b != nil && b.Quarantined() && holds(parts, p, t.unproven(b.with)) {
+			free = append(free, Report{Fingerprint: f, Part: p, With: b.with, State: State{Resets: b.Resets + 1}})
 		}
 	}
 	before := t.evidence.suspected
