Let the clock wait for each caller in the test of the queue's order

Change: the clock goes on only while the engine waits for it, and not before the caller of each run has been heard. The expected order is the same.

--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -187,11 +188,21 @@
 			await(c, "the first to run", func() bool { return e.Load().Running == 1 })
 		}
 	}
-	stop := advance(clock, time.Second)
-	defer stop()
-	c.Check(<-order, qt.Equals, "first")
-	c.Check(<-order, qt.Equals, "high")
-	c.Check(<-order, qt.Equals, "low")
+	for completed, want := range []string{"first", "high", "low"} {
+		advanceUntil(clock, time.Second, func() bool { return e.Stats().Completed > completed })
+		c.Check(<-order, qt.Equals, want) // the next one cannot end before the clock goes on
+	}
+}
+
+// advanceUntil advances clock by step, whenever the engine waits for it, until condition holds.
+func advanceUntil(clock *clockwork.FakeClock, step time.Duration, condition func() bool) {
+	for !condition() {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+		if clock.BlockUntilContext(ctx, 1) == nil && !condition() {
+			clock.Advance(step)
+		}
+		cancel()
+	}
 }
 
 func TestStreamsCanBeResumedAndCancelled(t *testing.T) {
