Share the proxy, the ports and the reset of connections among the fakes

Cause: read once more: the soak had a search for free ports of its own beside that of platformtest, and two functions reset a connection. The proxy was out of reach for the tests of platform, which could not cut one router off from the store. Change: the proxy moves to platformtest, one search for ports serves all, and one function resets connections.

--- a/test/soak/crash_test.go
+++ b/test/soak/crash_test.go
@@ -47,19 +47,19 @@
 )
 
 // crashBehaviour crashes an endpoint in the form of this soak.
-func (env *environment) crashBehaviour(p *proxy) platformtest.Behaviour {
+func (env *environment) crashBehaviour(p *platformtest.Proxy) platformtest.Behaviour {
 	b := platformtest.Behaviour{Events: streamEvents, Pause: 20 * time.Millisecond, Work: 5 * time.Millisecond}
 	switch env.crashForm {
 	case crashInStream:
-		time.AfterFunc(35*time.Millisecond, func() { p.crash(crashDownTime) })
+		time.AfterFunc(35*time.Millisecond, func() { p.Crash(crashDownTime) })
 		return b
 	case crashSilently:
-		p.fallSilent(crashDownTime)
+		p.FallSilent(crashDownTime)
 		return b
 	case crashBriefly:
-		p.crash(20 * time.Millisecond)
+		p.Crash(20 * time.Millisecond)
 	default:
-		p.crash(crashDownTime)
+		p.Crash(crashDownTime)
 	}
 	return platformtest.Behaviour{ResetAfterRun: true}
 }
--- a/test/soak/environment_test.go
+++ b/test/soak/environment_test.go
@@ -6,13 +6,11 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -34,7 +32,7 @@
 	name                                string
 	frontAddr, readyAddr, directoryAddr string
 	settings, logs                      string
-	store                               *proxy
+	store                               *platformtest.Proxy
 	endStoreFault                       func() // nil without a fault
 	mu                                  sync.Mutex
 	cmd                                 *exec.Cmd
@@ -73,15 +71,15 @@
 }
 
 // setStore sets the mode of the link to the store.
-func (r *router) setStore(m mode) {
+func (r *router) setStore(m platformtest.Mode) {
 	if r.endStoreFault != nil {
 		r.endStoreFault()
 		r.endStoreFault = nil
 	}
-	if m != forward {
+	if m != platformtest.Forward {
 		r.endStoreFault = r.disturb()
 	}
-	r.store.setMode(m)
+	r.store.SetMode(m)
 }
 
 // environment is a fleet with its store, endpoints and proxies.
@@ -92,8 +90,8 @@
 	store     *platformtest.Store
 	routers   []*router
 	endpoints []*platformtest.Endpoint
-	proxies   map[string]*proxy // of endpoints, by id
-	software  int               // newest software version of the service llm
+	proxies   map[string]*platformtest.Proxy // of endpoints, by id
+	software  int                            // newest software version of the service llm
 
 	mu          sync.Mutex
 	version     int64
@@ -104,28 +102,12 @@
 	crashForm   crashForm
 }
 
-// Ports of routers are below the kernel's ephemeral range: an outgoing connection
-// could otherwise take a port while its router restarts.
-const (
-	firstPort = 12_000
-	lastPort  = 31_000
-)
-
-var nextPort atomic.Int64
-
 func port(t *testing.T) int {
-	nextPort.CompareAndSwap(0, int64(firstPort+os.Getpid()%180*100)) // parallel soaks start in one of 180 ranges of 100 ports
-	for range lastPort - firstPort {
-		n := firstPort + int(nextPort.Add(1)-firstPort)%(lastPort-firstPort)
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", n))
-		if err != nil {
-			continue
-		}
-		_ = l.Close()
-		return n
+	n, err := platformtest.FreePort()
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("no free port")
-	return 0
+	return n
 }
 
 func newEnvironment(t *testing.T, binary string, seed uint64, routers int) *environment {
@@ -133,7 +115,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	env := &environment{t: t, rng: rand.New(rand.NewPCG(seed, 1)), binary: binary, store: store, proxies: make(map[string]*proxy),
+	env := &environment{t: t, rng: rand.New(rand.NewPCG(seed, 1)), binary: binary, store: store, proxies: make(map[string]*platformtest.Proxy),
 		crashForm: crashForm(seed % uint64(crashForms)), software: 2, gone: make(map[string]bool), states: make(map[string]string)}
 	for i := range 6 {
 		env.addEndpoint(fmt.Sprintf("i-app-%d", i), "app", fmt.Sprintf("z%d", i%2), "v1")
@@ -152,7 +134,7 @@
 		env.t.Fatal(err)
 	}
 	e.Version = version
-	p, err := newProxy(e.Addr)
+	p, err := platformtest.NewProxy(e.Addr)
 	if err != nil {
 		env.t.Fatal(err)
 	}
@@ -170,7 +152,7 @@
 	if err := json.Unmarshal(e.Entry(state, 0), &fields); err != nil {
 		env.t.Fatal(err)
 	}
-	fields["addr"] = env.proxies[e.ID].addr
+	fields["addr"] = env.proxies[e.ID].Addr
 	data, err := json.Marshal(fields)
 	if err != nil {
 		env.t.Fatal(err)
@@ -206,7 +188,7 @@
 }
 
 func (env *environment) addRouter(name string) {
-	p, err := newProxy(env.store.Addr)
+	p, err := platformtest.NewProxy(env.store.Addr)
 	if err != nil {
 		env.t.Fatal(err)
 	}
@@ -239,7 +221,7 @@
 ttl_max_s = 5
 [platform]
 addr = %q
-`, name, len(env.routers)%2, peerPort, peerPort+1, r.frontAddr, r.readyAddr, r.directoryAddr, contact.Milliseconds(), graceSeconds, p.addr)
+`, name, len(env.routers)%2, peerPort, peerPort+1, r.frontAddr, r.readyAddr, r.directoryAddr, contact.Milliseconds(), graceSeconds, p.Addr)
 	if err := os.WriteFile(r.settings, []byte(text), 0o600); err != nil {
 		env.t.Fatal(err)
 	}
@@ -309,10 +291,10 @@
 		r.signal(syscall.SIGCONT)
 		r.signal(syscall.SIGKILL)
 		<-r.ended
-		r.store.close()
+		r.store.Close()
 	}
 	for _, e := range env.endpoints {
-		env.proxies[e.ID].close()
+		env.proxies[e.ID].Close()
 		e.Close()
 	}
 	env.store.Close()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -164,9 +164,9 @@
 			copied = env.store.Copy()
 			env.release()
 		case n < 5:
-			r.setStore(mode(env.rng.IntN(int(delay) + 1)))
+			r.setStore(platformtest.Mode(env.rng.IntN(int(platformtest.Modes))))
 		case n < 7:
-			env.proxies[e.ID].setMode(mode(env.rng.IntN(int(delay) + 1)))
+			env.proxies[e.ID].SetMode(platformtest.Mode(env.rng.IntN(int(platformtest.Modes))))
 		case n == 7:
 			e.SetBehaviour(env.faulty(e))
 		case n == 8:
@@ -241,10 +241,10 @@
 // endFaults ends all faults, leaves an unreadable entry and waits for recovery.
 func (env *environment) endFaults() {
 	for _, r := range env.routers {
-		r.setStore(forward)
+		r.setStore(platformtest.Forward)
 	}
 	for _, e := range env.endpoints {
-		env.proxies[e.ID].setMode(forward)
+		env.proxies[e.ID].SetMode(platformtest.Forward)
 		e.SetBehaviour(env.healthy(e))
 		if !env.isGone(e) {
 			env.putEntry(e, "ready")
--- a/test/soak/streams_test.go
+++ b/test/soak/streams_test.go
@@ -122,7 +122,7 @@
 	defer env.mu.Unlock()
 	n := 0
 	for _, e := range env.endpoints {
-		if e.Service == "llm" && e.Version == version && !env.gone[e.ID] && env.states[e.ID] == "ready" && env.proxies[e.ID].currentMode() == forward {
+		if e.Service == "llm" && e.Version == version && !env.gone[e.ID] && env.states[e.ID] == "ready" && env.proxies[e.ID].Mode() == platformtest.Forward {
 			n++
 		}
 	}
