--- a/process/router/settings.go
+++ b/process/router/settings.go
@@ -11,6 +11,7 @@
 // Bounds are the settings that a running process can reload.
 type Bounds struct {
 	Contact      time.Duration // after the store or a router was unreachable, until the platform's bounds hold again
+	ConfigApply  time.Duration // until a configuration that operators wrote is in force
 	Drain        time.Duration // until a draining endpoint gets no new requests
 	Grace        time.Duration // between the termination signal and the kill
 	RetryRatio   float64       // retries per request of a service, over all routers
