Count the memory of bodies in one place

Cause: read once more: the bound of buffered responses was written beside that of request bodies, and the latter counted a body only once it had arrived, though its memory was taken when it began. Change: http1.Body.ReadReserved reserves before it reads and serves both; the limits are the same.

--- a/connection/forward/attempt.go
+++ b/connection/forward/attempt.go
@@ -20,6 +20,10 @@
 	connectTimeout = 250 * time.Millisecond
 	// responseHeadBytes bounds the head of an endpoint's response.
 	responseHeadBytes = 32 << 10
+	// maxBufferedBytes bounds a response that is buffered before it is passed on, and
+	// maxBufferedTotal all of them. It is a part of the memory of a small host.
+	maxBufferedBytes = 8 << 20
+	maxBufferedTotal = 48 << 20
 	// maxMismatched bounds the responses to other requests that are discarded
 	// while waiting for the response to this one.
 	maxMismatched = 2
@@ -258,7 +262,8 @@
 		j.endFailed(a)
 		return false // the caller already has a part of another endpoint's response
 	}
-	data, err := j.readBody(a)
+	data, reserved, err := a.body.ReadReserved(maxBufferedBytes, maxBufferedTotal, &j.s.buffered)
+	j.buffered += reserved
 	if err == nil && j.endedByCrash(a) {
 		err = errEndedByCrash
 	}
--- a/connection/forward/server.go
+++ b/connection/forward/server.go
@@ -78,7 +78,7 @@
 	RefusesStreams func() bool
 
 	crashChecks atomic.Int64 // in progress beside their requests or after their end
-	buffered    memoryBudget // of responses
+	buffered    http1.Memory // of responses
 }
 
 const (
@@ -118,7 +118,7 @@
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
 	j.ctx = ctx
-	defer j.releaseMemory()
+	defer func() { s.buffered.Release(j.buffered) }()
 	j.run()
 }
 
--- a/connection/frontend/conn.go
+++ b/connection/frontend/conn.go
@@ -124,12 +124,12 @@
 			return false
 		}
 	}
-	body, err := c.body(head, limits)
+	body, reserved, err := c.body(head, limits)
+	defer c.s.bodies.Release(reserved)
 	if err != nil {
 		c.reject(err)
 		return false
 	}
-	defer c.s.bodyBytes.Add(-int64(len(body)))
 	x := &Exchange{Head: head, Body: body, Arrived: arrived, conn: c, close: head.Close}
 	ctx, cancel := context.WithCancel(context.Background())
 	watcher := c.watch(cancel)
@@ -139,26 +139,15 @@
 	return !callerGone && x.complete && !x.close
 }
 
-// errBodyMemory is returned for a body that would bring the total above maxBodyMemoryBytes.
-var errBodyMemory = errors.New("request bodies exceed the memory limit")
-
-// body reads the whole body and adds its size to the bodies in memory.
-func (c *conn) body(head *http1.Head, limits Limits) ([]byte, error) {
+// body reads the whole body. The caller releases what it reserved.
+func (c *conn) body(head *http1.Head, limits Limits) (data []byte, reserved int64, err error) {
 	if head.Length == 0 {
-		return nil, nil
-	}
-	if c.s.bodyBytes.Load()+max(head.Length, 0) > maxBodyMemoryBytes {
-		return nil, errBodyMemory
+		return nil, 0, nil
 	}
 	if err := c.nc.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
-		return nil, err
-	}
-	data, err := http1.NewBody(c.r, head.Length).ReadAll(limits.BodyBytes)
-	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
-	c.s.bodyBytes.Add(int64(len(data)))
-	return data, nil
+	return http1.NewBody(c.r, head.Length).ReadReserved(limits.BodyBytes, maxBodyMemoryBytes, &c.s.bodies)
 }
 
 // watch calls cancel when the caller closes the connection. It stops at the
@@ -205,7 +194,7 @@
 		status = http.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, http1.ErrBodyTooBig):
 		status = http.StatusRequestEntityTooLarge
-	case errors.Is(err, errBodyMemory):
+	case errors.Is(err, http1.ErrMemory):
 		status = http.StatusServiceUnavailable
 	case isTimeout(err):
 		status = http.StatusRequestTimeout
--- a/connection/frontend/server.go
+++ b/connection/frontend/server.go
@@ -71,7 +71,7 @@
 
 	draining  atomic.Bool
 	full      atomic.Bool  // the last connection was closed because of MaxConnections
-	bodyBytes atomic.Int64 // of request bodies in memory
+	bodies    http1.Memory // of requests
 	openConns atomic.Int64 // number of connections
 
 	mu    sync.Mutex
