Read the store at once when one of its readers loses it

Cause: two routers read the store for all. When it fell silent to both, each took a long poll and a timeout to find out, the others waited for that, and so on for each successor that was cut off too. The long poll followed contact_ms, though config_apply_ms is shorter on every site. Change: the long poll follows config_apply_ms as well, a response to it is awaited for 0.6 s, a router that loses the store tells that at once, and each router that hears it reads the store itself, once.

--- a/process/feed/feed.go
+++ b/process/feed/feed.go
@@ -64,20 +64,22 @@
 	Name string
 	// LongPoll returns how long a read waits at the log for the next record.
 	LongPoll func() time.Duration
-	// Timeout bounds a read beyond its long poll.
-	Timeout time.Duration
+	// Timeout bounds a read, and LongPollTimeout one beyond its long poll; 0 is Timeout.
+	Timeout, LongPollTimeout time.Duration
 	// MinInterval returns the minimum time between two reads, so that records which
 	// arrive one by one are read together. nil is none.
 	MinInterval func() time.Duration
 	// ProbesReachability makes the follower detect for all others of the process
 	// whether the log is reachable. An unresponsive log is detected within its LongPoll
-	// plus Timeout.
+	// plus LongPollTimeout.
 	ProbesReachability bool
 	// IsReader returns whether this process reads the log for others. One that does not
 	// takes the batches that it is offered and reads only what it missed. nil is always.
 	IsReader func() bool
 	// OnEra is called after the first read of a new era. May be nil.
 	OnEra func(era int64)
+	// OnLost is called when the log was found to be unreachable. May be nil.
+	OnLost func()
 	// Publish sends a batch that was read to other processes. May be nil.
 	Publish func(Batch)
 }
@@ -216,13 +218,7 @@
 // reload makes Run read the newest record of each key at once.
 func (f *Follower) reload() {
 	f.loaded = false
-	if f.cancelLongPoll != nil {
-		f.cancelLongPoll()
-	}
-	select {
-	case f.newerRecords <- struct{}{}:
-	default:
-	}
+	f.catchUp()
 }
 
 // ObserveOffset records that another process has all records of an era before next. If
@@ -238,13 +234,28 @@
 	case f.behindSince.IsZero():
 		f.behindSince = now
 	case now.Sub(f.behindSince) >= relayTimeout:
-		if f.cancelLongPoll != nil {
-			f.cancelLongPoll() // its connection may be unresponsive
-		}
-		select {
-		case f.newerRecords <- struct{}{}:
-		default:
-		}
+		f.catchUp()
+	}
+}
+
+// ReadNow reads the log at once, since a process that read it for this one no longer
+// reaches it.
+func (f *Follower) ReadNow(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.behindSince = now.Add(-relayTimeout)
+	f.catchUp()
+}
+
+// catchUp makes Run read at once, without a long poll. The connection of one in progress
+// may be unresponsive.
+func (f *Follower) catchUp() {
+	if f.cancelLongPoll != nil {
+		f.cancelLongPoll()
+	}
+	select {
+	case f.newerRecords <- struct{}{}:
+	default:
 	}
 }
 
@@ -256,7 +267,11 @@
 	if !loaded || gap || !f.behindSince.IsZero() || f.cfg.IsReader != nil && !f.cfg.IsReader() {
 		wait = 0
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+f.cfg.Timeout)
+	timeout := f.cfg.Timeout
+	if wait > 0 && f.cfg.LongPollTimeout > 0 {
+		timeout = f.cfg.LongPollTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+timeout)
 	defer cancel()
 	if wait > 0 {
 		f.cancelLongPoll = cancel
@@ -368,10 +383,16 @@
 		f.reachability.setUnreachable(true)
 	}
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !f.unreachable {
-		f.unreachable = true
-		f.log.Info("lost the store", "error", err.Error(), "next", f.next, "last_read_ms", time.Since(f.lastReadAt).Milliseconds())
+	lost := !f.unreachable
+	f.unreachable = true
+	next, last := f.next, f.lastReadAt
+	f.mu.Unlock()
+	if !lost {
+		return
+	}
+	f.log.Info("lost the store", "error", err.Error(), "next", next, "last_read_ms", time.Since(last).Milliseconds())
+	if f.cfg.OnLost != nil {
+		f.cfg.OnLost()
 	}
 }
 
--- a/process/feed/feed_test.go
+++ b/process/feed/feed_test.go
@@ -292,6 +292,41 @@
 	eventually(c, func() bool { return v.get("a") == "1" })
 }
 
+// A process that does not read the log reads it at once when it is told to, and one that
+// does gives up a long poll whose connection may be unresponsive.
+func TestReadNow(t *testing.T) {
+	for _, reader := range []bool{false, true} {
+		c := qt.New(t)
+		l, v := newLog(), &view{}
+		l.put("a", "1")
+		f := New(Config{Name: "x", LongPoll: constant(time.Hour), Timeout: time.Second, ProbesReachability: true, IsReader: func() bool { return reader }}, NewReachability(), l, logr.Discard(), v.apply)
+		run(c, f)
+		eventually(c, func() bool { return v.get("a") == "1" })
+		time.Sleep(20 * time.Millisecond) // lets the long poll of a reader begin
+		l.mu.Lock()
+		l.records = append(l.records, Record{Key: "a", Value: []byte("2"), Offset: 1}) // no long poll is woken
+		l.mu.Unlock()
+		f.ReadNow(time.Now())
+		eventually(c, func() bool { return v.get("a") == "2" })
+		c.Assert(f.Reachable(), qt.IsTrue)
+	}
+}
+
+// A log that falls silent is found out LongPollTimeout after the long poll, once.
+func TestLostLogIsTold(t *testing.T) {
+	c := qt.New(t)
+	l, v := newLog(), &view{}
+	l.put("a", "1")
+	lost := make(chan struct{}, 10)
+	run(c, New(Config{Name: "x", LongPoll: constant(20 * time.Millisecond), Timeout: time.Hour, LongPollTimeout: 50 * time.Millisecond,
+		ProbesReachability: true, OnLost: func() { lost <- struct{}{} }}, NewReachability(), l, logr.Discard(), v.apply))
+	eventually(c, func() bool { return v.get("a") == "1" })
+	l.set(func(ctx context.Context) error { <-ctx.Done(); return ctx.Err() })
+	<-lost
+	time.Sleep(100 * time.Millisecond)
+	c.Assert(lost, qt.HasLen, 0)
+}
+
 // A long poll whose connection has become unresponsive for good, while others work,
 // ends when another process reports newer records.
 func TestUnresponsiveConnectionDuringLongPoll(t *testing.T) {
--- a/process/peers/exchange.go
+++ b/process/peers/exchange.go
@@ -40,6 +40,7 @@
 	Log         logr.Logger
 	Self        func() Heartbeat                 // returns this router's heartbeat; Number is set by Run
 	OnHeartbeat func(now time.Time, h Heartbeat) // called with each heartbeat received, outdated ones too
+	OnStoreLost func(now time.Time)              // called when a router tells that it no longer reaches the store; may be nil
 	OnRelay     func(now time.Time, r Relay)     // called with records that another router read
 	OnQuery     func(now time.Time, q OriginQuery) origins.Answer
 	Wake        chan struct{} // makes Run send a heartbeat at once; buffers one
@@ -158,14 +159,17 @@
 	if m.Heartbeat == nil {
 		return
 	}
-	started := !e.Table.KnowsProcess(m.Heartbeat.Name, m.Heartbeat.Incarnation)
+	last, heard := e.Table.Last(m.Heartbeat.Name)
 	if e.Table.RecordHeartbeat(now, *m.Heartbeat, from) {
 		e.Log.Info("router found", "router", m.Heartbeat.Name, "from", from)
 	}
-	if started {
+	if !heard || last.Incarnation != m.Heartbeat.Incarnation {
 		e.SendNow() // the new process waits to hear from others
 	}
 	e.OnHeartbeat(now, *m.Heartbeat)
+	if heard && last.StoreReachable && !m.Heartbeat.StoreReachable && e.OnStoreLost != nil {
+		e.OnStoreLost(now)
+	}
 }
 
 // DeadAfter returns the time without a heartbeat after which a router among n is no
--- a/process/peers/table.go
+++ b/process/peers/table.go
@@ -114,12 +114,15 @@
 	return p
 }
 
-// KnowsProcess reports whether a heartbeat of the router's process was recorded last.
-func (t *Table) KnowsProcess(name string, incarnation int64) bool {
+// Last returns the last heartbeat of a router, and false if there is none.
+func (t *Table) Last(name string) (Heartbeat, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.peers[name]
-	return p != nil && p.heartbeat.Incarnation == incarnation
+	if p == nil || p.lastHeartbeatAt.IsZero() {
+		return Heartbeat{}, false
+	}
+	return p.heartbeat, true
 }
 
 // RecordHeartbeat records a heartbeat received from addr and reports whether the
--- a/process/router/follow.go
+++ b/process/router/follow.go
@@ -14,7 +14,7 @@
 const (
 	// maxStoreLongPoll bounds a long poll at the store, which is shorter if the contact
 	// time requires it. An unresponsive store, or an unresponsive connection to it, is
-	// detected within the long poll plus storeTimeout; bounds hold again one contact
+	// detected within the long poll plus longPollTimeout; bounds hold again one contact
 	// time after the end of the failure.
 	maxStoreLongPoll = 2200 * time.Millisecond
 	minStoreLongPoll = 500 * time.Millisecond
@@ -26,8 +26,13 @@
 	// serviceDownInterval is the interval while a service has no endpoint, so that each
 	// new entry is used soon.
 	serviceDownInterval = 100 * time.Millisecond
-	// storeTimeout bounds a call to the store.
-	storeTimeout = time.Second
+	// storeTimeout bounds a call to the store, and longPollTimeout the response to a long poll
+	// after its end.
+	storeTimeout    = time.Second
+	longPollTimeout = 600 * time.Millisecond
+	// ownReadTime is how long routers take to read the store after one tells them that it
+	// no longer reaches it.
+	ownReadTime = 200 * time.Millisecond
 	// rewindGrace is how long a zone stays out of service whose mark is missing in an older
 	// copy of the store; operators write again what was lost.
 	rewindGrace = 5 * time.Second
@@ -48,7 +53,7 @@
 	reachability := feed.NewReachability()
 	follower := func(t Topic, cfg feed.Config, apply func(feed.Batch)) {
 		cfg.Timeout, cfg.IsReader = storeTimeout, r.isStoreReader
-		cfg.OnEra = r.onEra
+		cfg.OnEra, cfg.OnLost, cfg.LongPollTimeout = r.onEra, r.sendNow, longPollTimeout
 		cfg.Publish = func(b feed.Batch) { r.publishRelay(t, b) }
 		r.followers[t] = feed.New(cfg, reachability, r.adapter.Topic(t), r.log, apply)
 	}
@@ -65,12 +70,17 @@
 	return r.bounds.Load().endpointReadInterval()
 }
 
-// storeLongPoll returns the long poll of reads of the store.
+// storeLongPoll returns the long poll of reads of the store. A reader to which the store
+// fell silent finds out in time for the others to read a new configuration themselves.
 func (b *Bounds) storeLongPoll() time.Duration {
-	if b.Contact <= 0 {
-		return maxStoreLongPoll
+	d := maxStoreLongPoll
+	if b.Contact > 0 {
+		d = min(d, b.Contact-storeTimeout)
 	}
-	return max(minStoreLongPoll, min(maxStoreLongPoll, b.Contact-storeTimeout))
+	if b.ConfigApply > 0 {
+		d = min(d, b.ConfigApply-longPollTimeout-ownReadTime)
+	}
+	return max(minStoreLongPoll, d)
 }
 
 // endpointReadInterval returns the interval between reads of the endpoints' entries.
@@ -110,6 +120,13 @@
 	}
 }
 
+// onStoreLost reads the store at once, as another router no longer does that for this one.
+func (r *Router) onStoreLost(now time.Time) {
+	for _, f := range r.followers {
+		f.ReadNow(now)
+	}
+}
+
 // onEra writes again what the store lost when it came back from an older copy. Hints
 // are written again at their next turn.
 func (r *Router) onEra(era int64) {
@@ -157,9 +174,7 @@
 	}
 	r.catchUp.foundRouters(now, len(r.peers.Addresses()))
 	r.updatePeers(now)
-	if r.exchange != nil {
-		r.exchange.SendNow()
-	}
+	r.sendNow()
 	return nil
 }
 
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -248,7 +248,7 @@
 	if err != nil {
 		return errors.Wrap(err, "peers")
 	}
-	r.exchange = &peers.Exchange{Table: r.peers, Conn: conn, Log: r.log, Self: r.heartbeat, OnHeartbeat: r.onHeartbeat, OnRelay: r.onRelay, OnQuery: r.onQuery,
+	r.exchange = &peers.Exchange{Table: r.peers, Conn: conn, Log: r.log, Self: r.heartbeat, OnHeartbeat: r.onHeartbeat, OnRelay: r.onRelay, OnQuery: r.onQuery, OnStoreLost: r.onStoreLost,
 		Wake: make(chan struct{}, 1)}
 	r.group.Go(func() { r.exchange.Run(ctx) })
 	return nil
@@ -272,6 +272,13 @@
 	return h
 }
 
+// sendNow sends a heartbeat before its time.
+func (r *Router) sendNow() {
+	if r.exchange != nil {
+		r.exchange.SendNow()
+	}
+}
+
 // runsTrials reports whether this router runs the trials of a quarantined body: it is
 // the first by rendezvous weight of those that take requests.
 func (r *Router) runsTrials(f suspect.Fingerprint) bool {
@@ -287,9 +294,7 @@
 // onLeaving logs that an endpoint announced that it leaves, and tells the other routers.
 func (r *Router) onLeaving(g *balance.Grant) {
 	r.log.Info("endpoint leaving", "endpoint", g.ID, "service", g.Service, "zone", g.Zone, "announced", true)
-	if r.exchange != nil {
-		r.exchange.SendNow()
-	}
+	r.sendNow()
 }
 
 // onCrashChange logs the change of a body or of a part of prompts that crashed endpoints,
@@ -302,8 +307,8 @@
 	case c.Own || c.Quarantined():
 		r.log.Info("crashing body changed", "body", c.Fingerprint.Key(), "crashes", c.Crashes, "resets", c.Resets, "quarantined", c.Quarantined(), "own", c.Own)
 	}
-	if c.Own && r.exchange != nil {
-		r.exchange.SendNow()
+	if c.Own {
+		r.sendNow()
 	}
 }
 
--- a/process/router/settings_test.go
+++ b/process/router/settings_test.go
@@ -16,6 +16,10 @@
 	tight := Settings{Bounds: Bounds{Contact: 2 * time.Second, Drain: time.Second}}
 	c.Assert(tight.storeLongPoll()+storeTimeout <= tight.Contact, qt.IsTrue)
 	c.Assert(tight.endpointReadInterval(), qt.Equals, 450*time.Millisecond)
+	for _, apply := range []time.Duration{2 * time.Second, 3 * time.Second} {
+		b := Bounds{Contact: 4 * time.Second, ConfigApply: apply}
+		c.Assert(b.storeLongPoll()+longPollTimeout+ownReadTime <= apply, qt.IsTrue)
+	}
 	r := Router{s: usual}
 	r.bounds.Store(&usual.Bounds)
 	for _, n := range []int{2, 7, 59, 330, 1000} {
