Read the store once in a second when many routers lose it

Change: a router that read the store within the time in which those that cannot reach it find out (1 s) does not read again. Result: TestReadNow.

--- a/process/feed/feed.go
+++ b/process/feed/feed.go
@@ -239,10 +239,14 @@
 }
 
 // ReadNow reads the log at once, since a process that read it for this one no longer
-// reaches it.
+// reaches it. When many processes lose the log, this one reads once in Timeout: by then, all
+// that cannot reach it have found out.
 func (f *Follower) ReadNow(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if now.Sub(f.lastReadAt) < f.cfg.Timeout {
+		return
+	}
 	f.behindSince = now.Add(-relayTimeout)
 	f.catchUp()
 }
--- a/process/feed/feed_test.go
+++ b/process/feed/feed_test.go
@@ -295,23 +295,41 @@
 // A process that does not read the log reads it at once when it is told to, and one that
 // does gives up a long poll whose connection may be unresponsive.
 func TestReadNow(t *testing.T) {
+	const timeout = 500 * time.Millisecond
 	for _, reader := range []bool{false, true} {
 		c := qt.New(t)
 		l, v := newLog(), &view{}
 		l.put("a", "1")
-		f := New(Config{Name: "x", LongPoll: constant(time.Hour), Timeout: time.Second, ProbesReachability: true, IsReader: func() bool { return reader }}, NewReachability(), l, logr.Discard(), v.apply)
+		f := New(Config{Name: "x", LongPoll: constant(time.Hour), Timeout: timeout, ProbesReachability: true, IsReader: func() bool { return reader }}, NewReachability(), l, logr.Discard(), v.apply)
 		run(c, f)
 		eventually(c, func() bool { return v.get("a") == "1" })
-		time.Sleep(20 * time.Millisecond) // lets the long poll of a reader begin
+		time.Sleep(timeout + 50*time.Millisecond) // lets the long poll of a reader begin
 		l.mu.Lock()
 		l.records = append(l.records, Record{Key: "a", Value: []byte("2"), Offset: 1}) // no long poll is woken
 		l.mu.Unlock()
 		f.ReadNow(time.Now())
 		eventually(c, func() bool { return v.get("a") == "2" })
 		c.Assert(f.Reachable(), qt.IsTrue)
+		l.mu.Lock()
+		reads := l.reads
+		l.mu.Unlock()
+		for range 100 {
+			f.ReadNow(f.lastReadTime().Add(timeout - 1))
+		}
+		time.Sleep(10 * time.Millisecond)
+		l.mu.Lock()
+		c.Assert(l.reads-reads <= 1, qt.IsTrue, qt.Commentf("%d reads", l.reads-reads)) // that of a reader that goes on
+		l.mu.Unlock()
 	}
 }
 
+// lastReadTime returns when f read the log last.
+func (f *Follower) lastReadTime() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lastReadAt
+}
+
 // A log that falls silent is found out LongPollTimeout after the long poll, once.
 func TestLostLogIsTold(t *testing.T) {
 	c := qt.New(t)
