Keep to the requests a second that an endpoint names, over all routers

Cause: nothing read the limit. Each router placed requests by prompt and load alone; what an endpoint takes from all routers together was known for cold starts only.

Change: package request/quota divides what an endpoint takes from all routers into whole requests in a window; the cold rate, divided evenly, and a named limit, divided by the demand that heartbeats tell, both use it. Heartbeats also tell what endpoints said last and how many requests were sent in the window, which bounds the sum while shares move. A router that is not heard of keeps an equal part and takes no more itself. Holders of a prompt that are limited give way, the mean load leaves limited endpoints out, and shedding counts their rate as capacity. Where all are limited, callers are refused at once (503, 2009 endpoint_limited) and told to come back at the rate of the limits.

--- a/connection/forward/attempt.go
+++ b/connection/forward/attempt.go
@@ -195,6 +195,7 @@
 		body := http1.NewBody(a.conn.R, head.Length)
 		if response.RequestID == "" || response.RequestID == j.req.ID {
 			a.head, a.response, a.body = head, response, body
+			j.recordLimit(a)
 			if response.HasLoad {
 				j.s.Endpoints.RecordLoad(a.firstAt, a.grant, response.Load.Running+response.Load.Waiting)
 			}
@@ -211,6 +212,17 @@
 	}
 }
 
+// recordLimit records the limit that the endpoint names in its response, or that it names none.
+func (j *job) recordLimit(a *attempt) {
+	l := a.response.Limit
+	if l.Malformed || a.response.EndpointID != "" && a.response.EndpointID != a.grant.ID {
+		return
+	}
+	if j.s.Endpoints.RecordLimit(a.firstAt, a.grant, l.Named, l.PerSecond) {
+		j.s.OnLimit(a.grant, l.Named, l.PerSecond)
+	}
+}
+
 // checkHead rejects a success that the endpoint did not sign for this request,
 // and one whose body is encoded.
 func (j *job) checkHead(a *attempt) error {
--- a/connection/forward/server.go
+++ b/connection/forward/server.go
@@ -31,6 +31,9 @@
 	RecordLeaving(now time.Time, g *balance.Grant) bool
 	// RecordRetryAfter records for how long an endpoint wants no requests from this router.
 	RecordRetryAfter(now time.Time, g *balance.Grant, after time.Duration)
+	// RecordLimit records the requests a second that an endpoint takes, and reports whether
+	// that changes what is known.
+	RecordLimit(at time.Time, g *balance.Grant, named bool, perSecond float64) bool
 	// Release ends a grant and reports whether the endpoint was ejected.
 	Release(now time.Time, g *balance.Grant, f balance.Failure, latency time.Duration) bool
 	// RecordUnreachable ejects an endpoint to which no connection could be opened.
@@ -71,8 +74,9 @@
 	Quarantine  *quarantine.Table // bodies and parts of prompts that crashed endpoints
 	Origins     Origins
 	Observer    Observer
-	OnLeaving   func(g *balance.Grant) // called when an endpoint announces that it leaves
-	RouterCount func() int             // routers that share the connections of an endpoint
+	OnLeaving   func(g *balance.Grant)                                // called when an endpoint announces that it leaves
+	OnLimit     func(g *balance.Grant, named bool, perSecond float64) // called when an endpoint's limit changes
+	RouterCount func() int                                            // routers that share the connections of an endpoint
 	// RefusesStreams reports whether the process ends so soon that a new stream
 	// may not complete.
 	RefusesStreams func() bool
--- a/connection/forward/types.go
+++ b/connection/forward/types.go
@@ -39,6 +39,14 @@
 // Load is the load that an endpoint reports with a response.
 type Load struct{ Running, Waiting, Slots int }
 
+// Limit is what an endpoint says in a response about the requests a second that it takes
+// from all routers together.
+type Limit struct {
+	Named     bool
+	PerSecond float64
+	Malformed bool // it says something that cannot be read
+}
+
 // Response holds the decoded headers of an endpoint's response.
 type Response struct {
 	RequestID  string
@@ -47,6 +55,7 @@
 	EndpointID string        // of the endpoint that responded
 	Leaving    bool          // the endpoint announces that it leaves
 	RetryAfter time.Duration // with a refusal: for how long the endpoint wants no requests from this router
+	Limit      Limit
 	HasLoad    bool
 	Load       Load
 }
--- a/process/peers/peers_test.go
+++ b/process/peers/peers_test.go
@@ -67,7 +67,7 @@
 	gone.Draining = true
 	table.RecordHeartbeat(t0, gone, "1.1.1.1:1")
 	c.Assert(table.Count(t0), qt.Equals, 2)
-	c.Assert(table.Names(t0), qt.DeepEquals, []string{"c"})
+	c.Assert(table.Members(t0), qt.DeepEquals, []upstream.Peer{{Name: "c"}})
 }
 
 func TestIntervals(t *testing.T) {
--- a/process/peers/table.go
+++ b/process/peers/table.go
@@ -30,6 +30,8 @@
 	Leaving        []upstream.Incarnation `json:"endpoints_leaving,omitempty"` // announced by endpoints since the previous heartbeats
 	Crashes        []quarantine.Report    `json:"crashes,omitempty"`           // bodies and parts of prompts that crashed endpoints
 	Parts          quarantine.Evidence    `json:"parts,omitzero"`              // recent runs that were lost and completed
+	Limits         []upstream.Limit       `json:"limits,omitempty"`            // what endpoints said about the requests that they take
+	Demand         map[string]int         `json:"demand,omitempty"`            // for services with limited endpoints, in tenths of a request a second
 }
 
 // Relay carries records that one router read from the log for all routers.
@@ -214,19 +216,25 @@
 	return !p.heartbeat.Draining && (now.Sub(p.lastHeartbeatAt) < memberTTL || now.Sub(p.registeredAt) < memberTTL)
 }
 
-// Names returns the names of the other routers in Count.
-func (t *Table) Names(now time.Time) []string {
+// Members returns the other routers in Count, by name.
+func (t *Table) Members(now time.Time) []upstream.Peer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var names []string
+	lost := t.lostAfter()
+	var list []upstream.Peer
 	for name, p := range t.peers {
 		if p.isMember(now) {
-			names = append(names, name)
+			list = append(list, upstream.Peer{Name: name, Heard: now.Sub(p.lastHeartbeatAt) < lost, Demand: p.heartbeat.Demand})
 		}
 	}
-	return names
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	return list
 }
 
+// lostAfter returns the time without a heartbeat after which a router may be partitioned
+// from this one. The caller holds t.mu.
+func (t *Table) lostAfter() time.Duration { return maxLostHeartbeats * Interval(len(t.peers)+1) }
+
 // CountAlive returns the number of other routers with a recent heartbeat.
 func (t *Table) CountAlive(now time.Time) int {
 	t.mu.Lock()
@@ -245,7 +253,7 @@
 func (t *Table) CountLost(now time.Time, period time.Duration) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	n, lost := 0, maxLostHeartbeats*Interval(len(t.peers)+1)
+	n, lost := 0, t.lostAfter()
 	for _, p := range t.peers {
 		if silent := now.Sub(p.lastHeartbeatAt); !p.heartbeat.Draining && silent >= lost && silent < period {
 			n++
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -121,7 +121,7 @@
 	r.origins = origins.New(time.Now())
 	r.quarantine = quarantine.New(r.onCrashChange, r.runsTrials)
 	handler := &forward.Server{Codec: adapter.Codec(), Table: r.table, Endpoints: r.endpoints, Pool: r.pool,
-		RetryBudget: sharedRetries{r.retryBudget, r.members}, Quarantine: r.quarantine, Origins: &streamOrigins{r: r}, Observer: observer, OnLeaving: r.onLeaving, RouterCount: r.members,
+		RetryBudget: sharedRetries{r.retryBudget, r.members}, Quarantine: r.quarantine, Origins: &streamOrigins{r: r}, Observer: observer, OnLeaving: r.onLeaving, OnLimit: r.onLimit, RouterCount: r.members,
 		RefusesStreams: r.refusesStreams}
 	r.front = &frontend.Server{Handler: handler, Limits: r.limits, Log: log,
 		MaxConnections: int(callerDescriptorShare * float64(s.Descriptors))}
@@ -269,6 +269,7 @@
 	h.Leaving = r.endpoints.NewlyLeaving(time.Now())
 	h.Crashes = r.quarantine.Reports(time.Now())
 	h.Parts = r.quarantine.Evidence(time.Now())
+	h.Limits, h.Demand = r.endpoints.Limits(time.Now()), r.endpoints.Demand(time.Now())
 	return h
 }
 
@@ -297,6 +298,12 @@
 	r.sendNow()
 }
 
+// onLimit logs that an endpoint named another limit, or none any more, and tells the other routers.
+func (r *Router) onLimit(g *balance.Grant, named bool, rate float64) {
+	r.log.Info("endpoint limit changed", "endpoint", g.ID, "service", g.Service, "named", named, "per_second", rate)
+	r.sendNow()
+}
+
 // onCrashChange logs the change of a body or of a part of prompts that crashed endpoints,
 // and tells the other routers at once of a change that this router saw.
 func (r *Router) onCrashChange(c quarantine.Change) {
@@ -327,6 +334,7 @@
 	}
 	r.origins.Merge(now, h.Begun)
 	r.endpoints.MergeLeaving(now, h.Leaving)
+	r.endpoints.MergeLimits(now, h.Name, h.Limits)
 	r.quarantine.Merge(now, h.Crashes)
 	r.quarantine.MergeEvidence(now, quarantine.Source{Router: h.Name, Incarnation: h.Incarnation}, h.Parts)
 	r.updatePeers(now)
@@ -336,7 +344,7 @@
 func (r *Router) updatePeers(now time.Time) {
 	members := r.peers.Count(now)
 	r.peers.SetDeadAfter(r.deadAfter(members))
-	r.endpoints.SetPeers(r.s.Name, r.peers.Names(now), len(r.peers.Ready(now)), r.peers.Running(now), peers.Interval(members))
+	r.endpoints.SetPeers(r.s.Name, r.peers.Members(now), len(r.peers.Ready(now)), r.peers.Running(now), peers.Interval(members))
 }
 
 // deadAfter returns the time without a heartbeat after which a router among n is no
--- a/process/router/state.go
+++ b/process/router/state.go
@@ -7,7 +7,8 @@
 	ConfigVersion     int64 `json:"config_version"` // in force; 0 if none
 	StoreEra          int64 `json:"store_era"`      // rises when the store comes back from an older copy
 	EndpointsLeaving  int   `json:"endpoints_leaving"`
-	EndpointsPaused   int   `json:"endpoints_paused"` // want no requests from this router for a time
+	EndpointsPaused   int   `json:"endpoints_paused"`  // want no requests from this router for a time
+	EndpointsLimited  int   `json:"endpoints_limited"` // name a number of requests a second that they take
 	BodiesQuarantined int   `json:"bodies_quarantined"`
 	PartsQuarantined  int   `json:"parts_quarantined"`
 	PartsSuspected    int   `json:"parts_suspected"`
@@ -16,8 +17,8 @@
 // State returns what the router believes now.
 func (r *Router) State() State {
 	now := time.Now()
-	leaving, paused := r.endpoints.Unavailable(now)
+	leaving, paused, limited := r.endpoints.CountRestricted(now)
 	q := r.quarantine.Counts()
-	return State{ConfigVersion: r.ConfigVersion(), StoreEra: r.era.Load(), EndpointsLeaving: leaving, EndpointsPaused: paused,
+	return State{ConfigVersion: r.ConfigVersion(), StoreEra: r.era.Load(), EndpointsLeaving: leaving, EndpointsPaused: paused, EndpointsLimited: limited,
 		BodiesQuarantined: q.Bodies, PartsQuarantined: q.Parts, PartsSuspected: q.Suspected}
 }
--- a/process/upstream/acquire.go
+++ b/process/upstream/acquire.go
@@ -4,23 +4,19 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/stoatmount/stoatmount/request/balance"
 	"github.com/stoatmount/stoatmount/request/outcome"
 )
 
-const (
-	coldWindow        = time.Second
-	coldShareFraction = 0.85 // of the bound that is divided; the rest covers routers not known yet
-)
-
 // Acquire chooses an endpoint and counts the request there. Draining and
 // out-of-service marks are read under the lock in which the request is counted, so
 // that nothing is sent to an endpoint out of service.
 func (t *Table) Acquire(now time.Time, req balance.Request) (*balance.Grant, *balance.Refusal) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if len(req.Exclude) == 0 {
+		t.loadOf(req.Service).arrivals.Add(now)
+	}
 	endpoints, refusal := t.usable(now, req)
 	if refusal != nil {
 		return nil, refusal
@@ -41,8 +37,8 @@
 	}
 	ep := endpoints[chosen]
 	cold := t.inColdStart(now, ep)
-	if cold {
-		ep.coldRequests = append(ep.coldRequests, now)
+	if cold || ep.limit.named {
+		ep.recordSent(now)
 	}
 	running := int(ep.load(now))
 	ep.updateSmoothed(now, t.heartbeatInterval)
@@ -54,20 +50,23 @@
 // usable returns the endpoints that may get the request, ordered by ID.
 func (t *Table) usable(now time.Time, req balance.Request) ([]*endpoint, *balance.Refusal) {
 	healthy, ejected := t.healthy[:0], t.ejected[:0]
-	cold, soonest := 0, time.Duration(0) // soonest end of a pause; 0 if none is paused
+	t.limitedRate = 0
+	var out unavailable
 	for _, ep := range t.endpointsOf(req.Service) {
-		if t.isDraining(ep) || t.zonesOutOfService[ep.Zone] || !ep.hasVersion(req.Version) {
+		if !t.inService(ep, req) {
 			continue
 		}
+		if ep.limit.named {
+			q := t.limitQuota(ep)
+			t.limitedRate += float64(t.share(ep, q.Total, true)) / q.Window.Seconds()
+		}
 		pause := t.pausedFor(now, ep)
+		ok, code, wait := t.hasQuota(now, ep)
 		switch {
-		case contains(req.Exclude, ep.ID):
 		case pause > 0:
-			if soonest == 0 || pause < soonest {
-				soonest = pause
-			}
-		case t.inColdStart(now, ep) && !t.hasColdCapacity(now, ep):
-			cold++
+			out.add(outcome.EndpointAtCap, pause)
+		case !ok:
+			out.add(code, wait)
 		case now.Before(ep.health.ejectedUntil):
 			ejected = append(ejected, ep)
 		default:
@@ -78,17 +77,52 @@
 	if len(healthy) == 0 {
 		healthy = ejected // an ejected endpoint is better than none
 	}
-	if len(healthy) == 0 {
-		code := outcome.NoEndpoint
-		if cold > 0 {
-			code = outcome.EndpointCold
-		}
-		if soonest > 0 {
-			return nil, &balance.Refusal{Code: outcome.EndpointAtCap, RetryAfter: soonest}
-		}
-		return nil, &balance.Refusal{Code: code, RetryAfter: t.retryAfter(now, req, code)}
+	if len(healthy) > 0 {
+		return healthy, nil
 	}
-	return healthy, nil
+	return nil, t.refuseUnavailable(now, req, out)
+}
+
+// inService reports whether an endpoint takes requests like req, whatever its load.
+func (t *Table) inService(ep *endpoint, req balance.Request) bool {
+	return !t.isDraining(ep) && !t.zonesOutOfService[ep.Zone] && ep.hasVersion(req.Version) && !contains(req.Exclude, ep.ID)
+}
+
+// unavailable is why the endpoints of a service get no request now: the code and the wait
+// of the one that takes requests first.
+type unavailable struct {
+	code outcome.Code // OK if there are none
+	wait time.Duration
+}
+
+func (u *unavailable) add(code outcome.Code, wait time.Duration) {
+	if u.code == outcome.OK || wait < u.wait {
+		u.code, u.wait = code, wait
+	}
+}
+
+// refuseUnavailable refuses a request for which no endpoint is usable.
+func (t *Table) refuseUnavailable(now time.Time, req balance.Request, out unavailable) *balance.Refusal {
+	switch out.code {
+	case outcome.EndpointAtCap:
+		return &balance.Refusal{Code: out.code, RetryAfter: out.wait}
+	case outcome.EndpointLimited:
+		return t.refuseLimited(now, req, out.wait)
+	case outcome.EndpointCold:
+		return &balance.Refusal{Code: out.code, RetryAfter: t.retryAfter(now, req, out.code)}
+	}
+	return &balance.Refusal{Code: outcome.NoEndpoint, RetryAfter: t.retryAfter(now, req, outcome.NoEndpoint)}
+}
+
+// refuseLimited refuses a request because the endpoints take no more requests a second.
+// Callers come back at the rate of this router's part of the limits.
+func (t *Table) refuseLimited(now time.Time, req balance.Request, soonest time.Duration) *balance.Refusal {
+	interval := longestRetryInterval
+	if t.limitedRate > 0 {
+		interval = min(interval, time.Duration(float64(time.Second)/t.limitedRate))
+	}
+	return &balance.Refusal{Code: outcome.EndpointLimited, RetryAfter: t.loadOf(req.Service).retries.Next(now, max(minLimitedRetryAfter, soonest), interval, t.draw()),
+		PriorityRank: req.PriorityRank}
 }
 
 // hasVersion reports whether the endpoint may get a request that needs a version; nil
@@ -111,6 +145,10 @@
 const (
 	// endpointRestartTime is the usual time until a crashed endpoint serves again.
 	endpointRestartTime = 2500 * time.Millisecond
+	// minLimitedRetryAfter is the minimum retry time for a service whose endpoints are limited.
+	minLimitedRetryAfter = 200 * time.Millisecond
+	// longestRetryInterval bounds the time between the callers that are told to come back.
+	longestRetryInterval = 4 * time.Second
 	// minRetryAfter is the minimum retry time for a service without endpoints.
 	minRetryAfter = 600 * time.Millisecond
 	// retryJitter is the fraction by which retry times are randomly extended, so that
@@ -144,8 +182,10 @@
 	defer t.mu.Unlock()
 	n := 0
 	for _, ep := range t.endpointsOf(req.Service) {
-		if !t.isDraining(ep) && !t.zonesOutOfService[ep.Zone] && !contains(req.Exclude, ep.ID) && ep.hasVersion(req.Version) && t.pausedFor(now, ep) == 0 &&
-			!now.Before(ep.health.ejectedUntil) && !t.inColdStart(now, ep) {
+		if !t.inService(ep, req) || t.pausedFor(now, ep) > 0 || now.Before(ep.health.ejectedUntil) || t.inColdStart(now, ep) {
+			continue
+		}
+		if ok, _, _ := t.hasQuota(now, ep); ok {
 			n++
 		}
 	}
@@ -166,7 +206,7 @@
 	list := t.list[:0]
 	for _, ep := range endpoints {
 		list = append(list, balance.Candidate{ID: ep.ID, Running: ep.load(now), Slots: ep.Slots,
-			Latency: ep.health.latency, Local: ep.Zone == t.cfg.Zone,
+			Latency: ep.health.latency, RateLimited: ep.limit.named, Local: ep.Zone == t.cfg.Zone,
 			Slow: ep.health.slow(now, median)})
 	}
 	t.list = list
@@ -208,40 +248,6 @@
 	return t.coldRate[ep.Service] > 0 && (now.Before(ep.coldUntil) || ep.health.maybeCold)
 }
 
-// hasColdCapacity reports whether this router's share of a cold endpoint's rate
-// has capacity left in the second that ends now.
-func (t *Table) hasColdCapacity(now time.Time, ep *endpoint) bool {
-	kept := ep.coldRequests[:0]
-	for _, at := range ep.coldRequests {
-		if now.Sub(at) < coldWindow {
-			kept = append(kept, at)
-		}
-	}
-	ep.coldRequests = kept
-	return len(kept) < t.coldShare(ep)
-}
-
-// coldShare returns the requests per second that this router may send to a cold
-// endpoint. The bound is divided into whole requests; the remainder goes to the
-// routers with the highest rendezvous weights for the endpoint, so that all routers
-// divide it the same way without coordination.
-func (t *Table) coldShare(ep *endpoint) int {
-	all := int((t.coldRate[ep.Service]*t.cfg.ColdOver + t.cfg.ColdSlack) * coldShareFraction)
-	members := len(t.others) + 1
-	share := all / members
-	seed := xxhash.Sum64String(ep.ID)
-	own, before := balance.RendezvousWeight(seed, t.self), 0
-	for _, name := range t.others {
-		if balance.RendezvousWeight(seed, name) > own {
-			before++
-		}
-	}
-	if before < all%members {
-		share++
-	}
-	return share
-}
-
 // placeKey chooses the endpoint of a prompt key and the endpoint from which it may
 // fetch cache entries.
 func (t *Table) placeKey(now time.Time, req balance.Request, endpoints []*endpoint, list []balance.Candidate) (int, string) {
@@ -267,17 +273,23 @@
 
 // bounds returns the bound of an endpoint's requests relative to the usable
 // endpoints, and the largest number of requests that one may run. The latter is
-// relative to all endpoints of the service: the mean includes those that are not usable.
+// relative to all endpoints of the service: the mean includes those that are not usable. Endpoints
+// that name a limit count only where all do, as the others have to carry what these cannot.
 func (t *Table) bounds(now time.Time, service string) (balance.Bound, float64) {
 	bound := t.cfg.Bound
 	loadCap := balance.Bound{Factor: t.cfg.CapFactor, Extra: t.cfg.CapExtra}
 	if t.cfg.StaleInterval > 0 && t.heartbeatInterval > t.cfg.StaleInterval {
 		bound, loadCap = t.cfg.StaleBound, t.cfg.StaleBound
 	}
-	sum, n := 0.0, 0
+	sum, n, allLimited := 0.0, 0, true
 	for _, ep := range t.endpointsOf(service) {
-		sum += ep.load(now)
-		n++
+		if allLimited && !ep.limit.named {
+			sum, n, allLimited = 0, 0, false
+		}
+		if allLimited || !ep.limit.named {
+			sum += ep.load(now)
+			n++
+		}
 	}
 	if n == 0 || loadCap.Factor <= 0 {
 		return bound, 0
--- a/process/upstream/load.go
+++ b/process/upstream/load.go
@@ -6,6 +6,7 @@
 	"github.com/stoatmount/stoatmount/request/balance"
 	"github.com/stoatmount/stoatmount/request/loadshed"
 	"github.com/stoatmount/stoatmount/request/outcome"
+	"github.com/stoatmount/stoatmount/request/quota"
 )
 
 // serviceLoad is the load of a service as shown by this router's requests.
@@ -14,6 +15,7 @@
 	demand       loadshed.Demand
 	workspaces   loadshed.WorkspaceDemand
 	retries      loadshed.RetrySchedule
+	arrivals     quota.Demand
 
 	median   time.Duration // of the endpoints' latencies
 	medianAt time.Time
@@ -47,10 +49,13 @@
 	for i := range list {
 		c := &list[i]
 		c.Limit = loadshed.Limit(wait, c.Slots, mean)
+		if c.RateLimited {
+			continue
+		}
 		slots += c.Slots
 		busy = busy && c.Slots > 0 && c.Running >= loadshed.BusyFraction*float64(c.Slots)
 	}
-	own := float64(slots) / float64(max(1, t.readyRouters+1)) // this router's share
+	own := float64(slots)/float64(max(1, t.readyRouters+1)) + t.limitedRate*mean.Seconds() // this router's share
 	load.workspaces.Add(now, req.Workspace, work)
 	band := loadshed.PriorityBand(work, req.PriorityRank, load.workspaces.Penalty(req.Workspace, own))
 	load.demand.Add(now, band, work)
--- a/process/upstream/pause.go
+++ b/process/upstream/pause.go
@@ -26,9 +26,9 @@
 	}
 }
 
-// Unavailable returns how many processes of endpoints announced that they leave, and how
-// many want no requests from this router for a time.
-func (t *Table) Unavailable(now time.Time) (leaving, paused int) {
+// CountRestricted returns how many processes of endpoints announced that they leave, how
+// many want no requests from this router for a time, and how many name a limit.
+func (t *Table) CountRestricted(now time.Time) (leaving, paused, limited int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, mark := range t.leaving {
@@ -41,7 +41,12 @@
 			paused++
 		}
 	}
-	return leaving, paused
+	for _, ep := range t.byID {
+		if ep.limit.named {
+			limited++
+		}
+	}
+	return leaving, paused, limited
 }
 
 // pausedFor returns how long the endpoint wants no requests from this router.
--- a/process/upstream/table.go
+++ b/process/upstream/table.go
@@ -9,6 +9,7 @@
 
 	"github.com/stoatmount/stoatmount/process/origins"
 	"github.com/stoatmount/stoatmount/request/balance"
+	"github.com/stoatmount/stoatmount/request/quota"
 )
 
 // Entry is the registry's record of an endpoint.
@@ -73,7 +74,8 @@
 	reportedAt      time.Time
 	probedAt        time.Time     // last time that Probe allowed a probe
 	reportTTL       time.Duration // how long reportedLoad replaces peerRunning if it is higher
-	coldRequests    []time.Time
+	sent            []time.Time   // own requests, in order, while a quota binds
+	limit           namedLimit
 	health          health
 }
 
@@ -88,7 +90,8 @@
 	removed           map[string]*endpoint   // entry removed; dropped at removeAt
 	zonesOutOfService map[string]bool        // by zone
 	self              string                 // name of this router
-	others            []string               // names of the other routers that may send requests
+	others            []Peer                 // the other routers that may send requests
+	toldDemand        map[string]int         // as Demand returned it last
 	heartbeatInterval time.Duration          // between the heartbeats of a router
 	coldRate          map[string]float64
 	// downSince is when a service was first found without endpoints.
@@ -103,6 +106,8 @@
 	// Buffers reused between calls to save allocations. Valid within a call.
 	healthy, ejected []*endpoint
 	list             []balance.Candidate
+	members          []quota.Member
+	limitedRate      float64 // requests a second that this router may send to limited endpoints, set by usable
 }
 
 // New returns an empty table. draw returns random numbers in [0,1).
@@ -243,10 +248,10 @@
 	t.coldRate = rates
 }
 
-// SetPeers sets the names of the other routers that may send requests, the number
+// SetPeers sets the other routers that may send requests, the number
 // of ready ones, the requests that they run by endpoint, and the heartbeat interval.
 // For half an interval, the load that an endpoint reports replaces theirs if it is higher.
-func (t *Table) SetPeers(self string, others []string, readyRouters int, running map[string]float64, interval time.Duration) {
+func (t *Table) SetPeers(self string, others []Peer, readyRouters int, running map[string]float64, interval time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.self, t.others, t.readyRouters, t.heartbeatInterval = self, others, readyRouters, interval
--- a/process/upstream/table_test.go
+++ b/process/upstream/table_test.go
@@ -88,7 +88,10 @@
 		tables := make([]*Table, routers)
 		for i := range tables {
 			tables[i] = newTable(0)
-			others := append(append([]string{}, names[:i]...), names[i+1:]...)
+			var others []Peer
+			for _, name := range append(append([]string{}, names[:i]...), names[i+1:]...) {
+				others = append(others, Peer{Name: name, Heard: true})
+			}
 			tables[i].SetPeers(names[i], others, 0, nil, time.Second)
 			tables[i].SetColdRates(map[string]float64{"s": 12})
 			tables[i].Apply(t0, []Change{put(0, func(e *Entry) { e.ColdFor = time.Minute })}, false)
--- a/request/balance/balance.go
+++ b/request/balance/balance.go
@@ -8,14 +8,15 @@
 
 // Candidate is what is known of an endpoint that may get the request.
 type Candidate struct {
-	ID        string
-	Running   float64       // requests of all routers that run or wait there, as far as known
-	Slots     int           // requests that it runs at once
-	Limit     float64       // largest number of running and waiting requests, this one included; 0 is no limit
-	Latency   time.Duration // smoothed time to first byte; 0 is unknown
-	Local     bool          // in the router's availability zone
-	Slow      bool          // much slower than its peers
-	KeyCached bool          // it had the last requests with the key and so caches what they share
+	ID          string
+	Running     float64       // requests of all routers that run or wait there, as far as known
+	Slots       int           // requests that it runs at once
+	Limit       float64       // largest number of running and waiting requests, this one included; 0 is no limit
+	Latency     time.Duration // smoothed time to first byte; 0 is unknown
+	RateLimited bool          // it takes a limited number of requests a second
+	Local       bool          // in the router's availability zone
+	Slow        bool          // much slower than its peers
+	KeyCached   bool          // it had the last requests with the key and so caches what they share
 }
 
 // Bound limits how far an endpoint's running requests may exceed the mean.
--- a/request/outcome/code.go
+++ b/request/outcome/code.go
@@ -35,6 +35,7 @@
 	RetryBudgetSpent   Code = 2006
 	EndpointAtCap      Code = 2007
 	EndpointCold       Code = 2008
+	EndpointLimited    Code = 2009
 
 	Draining          Code = 3001
 	StaleConfig       Code = 3002
@@ -106,6 +107,7 @@
 	{RetryBudgetSpent, "retry_budget_spent", http.StatusServiceUnavailable, "No retry is allowed at the moment."},
 	{EndpointAtCap, "endpoint_at_cap", http.StatusServiceUnavailable, "Every usable endpoint is at its cap."},
 	{EndpointCold, "endpoint_cold", http.StatusServiceUnavailable, "The usable endpoints are in a cold start."},
+	{EndpointLimited, "endpoint_limited", http.StatusServiceUnavailable, "The usable endpoints take no more requests a second."},
 
 	{Draining, "draining", http.StatusServiceUnavailable, "The entry host is shutting down; use another address."},
 	{StaleConfig, "stale_config", http.StatusServiceUnavailable, "The entry host cannot tell whether its configuration is in force."},
