Serve callers through other routers while the links to the endpoints are lost

What callers saw: routers that were partitioned from all endpoints served 0 of 132 and 12 of 64 first attempts while the others served nearly all, although they reached callers, the store and the other routers.

Cause: a router could reach endpoints through its own links only, and found out endpoint by endpoint and request by request that they failed. What it concluded from them, that endpoints had crashed under requests, it told to the others, which quarantined sound bodies and parts. The class: a conclusion from a router's own links is taken for one about the endpoints.

Requests then go through another router that is heard of and has not lost the service (one hop, on its own listener for routers; nothing a caller sends can mark a request). That router admits, places, retries and quarantines it like any other; runs, time left, resumption and the caller's close go through. What is not sent, or refused by the other router as not run, goes to a third; what may have run is repeated only where it may be. Conclusions about crashes wait until an endpoint accepts a connection, and are dropped if another router got a response meanwhile that is older than a failed probe; ejections and suspected cold starts are forgotten then. Once endpoints accept connections, single requests that may be repeated prove the links before all return.

--- a/connection/forward/attempt.go
+++ b/connection/forward/attempt.go
@@ -46,6 +46,7 @@
 	retryAllowed bool // the retry that follows already counts against the budget
 	noReuse      bool // the connection carried a response to another request, or an unread rest
 
+	relayed  bool        // to another router, not to an endpoint
 	reached  bool        // a connection was established
 	run      outcome.Run // whether the request ran, as far as is known
 	err      error
@@ -74,21 +75,28 @@
 		a.failure = balance.NotReached
 		if j.ctx.Err() != nil {
 			a.failure = balance.Abandoned
+		} else {
+			j.s.Links.Failed(time.Now(), g)
 		}
 		return a
 	}
 	a.reached = true
 	j.runs++
+	j.rec.Runs = j.runs
 	a.run = outcome.RunUnknown
 	if a.err = j.send(a); a.err == nil || !a.sentAt.IsZero() {
 		a.err = j.readHead(a) // also after a failed write: the endpoint may have responded already
 	}
 	if a.err != nil {
 		a.failure = j.classify(a, a.err)
+		if a.failure != balance.Abandoned && a.firstAt.IsZero() {
+			j.s.Links.Failed(time.Now(), g)
+		}
 		return a
 	}
 	if a.response.NotRun {
 		j.runs--
+		j.rec.Runs = j.runs
 		a.run, a.failure = outcome.RunNot, balance.Shed
 		if a.head.Status == http.StatusMisdirectedRequest {
 			a.failure = balance.NotReached // the address now belongs to another endpoint
@@ -107,6 +115,9 @@
 		}
 		a.conn = c
 		j.rec.Dials++
+		if !a.relayed {
+			j.s.Links.Connected(time.Now(), a.grant)
+		}
 	}
 	conn := a.conn
 	a.stopWatch = context.AfterFunc(j.ctx, func() {
@@ -185,6 +196,7 @@
 			return err
 		}
 		a.firstAt = time.Now()
+		j.s.Links.Proved(a.firstAt, a.grant)
 		response := j.s.Codec.DecodeResponse(head)
 		if response.Leaving && (response.EndpointID == "" || response.EndpointID == a.grant.ID) && j.s.Endpoints.RecordLeaving(a.firstAt, a.grant) {
 			j.s.OnLeaving(a.grant)
@@ -321,7 +333,8 @@
 		j.rec.Code = outcome.EndpointFailed
 	}
 	j.rec.FirstByte = time.Since(j.rec.Arrived)
-	if err := j.x.Respond(buffered.head.Status, responseFields(buffered.head), buffered.body); err != nil {
+	fields := appendRelayFields(responseFields(buffered.head), j.rec, j.rec.Code)
+	if err := j.x.Respond(buffered.head.Status, fields, buffered.body); err != nil {
 		j.rec.Code, j.rec.Error = outcome.CallerGone, err.Error()
 	}
 	return true
--- a/connection/forward/crash.go
+++ b/connection/forward/crash.go
@@ -111,6 +111,7 @@
 	}
 	sent, run := j.sent, j.runOf(a) // as the job goes on beside the timer's goroutine
 	return time.AfterFunc(min(firstByteFactor*j.route.Objective, maxSilence), func() {
+		j.s.Links.Failed(time.Now(), a.grant)
 		if !j.s.Endpoints.DownSince(a.sentAt, a.grant) && !j.s.Endpoints.Probe(time.Now(), a.sentAt, a.grant) || !j.s.beginCrashCheck() {
 			return
 		}
@@ -138,8 +139,10 @@
 		return false
 	}
 	now := time.Now()
-	j.s.Quarantine.PartsLost(now, run)
-	j.s.Quarantine.Crashed(now, f, sent, a.grant.ID, a.sentAt)
+	j.s.Links.Conclude(ctx, a.grant, func() {
+		j.s.Quarantine.PartsLost(now, run)
+		j.s.Quarantine.Crashed(now, f, sent, a.grant.ID, a.sentAt)
+	})
 	return true
 }
 
--- a/connection/forward/record.go
+++ b/connection/forward/record.go
@@ -32,14 +32,17 @@
 	LastGrant           balance.Grant       // of the last attempt
 	Refusal             *balance.Refusal    // why no endpoint was chosen; nil if one was
 	FailedAttempts      []FailedAttempt
-	Dials               int    // connections opened for it
-	MismatchedResponses int    // responses to other requests on its connection
-	HeadSent            bool   // the head of the response was sent to the caller
-	Events              int    // of a stream, passed on
-	Resumes             string // id of the caller's attempt that began the stream; "" if this one did
-	LastEventID         int64  // last event that the caller had when the request arrived; -1 if none
-	Resumed             int    // times that a stream was resumed at another endpoint
-	Ejected             string // endpoint that was ejected because of this request
+	Relayed             bool     // another router passed it on
+	Relays              []string // addresses of the routers to which this one passed it on
+	Runs                int      // endpoints that may have run it, so far
+	Dials               int      // connections opened for it
+	MismatchedResponses int      // responses to other requests on its connection
+	HeadSent            bool     // the head of the response was sent to the caller
+	Events              int      // of a stream, passed on
+	Resumes             string   // id of the caller's attempt that began the stream; "" if this one did
+	LastEventID         int64    // last event that the caller had when the request arrived; -1 if none
+	Resumed             int      // times that a stream was resumed at another endpoint
+	Ejected             string   // endpoint that was ejected because of this request
 	Error               string
 }
 
--- /dev/null
+++ b/connection/forward/relay.go
@@ -0,0 +1,309 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/stoatmount/stoatmount/connection/frontend"
+	"github.com/stoatmount/stoatmount/connection/http1"
+	"github.com/stoatmount/stoatmount/request/balance"
+	"github.com/stoatmount/stoatmount/request/outcome"
+)
+
+// RelayFieldPrefix begins the names of the header fields between routers. They are
+// dropped from the requests of callers and from the responses of endpoints.
+const RelayFieldPrefix = "Stoatmount-Relay-"
+
+const (
+	relayFieldRuns = RelayFieldPrefix + "Runs" // endpoints that may have run the request
+	relayFieldCode = RelayFieldPrefix + "Code" // outcome.Code of the other router
+)
+
+const (
+	// maxRelays bounds the routers to which a request is relayed.
+	maxRelays = 3
+	// maxUnreached is the number of endpoints that a request fails to reach before another
+	// router is tried.
+	maxUnreached = 2
+)
+
+// Links knows which services this router reaches, and which other routers do.
+type Links interface {
+	// Failed records that an endpoint accepted no connection or sent no response.
+	Failed(now time.Time, g *balance.Grant)
+	// Connected records that an endpoint accepted a connection.
+	Connected(now time.Time, g *balance.Grant)
+	// Proved records a response of an endpoint.
+	Proved(now time.Time, g *balance.Grant)
+	// Conclude calls conclusion, which blames the endpoint for a failure, once another endpoint
+	// shows that this router's links work.
+	Conclude(ctx context.Context, g *balance.Grant, conclusion func())
+	// UseRelay reports whether a request for a service goes through another router.
+	UseRelay(now time.Time, service string, repeatable bool) bool
+	// AcquireRelay chooses another router for a request, without those in exclude. ReleaseRelay ends it.
+	AcquireRelay(now time.Time, service string, exclude []string) (addr string, ok bool)
+	ReleaseRelay(addr string)
+}
+
+// ServeRelayed handles a request that another router passes on.
+func (s *Server) ServeRelayed(ctx context.Context, x *frontend.Exchange) {
+	s.serve(ctx, x, true)
+}
+
+// RelayHandler serves the requests that other routers pass on.
+func (s *Server) RelayHandler() frontend.Handler { return relayHandler{s} }
+
+type relayHandler struct{ s *Server }
+
+func (h relayHandler) Serve(ctx context.Context, x *frontend.Exchange) { h.s.ServeRelayed(ctx, x) }
+
+// relayRuns returns the number of endpoints that may have run a relayed request before.
+func relayRuns(h *http1.Head) int {
+	n, err := strconv.Atoi(h.Get(relayFieldRuns))
+	if err != nil || n < 0 {
+		return 0
+	}
+	return n
+}
+
+// appendRelayFields adds what the router that relayed the request needs to know.
+func appendRelayFields(fields []http1.Field, rec *Record, code outcome.Code) []http1.Field {
+	if !rec.Relayed {
+		return fields
+	}
+	return append(fields, http1.Field{Name: relayFieldCode, Value: strconv.Itoa(int(code))}, http1.Field{Name: relayFieldRuns, Value: strconv.Itoa(rec.Runs)})
+}
+
+// IsRelayField reports whether a header field is between routers only.
+func IsRelayField(name string) bool {
+	return len(name) >= len(RelayFieldPrefix) && strings.EqualFold(name[:len(RelayFieldPrefix)], RelayFieldPrefix)
+}
+
+// repeatable reports whether the request may run at several endpoints.
+func (j *job) repeatable() bool {
+	return j.route.Retryable() && j.runs < max(1, j.route.MaxAttempts)-1
+}
+
+// viaRelay reports whether the next attempt goes through another router.
+func (j *job) viaRelay() bool {
+	if j.rec.Relayed || len(j.relays) >= maxRelays {
+		return false
+	}
+	return j.unreached >= maxUnreached || j.s.Links.UseRelay(time.Now(), j.relayedService(), j.repeatable())
+}
+
+// relayedService returns the service of the next attempt.
+func (j *job) relayedService() string {
+	if j.origin != nil {
+		return j.origin.Service
+	}
+	return j.service()
+}
+
+// relay passes the request on to another router, if there is one, and reports whether it did
+// and whether the request has its final response.
+func (j *job) relay() (relayed, final bool) {
+	addr, ok := j.s.Links.AcquireRelay(time.Now(), j.relayedService(), j.relays)
+	if !ok {
+		return false, false
+	}
+	defer j.s.Links.ReleaseRelay(addr)
+	j.relays = append(j.relays, addr)
+	j.rec.Relays = append(j.rec.Relays, addr)
+	a := &attempt{grant: &balance.Grant{Service: j.relayedService(), Addr: addr}, run: outcome.RunNot, relayed: true}
+	final = j.sendRelay(a)
+	j.closeRelay(a)
+	return true, final
+}
+
+// sendRelay sends the request to another router and passes its response on.
+func (j *job) sendRelay(a *attempt) (final bool) {
+	if a.err = j.connect(a); a.err != nil {
+		return j.relayFailed(a)
+	}
+	a.reached = true
+	a.run = outcome.RunUnknown
+	if a.err = j.writeRelay(a); a.err == nil {
+		a.err = j.readRelayHead(a)
+	}
+	if a.err != nil {
+		j.runs++
+		return j.relayFailed(a)
+	}
+	code, err := strconv.Atoi(a.head.Get(relayFieldCode))
+	if err != nil {
+		a.err = errors.New("response of a router without a result code")
+		j.runs++
+		return j.relayFailed(a)
+	}
+	j.runs = max(j.runs, relayRuns(a.head))
+	if isEventStream(a.head) {
+		return j.relayStream(a)
+	}
+	return j.relayResponse(a, outcome.Code(code))
+}
+
+func (j *job) writeRelay(a *attempt) error {
+	o := RelayOptions{Timeout: time.Until(j.deadline), LastEventID: -1}
+	if j.lastEventID != j.req.LastEventID {
+		o.LastEventID, o.Resumes = j.lastEventID, j.streamID()
+	}
+	fields := []http1.Field{{Name: relayFieldRuns, Value: strconv.Itoa(j.runs)}}
+	head := j.s.Codec.EncodeRelay(j.x.Head, o, int64(len(j.x.Body)), fields)
+	a.sentAt = time.Now()
+	buffers := net.Buffers{head, j.x.Body}
+	_, err := buffers.WriteTo(a.conn.Conn)
+	return err
+}
+
+// streamID returns the id of the attempt that began the stream.
+func (j *job) streamID() string {
+	if j.req.Resumes != "" {
+		return j.req.Resumes
+	}
+	return j.req.ID
+}
+
+// readRelayHead reads the head of another router's response. A request that may be
+// repeated does not wait longer than it does for an endpoint.
+func (j *job) readRelayHead(a *attempt) error {
+	if wait := firstByteFactor*j.route.Objective + connectTimeout; j.repeatable() && j.route.Objective > 0 && time.Until(j.deadline) > 2*wait {
+		if err := a.conn.SetReadDeadline(a.sentAt.Add(wait)); err != nil {
+			return err
+		}
+	}
+	if err := j.ctx.Err(); err != nil {
+		return err
+	}
+	head, err := http1.ReadResponse(a.conn.R, responseHeadBytes, j.x.Head.Method)
+	if err != nil {
+		return err
+	}
+	if err := a.conn.SetReadDeadline(time.Time{}); err != nil {
+		return err
+	}
+	a.firstAt = time.Now()
+	a.head, a.response, a.body = head, j.s.Codec.DecodeResponse(head), http1.NewBody(a.conn.R, head.Length)
+	if a.response.RequestID != j.req.ID {
+		return errors.New("router's response to another request")
+	}
+	return j.ctx.Err()
+}
+
+// elsewhere reports whether another router may do better after a refusal.
+func elsewhere(code outcome.Code) bool {
+	switch code {
+	case outcome.Draining, outcome.NoConfig, outcome.NoEndpoint:
+		return true
+	}
+	return false
+}
+
+// relayResponse passes a response with a body on.
+func (j *job) relayResponse(a *attempt, code outcome.Code) (final bool) {
+	data, reserved, err := a.body.ReadReserved(maxBufferedBytes, maxBufferedTotal, &j.s.buffered)
+	j.buffered += reserved
+	if err != nil {
+		a.err = errors.Wrap(err, "router's response truncated")
+		return j.relayFailed(a)
+	}
+	if elsewhere(code) && !j.mayHaveRun {
+		a.run, a.err = outcome.RunNot, errors.Errorf("router refused with %s", code)
+		return j.relayFailed(a)
+	}
+	if j.rec.HeadSent {
+		j.fail(code, 0) // the caller already has a part of another response
+		return true
+	}
+	info := code.Info()
+	if j.mayHaveRun && info.Status == http.StatusServiceUnavailable && !a.response.Signed {
+		j.fail(outcome.EndpointFailed, 0) // an attempt of before may have run it
+		return true
+	}
+	j.rec.Status, j.rec.Code, j.rec.FirstByte = a.head.Status, code, time.Since(j.rec.Arrived)
+	if err := j.x.Respond(a.head.Status, responseFields(a.head), data); err != nil {
+		j.rec.Code, j.rec.Error = outcome.CallerGone, err.Error()
+	}
+	return true
+}
+
+// relayStream passes a stream on.
+func (j *job) relayStream(a *attempt) (final bool) {
+	if j.rec.HeadSent {
+		j.rec.Resumed++
+	}
+	err := j.copyEvents(a)
+	if err == io.EOF {
+		if err := j.x.End(); err != nil {
+			j.rec.Code, j.rec.Error = outcome.CallerGone, err.Error()
+		}
+		return true
+	}
+	a.err = err
+	if errors.Is(err, errCallerConn) {
+		j.rec.Code, j.rec.Error = outcome.CallerGone, err.Error()
+		j.x.Abort()
+		return true
+	}
+	return j.relayFailed(a)
+}
+
+// relayFailed records a failed relay and reports whether the request has its final
+// response; otherwise it may be sent again.
+func (j *job) relayFailed(a *attempt) (final bool) {
+	j.rec.FailedAttempts = append(j.rec.FailedAttempts, FailedAttempt{Endpoint: a.grant.Addr, Failure: balance.Broken, Run: a.run,
+		AfterMS: time.Since(j.rec.Arrived).Milliseconds(), Error: a.err.Error()})
+	if j.ctx.Err() != nil {
+		j.fail(outcome.DeadlinePassed, 0)
+		return true
+	}
+	if a.run == outcome.RunNot {
+		return false
+	}
+	j.mayHaveRun = true
+	code := outcome.OK
+	switch {
+	case !j.route.Retryable() || j.runs >= max(1, j.route.MaxAttempts):
+		code = outcome.EndpointFailed
+	case !j.s.RetryBudget.Allow(time.Now(), a.grant.Service):
+		code = outcome.RetryBudgetSpent
+	case j.rec.HeadSent && j.origin == nil:
+		code = j.findBegun()
+	}
+	if code == outcome.OK {
+		return false
+	}
+	j.fail(code, retryRefused)
+	return true
+}
+
+// findBegun finds the software that began the stream at another router.
+func (j *job) findBegun() outcome.Code {
+	if j.req.Resumes == "" {
+		j.req.Resumes = j.req.ID
+	}
+	return j.findOrigin()
+}
+
+// closeRelay pools or closes the connection to another router.
+func (j *job) closeRelay(a *attempt) {
+	if a.conn == nil {
+		return
+	}
+	watchStopped := a.stopWatch()
+	if watchStopped && a.body != nil && a.body.Complete() && !a.head.Close {
+		j.s.Pool.Put(a.conn, time.Now(), a.head.KeepAliveTimeout, maxIdleRelays)
+		return
+	}
+	_ = a.conn.Close() // cancels the request at the other router if it is still running
+}
+
+// maxIdleRelays is the number of idle connections that are kept to another router.
+const maxIdleRelays = 16
--- a/connection/forward/server.go
+++ b/connection/forward/server.go
@@ -73,6 +73,7 @@
 	RetryBudget RetryBudget
 	Quarantine  *quarantine.Table // bodies and parts of prompts that crashed endpoints
 	Origins     Origins
+	Links       Links
 	Observer    Observer
 	OnLeaving   func(g *balance.Grant)                                // called when an endpoint announces that it leaves
 	OnLimit     func(g *balance.Grant, named bool, perSecond float64) // called when an endpoint's limit changes
@@ -101,8 +102,10 @@
 )
 
 // Serve handles one request of a caller.
-func (s *Server) Serve(ctx context.Context, x *frontend.Exchange) {
-	rec := &Record{Arrived: x.Arrived, Method: x.Head.Method, Target: x.Head.Target, LastEventID: -1}
+func (s *Server) Serve(ctx context.Context, x *frontend.Exchange) { s.serve(ctx, x, false) }
+
+func (s *Server) serve(ctx context.Context, x *frontend.Exchange, relayed bool) {
+	rec := &Record{Arrived: x.Arrived, Method: x.Head.Method, Target: x.Head.Target, LastEventID: -1, Relayed: relayed}
 	defer func() {
 		rec.Duration = time.Since(rec.Arrived)
 		s.Observer.Request(rec)
@@ -139,6 +142,10 @@
 	}
 	rec.Route, rec.Objective = route.Name, route.Objective
 	j := &job{s: s, x: x, req: req, route: route, table: table, rec: rec, lastEventID: req.LastEventID}
+	if rec.Relayed {
+		j.runs = relayRuns(x.Head)
+		rec.Runs = j.runs
+	}
 	j.priority = route.Priority
 	if key, ok := promptKey(req.Parts); ok {
 		rec.PromptKey, rec.SharedTokens = key, sharedTokens(req.Parts)
@@ -175,7 +182,7 @@
 		after = 0 // only a request that has not run may be retried as it is
 	}
 	rec.Code, rec.Status, rec.RetryAfter = code, info.Status, after
-	fields := s.Codec.EncodeRefusal(rec.ID, after)
+	fields := appendRelayFields(s.Codec.EncodeRefusal(rec.ID, after), rec, code)
 	body := []byte(info.Text + "\n")
 	if err := x.Respond(info.Status, append(fields, http1.Field{Name: "Content-Type", Value: "text/plain; charset=utf-8"}), body); err != nil {
 		rec.Error = err.Error()
@@ -202,6 +209,8 @@
 	lastEventID int64             // last event that the caller has; -1 if none
 	lastFailure *bufferedResponse // server error to pass on if no retry does better
 	mayHaveRun  bool              // it was sent, and whether it ran is not known
+	unreached   int               // endpoints to which no connection could be opened
+	relays      []string          // addresses of the routers to which it was relayed
 
 	origin *origins.Origin // of the stream's events; nil before the first
 
@@ -212,7 +221,9 @@
 
 // run sends the request until it has a final response.
 func (j *job) run() {
-	j.s.RetryBudget.CountRequest(j.x.Arrived, j.service())
+	if !j.rec.Relayed { // the router that relayed it has counted it
+		j.s.RetryBudget.CountRequest(j.x.Arrived, j.service())
+	}
 	if code := j.findOrigin(); code != outcome.OK {
 		j.fail(code, retryOriginUnknown)
 		return
@@ -222,6 +233,15 @@
 			j.fail(code, wait)
 			return
 		}
+		if j.viaRelay() {
+			relayed, final := j.relay()
+			if final {
+				return
+			}
+			if relayed {
+				continue
+			}
+		}
 		g, refusal := j.acquire()
 		if refusal != nil {
 			j.rec.Refusal = refusal
@@ -319,6 +339,7 @@
 	switch a.run {
 	case outcome.RunNot:
 		if !a.reached {
+			j.unreached++
 			return outcome.OK // it reached no endpoint
 		}
 		j.refusals++
@@ -375,7 +396,7 @@
 	listed := h.Get("Connection")
 	fields := make([]http1.Field, 0, len(h.Fields))
 	for _, f := range h.Fields {
-		if !http1.IsHopByHop(f.Name, listed) {
+		if !http1.IsHopByHop(f.Name, listed) && !IsRelayField(f.Name) {
 			fields = append(fields, f)
 		}
 	}
--- a/connection/forward/stream.go
+++ b/connection/forward/stream.go
@@ -48,7 +48,7 @@
 
 func (j *job) copyEvents(a *attempt) error {
 	ev := newEvents(a.body)
-	fields := responseFields(a.head)
+	fields := appendRelayFields(responseFields(a.head), j.rec, outcome.OK)
 	idle := streamIdleTimeout(j.route.GapObjective)
 	if !j.route.Resumable {
 		idle = 0 // it cannot be resumed elsewhere, so waiting on is best
@@ -70,7 +70,9 @@
 		if a.begunAt.IsZero() {
 			a.begunAt = time.Now()
 		}
-		j.recordOrigin(a)
+		if !a.relayed {
+			j.recordOrigin(a)
+		}
 		if !j.rec.HeadSent {
 			j.writeHead(a.head.Status, fields)
 		}
--- a/connection/forward/types.go
+++ b/connection/forward/types.go
@@ -36,6 +36,13 @@
 	Priority    int           // 0 is admitted first; -1 sends none
 }
 
+// RelayOptions are what the router changes in a request that it passes on to another router.
+type RelayOptions struct {
+	Timeout     time.Duration // until the caller's deadline
+	LastEventID int64         // replaces the caller's when a stream is resumed; -1 keeps it
+	Resumes     string        // as in Request, with LastEventID
+}
+
 // Load is the load that an endpoint reports with a response.
 type Load struct{ Running, Waiting, Slots int }
 
@@ -67,6 +74,9 @@
 	DecodeRequest(h *http1.Head) (Request, error)
 	// EncodeRequest returns the head to send with a body of the given length.
 	EncodeRequest(h *http1.Head, s AttemptOptions, length int64) []byte
+	// EncodeRelay returns the head to send to another router with a body of the given length
+	// and with fields added. It keeps the fields of the caller.
+	EncodeRelay(h *http1.Head, o RelayOptions, length int64, fields []http1.Field) []byte
 	DecodeResponse(h *http1.Head) Response
 	// EncodeRefusal returns the header fields of a response of the router's own.
 	EncodeRefusal(id string, retryAfter time.Duration) []http1.Field
--- a/process/observe/requests.go
+++ b/process/observe/requests.go
@@ -35,6 +35,8 @@
 	resumed         expvar.Int
 	dials           expvar.Int
 	mismatched      expvar.Int
+	relayed         expvar.Int
+	takenOver       expvar.Int
 	linesOverBudget expvar.Int // of the log
 
 	mu                   sync.Mutex
@@ -57,6 +59,8 @@
 	publish("requests_repeated", &r.retries)
 	publish("streams_resumed", &r.resumed)
 	publish("endpoint_connections_opened", &r.dials)
+	publish("requests_relayed", &r.relayed)
+	publish("requests_of_other_routers", &r.takenOver)
 	publish("answers_to_other_requests", &r.mismatched)
 	publish("log_lines_over_budget", &r.linesOverBudget)
 	publish("first_byte_ms", expvar.Func(func() any { return r.quantiles(r.first) }))
@@ -87,6 +91,12 @@
 	}
 	r.resumed.Add(int64(rec.Resumed))
 	r.dials.Add(int64(rec.Dials))
+	if len(rec.Relays) > 0 {
+		r.relayed.Add(1)
+	}
+	if rec.Relayed {
+		r.takenOver.Add(1)
+	}
 	r.mismatched.Add(int64(rec.MismatchedResponses))
 	servedFirst := rec.Code == outcome.OK && len(rec.FailedAttempts) == 0
 	if r.count(rec, servedFirst) {
@@ -153,6 +163,12 @@
 	} else {
 		kv = append(kv, "method", rec.Method, "target", rec.Target)
 	}
+	if rec.Relayed {
+		kv = append(kv, "relayed", true)
+	}
+	if len(rec.Relays) > 0 {
+		kv = append(kv, "relays", rec.Relays)
+	}
 	if r := rec.Refusal; r != nil && r.Limit > 0 {
 		kv = append(kv, "load", tenths(r.Running), "limit", tenths(r.Limit), "rank", r.PriorityRank)
 	}
--- a/process/peers/table.go
+++ b/process/peers/table.go
@@ -1,6 +1,8 @@
 package peers
 
 import (
+	"net"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -30,6 +32,8 @@
 	Leaving        []upstream.Incarnation `json:"endpoints_leaving,omitempty"` // announced by endpoints since the previous heartbeats
 	Crashes        []quarantine.Report    `json:"crashes,omitempty"`           // bodies and parts of prompts that crashed endpoints
 	Parts          quarantine.Evidence    `json:"parts,omitzero"`              // recent runs that were lost and completed
+	Lost           []string               `json:"lost,omitempty"`              // services whose endpoints this router does not reach
+	Reached        map[string]int64       `json:"reached,omitempty"`           // ms since the last response of services that others do not reach
 	Limits         []upstream.Limit       `json:"limits,omitempty"`            // what endpoints said about the requests that they take
 	Demand         map[string]int         `json:"demand,omitempty"`            // for services with limited endpoints, in tenths of a request a second
 }
@@ -199,6 +203,54 @@
 	return list
 }
 
+// RelayRouter is a router that may take requests of another one.
+type RelayRouter struct {
+	Addr string // of its relay listener, TCP
+	Zone string
+}
+
+// Relays returns the other routers that take requests, are heard of and have not lost the
+// links to a service, by address.
+func (t *Table) Relays(now time.Time, service string) []RelayRouter {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	lost := t.lostAfter()
+	var list []RelayRouter
+	for _, p := range t.peers {
+		if p.heartbeat.Ready && now.Sub(p.lastHeartbeatAt) < lost && !slices.Contains(p.heartbeat.Lost, service) {
+			list = append(list, RelayRouter{Addr: p.addr, Zone: p.heartbeat.Zone})
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Addr < list[j].Addr })
+	return list
+}
+
+// Lost returns the services whose endpoints some other router does not reach.
+func (t *Table) Lost(now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []string
+	for _, p := range t.peers {
+		if now.Sub(p.lastHeartbeatAt) < t.deadAfter {
+			list = append(list, p.heartbeat.Lost...)
+		}
+	}
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
+// IsHost reports whether a known router has an address on a host.
+func (t *Table) IsHost(host string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range t.peers {
+		if at, _, err := net.SplitHostPort(p.addr); err == nil && at == host {
+			return true
+		}
+	}
+	return false
+}
+
 // Count returns the number of routers among which shared limits are divided, this one included.
 func (t *Table) Count(now time.Time) int {
 	t.mu.Lock()
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -80,6 +80,8 @@
 	retryBudget *retry.SharedBudget
 	quarantine  *quarantine.Table
 	origins     *origins.Table
+	links       *endpointLinks
+	relayed     *frontend.Server // requests that other routers pass on
 	front       *frontend.Server
 	exchange    *peers.Exchange
 	followers   [followedTopics]*feed.Follower // by topic
@@ -120,11 +122,13 @@
 	r.setBounds(s.Bounds)
 	r.origins = origins.New(time.Now())
 	r.quarantine = quarantine.New(r.onCrashChange, r.runsTrials)
-	handler := &forward.Server{Codec: adapter.Codec(), Table: r.table, Endpoints: r.endpoints, Pool: r.pool,
+	r.links = newEndpointLinks(r)
+	handler := &forward.Server{Links: r.links, Codec: adapter.Codec(), Table: r.table, Endpoints: r.endpoints, Pool: r.pool,
 		RetryBudget: sharedRetries{r.retryBudget, r.members}, Quarantine: r.quarantine, Origins: &streamOrigins{r: r}, Observer: observer, OnLeaving: r.onLeaving, OnLimit: r.onLimit, RouterCount: r.members,
 		RefusesStreams: r.refusesStreams}
 	r.front = &frontend.Server{Handler: handler, Limits: r.limits, Log: log,
 		MaxConnections: int(callerDescriptorShare * float64(s.Descriptors))}
+	r.relayed = &frontend.Server{Handler: handler.RelayHandler(), Limits: r.limits, Log: log, MaxConnections: r.front.MaxConnections / 2}
 	return r, nil
 }
 
@@ -167,6 +171,7 @@
 // listeners are the listening sockets and servers of a process.
 type listeners struct {
 	front net.Listener
+	relay net.Listener // of other routers; nil if there are none
 	http  []*http.Server
 }
 
@@ -248,6 +253,16 @@
 	if err != nil {
 		return errors.Wrap(err, "peers")
 	}
+	l, err := net.Listen("tcp", r.s.Peer)
+	if err != nil {
+		return errors.Wrap(err, "relayed requests")
+	}
+	r.listeners.relay = l
+	r.group.Go(func() {
+		if err := r.relayed.Serve(routerListener{l, r.peers.IsHost}); err != nil {
+			r.log.Error(err, "listener failed", "serves", "relayed requests")
+		}
+	})
 	r.exchange = &peers.Exchange{Table: r.peers, Conn: conn, Log: r.log, Self: r.heartbeat, OnHeartbeat: r.onHeartbeat, OnRelay: r.onRelay, OnQuery: r.onQuery, OnStoreLost: r.onStoreLost,
 		Wake: make(chan struct{}, 1)}
 	r.group.Go(func() { r.exchange.Run(ctx) })
@@ -269,6 +284,7 @@
 	h.Leaving = r.endpoints.NewlyLeaving(time.Now())
 	h.Crashes = r.quarantine.Reports(time.Now())
 	h.Parts = r.quarantine.Evidence(time.Now())
+	h.Lost, h.Reached = r.links.table.Lost(), r.links.table.Reached(time.Now(), r.peers.Lost(time.Now()))
 	h.Limits, h.Demand = r.endpoints.Limits(time.Now()), r.endpoints.Demand(time.Now())
 	return h
 }
@@ -334,6 +350,7 @@
 	}
 	r.origins.Merge(now, h.Begun)
 	r.endpoints.MergeLeaving(now, h.Leaving)
+	r.links.table.MergeReached(now, h.Reached)
 	r.endpoints.MergeLimits(now, h.Name, h.Limits)
 	r.quarantine.Merge(now, h.Crashes)
 	r.quarantine.MergeEvidence(now, quarantine.Source{Router: h.Name, Incarnation: h.Incarnation}, h.Parts)
--- a/process/router/shutdown.go
+++ b/process/router/shutdown.go
@@ -52,9 +52,10 @@
 func (r *Router) Shutdown() {
 	began, grace := time.Now(), r.bounds.Load().Grace
 	r.front.StartDrain()
+	r.relayed.StartDrain()
 	r.acceptStreamsUntil.Store(began.Add(acceptStreamsFor).UnixNano())
 	r.draining.Store(true)
-	open, busy := r.front.ConnectionCounts()
+	open, busy := r.connectionCounts()
 	r.log.Info("leaving", "open", open, "busy", busy, "grace_ms", grace.Milliseconds())
 	if r.exchange != nil {
 		r.exchange.SendNow()
@@ -65,26 +66,38 @@
 	addressesExpired := began.Add(maxTTLMultiple*addressTTL + time.Second)
 	stopAccepting := began.Add(grace - closeBeforeGraceEnd)
 	for time.Now().Before(stopAccepting) {
-		open, _ := r.front.ConnectionCounts()
+		open, _ := r.connectionCounts()
 		if open == 0 && time.Now().After(addressesExpired) {
 			break
 		}
 		time.Sleep(drainPoll)
 	}
 	_ = r.listeners.front.Close() // callers that still connect are refused at once and use another router
+	if r.listeners.relay != nil {
+		_ = r.listeners.relay.Close()
+	}
 	r.front.CloseIdle()
+	r.relayed.CloseIdle()
 	end := began.Add(grace - exitBeforeGraceEnd)
 	for time.Now().Before(end) {
-		if open, _ = r.front.ConnectionCounts(); open == 0 {
+		if open, _ = r.connectionCounts(); open == 0 {
 			break
 		}
 		time.Sleep(drainPoll)
 	}
-	open, busy = r.front.ConnectionCounts()
+	open, busy = r.connectionCounts()
 	r.log.Info("ended", "open", open, "busy", busy, "took_ms", time.Since(began).Milliseconds())
 	r.Close()
 }
 
+// connectionCounts returns the number of open connections of callers and other routers, and
+// of those with a request.
+func (r *Router) connectionCounts() (open, busy int) {
+	open, busy = r.front.ConnectionCounts()
+	_, relayed := r.RelayedConnections() // other routers keep idle ones open
+	return open + relayed, busy + relayed
+}
+
 // Close stops the process at once and closes its connections.
 func (r *Router) Close() {
 	r.closing.Do(func() {
@@ -92,7 +105,11 @@
 		if r.listeners.front != nil {
 			_ = r.listeners.front.Close()
 		}
+		if r.listeners.relay != nil {
+			_ = r.listeners.relay.Close()
+		}
 		r.front.Close()
+		r.relayed.Close()
 		for _, s := range r.listeners.http {
 			_ = s.Close()
 		}
--- a/process/router/state.go
+++ b/process/router/state.go
@@ -12,6 +12,7 @@
 	BodiesQuarantined int   `json:"bodies_quarantined"`
 	PartsQuarantined  int   `json:"parts_quarantined"`
 	PartsSuspected    int   `json:"parts_suspected"`
+	ServicesLost      int   `json:"services_lost"` // this router does not reach their endpoints
 }
 
 // State returns what the router believes now.
@@ -20,5 +21,5 @@
 	leaving, paused, limited := r.endpoints.CountRestricted(now)
 	q := r.quarantine.Counts()
 	return State{ConfigVersion: r.ConfigVersion(), StoreEra: r.era.Load(), EndpointsLeaving: leaving, EndpointsPaused: paused, EndpointsLimited: limited,
-		BodiesQuarantined: q.Bodies, PartsQuarantined: q.Parts, PartsSuspected: q.Suspected}
+		BodiesQuarantined: q.Bodies, PartsQuarantined: q.Parts, PartsSuspected: q.Suspected, ServicesLost: len(r.links.table.Lost())}
 }
--- a/process/upstream/acquire.go
+++ b/process/upstream/acquire.go
@@ -375,6 +375,30 @@
 	}
 }
 
+// ForgetUnreachable drops what failures since a time showed of the endpoints of a service,
+// because the links of this router had failed.
+func (t *Table) ForgetUnreachable(service string, since time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, ep := range t.endpointsOf(service) {
+		ep.health.forgetFailures(since)
+	}
+	delete(t.downSince, service)
+}
+
+// Addresses returns the addresses of a service's endpoints that are in service, by id.
+func (t *Table) Addresses(service string) map[string]string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := make(map[string]string)
+	for _, ep := range t.endpointsOf(service) {
+		if t.inService(ep, balance.Request{}) {
+			list[ep.ID] = ep.Addr
+		}
+	}
+	return list
+}
+
 // DownSince reports whether the process of the endpoint is known to have ended: its
 // address belongs to another one, or no connection could be opened at some time after
 // since.
--- a/process/upstream/health.go
+++ b/process/upstream/health.go
@@ -129,3 +129,13 @@
 	return h.latencySamples >= minSamples && median > 0 && now.Sub(h.latencyAt) < slowTTL &&
 		float64(h.latency) > slowFactor*float64(median)
 }
+
+// forgetFailures drops what failures since a time showed.
+func (h *health) forgetFailures(since time.Time) {
+	if h.unreachableAt.Before(since) && h.consecutiveBroken == 0 {
+		return
+	}
+	h.unreachableAt, h.ejectedUntil = time.Time{}, time.Time{}
+	h.ejections, h.consecutiveBroken, h.samples, h.errorRate = 0, 0, 0, 0
+	h.maybeCold, h.registryCurrentAt = false, time.Time{}
+}
