Fill brittle endpoints as far as all routers together may

What was seen: endpoints that crash after more than five rejections in a second fell 24 times in 12 s (2 allowed) and 44 of 4,792 requests were served, as each that came back met the burst of all routers: the overload goes on when its trigger is gone. A fall was taken for a crash by the requests that ran there.

Cause: as with named limits, each router filled endpoints by counts of its own and old ones of the others, and took their queues for room. The class: what an endpoint takes from all routers together was kept by each alone.

Change: what endpoints say about the requests that they take (named limit, brittle) is one announcement with one way to learn, order, tell and end it. A rejection is told at once and reduces the room at all routers; at more than half of the bearable ones nothing more is sent for a second. A fall after rejections is no crash of what ran there.

--- a/connection/forward/attempt.go
+++ b/connection/forward/attempt.go
@@ -207,7 +207,7 @@
 		body := http1.NewBody(a.conn.R, head.Length)
 		if response.RequestID == "" || response.RequestID == j.req.ID {
 			a.head, a.response, a.body = head, response, body
-			j.recordLimit(a)
+			j.recordAnnouncement(a)
 			if response.HasLoad {
 				j.s.Endpoints.RecordLoad(a.firstAt, a.grant, response.Load.Running+response.Load.Waiting)
 			}
@@ -224,14 +224,18 @@
 	}
 }
 
-// recordLimit records the limit that the endpoint names in its response, or that it names none.
-func (j *job) recordLimit(a *attempt) {
-	l := a.response.Limit
-	if l.Malformed || a.response.EndpointID != "" && a.response.EndpointID != a.grant.ID {
+// recordAnnouncement records what the endpoint says in its response about the requests that
+// it takes.
+func (j *job) recordAnnouncement(a *attempt) {
+	r := &a.response
+	if r.AnnouncedMalformed || r.EndpointID != "" && r.EndpointID != a.grant.ID {
 		return
 	}
-	if j.s.Endpoints.RecordLimit(a.firstAt, a.grant, l.Named, l.PerSecond) {
-		j.s.OnLimit(a.grant, l.Named, l.PerSecond)
+	if j.s.Endpoints.RecordAnnouncement(a.firstAt, a.grant, r.Announced) {
+		j.s.OnAnnounced(a.grant, r.Announced)
+	}
+	if r.NotRun && a.head.Status == http.StatusServiceUnavailable && j.s.Endpoints.RecordRejection(a.firstAt, a.grant) {
+		j.s.OnRejection(a.grant)
 	}
 }
 
--- a/connection/forward/crash.go
+++ b/connection/forward/crash.go
@@ -139,6 +139,9 @@
 		return false
 	}
 	now := time.Now()
+	if j.s.Endpoints.FellUnderLoad(now, a.grant) {
+		return false
+	}
 	j.s.Links.Conclude(ctx, a.grant, func() {
 		j.s.Quarantine.PartsLost(now, run)
 		j.s.Quarantine.Crashed(now, f, sent, a.grant.ID, a.sentAt)
--- a/connection/forward/server.go
+++ b/connection/forward/server.go
@@ -31,9 +31,14 @@
 	RecordLeaving(now time.Time, g *balance.Grant) bool
 	// RecordRetryAfter records for how long an endpoint wants no requests from this router.
 	RecordRetryAfter(now time.Time, g *balance.Grant, after time.Duration)
-	// RecordLimit records the requests a second that an endpoint takes, and reports whether
-	// that changes what is known.
-	RecordLimit(at time.Time, g *balance.Grant, named bool, perSecond float64) bool
+	// RecordAnnouncement records what an endpoint says about the requests that it takes, and
+	// reports whether that changes what is known.
+	RecordAnnouncement(at time.Time, g *balance.Grant, a balance.Announcement) bool
+	// RecordRejection records that an endpoint rejected a request for want of room, and
+	// reports whether the other routers need to know.
+	RecordRejection(now time.Time, g *balance.Grant) bool
+	// FellUnderLoad reports whether an endpoint that went down had too many requests.
+	FellUnderLoad(now time.Time, g *balance.Grant) bool
 	// Release ends a grant and reports whether the endpoint was ejected.
 	Release(now time.Time, g *balance.Grant, f balance.Failure, latency time.Duration) bool
 	// RecordUnreachable ejects an endpoint to which no connection could be opened.
@@ -75,9 +80,10 @@
 	Origins     Origins
 	Links       Links
 	Observer    Observer
-	OnLeaving   func(g *balance.Grant)                                // called when an endpoint announces that it leaves
-	OnLimit     func(g *balance.Grant, named bool, perSecond float64) // called when an endpoint's limit changes
-	RouterCount func() int                                            // routers that share the connections of an endpoint
+	OnLeaving   func(g *balance.Grant)                         // called when an endpoint announces that it leaves
+	OnAnnounced func(g *balance.Grant, a balance.Announcement) // called when what an endpoint says about its requests changes
+	OnRejection func(g *balance.Grant)                         // called when a brittle endpoint rejects a request
+	RouterCount func() int                                     // routers that share the connections of an endpoint
 	// RefusesStreams reports whether the process ends so soon that a new stream
 	// may not complete.
 	RefusesStreams func() bool
--- a/connection/forward/types.go
+++ b/connection/forward/types.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/stoatmount/stoatmount/connection/http1"
+	"github.com/stoatmount/stoatmount/request/balance"
 )
 
 // PromptPart is one part of a prompt. Requests with the same leading parts share
@@ -46,14 +47,6 @@
 // Load is the load that an endpoint reports with a response.
 type Load struct{ Running, Waiting, Slots int }
 
-// Limit is what an endpoint says in a response about the requests a second that it takes
-// from all routers together.
-type Limit struct {
-	Named     bool
-	PerSecond float64
-	Malformed bool // it says something that cannot be read
-}
-
 // Response holds the decoded headers of an endpoint's response.
 type Response struct {
 	RequestID  string
@@ -62,9 +55,11 @@
 	EndpointID string        // of the endpoint that responded
 	Leaving    bool          // the endpoint announces that it leaves
 	RetryAfter time.Duration // with a refusal: for how long the endpoint wants no requests from this router
-	Limit      Limit
-	HasLoad    bool
-	Load       Load
+	Announced  balance.Announcement
+	// AnnouncedMalformed: it announces something that cannot be read.
+	AnnouncedMalformed bool
+	HasLoad            bool
+	Load               Load
 }
 
 // Codec translates between HTTP heads and the types of this package. It makes
--- a/process/peers/table.go
+++ b/process/peers/table.go
@@ -34,8 +34,8 @@
 	Parts          quarantine.Evidence    `json:"parts,omitzero"`              // recent runs that were lost and completed
 	Lost           []string               `json:"lost,omitempty"`              // services whose endpoints this router does not reach
 	Reached        map[string]int64       `json:"reached,omitempty"`           // ms since the last response of services that others do not reach
-	Limits         []upstream.Limit       `json:"limits,omitempty"`            // what endpoints said about the requests that they take
-	Demand         map[string]int         `json:"demand,omitempty"`            // for services with limited endpoints, in tenths of a request a second
+	Restrictions   []upstream.Restriction `json:"restrictions,omitempty"`      // what endpoints said about the requests that they take, and own ones to these
+	Demand         map[string]int         `json:"demand,omitempty"`            // for services with such endpoints, in tenths of a request a second
 }
 
 // Relay carries records that one router read from the log for all routers.
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -124,7 +124,7 @@
 	r.quarantine = quarantine.New(r.onCrashChange, r.runsTrials)
 	r.links = newEndpointLinks(r)
 	handler := &forward.Server{Links: r.links, Codec: adapter.Codec(), Table: r.table, Endpoints: r.endpoints, Pool: r.pool,
-		RetryBudget: sharedRetries{r.retryBudget, r.members}, Quarantine: r.quarantine, Origins: &streamOrigins{r: r}, Observer: observer, OnLeaving: r.onLeaving, OnLimit: r.onLimit, RouterCount: r.members,
+		RetryBudget: sharedRetries{r.retryBudget, r.members}, Quarantine: r.quarantine, Origins: &streamOrigins{r: r}, Observer: observer, OnLeaving: r.onLeaving, OnAnnounced: r.onAnnounced, OnRejection: func(*balance.Grant) { r.sendNow() }, RouterCount: r.members,
 		RefusesStreams: r.refusesStreams}
 	r.front = &frontend.Server{Handler: handler, Limits: r.limits, Log: log,
 		MaxConnections: int(callerDescriptorShare * float64(s.Descriptors))}
@@ -285,7 +285,7 @@
 	h.Crashes = r.quarantine.Reports(time.Now())
 	h.Parts = r.quarantine.Evidence(time.Now())
 	h.Lost, h.Reached = r.links.table.Lost(), r.links.table.Reached(time.Now(), r.peers.Lost(time.Now()))
-	h.Limits, h.Demand = r.endpoints.Limits(time.Now()), r.endpoints.Demand(time.Now())
+	h.Restrictions, h.Demand = r.endpoints.Restrictions(time.Now()), r.endpoints.Demand(time.Now())
 	return h
 }
 
@@ -314,9 +314,11 @@
 	r.sendNow()
 }
 
-// onLimit logs that an endpoint named another limit, or none any more, and tells the other routers.
-func (r *Router) onLimit(g *balance.Grant, named bool, rate float64) {
-	r.log.Info("endpoint limit changed", "endpoint", g.ID, "service", g.Service, "named", named, "per_second", rate)
+// onAnnounced logs that an endpoint says something else about the requests that it takes, and
+// tells the other routers.
+func (r *Router) onAnnounced(g *balance.Grant, a balance.Announcement) {
+	r.log.Info("endpoint announcement changed", "endpoint", g.ID, "service", g.Service, "limited", a.Limited, "per_second", a.PerSecond,
+		"brittle", a.Brittle, "max_rejections", a.MaxRejections)
 	r.sendNow()
 }
 
@@ -351,7 +353,7 @@
 	r.origins.Merge(now, h.Begun)
 	r.endpoints.MergeLeaving(now, h.Leaving)
 	r.links.table.MergeReached(now, h.Reached)
-	r.endpoints.MergeLimits(now, h.Name, h.Limits)
+	r.endpoints.MergeRestrictions(now, h.Name, h.Restrictions)
 	r.quarantine.Merge(now, h.Crashes)
 	r.quarantine.MergeEvidence(now, quarantine.Source{Router: h.Name, Incarnation: h.Incarnation}, h.Parts)
 	r.updatePeers(now)
--- a/process/router/state.go
+++ b/process/router/state.go
@@ -9,6 +9,7 @@
 	EndpointsLeaving  int   `json:"endpoints_leaving"`
 	EndpointsPaused   int   `json:"endpoints_paused"`  // want no requests from this router for a time
 	EndpointsLimited  int   `json:"endpoints_limited"` // name a number of requests a second that they take
+	EndpointsBrittle  int   `json:"endpoints_brittle"` // crash when they reject too many requests
 	BodiesQuarantined int   `json:"bodies_quarantined"`
 	PartsQuarantined  int   `json:"parts_quarantined"`
 	PartsSuspected    int   `json:"parts_suspected"`
@@ -18,8 +19,9 @@
 // State returns what the router believes now.
 func (r *Router) State() State {
 	now := time.Now()
-	leaving, paused, limited := r.endpoints.CountRestricted(now)
+	restricted := r.endpoints.CountRestricted(now)
 	q := r.quarantine.Counts()
-	return State{ConfigVersion: r.ConfigVersion(), StoreEra: r.era.Load(), EndpointsLeaving: leaving, EndpointsPaused: paused, EndpointsLimited: limited,
+	return State{ConfigVersion: r.ConfigVersion(), StoreEra: r.era.Load(), EndpointsLeaving: restricted.Leaving, EndpointsPaused: restricted.Paused,
+		EndpointsLimited: restricted.Limited, EndpointsBrittle: restricted.Brittle,
 		BodiesQuarantined: q.Bodies, PartsQuarantined: q.Parts, PartsSuspected: q.Suspected, ServicesLost: len(r.links.table.Lost())}
 }
--- a/process/upstream/acquire.go
+++ b/process/upstream/acquire.go
@@ -37,7 +37,7 @@
 	}
 	ep := endpoints[chosen]
 	cold := t.inColdStart(now, ep)
-	if cold || ep.limit.named {
+	if cold || ep.restrictions.Limited {
 		ep.recordSent(now)
 	}
 	running := int(ep.load(now))
@@ -50,15 +50,17 @@
 // usable returns the endpoints that may get the request, ordered by ID.
 func (t *Table) usable(now time.Time, req balance.Request) ([]*endpoint, *balance.Refusal) {
 	healthy, ejected := t.healthy[:0], t.ejected[:0]
-	t.limitedRate = 0
+	t.limitedRate, t.roomRate = 0, 0
 	var out unavailable
 	for _, ep := range t.endpointsOf(req.Service) {
 		if !t.inService(ep, req) {
 			continue
 		}
-		if ep.limit.named {
+		if ep.restrictions.Limited {
 			q := t.limitQuota(ep)
 			t.limitedRate += float64(t.share(ep, q.Total, true)) / q.Window.Seconds()
+		} else if mean := t.loadOf(req.Service).serviceTimes.Mean(); mean > 0 && t.isBrittle(ep) {
+			t.roomRate += float64(t.share(ep, int(t.roomOf(now, ep)), true)) / mean.Seconds()
 		}
 		pause := t.pausedFor(now, ep)
 		ok, code, wait := t.hasQuota(now, ep)
@@ -118,8 +120,8 @@
 // Callers come back at the rate of this router's part of the limits.
 func (t *Table) refuseLimited(now time.Time, req balance.Request, soonest time.Duration) *balance.Refusal {
 	interval := longestRetryInterval
-	if t.limitedRate > 0 {
-		interval = min(interval, time.Duration(float64(time.Second)/t.limitedRate))
+	if rate := t.limitedRate + t.roomRate; rate > 0 {
+		interval = min(interval, time.Duration(float64(time.Second)/rate))
 	}
 	return &balance.Refusal{Code: outcome.EndpointLimited, RetryAfter: t.loadOf(req.Service).retries.Next(now, max(minLimitedRetryAfter, soonest), interval, t.draw()),
 		PriorityRank: req.PriorityRank}
@@ -206,7 +208,7 @@
 	list := t.list[:0]
 	for _, ep := range endpoints {
 		list = append(list, balance.Candidate{ID: ep.ID, Running: ep.load(now), Slots: ep.Slots,
-			Latency: ep.health.latency, RateLimited: ep.limit.named, Local: ep.Zone == t.cfg.Zone,
+			Latency: ep.health.latency, RateLimited: ep.restrictions.Limited, Local: ep.Zone == t.cfg.Zone,
 			Slow: ep.health.slow(now, median)})
 	}
 	t.list = list
@@ -283,10 +285,10 @@
 	}
 	sum, n, allLimited := 0.0, 0, true
 	for _, ep := range t.endpointsOf(service) {
-		if allLimited && !ep.limit.named {
+		if allLimited && !ep.restrictions.Limited {
 			sum, n, allLimited = 0, 0, false
 		}
-		if allLimited || !ep.limit.named {
+		if allLimited || !ep.restrictions.Limited {
 			sum += ep.load(now)
 			n++
 		}
--- a/process/upstream/pause.go
+++ b/process/upstream/pause.go
@@ -26,27 +26,37 @@
 	}
 }
 
-// CountRestricted returns how many processes of endpoints announced that they leave, how
-// many want no requests from this router for a time, and how many name a limit.
-func (t *Table) CountRestricted(now time.Time) (leaving, paused, limited int) {
+// RestrictedCounts counts the processes of endpoints that take fewer requests than usual.
+type RestrictedCounts struct {
+	Leaving int // announced that they leave
+	Paused  int // want no requests from this router for a time
+	Limited int // name a number of requests a second
+	Brittle int // crash when they reject too many requests
+}
+
+// CountRestricted counts the endpoints that take fewer requests than usual.
+func (t *Table) CountRestricted(now time.Time) (n RestrictedCounts) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, mark := range t.leaving {
 		if now.Sub(mark.at) < leavingTTL {
-			leaving++
+			n.Leaving++
 		}
 	}
 	for _, until := range t.paused {
 		if now.Before(until) {
-			paused++
+			n.Paused++
 		}
 	}
 	for _, ep := range t.byID {
-		if ep.limit.named {
-			limited++
+		if ep.restrictions.Limited {
+			n.Limited++
+		}
+		if ep.restrictions.Brittle {
+			n.Brittle++
 		}
 	}
-	return leaving, paused, limited
+	return n
 }
 
 // pausedFor returns how long the endpoint wants no requests from this router.
--- a/process/upstream/quota.go
+++ b/process/upstream/quota.go
@@ -13,8 +13,8 @@
 	coldShareFraction = 0.85 // of the bound that is divided; the rest covers routers not known yet
 	// sentTTL is how long own requests to an endpoint with a quota are remembered.
 	sentTTL = 10 * time.Second
-	// limitReportTime is how long this router tells the others what an endpoint said last.
-	limitReportTime = 10 * time.Second
+	// announcementReportTime is how long this router tells the others what an endpoint said last.
+	announcementReportTime = 10 * time.Second
 	// toldCountsWait is the wait for the counts of the other routers to change.
 	toldCountsWait = 250 * time.Millisecond
 )
@@ -26,115 +26,133 @@
 	Demand map[string]int // by service, in tenths of a request a second
 }
 
-// Limit is what an endpoint said last about the requests a second that it takes from all
-// routers together.
-type Limit struct {
+// Restriction is what a router tells the others about an endpoint that restricts the
+// requests that it takes.
+type Restriction struct {
 	Incarnation
-	Named bool    `json:"named,omitempty"` // false: it no longer names a limit
-	Rate  float64 `json:"rate,omitempty"`
-	AgeMS int64   `json:"age_ms"`         // since it said so
-	Sent  int     `json:"sent,omitempty"` // own requests in the window of the limit
+	balance.Announcement
+	AgeMS    int64 `json:"age_ms"`             // since the endpoint said so to this router; -1 if it did not
+	Sent     int   `json:"sent,omitempty"`     // own requests in the window of the limit
+	Rejected int   `json:"rejected,omitempty"` // own requests that a brittle endpoint rejected in the last second
+	DownMS   int64 `json:"down_ms,omitempty"`  // since it accepted no connection, in ms; 0 if it did
 }
 
-// namedLimit is the last known limit of an endpoint.
-type namedLimit struct {
-	named bool
-	rate  float64
-	at    time.Time // when the endpoint said so; zero if it never named one
+// restrictions is what is known about the requests that an endpoint takes.
+type restrictions struct {
+	balance.Announcement
+	at    time.Time // when the endpoint said so; zero if it never said anything
 	ownAt time.Time // when it last said so to this router
-	// told is the number of requests that each other router has sent in the window.
-	told map[string]toldCount
+	// told is what each other router has told of its requests.
+	told map[string]toldRequests
+
+	rejections []time.Time // of own requests, for want of room
+	room       room
 }
 
-type toldCount struct {
-	requests int
-	at       time.Time
+type toldRequests struct {
+	sent, rejected int
+	at             time.Time
 }
 
-// RecordLimit records the limit that an endpoint named in a response, or that the response
-// names none, and reports whether that changes what is known. at is the arrival of the
-// response; of responses that arrive out of order the newest counts.
-func (t *Table) RecordLimit(at time.Time, g *balance.Grant, named bool, rate float64) bool {
+// RecordAnnouncement records what an endpoint said in a response and reports whether that
+// changes what is known. at is the arrival of the response; of responses that arrive out of
+// order the newest counts.
+func (t *Table) RecordAnnouncement(at time.Time, g *balance.Grant, a balance.Announcement) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	ep := t.byID[g.ID]
 	if ep == nil || ep.Started != g.Started {
 		return false
 	}
-	changed := ep.limit.set(at, named, rate)
-	if ep.limit.at.Equal(at) && !at.IsZero() {
-		ep.limit.ownAt = at
+	t.someBrittle = t.someBrittle || a.Brittle
+	changed := ep.restrictions.set(at, a)
+	if ep.restrictions.at.Equal(at) && !at.IsZero() {
+		ep.restrictions.ownAt = at
 	}
 	return changed
 }
 
 // set records what the endpoint said at a time, unless it said something later.
-func (l *namedLimit) set(at time.Time, named bool, rate float64) bool {
-	if !at.After(l.at) || !named && l.at.IsZero() {
+func (r *restrictions) set(at time.Time, a balance.Announcement) bool {
+	if !at.After(r.at) || a == (balance.Announcement{}) && r.at.IsZero() {
 		return false
 	}
-	changed := named != l.named || named && rate != l.rate
-	l.named, l.rate, l.at = named, rate, at
-	if !named {
-		l.told = nil
-	}
+	changed := a != r.Announcement
+	r.Announcement, r.at = a, at
 	return changed
 }
 
-// MergeLimits records the limits that another router tells, and its requests.
-func (t *Table) MergeLimits(now time.Time, router string, list []Limit) {
+// MergeRestrictions records what another router tells.
+func (t *Table) MergeRestrictions(now time.Time, router string, list []Restriction) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	before := make(map[string]int) // rejections that it had told, by endpoint
 	for _, ep := range t.byID {
-		delete(ep.limit.told, router)
+		if last, ok := ep.restrictions.told[router]; ok {
+			before[ep.ID] = last.rejected
+			delete(ep.restrictions.told, router)
+		}
 	}
-	for _, l := range list {
-		ep := t.byID[l.ID]
-		if ep == nil || ep.Started != l.Started {
+	for _, told := range list {
+		ep := t.byID[told.ID]
+		if ep == nil || ep.Started != told.Started {
 			continue
 		}
-		if l.AgeMS >= 0 {
-			ep.limit.set(now.Add(-time.Duration(l.AgeMS)*time.Millisecond), l.Named, l.Rate)
+		r := &ep.restrictions
+		t.someBrittle = t.someBrittle || told.Brittle
+		if told.AgeMS >= 0 {
+			r.set(now.Add(-time.Duration(told.AgeMS)*time.Millisecond), told.Announcement)
 		}
-		if ep.limit.named {
-			if ep.limit.told == nil {
-				ep.limit.told = make(map[string]toldCount)
-			}
-			ep.limit.told[router] = toldCount{requests: l.Sent, at: now}
+		if told.DownMS > 0 {
+			r.room.downAt(now.Add(-time.Duration(told.DownMS) * time.Millisecond))
+		}
+		if told.Rejected > before[told.ID] {
+			r.room.rejected(now)
 		}
+		if r.told == nil {
+			r.told = make(map[string]toldRequests)
+		}
+		r.told[router] = toldRequests{sent: told.Sent, rejected: told.Rejected, at: now}
 	}
 }
 
-// Limits returns the limits that endpoints named to this router, and its requests to all
-// limited endpoints, for the other routers.
-func (t *Table) Limits(now time.Time) []Limit {
+// Restrictions returns what endpoints said to this router, and its requests to those that
+// restrict them, for the other routers.
+func (t *Table) Restrictions(now time.Time) []Restriction {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var list []Limit
+	var list []Restriction
 	for _, ep := range t.byID {
-		l := Limit{Incarnation: Incarnation{ep.ID, ep.Started}, AgeMS: -1}
-		if !ep.limit.ownAt.IsZero() && now.Sub(ep.limit.ownAt) < limitReportTime && ep.limit.ownAt.Equal(ep.limit.at) {
-			l.Named, l.Rate, l.AgeMS = ep.limit.named, ep.limit.rate, now.Sub(ep.limit.at).Milliseconds()
+		r := &ep.restrictions
+		told := Restriction{Incarnation: Incarnation{ep.ID, ep.Started}, AgeMS: -1}
+		if !r.ownAt.IsZero() && now.Sub(r.ownAt) < announcementReportTime && r.ownAt.Equal(r.at) {
+			told.Announcement, told.AgeMS = r.Announcement, now.Sub(r.at).Milliseconds()
+		}
+		if r.Limited {
+			told.Sent = ep.sentWithin(now, t.limitQuota(ep).Window)
 		}
-		if ep.limit.named {
-			l.Sent = ep.sentWithin(now, t.limitQuota(ep).Window)
+		if t.isBrittle(ep) {
+			told.Rejected = r.rejectedWithin(now)
+			if down := now.Sub(ep.health.unreachableAt); down < announcementReportTime {
+				told.DownMS = max(1, down.Milliseconds())
+			}
 		}
-		if l.AgeMS >= 0 || l.Sent > 0 {
-			list = append(list, l)
+		if told.AgeMS >= 0 || told.Sent > 0 || told.Rejected > 0 || told.DownMS > 0 {
+			list = append(list, told)
 		}
 	}
 	return list
 }
 
-// Demand returns the rate of the callers' requests for each service with a limited
-// endpoint, in tenths of a request a second, for the other routers. Quotas are divided by
+// Demand returns the rate of the callers' requests for each service with an endpoint that
+// restricts requests, in tenths of a request a second, for the other routers. Quotas are divided by
 // what was told last, so that all routers divide them alike.
 func (t *Table) Demand(now time.Time) map[string]int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.toldDemand = nil
 	for _, ep := range t.byID {
-		if !ep.limit.named {
+		if !ep.restrictions.Limited && !ep.restrictions.Brittle {
 			continue
 		}
 		if t.toldDemand == nil {
@@ -147,7 +165,7 @@
 
 // limitQuota returns the quota of an endpoint that named a limit.
 func (t *Table) limitQuota(ep *endpoint) quota.Quota {
-	return quota.OfRate(ep.limit.rate, len(t.others)+1)
+	return quota.OfRate(ep.restrictions.PerSecond, len(t.others)+1)
 }
 
 // dividedQuota returns the number of requests that is divided among the routers. What a
@@ -193,7 +211,10 @@
 			return false, outcome.EndpointCold, q.Window / 2
 		}
 	}
-	if !ep.limit.named {
+	if t.isBrittle(ep) && !t.hasRoom(now, ep) {
+		return false, outcome.EndpointLimited, roomWait
+	}
+	if !ep.restrictions.Limited {
 		return true, outcome.OK, 0
 	}
 	q := t.limitQuota(ep)
@@ -203,7 +224,7 @@
 		return false, outcome.EndpointLimited, q.Window / 2
 	case own >= share:
 		return false, outcome.EndpointLimited, q.Window - now.Sub(ep.sent[len(ep.sent)-share])
-	case own+ep.limit.sentByOthers(now, q.Window) >= q.Total:
+	case own+ep.restrictions.sentByOthers(now, q.Window) >= q.Total:
 		return false, outcome.EndpointLimited, toldCountsWait
 	}
 	return true, outcome.OK, 0
@@ -211,11 +232,11 @@
 
 // sentByOthers returns how many requests the other routers have told to have sent in a
 // window.
-func (l *namedLimit) sentByOthers(now time.Time, window time.Duration) int {
+func (r *restrictions) sentByOthers(now time.Time, window time.Duration) int {
 	n := 0
-	for _, told := range l.told {
+	for _, told := range r.told {
 		if now.Sub(told.at) < window {
-			n += told.requests
+			n += told.sent
 		}
 	}
 	return n
--- a/process/upstream/quota_play_test.go
+++ b/process/upstream/quota_play_test.go
@@ -65,7 +65,7 @@
 	type heartbeat struct {
 		from, to int
 		arrives  time.Duration
-		limits   []Limit
+		limits   []Restriction
 		demand   map[string]int
 	}
 	var sends []time.Duration
@@ -84,7 +84,7 @@
 			case p.down != nil && p.down(h.to, at):
 			default:
 				heardAt[h.to][h.from], demands[h.to][h.from] = at, h.demand
-				tables[h.to].MergeLimits(now, names[h.from], h.limits)
+				tables[h.to].MergeRestrictions(now, names[h.from], h.limits)
 				setPeers(h.to, at)
 			}
 		}
@@ -102,7 +102,7 @@
 			if at >= next[i] {
 				next[i] = at + interval
 				setPeers(i, at)
-				limits, demand := tables[i].Limits(now), tables[i].Demand(now)
+				limits, demand := tables[i].Restrictions(now), tables[i].Demand(now)
 				for j := range names {
 					if j != i && rng.Float64() >= p.loss && (p.cut == nil || !p.cut(i, j, at)) {
 						inFlight = append(inFlight, heartbeat{i, j, at + 5*time.Millisecond, limits, demand})
@@ -115,7 +115,7 @@
 					continue
 				}
 				sends = append(sends, at)
-				tables[i].RecordLimit(now, g, true, p.limit(at))
+				tables[i].RecordAnnouncement(now, g, balance.Announcement{Limited: true, PerSecond: p.limit(at)})
 				tables[i].Release(now, g, balance.NoFailure, time.Millisecond)
 			}
 		}
@@ -233,19 +233,19 @@
 	table := newTable(1)
 	g, _ := acquire(table, t0)
 	at := func(ms int) time.Time { return t0.Add(time.Duration(ms) * time.Millisecond) }
-	c.Assert(table.RecordLimit(at(1), g, false, 0), qt.IsFalse)
-	c.Assert(table.Limits(at(1)), qt.HasLen, 0)
-	c.Assert(table.RecordLimit(at(100), g, true, 2), qt.IsTrue)
-	c.Assert(table.RecordLimit(at(50), g, false, 0), qt.IsFalse) // was sent before
-	c.Assert(table.Limits(at(100)), qt.DeepEquals, []Limit{{Incarnation: Incarnation{"e0", 1}, Named: true, Rate: 2}})
-	table.MergeLimits(at(300), "other", []Limit{{Incarnation: Incarnation{"e0", 1}, AgeMS: 250}})
-	c.Assert(table.byID["e0"].limit.named, qt.IsTrue)
-	table.MergeLimits(at(300), "other", []Limit{{Incarnation: Incarnation{"e0", 2}, AgeMS: 1}}) // another process
-	c.Assert(table.byID["e0"].limit.named, qt.IsTrue)
-	table.MergeLimits(at(300), "other", []Limit{{Incarnation: Incarnation{"e0", 1}, AgeMS: 100}})
-	c.Assert(table.byID["e0"].limit.named, qt.IsFalse)
-	c.Assert(table.Limits(at(300)), qt.HasLen, 0) // it did not say so to this router
-	table.RecordLimit(at(400), g, true, 3)
+	c.Assert(table.RecordAnnouncement(at(1), g, balance.Announcement{}), qt.IsFalse)
+	c.Assert(table.Restrictions(at(1)), qt.HasLen, 0)
+	c.Assert(table.RecordAnnouncement(at(100), g, balance.Announcement{Limited: true, PerSecond: 2}), qt.IsTrue)
+	c.Assert(table.RecordAnnouncement(at(50), g, balance.Announcement{}), qt.IsFalse) // was sent before
+	c.Assert(table.Restrictions(at(100)), qt.DeepEquals, []Restriction{{Incarnation: Incarnation{"e0", 1}, Announcement: balance.Announcement{Limited: true, PerSecond: 2}, Sent: 0}})
+	table.MergeRestrictions(at(300), "other", []Restriction{{Incarnation: Incarnation{"e0", 1}, AgeMS: 250}})
+	c.Assert(table.byID["e0"].restrictions.Limited, qt.IsTrue)
+	table.MergeRestrictions(at(300), "other", []Restriction{{Incarnation: Incarnation{"e0", 2}, AgeMS: 1}}) // another process
+	c.Assert(table.byID["e0"].restrictions.Limited, qt.IsTrue)
+	table.MergeRestrictions(at(300), "other", []Restriction{{Incarnation: Incarnation{"e0", 1}, AgeMS: 100}})
+	c.Assert(table.byID["e0"].restrictions.Limited, qt.IsFalse)
+	c.Assert(table.Restrictions(at(300)), qt.HasLen, 0) // it did not say so to this router
+	table.RecordAnnouncement(at(400), g, balance.Announcement{Limited: true, PerSecond: 3})
 	table.Apply(at(500), []Change{put(0, func(e *Entry) { e.Started = 2 })}, false)
-	c.Assert(table.byID["e0"].limit.named, qt.IsFalse)
+	c.Assert(table.byID["e0"].restrictions.Limited, qt.IsFalse)
 }
--- a/process/upstream/table.go
+++ b/process/upstream/table.go
@@ -75,7 +75,7 @@
 	probedAt        time.Time     // last time that Probe allowed a probe
 	reportTTL       time.Duration // how long reportedLoad replaces peerRunning if it is higher
 	sent            []time.Time   // own requests, in order, while a quota binds
-	limit           namedLimit
+	restrictions    restrictions
 	health          health
 }
 
@@ -92,6 +92,7 @@
 	self              string                 // name of this router
 	others            []Peer                 // the other routers that may send requests
 	toldDemand        map[string]int         // as Demand returned it last
+	someBrittle       bool                   // some endpoint is or was brittle
 	heartbeatInterval time.Duration          // between the heartbeats of a router
 	coldRate          map[string]float64
 	// downSince is when a service was first found without endpoints.
@@ -107,7 +108,8 @@
 	healthy, ejected []*endpoint
 	list             []balance.Candidate
 	members          []quota.Member
-	limitedRate      float64 // requests a second that this router may send to limited endpoints, set by usable
+	// Requests a second that this router may send to limited and to brittle endpoints, set by usable.
+	limitedRate, roomRate float64
 }
 
 // New returns an empty table. draw returns random numbers in [0,1).
@@ -158,6 +160,7 @@
 		if ep != nil {
 			delete(t.services, ep.Service)
 		}
+		fresh.restrictions.room.lastDownAt = now
 		ep = fresh
 		t.byID[e.ID] = ep
 		delete(t.services, e.Service)
--- a/request/balance/grant.go
+++ b/request/balance/grant.go
@@ -72,3 +72,13 @@
 
 // MarshalText implements encoding.TextMarshaler.
 func (f Failure) MarshalText() ([]byte, error) { return []byte(f.String()), nil }
+
+// Announcement is what an endpoint says in its responses about the requests that it takes
+// from all routers together.
+type Announcement struct {
+	Limited   bool    `json:"limited,omitempty"`
+	PerSecond float64 `json:"per_second,omitempty"` // with Limited
+	// Brittle: the endpoint crashes after more than MaxRejections in a second for want of room.
+	Brittle       bool `json:"brittle,omitempty"`
+	MaxRejections int  `json:"max_rejections,omitempty"`
+}
