Stop probing a lost service once an endpoint accepts connections

While single requests prove the links, the router went on opening connections to all endpoints, twice a second. Found by the soak without links, whose proxies counted them.

--- a/process/links/links.go
+++ b/process/links/links.go
@@ -153,6 +153,14 @@
 	return list
 }
 
+// NeedsProbe reports whether a service is lost and no endpoint is known to accept connections.
+func (t *Table) NeedsProbe(name string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.service(name)
+	return s.lost && s.connectsAt.IsZero()
+}
+
 // UseRelay reports whether a request goes through another router. Once the endpoints
 // accept connections, requests that may be repeated are sent directly one at a time.
 func (t *Table) UseRelay(now time.Time, name string, repeatable bool) bool {
--- a/process/router/links.go
+++ b/process/router/links.go
@@ -122,7 +122,9 @@
 	lostAt := time.Now()
 	for l.table.IsLost(service) && l.r.ctx.Err() == nil {
 		began := time.Now()
-		if l.probeOnce(service) {
+		if !l.table.NeedsProbe(service) {
+			// Requests prove the links now.
+		} else if l.probeOnce(service) {
 			carryOut(l.table.Connects(time.Now(), service))
 		} else if c, ownFault := l.table.ProbeFailed(began, service); ownFault {
 			l.report(c)
