Bear a longer silence of an endpoint where a request cannot go on elsewhere

What callers saw: streams that may not be resumed broke when their endpoint fell silent for two seconds and went on after that.

Cause: TCP_USER_TIMEOUT of 2 s also decides when keep-alive probes give up, whatever their count; the three probes, which would bear 4 s, never had a say.

Change: a request that may be repeated or resumed gives its endpoint up after 2 s of silence as before, another one after the 4 s of the probes. Setting it costs a call only when a connection changes between the two.

--- a/connection/forward/attempt.go
+++ b/connection/forward/attempt.go
@@ -119,6 +119,7 @@
 			j.s.Links.Connected(time.Now(), a.grant)
 		}
 	}
+	a.conn.SetAckTimeout(j.ackTimeout())
 	conn := a.conn
 	a.stopWatch = context.AfterFunc(j.ctx, func() {
 		_ = conn.SetDeadline(time.Unix(1, 0)) // wakes a read or write in progress
@@ -126,6 +127,22 @@
 	return nil
 }
 
+const (
+	// repeatableAckTimeout is the silence after which an endpoint is given up for a request that
+	// may go on elsewhere.
+	repeatableAckTimeout = 2 * time.Second
+	// onlyAckTimeout is the same for other requests: a sound endpoint may fall silent for a while.
+	onlyAckTimeout = 4 * time.Second
+)
+
+// ackTimeout returns the silence after which the endpoint of an attempt is given up.
+func (j *job) ackTimeout() time.Duration {
+	if j.route.Retryable() {
+		return repeatableAckTimeout
+	}
+	return onlyAckTimeout
+}
+
 func (j *job) send(a *attempt) error {
 	s := AttemptOptions{Timeout: time.Until(j.deadline), Endpoint: a.grant.ID, Workspace: j.workspace, LastEventID: j.lastEventID,
 		FetchFrom: a.grant.FetchFrom, Priority: j.priority}
--- a/connection/http1/pool.go
+++ b/connection/http1/pool.go
@@ -33,6 +33,17 @@
 	Reused  bool // it served an earlier request
 	addr    string
 	expires time.Time
+
+	ackTimeout time.Duration // TCP_USER_TIMEOUT in force
+}
+
+// SetAckTimeout sets the silence of the other end after which the connection is closed, whether
+// bytes wait for an acknowledgement or only keep-alive probes do.
+func (c *Conn) SetAckTimeout(d time.Duration) {
+	if c.ackTimeout != d {
+		SetUserTimeout(c.Conn, d)
+		c.ackTimeout = d
+	}
 }
 
 // Pool keeps idle connections to endpoints and returns the newest first. It is safe
@@ -84,8 +95,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "connect")
 	}
-	SetUserTimeout(conn, p.userTimeout)
-	return &Conn{Conn: conn, R: bufio.NewReaderSize(conn, readBufferBytes), addr: addr}, nil
+	c := &Conn{Conn: conn, R: bufio.NewReaderSize(conn, readBufferBytes), addr: addr}
+	c.SetAckTimeout(p.userTimeout)
+	return c, nil
 }
 
 // Put keeps a connection whose last response was read to its end, and closes the
--- a/connection/http1/pool_test.go
+++ b/connection/http1/pool_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/sys/unix"
 )
 
 // connPair returns a connection of the pool and its other end.
@@ -78,3 +80,24 @@
 	p.CloseIdle("same")
 	c.Assert(p.Get("same", now), qt.IsNil)
 }
+
+// As keep-alive probes end with TCP_USER_TIMEOUT, whatever their number, it is the silence that
+// an idle connection bears, too.
+func TestAckTimeoutOfConnection(t *testing.T) {
+	c := qt.New(t)
+	conn, _ := connPair(c, NewPool(2*time.Second))
+	c.Cleanup(func() { _ = conn.Close() })
+	inForce := func() (ms int) {
+		raw, err := conn.Conn.(syscall.Conn).SyscallConn()
+		c.Assert(err, qt.IsNil)
+		c.Assert(raw.Control(func(fd uintptr) { ms, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT) }), qt.IsNil)
+		c.Assert(err, qt.IsNil)
+		return ms
+	}
+	c.Assert(inForce(), qt.Equals, 2000)
+	conn.SetAckTimeout(4 * time.Second)
+	c.Assert(inForce(), qt.Equals, 4000)
+	c.Assert(keepAliveProbe*(1+keepAliveProbes), qt.Equals, 4*time.Second) // what the probes alone would bear
+	conn.SetAckTimeout(2 * time.Second)
+	c.Assert(inForce(), qt.Equals, 2000)
+}
