Bound the restricted endpoints that a heartbeat tells of

A router whose heartbeats do not fit into a datagram counts as dead. With 640 endpoints that all name limits, the heartbeat of the test has 20,708 bytes compressed, 16,384 allowed; with 200 of them at a time, 13,586.

--- a/process/peers/peers_test.go
+++ b/process/peers/peers_test.go
@@ -19,6 +19,7 @@
 	"github.com/stoatmount/stoatmount/process/quarantine"
 	"github.com/stoatmount/stoatmount/process/suspect"
 	"github.com/stoatmount/stoatmount/process/upstream"
+	"github.com/stoatmount/stoatmount/request/balance"
 )
 
 var t0 = time.Unix(1_700_000_000, 0)
@@ -218,6 +219,24 @@
 	c.Assert(got, qt.DeepEquals, h)
 }
 
+// mostRestrictions returns what a router tells when all of very many endpoints name limits
+// and are brittle.
+func mostRestrictions(c *qt.C, rng *rand.Rand) []upstream.Restriction {
+	const endpoints = 640
+	table := upstream.New(upstream.Config{}, rng.Float64)
+	for range endpoints {
+		e := upstream.Entry{ID: fmt.Sprintf("i-%010x", rng.Uint64()>>24), Service: "s", Addr: "10.0.0.1:80", Slots: 64, Started: 1_764_800_000_000 + rng.Int64N(1_000_000)}
+		table.Apply(t0, []upstream.Change{{ID: e.ID, Entry: &e}}, false)
+		g := &balance.Grant{ID: e.ID, Started: e.Started, Service: "s"}
+		table.RecordAnnouncement(t0, g, balance.Announcement{Limited: true, PerSecond: float64(rng.IntN(1000)) / 10, Brittle: true, MaxRejections: 5})
+		table.RecordRejection(t0, g)
+		table.RecordUnreachable(t0, g)
+	}
+	list := table.Restrictions(t0.Add(time.Duration(rng.IntN(1000)) * time.Millisecond))
+	c.Assert(len(list) > 50, qt.IsTrue)
+	return list
+}
+
 // A router whose heartbeats do not fit counts as dead.
 func TestHeartbeatWithMostEvidenceFitsIntoADatagram(t *testing.T) {
 	c := qt.New(t)
@@ -248,6 +267,8 @@
 		h.Running[fmt.Sprintf("i-%010x", rng.Uint64()>>24)] = rng.Float64()
 		h.Placements = append(h.Placements, Placement{Key: rng.Uint64(), Endpoint: fmt.Sprintf("i-%010x", rng.Uint64()>>24)})
 	}
+	h.Restrictions = mostRestrictions(c, rng)
+	h.Demand = map[string]int{"one-service": 123, "another-service": 4567}
 	data, err := json.Marshal(message{Heartbeat: &h})
 	c.Assert(err, qt.IsNil)
 	t.Logf("%d bytes, %d compressed", len(data), len(compress(data)))
--- a/process/upstream/quota.go
+++ b/process/upstream/quota.go
@@ -15,6 +15,9 @@
 	sentTTL = 10 * time.Second
 	// announcementReportTime is how long this router tells the others what an endpoint said last.
 	announcementReportTime = 10 * time.Second
+	// maxRestrictions bounds the endpoints that are told of in a heartbeat. With more, those of the
+	// next heartbeat differ.
+	maxRestrictions = 200
 	// toldCountsWait is the wait for the counts of the other routers to change.
 	toldCountsWait = 250 * time.Millisecond
 )
@@ -140,6 +143,9 @@
 		if told.AgeMS >= 0 || told.Sent > 0 || told.Rejected > 0 || told.DownMS > 0 {
 			list = append(list, told)
 		}
+		if len(list) == maxRestrictions {
+			break
+		}
 	}
 	return list
 }
