Do not add probes to a group that may be waited for

A check of a silent endpoint ends after its request, so it may find a service lost while the process waits for its goroutines; adding one then is a misuse of the wait group. Probes end with the context of the process. Found by reading; no run showed it.

--- a/process/router/links.go
+++ b/process/router/links.go
@@ -48,7 +48,7 @@
 		return
 	}
 	l.report(c)
-	l.r.group.Go(func() { l.probe(service) })
+	go l.probe(service) // not in the group, which may be waited for already; ends with the context
 }
 
 // Connected implements forward.Links.
