Keep relayed connections within the descriptors of a process

Connections of other routers could take half as many descriptors as callers, nine tenths together with endpoints and the store still to come. Found by reading.

--- a/process/router/router.go
+++ b/process/router/router.go
@@ -46,6 +46,8 @@
 	// callerDescriptorShare is the fraction of the descriptors for callers' connections;
 	// the others are for endpoints, the store and files.
 	callerDescriptorShare = 0.6
+	// relayDescriptorShare is the same for the connections of other routers.
+	relayDescriptorShare = 0.15
 )
 
 // The platform limits the load of an endpoint to LoadCap times the mean plus three
@@ -128,7 +130,7 @@
 		RefusesStreams: r.refusesStreams}
 	r.front = &frontend.Server{Handler: handler, Limits: r.limits, Log: log,
 		MaxConnections: int(callerDescriptorShare * float64(s.Descriptors))}
-	r.relayed = &frontend.Server{Handler: handler.RelayHandler(), Limits: r.limits, Log: log, MaxConnections: r.front.MaxConnections / 2}
+	r.relayed = &frontend.Server{Handler: handler.RelayHandler(), Limits: r.limits, Log: log, MaxConnections: int(relayDescriptorShare * float64(s.Descriptors))}
 	return r, nil
 }
 
