--- a/connection/forward/attempt.go
+++ b/connection/forward/attempt.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -105,44 +104,6 @@
 	return a
 }
 
-// connect takes an idle connection or opens one.
-func (j *job) connect(a *attempt) error {
-	a.conn = j.s.Pool.Get(a.grant.Addr, time.Now())
-	if a.conn == nil {
-		c, err := j.s.Pool.Dial(j.ctx, a.grant.Addr, connectTimeout)
-		if err != nil {
-			return err
-		}
-		a.conn = c
-		j.rec.Dials++
-		if !a.relayed {
-			j.s.Links.Connected(time.Now(), a.grant)
-		}
-	}
-	a.conn.SetAckTimeout(j.ackTimeout())
-	conn := a.conn
-	a.stopWatch = context.AfterFunc(j.ctx, func() {
-		_ = conn.SetDeadline(time.Unix(1, 0)) // wakes a read or write in progress
-	})
-	return nil
-}
-
-const (
-	// repeatableAckTimeout is the silence after which an endpoint is given up for a request that
-	// may go on elsewhere.
-	repeatableAckTimeout = 2 * time.Second
-	// onlyAckTimeout is the same for other requests: a sound endpoint may fall silent for a while.
-	onlyAckTimeout = 4 * time.Second
-)
-
-// ackTimeout returns the silence after which the endpoint of an attempt is given up.
-func (j *job) ackTimeout() time.Duration {
-	if j.route.Retryable() {
-		return repeatableAckTimeout
-	}
-	return onlyAckTimeout
-}
-
 func (j *job) send(a *attempt) error {
 	s := AttemptOptions{Timeout: time.Until(j.deadline), Endpoint: a.grant.ID, Workspace: j.workspace, LastEventID: j.lastEventID,
 		FetchFrom: a.grant.FetchFrom, Priority: j.priority}
@@ -241,21 +202,6 @@
 	}
 }
 
-// recordAnnouncement records what the endpoint says in its response about the requests that
-// it takes.
-func (j *job) recordAnnouncement(a *attempt) {
-	r := &a.response
-	if r.AnnouncedMalformed || r.EndpointID != "" && r.EndpointID != a.grant.ID {
-		return
-	}
-	if j.s.Endpoints.RecordAnnouncement(a.firstAt, a.grant, r.Announced) {
-		j.s.OnAnnounced(a.grant, r.Announced)
-	}
-	if r.NotRun && a.head.Status == http.StatusServiceUnavailable && j.s.Endpoints.RecordRejection(a.firstAt, a.grant) {
-		j.s.OnRejection(a.grant)
-	}
-}
-
 // checkHead rejects a success that the endpoint did not sign for this request,
 // and one whose body is encoded.
 func (j *job) checkHead(a *attempt) error {
--- /dev/null
+++ b/connection/forward/connect.go
@@ -0,0 +1,44 @@
+package forward
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// repeatableAckTimeout is the silence after which an endpoint is given up for a request that
+	// may go on elsewhere.
+	repeatableAckTimeout = 2 * time.Second
+	// onlyAckTimeout is the same for other requests: a sound endpoint may fall silent for a while.
+	onlyAckTimeout = 4 * time.Second
+)
+
+// ackTimeout returns the silence after which the endpoint of an attempt is given up.
+func (j *job) ackTimeout() time.Duration {
+	if j.route.Retryable() {
+		return repeatableAckTimeout
+	}
+	return onlyAckTimeout
+}
+
+// connect takes an idle connection or opens one.
+func (j *job) connect(a *attempt) error {
+	a.conn = j.s.Pool.Get(a.grant.Addr, time.Now())
+	if a.conn == nil {
+		c, err := j.s.Pool.Dial(j.ctx, a.grant.Addr, connectTimeout)
+		if err != nil {
+			return err
+		}
+		a.conn = c
+		j.rec.Dials++
+		if !a.relayed {
+			j.s.Links.Connected(time.Now(), a.grant)
+		}
+	}
+	a.conn.SetAckTimeout(j.ackTimeout())
+	conn := a.conn
+	a.stopWatch = context.AfterFunc(j.ctx, func() {
+		_ = conn.SetDeadline(time.Unix(1, 0)) // wakes a read or write in progress
+	})
+	return nil
+}
--- a/connection/forward/relay.go
+++ b/connection/forward/relay.go
@@ -34,24 +34,6 @@
 	maxUnreached = 2
 )
 
-// Links knows which services this router reaches, and which other routers do.
-type Links interface {
-	// Failed records that an endpoint accepted no connection or sent no response.
-	Failed(now time.Time, g *balance.Grant)
-	// Connected records that an endpoint accepted a connection.
-	Connected(now time.Time, g *balance.Grant)
-	// Proved records a response of an endpoint.
-	Proved(now time.Time, g *balance.Grant)
-	// Conclude calls conclusion, which blames the endpoint for a failure, once another endpoint
-	// shows that this router's links work.
-	Conclude(ctx context.Context, g *balance.Grant, conclusion func())
-	// UseRelay reports whether a request for a service goes through another router.
-	UseRelay(now time.Time, service string, repeatable bool) bool
-	// AcquireRelay chooses another router for a request, without those in exclude. ReleaseRelay ends it.
-	AcquireRelay(now time.Time, service string, exclude []string) (addr string, ok bool)
-	ReleaseRelay(addr string)
-}
-
 // ServeRelayed handles a request that another router passes on.
 func (s *Server) ServeRelayed(ctx context.Context, x *frontend.Exchange) {
 	s.serve(ctx, x, true)
