--- a/test/soak/links_test.go
+++ b/test/soak/links_test.go
@@ -3,6 +3,7 @@
 package soak
 
 import (
+	"bufio"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -26,6 +27,8 @@
 
 // ownerOf returns the router that opened a connection on this host, or "".
 func (env *environment) ownerOf(c net.Conn) string {
+	env.ownerMu.Lock() // one at a time, as the table of sockets is large while many come and go
+	defer env.ownerMu.Unlock()
 	inode := inodeOf(c.RemoteAddr().(*net.TCPAddr).Port)
 	if inode == "" {
 		return ""
@@ -51,13 +54,17 @@
 // inodeOf returns the inode of the connected socket with a local port of 127.0.0.1, or "".
 func inodeOf(port int) string {
 	const localAddress, inode = 1, 9 // columns
-	data, err := os.ReadFile("/proc/net/tcp")
+	file, err := os.Open("/proc/net/tcp")
 	if err != nil {
 		return ""
 	}
+	defer func() { _ = file.Close() }()
 	suffix := ":" + strings.ToUpper(fmt.Sprintf("%04x", port))
-	for _, line := range strings.Split(string(data), "\n") {
-		if f := strings.Fields(line); len(f) > inode && strings.HasSuffix(f[localAddress], suffix) {
+	for lines := bufio.NewScanner(file); lines.Scan(); {
+		if !strings.Contains(lines.Text(), suffix) {
+			continue
+		}
+		if f := strings.Fields(lines.Text()); len(f) > inode && strings.HasSuffix(f[localAddress], suffix) {
 			if n, err := strconv.Atoi(f[inode]); err == nil && n > 0 {
 				return f[inode]
 			}
