Spread relayed requests over the routers that reach the endpoints

Routers without links that had no requests on the way all chose the same other router, the one with the lowest address: with twenty of them, short requests would meet at one small host. Found by reading. Those that are alike are ordered by rendezvous weight of the own name now.

Measured: TestRelaysSpreadOverRouters fails before (20 of 20 at one router) and passes.

--- a/process/router/links.go
+++ b/process/router/links.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/stoatmount/stoatmount/process/links"
 	"github.com/stoatmount/stoatmount/process/peers"
 	"github.com/stoatmount/stoatmount/request/balance"
@@ -175,13 +177,8 @@
 	var best *peers.RelayRouter
 	list := l.r.peers.Relays(now, service)
 	for i := range list {
-		m := &list[i]
-		if slices.Contains(exclude, m.Addr) {
-			continue
-		}
-		if best == nil || l.relays[m.Addr] < l.relays[best.Addr] ||
-			l.relays[m.Addr] == l.relays[best.Addr] && m.Zone == l.r.s.Zone && best.Zone != l.r.s.Zone {
-			best = m
+		if !slices.Contains(exclude, list[i].Addr) && (best == nil || l.precedes(&list[i], best)) {
+			best = &list[i]
 		}
 	}
 	if best == nil {
@@ -191,6 +188,19 @@
 	return best.Addr, true
 }
 
+// precedes reports whether a gets a request rather than b. Routers of different names order
+// those that are alike differently, so that several without links do not all choose the same.
+func (l *endpointLinks) precedes(a, b *peers.RelayRouter) bool {
+	if l.relays[a.Addr] != l.relays[b.Addr] {
+		return l.relays[a.Addr] < l.relays[b.Addr]
+	}
+	if local := a.Zone == l.r.s.Zone; local != (b.Zone == l.r.s.Zone) {
+		return local
+	}
+	seed := xxhash.Sum64String(l.r.s.Name)
+	return balance.RendezvousWeight(seed, a.Addr) > balance.RendezvousWeight(seed, b.Addr)
+}
+
 // ReleaseRelay implements forward.Links.
 func (l *endpointLinks) ReleaseRelay(addr string) {
 	l.mu.Lock()
