Offer the batch of a new era before the follower can see it in the test

It offers a batch of era 2 'by one that saw the era first', but nothing kept the follower from reading the new era before the offer; the batch then continues what it knows and is rightly accepted, so that the offset is 2 where the test awaits 1.

The rewind now holds the log's lock until the batch was offered. The check and what it awaits are the same.

--- a/process/feed/feed_test.go
+++ b/process/feed/feed_test.go
@@ -371,14 +371,16 @@
 
 func constant(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
 
-// rewind brings the log back from a copy that has its first n records.
-func (l *log) rewind(n int) {
+// rewind brings the log back from a copy that has its first n records. It calls before ahead
+// of the first read that sees the copy.
+func (l *log) rewind(n int, before func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.records = l.records[:n:n]
 	l.era++
 	close(l.changed)
 	l.changed = make(chan struct{})
+	before()
 }
 
 // A log that comes back from an older copy gives offsets out again: their new records
@@ -415,7 +417,7 @@
 	l.put("c", "1")
 	l.put("d", "1")
 	await(4, 0)
-	l.rewind(2)
+	l.rewind(2, func() {})
 	await(2, 1)
 	c.Assert(<-eras, qt.Equals, int64(1))
 	mu.Lock()
@@ -441,7 +443,8 @@
 	l.mu.Lock()
 	c.Assert(l.reads-before <= 5, qt.IsTrue, qt.Commentf("%d reads", l.reads-before))
 	l.mu.Unlock()
-	l.rewind(1)
-	f.Offer(Batch{From: 1, Next: 2, Era: 2, Records: []Record{{Key: "e", Value: []byte("1"), Offset: 1}}}) // by one that saw the era first
+	l.rewind(1, func() { // by one that saw the era first
+		f.Offer(Batch{From: 1, Next: 2, Era: 2, Records: []Record{{Key: "e", Value: []byte("1"), Offset: 1}}})
+	})
 	await(1, 2)
 }
