Find out whether links or endpoints failed before a service is lost

Cause: two endpoints that failed with no response between made a service lost, whatever the others did. The crashes that a router saw then waited for a probe, at the next round of probes up to half a second later, and requests took a detour through another router, so that several routers sent on what the others would have refused. Traced: service lost at three routers within 120 ms, while 10 of 12 endpoints accepted connections.

Change: after two such failures the links are in doubt and the endpoints are probed at once. The service is lost only if fewer than half of them accept a connection, or if those that failed do. It stays lost until half accept again, whatever single endpoints respond; a router that reaches few endpoints thereby passes requests on in place of sending all to these few. An endpoint is blamed at once if most of four others accept connections, as before if one did. A request whose endpoint is blamed awaits the probe and then goes on through another router.

--- a/process/links/links.go
+++ b/process/links/links.go
@@ -6,9 +6,11 @@
 )
 
 const (
-	// failedEndpoints is the number of endpoints without a response that makes a service
-	// lost. It is 1 while another service is lost.
+	// failedEndpoints is the number of endpoints without a response, and no response of the
+	// service between, that puts the links to it in doubt.
 	failedEndpoints = 2
+	// tellTime is how long the other routers need to tell of the responses that they got.
+	tellTime = 500 * time.Millisecond
 	// trialTime is how long a request may be the only one that is sent to a service whose
 	// endpoints accept connections again.
 	trialTime = time.Second
@@ -31,10 +33,11 @@
 	failed   map[string]bool // endpoints that failed since the last response
 	provedAt time.Time       // last response
 
+	doubt    chan struct{} // closed once a probe has found out whether the service is lost; nil without doubt
 	lost     bool
-	since    time.Time // when it was lost
+	since    time.Time // when it was doubted or lost
 	ownFault bool
-	// connectsAt is when an endpoint accepted a connection again; zero before.
+	// connectsAt is when most endpoints accepted connections again; zero before.
 	connectsAt time.Time
 	trialAt    time.Time
 	reachedAt  time.Time // newest response that another router told of
@@ -61,31 +64,98 @@
 }
 
 // Failed records that an endpoint accepted no connection or sent no response. endpoints is
-// the number that the service has. It reports whether the service is lost by that.
-func (t *Table) Failed(now time.Time, name, endpoint string, endpoints int) (Change, bool) {
+// the number that the service has. It reports whether the links are in doubt from now on; the
+// caller then tries to open connections to the endpoints and calls EndDoubt.
+func (t *Table) Failed(now time.Time, name, endpoint string, endpoints int) (doubted bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.service(name)
 	s.failed[endpoint] = true
 	if s.lost {
 		s.connectsAt = time.Time{}
-		return Change{}, false
 	}
-	least := min(failedEndpoints, endpoints)
+	if s.lost || s.doubt != nil || len(s.failed) < min(t.failedEndpoints(), endpoints) {
+		return false
+	}
+	s.doubt, s.since = make(chan struct{}), now
+	return true
+}
+
+// failedEndpoints returns the number of endpoints without a response that puts the links to
+// a service in doubt: one while another service is lost.
+func (t *Table) failedEndpoints() int {
 	if t.lost > 0 {
-		least = 1
+		return 1
 	}
-	if len(s.failed) < least {
-		return Change{}, false
+	return failedEndpoints
+}
+
+// Settled returns a channel that is closed once the links to a service are not in doubt.
+func (t *Table) Settled(name string) <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.service(name); s.doubt != nil {
+		return s.doubt
 	}
-	s.lost, s.since, s.ownFault = true, now, false
+	return settled
+}
+
+var settled = func() chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
+// HasFailed reports whether an endpoint failed since the last response of its service.
+func (t *Table) HasFailed(name, endpoint string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.service(name).failed[endpoint]
+}
+
+// Probe is the result of opening a connection to each of some endpoints of a service.
+type Probe struct {
+	Began     time.Time
+	Accepting []string // endpoints that accepted one
+	Failing   []string // the others
+}
+
+// Reached reports whether enough endpoints accepted a connection to serve requests.
+func (p *Probe) Reached() bool {
+	return len(p.Accepting) > 0 && len(p.Accepting) >= len(p.Failing)
+}
+
+// EndDoubt records the probe of a service whose links are in doubt. It is lost if few endpoints
+// accept connections, or if enough of these failed all the same. The caller carries out the
+// conclusions.
+func (t *Table) EndDoubt(name string, p Probe) (conclusions []func(), c Change, lost bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.service(name)
+	close(s.doubt)
+	s.doubt = nil
+	silent := 0
+	for _, endpoint := range p.Accepting {
+		if s.failed[endpoint] {
+			silent++
+		}
+	}
+	if p.Reached() && silent < len(p.Accepting) && silent < t.failedEndpoints() {
+		return s.takeConclusions(), Change{}, false
+	}
+	s.lost, s.ownFault = true, false
 	s.connectsAt, s.trialAt = time.Time{}, time.Time{}
 	t.lost++
-	return Change{Service: name, Lost: true}, true
+	if p.Reached() {
+		s.connectsAt = p.Began
+		conclusions = s.takeConclusions()
+	}
+	return conclusions, Change{Service: name, Lost: true}, true
 }
 
-// Proved records a response of the service. It returns the conclusions that the endpoints
-// and not the links failed, to be carried out by the caller, and reports a change.
+// Proved records a response of the service, which ends its loss if most endpoints accept
+// connections. It returns the conclusions that the endpoints and not the links failed, to be
+// carried out by the caller, and reports a change.
 func (t *Table) Proved(now time.Time, name string) (conclusions []func(), c Change, changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -94,7 +164,7 @@
 	if len(s.failed) > 0 {
 		clear(s.failed)
 	}
-	if !s.lost {
+	if !s.lost || s.connectsAt.IsZero() {
 		return nil, Change{}, false
 	}
 	s.lost = false
@@ -103,12 +173,13 @@
 }
 
 // Conclude keeps a conclusion until it is clear whether the links are at fault, or returns
-// false if they are not. If they are, it is dropped.
+// false if they are not in doubt. If they are at fault, it is dropped.
 func (t *Table) Conclude(name string, conclusion func()) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.service(name)
-	if !s.lost {
+	accepted := s.lost && !s.ownFault && !s.connectsAt.IsZero()
+	if s.doubt == nil && !s.lost || accepted {
 		return false
 	}
 	if !s.ownFault && len(s.pending) < maxPending {
@@ -117,21 +188,33 @@
 	return true
 }
 
-// ProbeFailed records that no endpoint accepted a connection in a probe of all that began
-// at a time, and reports whether that shows that the links are at fault.
-func (t *Table) ProbeFailed(began time.Time, name string) (Change, bool) {
+// Probed records a probe of a lost service and reports whether it shows that the links are
+// at fault. The caller carries out the conclusions.
+func (t *Table) Probed(name string, p Probe) (conclusions []func(), c Change, ownFault bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.service(name)
+	if !s.lost {
+		return nil, Change{}, false
+	}
+	if p.Reached() {
+		if s.connectsAt.IsZero() {
+			s.connectsAt = p.Began
+		}
+		return s.takeConclusions(), Change{}, false
+	}
 	s.connectsAt = time.Time{}
-	if !s.lost || s.ownFault || !s.reachedAt.After(s.since) || !s.reachedAt.Before(began) {
-		return Change{}, false
+	if !s.ownFault && s.reachedAt.After(s.since) && s.reachedAt.Before(p.Began) {
+		s.ownFault, s.pending = true, nil
+		return nil, Change{Service: name, Lost: true, OwnFault: true, After: p.Began.Sub(s.since)}, true
+	}
+	if len(p.Accepting) > 0 {
+		conclusions = s.takeOldConclusions(p.Began)
 	}
-	s.ownFault, s.pending = true, nil
-	return Change{Service: name, Lost: true, OwnFault: true, After: began.Sub(s.since)}, true
+	return conclusions, Change{}, false
 }
 
-// Connects records that an endpoint of a lost service accepts connections again, and
+// Connects records that an endpoint of a service accepted the connection of a request, and
 // returns the conclusions to be carried out by the caller.
 func (t *Table) Connects(now time.Time, name string) (conclusions []func()) {
 	t.mu.Lock()
@@ -139,9 +222,14 @@
 	if t.lost == 0 {
 		return nil
 	}
-	s := t.service(name)
-	if s.lost && s.connectsAt.IsZero() {
-		s.connectsAt = now
+	return t.service(name).takeOldConclusions(now)
+}
+
+// takeOldConclusions returns the conclusions that are kept, once other routers have had the
+// time to tell that they reach a lost service.
+func (s *service) takeOldConclusions(now time.Time) []func() {
+	if !s.lost || now.Sub(s.since) < tellTime {
+		return nil
 	}
 	return s.takeConclusions()
 }
@@ -153,7 +241,8 @@
 	return list
 }
 
-// NeedsProbe reports whether a service is lost and no endpoint is known to accept connections.
+// NeedsProbe reports whether a service is lost and its endpoints are not known to accept
+// connections.
 func (t *Table) NeedsProbe(name string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/process/router/links.go
+++ b/process/router/links.go
@@ -22,8 +22,10 @@
 	firstProbeInterval = 150 * time.Millisecond
 	laterProbeInterval = 500 * time.Millisecond
 	firstProbesTime    = time.Second
-	// maxProbedEndpoints bounds the endpoints of a probe.
-	maxProbedEndpoints = 12
+	// maxProbedEndpoints bounds the endpoints of a probe, and maxConfirmingEndpoints those that
+	// show that the links work when an endpoint is to be blamed.
+	maxProbedEndpoints     = 12
+	maxConfirmingEndpoints = 4
 )
 
 // endpointLinks implements forward.Links.
@@ -45,12 +47,19 @@
 }
 
 func (l *endpointLinks) failed(now time.Time, service, endpoint string) {
-	c, lost := l.table.Failed(now, service, endpoint, len(l.r.endpoints.Addresses(service)))
-	if !lost {
-		return
+	if l.table.Failed(now, service, endpoint, len(l.r.endpoints.Addresses(service))) {
+		go l.endDoubt(service) // not in the group, which may be waited for already; ends with the context
+	}
+}
+
+// endDoubt finds out whether a service is lost, and probes it if so.
+func (l *endpointLinks) endDoubt(service string) {
+	conclusions, c, lost := l.table.EndDoubt(service, l.open(l.r.ctx, service, maxProbedEndpoints, ""))
+	carryOut(conclusions)
+	if lost {
+		l.report(c)
+		l.probe(service)
 	}
-	l.report(c)
-	go l.probe(service) // not in the group, which may be waited for already; ends with the context
 }
 
 // Connected implements forward.Links.
@@ -88,20 +97,20 @@
 	if l.table.Conclude(g.Service, conclusion) {
 		return
 	}
-	for id, addr := range l.r.endpoints.Addresses(g.Service) {
-		if id == g.ID {
-			continue
-		}
-		if l.connects(ctx, addr) {
-			conclusion()
-			return
-		}
+	others := l.open(ctx, g.Service, maxConfirmingEndpoints, g.ID)
+	if others.Reached() {
+		conclusion()
+		return
+	}
+	for _, id := range append(others.Failing, g.ID) {
 		l.failed(time.Now(), g.Service, id)
-		break
 	}
-	l.failed(time.Now(), g.Service, g.ID)
 	if !l.table.Conclude(g.Service, conclusion) {
-		conclusion() // the service has responded meanwhile
+		conclusion() // the endpoints have accepted connections meanwhile
+	}
+	select {
+	case <-l.table.Settled(g.Service): // the request may then go on through another router
+	case <-ctx.Done():
 	}
 }
 
@@ -117,19 +126,17 @@
 
 // probe opens connections to the endpoints of a lost service until it responds.
 func (l *endpointLinks) probe(service string) {
-	addrs := l.r.endpoints.Addresses(service)
-	for _, addr := range addrs {
+	for _, addr := range l.r.endpoints.Addresses(service) {
 		l.r.pool.CloseIdle(addr) // a request on them would get no response
 	}
 	lostAt := time.Now()
 	for l.table.IsLost(service) && l.r.ctx.Err() == nil {
-		began := time.Now()
-		if !l.table.NeedsProbe(service) {
-			// Requests prove the links now.
-		} else if l.probeOnce(service) {
-			carryOut(l.table.Connects(time.Now(), service))
-		} else if c, ownFault := l.table.ProbeFailed(began, service); ownFault {
-			l.report(c)
+		if l.table.NeedsProbe(service) { // otherwise requests prove the links
+			conclusions, c, ownFault := l.table.Probed(service, l.open(l.r.ctx, service, maxProbedEndpoints, ""))
+			carryOut(conclusions)
+			if ownFault {
+				l.report(c)
+			}
 		}
 		pause := laterProbeInterval
 		if time.Since(lostAt) < firstProbesTime {
@@ -142,26 +149,39 @@
 	}
 }
 
-// probeOnce reports whether some endpoint of a service accepts a connection.
-func (l *endpointLinks) probeOnce(service string) bool {
-	ctx, cancel := context.WithTimeout(l.r.ctx, probeTimeout)
+// open opens a connection to each of up to limit endpoints of a service without exclude, first
+// to those that have not failed, otherwise in random order.
+func (l *endpointLinks) open(ctx context.Context, service string, limit int, exclude string) links.Probe {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	addrs := l.r.endpoints.Addresses(service)
-	results := make(chan bool, len(addrs))
-	probed := 0
-	for _, addr := range addrs { // in random order
-		if probed++; probed > maxProbedEndpoints {
-			probed--
-			break
+	var ids, failed []string
+	for id := range addrs { // in random order
+		switch {
+		case id == exclude:
+		case l.table.HasFailed(service, id):
+			failed = append(failed, id)
+		default:
+			ids = append(ids, id)
 		}
-		go func() { results <- l.connects(ctx, addr) }()
 	}
-	for range probed {
-		if <-results {
-			return true
+	ids = append(ids, failed...)
+	ids = ids[:min(len(ids), limit)]
+	p := links.Probe{Began: time.Now()}
+	accepts := make([]bool, len(ids))
+	var group sync.WaitGroup
+	for i, id := range ids {
+		group.Go(func() { accepts[i] = l.connects(ctx, addrs[id]) })
+	}
+	group.Wait()
+	for i, id := range ids {
+		if accepts[i] {
+			p.Accepting = append(p.Accepting, id)
+		} else {
+			p.Failing = append(p.Failing, id)
 		}
 	}
-	return false
+	return p
 }
 
 // UseRelay implements forward.Links.
