Tell a crash of all endpoints from broken links of this router

Seen: TestPromptPartThatCrashesEndpointsIsBoundedAtEachPlace/first failed once beside load, with 0 of 66 sound requests served, as a sound part was quarantined.

Cause: eight endpoints crashed within 0.2 s. A router that had lost the service heard that another one had got a response after the loss and before its own last probe, took the fault to be its own links', and dropped the crashes that it had seen, one of the evidence that tells the guilty part from a sound one. The response was that of the last endpoint, which then went down as well.

Change: responses to other routers show broken links only if one lies before and one after a probe that found no endpoint, with less between them than a restart takes, or if one lies long after the loss. A router that reaches some endpoints does not take the fault to be its own; the conclusions it kept count after the time in which others can tell.

Measured: TestCrashesOfAllEndpointsAreNotOwnFault fails before. The tests of parts that crash endpoints, four processes at once beside the whole suite: pass; all tests of the platform pass with the race detector, tests of relays three at once, 24 plays, pass; TestRequestThatCrashesEndpointsIsNotSentOnAndOn, 20 processes with one thread each, eight plays: none fails.

--- a/process/links/doc.go
+++ b/process/links/doc.go
@@ -6,8 +6,8 @@
 // endpoints accept a connection, or that those which failed do. The router then goes on probing
 // and sends the requests through other routers.
 //
-// If another router got a response that is older than a later probe which failed, the fault is
-// this router's alone: what it concluded meanwhile about endpoints and requests is dropped.
+// If no endpoint accepts a connection while another router gets responses, the fault is this
+// router's alone: what it concluded meanwhile about endpoints and requests is dropped.
 // Otherwise it counts as soon as endpoints accept connections.
 //
 // Lock order: Table.mu is a leaf.
--- a/process/links/links.go
+++ b/process/links/links.go
@@ -9,6 +9,8 @@
 	// failedEndpoints is the number of endpoints without a response, and no response of the
 	// service between, that puts the links to it in doubt.
 	failedEndpoints = 2
+	// restartTime is shorter than an endpoint needs to restart after a crash.
+	restartTime = 700 * time.Millisecond
 	// tellTime is how long the other routers need to tell of the responses that they got.
 	tellTime = 500 * time.Millisecond
 	// trialTime is how long a request may be the only one that is sent to a service whose
@@ -41,7 +43,10 @@
 	connectsAt time.Time
 	trialAt    time.Time
 	reachedAt  time.Time // newest response that another router told of
-	pending    []func()
+	// missedAt is when the last probe began that found no endpoint, and reachedBefore the
+	// newest response that was known to be older.
+	missedAt, reachedBefore time.Time
+	pending                 []func()
 }
 
 // Table holds the state of the links to each service. It is safe for concurrent use.
@@ -144,7 +149,7 @@
 		return s.takeConclusions(), Change{}, false
 	}
 	s.lost, s.ownFault = true, false
-	s.connectsAt, s.trialAt = time.Time{}, time.Time{}
+	s.connectsAt, s.trialAt, s.missedAt = time.Time{}, time.Time{}, time.Time{}
 	t.lost++
 	if p.Reached() {
 		s.connectsAt = p.Began
@@ -204,14 +209,26 @@
 		return s.takeConclusions(), Change{}, false
 	}
 	s.connectsAt = time.Time{}
-	if !s.ownFault && s.reachedAt.After(s.since) && s.reachedAt.Before(p.Began) {
-		s.ownFault, s.pending = true, nil
-		return nil, Change{Service: name, Lost: true, OwnFault: true, After: p.Began.Sub(s.since)}, true
-	}
 	if len(p.Accepting) > 0 {
-		conclusions = s.takeOldConclusions(p.Began)
+		return s.takeOldConclusions(p.Began), Change{}, false
+	}
+	if !s.linksAtFault(p.Began) || s.ownFault {
+		return nil, Change{}, false
+	}
+	s.ownFault, s.pending = true, nil
+	return nil, Change{Service: name, Lost: true, OwnFault: true, After: p.Began.Sub(s.since)}, true
+}
+
+// linksAtFault reports whether responses to other routers show that endpoints ran while a probe
+// of all of them failed: one before it and one after it with no time for a restart between, or
+// one long after the loss. It records the probe.
+func (s *service) linksAtFault(began time.Time) bool {
+	between := !s.missedAt.IsZero() && s.reachedAt.After(s.missedAt) && s.reachedAt.Sub(s.reachedBefore) < restartTime
+	if !s.reachedAt.Before(began) {
+		return between
 	}
-	return conclusions, Change{}, false
+	s.missedAt, s.reachedBefore = began, s.reachedAt
+	return between || s.reachedAt.Sub(s.since) > restartTime
 }
 
 // Connects records that an endpoint of a service accepted the connection of a request, and
