Soak brittle endpoints that come back into a burst

Change: in every fourth soak, after the other faults, the endpoints of one service say that they are brittle, half of them go down and come back, and 80 callers ask for more than the rest takes, beside callers whose requests crash endpoints. At most two falls and a tenth of the endpoints are allowed, as the platform does.

--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -48,8 +48,13 @@
 }
 
 func startCallers(env *environment, n int, seed uint64) *callers {
+	return startCallersFrom(env, 0, n, seed)
+}
+
+// startCallersFrom starts callers that are numbered from first.
+func startCallersFrom(env *environment, first, n int, seed uint64) *callers {
 	c := &callers{env: env, stop: make(chan struct{})}
-	for i := range n {
+	for i := first; i < first+n; i++ {
 		c.group.Add(1)
 		go c.run(i, rand.New(rand.NewPCG(seed, uint64(100+i))))
 	}
--- a/test/soak/environment_test.go
+++ b/test/soak/environment_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -104,6 +105,7 @@
 	cuts        []cut             // of links to the endpoints
 	limits      map[string]string // that endpoints name, by endpoint
 	limitTimes  map[string]time.Time
+	brittle     atomic.Bool // the endpoints of the service app are brittle
 }
 
 func port(t *testing.T) int {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -98,6 +98,7 @@
 	healLinks()
 	env.endFaults()
 	env.limitEndpoints(seed)
+	env.makeBrittle(seed)
 	env.await("all routers are ready again", env.allReady)
 	before := len(c.resultsSoFar())
 	time.Sleep(observation)
@@ -157,6 +158,9 @@
 			return env.crashBehaviour(p)
 		}
 		b := platformtest.Behaviour{Work: 3 * time.Millisecond, Leaving: env.isGone(e), Limit: env.limitOf(e)}
+		if e.Service == "app" && env.brittle.Load() {
+			b.Work = brittleWork
+		}
 		if e.Service == "llm" {
 			b.Events, b.Pause, b.ShowVersion = streamEvents, 8*time.Millisecond, true
 		}
