Run a relayed request at one endpoint at the most

Cause: a router that passes a request on gives up after the time in which it would give an endpoint up, and counted one run. The other router had given its own endpoint up a little earlier and run the request at a second one, which nobody counted when its response did not come back.

Change: a relayed request runs at one endpoint at the most. The router that the caller asked makes the retries, through the same or another router, also after a server error, so that what it does not hear of is one run.

Measured: TestRelayedRequestRunsNoMoreThanItsAttempts fails before (3 runs of 2 in each of 3 plays with slow endpoints; server errors and resets passed) and passes. Tests of relays, routers without links and crashes pass with the race detector.

--- a/connection/forward/attempt.go
+++ b/connection/forward/attempt.go
@@ -158,7 +158,7 @@
 // mayRetryElsewhere reports whether the request may also run at another
 // endpoint of the service.
 func (j *job) mayRetryElsewhere(service string) bool {
-	return j.route.Retryable() && j.route.Objective > 0 && j.runs < j.route.MaxAttempts &&
+	return j.route.Retryable() && j.route.Objective > 0 && j.runs < j.maxRuns &&
 		j.s.Endpoints.CountHealthy(time.Now(), j.balanceRequest(service)) > 0
 }
 
@@ -278,7 +278,7 @@
 // mayRetryServerError reports whether a request that got a server error may be
 // retried at another endpoint. finish keeps the error for when that fails too.
 func (j *job) mayRetryServerError() bool {
-	return j.route.Retryable() && j.runs < max(1, j.route.MaxAttempts)
+	return j.route.Retryable() && j.runs < j.maxRuns
 }
 
 // drain reads a short response that is not passed on, so that its connection
--- a/connection/forward/relay.go
+++ b/connection/forward/relay.go
@@ -46,7 +46,9 @@
 
 func (h relayHandler) Serve(ctx context.Context, x *frontend.Exchange) { h.s.ServeRelayed(ctx, x) }
 
-// relayRuns returns the number of endpoints that may have run a relayed request before.
+// relayRuns returns the number of endpoints that may have run a relayed request before. The
+// router to which it was relayed runs it at one more at the most, so that the one that relays it
+// knows how many there are when it gets no response.
 func relayRuns(h *http1.Head) int {
 	n, err := strconv.Atoi(h.Get(relayFieldRuns))
 	if err != nil || n < 0 {
@@ -70,7 +72,7 @@
 
 // repeatable reports whether the request may run at several endpoints.
 func (j *job) repeatable() bool {
-	return j.route.Retryable() && j.runs < max(1, j.route.MaxAttempts)-1
+	return j.route.Retryable() && j.runs < j.maxRuns-1
 }
 
 // viaRelay reports whether the next attempt goes through another router.
@@ -200,6 +202,13 @@
 		a.run, a.err = outcome.RunNot, errors.Errorf("router refused with %s", code)
 		return j.relayFailed(a)
 	}
+	if code == outcome.EndpointFailed && j.mayRetryServerError() {
+		if a.response.Signed {
+			j.lastFailure = &bufferedResponse{head: a.head, body: data}
+		}
+		a.err = errors.Errorf("router ended with %s", code)
+		return j.relayFailed(a)
+	}
 	if j.rec.HeadSent {
 		j.fail(code, 0) // the caller already has a part of another response
 		return true
@@ -252,7 +261,7 @@
 	j.mayHaveRun = true
 	code := outcome.OK
 	switch {
-	case !j.route.Retryable() || j.runs >= max(1, j.route.MaxAttempts):
+	case !j.route.Retryable() || j.runs >= j.maxRuns:
 		code = outcome.EndpointFailed
 	case !j.s.RetryBudget.Allow(time.Now(), a.grant.Service):
 		code = outcome.RetryBudgetSpent
--- a/connection/forward/server.go
+++ b/connection/forward/server.go
@@ -98,8 +98,10 @@
 	}
 	rec.Route, rec.Objective = route.Name, route.Objective
 	j := &job{s: s, x: x, req: req, route: route, table: table, rec: rec, lastEventID: req.LastEventID}
+	j.maxRuns = max(1, route.MaxAttempts)
 	if rec.Relayed {
 		j.runs = relayRuns(x.Head)
+		j.maxRuns = j.runs + 1
 		rec.Runs = j.runs
 	}
 	j.priority = route.Priority
@@ -160,6 +162,7 @@
 
 	buffered    int64             // bytes reserved for responses
 	runs        int               // endpoints that may have run it
+	maxRuns     int               // bound on runs
 	refusals    int               // by endpoints, which did not run it
 	tried       []string          // endpoints to exclude from the next attempt
 	lastEventID int64             // last event that the caller has; -1 if none
@@ -307,7 +310,7 @@
 		if !j.route.Retryable() {
 			return outcome.EndpointFailed
 		}
-		if j.runs >= max(1, j.route.MaxAttempts) {
+		if j.runs >= j.maxRuns {
 			return outcome.EndpointFailed
 		}
 	}
