Do not count endpoints as failed because a request ended while they were probed

Cause: the connections that show whether the links work, when an endpoint is to be blamed, were opened with the request's context. A caller that left meanwhile ended them, and all these endpoints counted as failed, so that the links came in doubt and the crash was told later. Found by reading.

Change: the check then goes on without the request.

The tests of relays, crashing requests and crashing parts pass with the race detector.

--- a/process/router/links.go
+++ b/process/router/links.go
@@ -98,9 +98,15 @@
 		return
 	}
 	others := l.open(ctx, g.Service, maxConfirmingEndpoints, g.ID)
-	if others.Reached() {
+	switch {
+	case others.Reached():
 		conclusion()
 		return
+	case l.r.ctx.Err() != nil:
+		return
+	case ctx.Err() != nil: // the request ended, which says nothing about the endpoints
+		go l.Conclude(l.r.ctx, g, conclusion)
+		return
 	}
 	for _, id := range append(others.Failing, g.ID) {
 		l.failed(time.Now(), g.Service, id)
