Refuse bookings as unknown while the log is away

It concluded from the last messages of the others that it was the only appender of the shard; a message may be older than its sender's change of view, and no wait closes that, as the other may change its view after its newest message.

TestClaimDuringAnOutageIsNotWonAndMayBeRetried asked for not_run where no other appender is known; it now asks for unknown there too, which is the stricter promise. member.Table.SoleOwner and its option are removed.

--- a/process/ledger/doc.go
+++ b/process/ledger/doc.go
@@ -14,5 +14,5 @@
 // older than its window and drops a key only when it is that old, so a retry is never
 // taken for a new request. Any other key is kept for a window from its first record.
 //
-// Lock order: Set.mu, Shard.mu, member.Table.mu. Attempt takes no locks.
+// Lock order: Set.mu, Shard.mu. Attempt takes no locks.
 package ledger
--- a/process/ledger/result.go
+++ b/process/ledger/result.go
@@ -60,7 +60,7 @@
 	State      State
 	Response   *StoredResponse // Done: the response, if it is stored
 	RetryAfter time.Duration   // InProgress: suggested time until a retry
-	// NeverRun says, for LogUnavailable and Abandoned, that no attempt with the key has run.
+	// NeverRun says, for Abandoned, that no attempt with the key has run.
 	NeverRun bool
 }
 
--- a/process/ledger/shard.go
+++ b/process/ledger/shard.go
@@ -25,12 +25,6 @@
 	FlushEvery    time.Duration // shortest time between two group commits of a shard
 	PollWait      time.Duration // long-poll wait of one read of the log
 	ResponseBytes int           // bound of the stored responses of a shard
-
-	// SoleAppender reports whether no other router can have received claims for
-	// a shard after since, because all known routers regard this one as the
-	// appender. With it, a refusal during an outage of the log can say that the
-	// request was not run. It may be nil.
-	SoleAppender func(shard int, since time.Time) bool
 }
 
 // Defaults of Options.
@@ -114,11 +108,10 @@
 	stream    string
 	flushWake chan struct{} // there is something to append
 
-	mu           lock.Mutex[lock.LedgerShard] // taken before member.Table.mu, through Options.SoleAppender
+	mu           lock.Mutex[lock.LedgerShard] // leaf
 	fold         *Fold
-	ready        bool      // the end of the stream was read at least once
-	markEnqueued bool      // a mark was enqueued
-	endReadAt    time.Time // when the end of the stream was last read
+	ready        bool // the end of the stream was read at least once
+	markEnqueued bool // a mark was enqueued
 	queue        []*pendingRecord
 	sent         []*pendingRecord // possibly appended, not read back yet
 	stats        Stats
@@ -172,7 +165,7 @@
 		}
 	}
 	if len(s.queue)+len(s.sent) >= maxPending {
-		p.resolve(s.unavailableLocked(c))
+		p.resolve(Result{State: LogUnavailable})
 		return p
 	}
 	s.waiters[c.Attempt] = append(s.waiters[c.Attempt], p)
@@ -235,7 +228,8 @@
 	if r := p.Result(); r.State != Unsettled {
 		return r
 	}
-	r := s.unavailableLocked(p.claim)
+	// Another appender may hold claims for the key: only the log knows whether one ran.
+	r := Result{State: LogUnavailable}
 	s.removeLocked(p)
 	p.resolve(r)
 	return r
@@ -269,28 +263,6 @@
 	s.waiters[p.claim.Attempt] = kept
 }
 
-// unavailableLocked returns the result of a claim that could not be recorded.
-func (s *Shard) unavailableLocked(c Claim) Result {
-	noOther := s.ready && s.fold.keys[c.Key] == nil && s.fold.admit(c.Key) != KeyTooOld
-	for _, w := range append(s.queue[:len(s.queue):len(s.queue)], s.sent...) {
-		if w.record.Key == c.Key && w.record.Attempt != c.Attempt && w.mayRun() {
-			noOther = false
-		}
-	}
-	never := noOther && s.opt.SoleAppender != nil && s.opt.SoleAppender(s.number, s.endReadAt.Add(-MaxWait))
-	return Result{State: LogUnavailable, NeverRun: never}
-}
-
-// mayRun reports whether the attempt of w may run or have run. An attempt whose
-// claim was decided without winning never runs.
-func (w *pendingRecord) mayRun() bool {
-	if w.claim == nil {
-		return w.record.Op != opAbandoned
-	}
-	state := w.claim.Result().State
-	return state == Unsettled || state == Won
-}
-
 // RecordOutcome enqueues the outcome of an attempt. It is dropped if too many records wait.
 func (s *Shard) RecordOutcome(o Outcome) {
 	s.mu.Lock()
--- a/process/ledger/tail.go
+++ b/process/ledger/tail.go
@@ -186,7 +186,6 @@
 		return false, nil
 	}
 	s.ready = true
-	s.endReadAt = requestedAt
 	s.requeueLostLocked(requestedAt)
 	s.enqueueMarkLocked()
 	return true, nil
--- a/process/member/majority.go
+++ b/process/member/majority.go
@@ -59,31 +59,3 @@
 	slices.Sort(ages)
 	return ages[need-1]
 }
-
-// SoleOwner reports whether this router owns key and, as far as it can know, all
-// KnownMembers have treated it as the owner since the given time: they were alive
-// without a gap, as the same processes and bound to this router's view alone.
-func (t *Table) SoleOwner(now time.Time, duty Duty, key string, since time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.view == nil || t.listedAt.IsZero() || !t.viewSince.Add(t.cfg.bindingLease(t.view)).Before(since) {
-		return false
-	}
-	if !owns(t.view, t.self, duty, key) {
-		return false
-	}
-	for _, name := range t.names {
-		p := t.peers[name]
-		if t.inKnownMembers(p) && !t.boundSince(p, now, since) {
-			return false
-		}
-	}
-	return true
-}
-
-// boundSince reports whether p has been bound to this router's view alone since
-// the given time.
-func (t *Table) boundSince(p *peer, now, since time.Time) bool {
-	onlyView := p.binding == Binding{View: t.view.ID}
-	return onlyView && p.bindingSince.Before(since) && p.aliveSince.Before(since) && t.alive(p, now)
-}
--- a/process/node/configuration.go
+++ b/process/node/configuration.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -70,12 +69,6 @@
 	n.members.MergeConfigGossip(member.ConfigGossip{Version: uint64(status.Version), End: uint64(status.KnownEnd), LogReadAt: status.LogReadAt})
 }
 
-// isSoleAppender reports whether every known router has sent the claims of a shard
-// to this router alone since the given time.
-func (n *Node) isSoleAppender(shard int, since time.Time) bool {
-	return n.members.SoleOwner(n.clock.Now(), member.DutyLedger, strconv.Itoa(shard), since)
-}
-
 // applyConfigGossip passes the follower the gossiped state of the configuration log,
 // and when a majority was last heard.
 func (n *Node) applyConfigGossip(now time.Time) {
--- a/process/node/provision.go
+++ b/process/node/provision.go
@@ -143,7 +143,6 @@
 	})
 	n.ledger = ledger.NewSet(ledger.Options{
 		Log: n.logClient, Clock: n.clock, Checker: n.invariants, Logger: n.log.WithName("ledger"), Window: ledgerWindow,
-		SoleAppender: n.isSoleAppender,
 	})
 	n.follower.Subscribe(n.applySnapshot)
 }
