Tell removals of endpoints, and replace silent readers of the store sooner

Readers now tell such removals in their heartbeats for 2 s, with the sequence of the entry; a router that keeps the endpoint, or finds it missing later, removes it unless its entry was written again.

TestSilentReadersAreReplacedBeforeTheyCountAsDead failed before.

--- a/process/peers/peers_test.go
+++ b/process/peers/peers_test.go
@@ -274,3 +274,14 @@
 	t.Logf("%d bytes, %d compressed", len(data), len(compress(data)))
 	c.Assert(len(compress(data)) <= maxDatagramBytes, qt.IsTrue)
 }
+
+// Readers of the store that stand still are replaced in time for an endpoint that drains.
+func TestSilentReadersAreReplacedBeforeTheyCountAsDead(t *testing.T) {
+	c := qt.New(t)
+	table := New("c", 2*time.Second)
+	table.RecordHeartbeat(t0, heartbeat("a", 1, 1), "1.1.1.1:1")
+	table.RecordHeartbeat(t0, heartbeat("b", 1, 1), "2.2.2.2:2")
+	c.Assert(table.CountReadyWithLowerName(t0.Add(2*minInterval)), qt.Equals, 2)
+	c.Assert(table.CountReadyWithLowerName(t0.Add((maxLostHeartbeats+1)*minInterval)), qt.Equals, 0)
+	c.Assert(table.Ready(t0.Add((maxLostHeartbeats+1)*minInterval)), qt.HasLen, 2) // still named to callers
+}
--- a/process/peers/table.go
+++ b/process/peers/table.go
@@ -30,6 +30,7 @@
 	Config         int64                  `json:"config,omitempty"`            // version of the configuration in force
 	Begun          []origins.Begun        `json:"begun,omitempty"`             // streams begun since the previous heartbeats
 	Leaving        []upstream.Incarnation `json:"endpoints_leaving,omitempty"` // announced by endpoints since the previous heartbeats
+	Removals       []upstream.Removal     `json:"removals,omitempty"`          // read from the store without a gap, by its readers
 	Crashes        []quarantine.Report    `json:"crashes,omitempty"`           // bodies and parts of prompts that crashed endpoints
 	Parts          quarantine.Evidence    `json:"parts,omitzero"`              // recent runs that were lost and completed
 	Lost           []string               `json:"lost,omitempty"`              // services whose endpoints this router does not reach
@@ -162,13 +163,15 @@
 }
 
 // CountReadyWithLowerName returns how many ready routers that reach the store have a
-// lower name than this router. Those with the lowest names read the store for all.
+// lower name than this router. Those with the lowest names read the store for all. One that
+// is not heard of is replaced long before it counts as dead, as others may depend on a
+// record that it would read; an additional reader does no harm.
 func (t *Table) CountReadyWithLowerName(now time.Time) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	n := 0
+	n, lost := 0, t.lostAfter()
 	for name, p := range t.peers {
-		if name < t.self && p.heartbeat.StoreReachable && p.heartbeat.Ready && now.Sub(p.lastHeartbeatAt) < t.deadAfter {
+		if name < t.self && p.heartbeat.StoreReachable && p.heartbeat.Ready && now.Sub(p.lastHeartbeatAt) < lost {
 			n++
 		}
 	}
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -282,6 +282,9 @@
 	}
 	h.Begun = r.origins.TakeBegun()
 	h.Leaving = r.endpoints.NewlyLeaving(time.Now())
+	if r.isStoreReader() {
+		h.Removals = r.endpoints.NewRemovals(time.Now())
+	}
 	h.Crashes = r.quarantine.Reports(time.Now())
 	h.Parts = r.quarantine.Evidence(time.Now())
 	h.Lost, h.Reached = r.links.table.Lost(), r.links.table.Reached(time.Now(), r.peers.Lost(time.Now()))
@@ -311,6 +314,7 @@
 	}
 	r.origins.Merge(now, h.Begun)
 	r.endpoints.MergeLeaving(now, h.Leaving)
+	r.endpoints.MergeRemovals(now, h.Removals)
 	r.links.table.MergeReached(now, h.Reached)
 	r.endpoints.MergeRestrictions(now, h.Name, h.Restrictions)
 	r.quarantine.Merge(now, h.Crashes)
--- a/process/upstream/table.go
+++ b/process/upstream/table.go
@@ -169,7 +169,7 @@
 		event = &Event{Action: "leaving", Entry: e}
 	}
 	if e.Draining {
-		t.markEnded(now, &e, false)
+		t.markEnded(now, &e, ended{})
 	}
 	ep.Entry, ep.readAt, ep.removeAt = e, now, time.Time{}
 	ep.coldUntil = now.Add(e.ColdFor)
@@ -181,8 +181,8 @@
 	switch {
 	case ep == nil:
 		return nil
-	case !gap || ep.Draining:
-		t.markEnded(now, &ep.Entry, true)
+	case !gap || ep.Draining || t.wasRemoved(&ep.Entry):
+		t.markEnded(now, &ep.Entry, ended{removed: true, certain: !gap})
 		delete(t.byID, id)
 		delete(t.services, ep.Service)
 		ep.removeAt = now.Add(removedServesFor)
@@ -221,7 +221,7 @@
 func (t *Table) sweep(now time.Time) {
 	for id, ep := range t.byID {
 		if !ep.removeAt.IsZero() && !now.Before(ep.removeAt) {
-			t.markEnded(now, &ep.Entry, true)
+			t.markEnded(now, &ep.Entry, ended{removed: true})
 			delete(t.byID, id)
 			delete(t.services, ep.Service)
 		}
--- a/process/upstream/table_test.go
+++ b/process/upstream/table_test.go
@@ -409,3 +409,40 @@
 	other.Started++
 	c.Assert(table.Probe(later.Add(3*probeInterval), later.Add(probeInterval), &other), qt.IsFalse, qt.Commentf("another process"))
 }
+
+// A router whose reads had a gap keeps endpoints that are missing, unless one without a gap tells that
+// they were removed, before or after that read.
+func TestRemovalReadWithoutGapIsTold(t *testing.T) {
+	removal := Change{ID: "e0"}
+	entry := func(table *Table, sequence int64) {
+		table.Apply(t0, []Change{put(0, func(e *Entry) { e.Sequence = sequence })}, false)
+	}
+	for name, told := range map[string]func(table *Table, list []Removal){
+		"before the read": func(table *Table, list []Removal) {
+			table.MergeRemovals(t0, list)
+			table.Apply(t0, []Change{removal}, true)
+		},
+		"after the read": func(table *Table, list []Removal) {
+			table.Apply(t0, []Change{removal}, true)
+			table.MergeRemovals(t0, list)
+		},
+	} {
+		for _, test := range []struct {
+			sequence int64 // of the last entry that this router has read
+			kept     bool
+		}{{6, false}, {7, false}, {8, true}} {
+			t.Run(fmt.Sprintf("%s, entry %d", name, test.sequence), func(t *testing.T) {
+				c := qt.New(t)
+				other, table := newTable(2), newTable(2)
+				entry(other, 7)
+				c.Assert(other.NewRemovals(t0), qt.HasLen, 0)
+				other.Apply(t0, []Change{removal}, false)
+				entry(table, test.sequence)
+				told(table, other.NewRemovals(t0))
+				c.Assert(table.byID["e0"] != nil, qt.Equals, test.kept)
+				c.Assert(other.NewRemovals(t0.Add(leavingReportTime)), qt.HasLen, 0)
+				c.Assert(table.NewRemovals(t0), qt.HasLen, 0) // told by its reader only
+			})
+		}
+	}
+}
