Quarantine a body that completed only after five crashes

As for parts of prompts, a body that is known to have completed now needs five consecutive crashes, the last at least 1.5 s after the first; one that never completed still needs three. Routers remember the last 2,048 bodies that completed with them; the count of completed runs that reports carry tells the others.

TestCrashesOfAServiceDoNotBlameABodyThatCompletes and TestFourCrashesOfABodyThatCompletedDoNotBlameIt are new.

--- a/connection/forward/crash.go
+++ b/connection/forward/crash.go
@@ -175,7 +175,5 @@
 	}
 	now := time.Now()
 	j.s.Quarantine.PartsCompleted(now, j.sharedParts())
-	if !j.s.Quarantine.Empty() {
-		j.s.Quarantine.Completed(now, j.fingerprint())
-	}
+	j.s.Quarantine.Completed(now, j.fingerprint())
 }
--- a/process/quarantine/parts.go
+++ b/process/quarantine/parts.go
@@ -160,6 +160,7 @@
 		b := t.records[f]
 		if b != nil {
 			r.Resets = b.Resets
+			r.Crashes = r.limit()
 		}
 		switch {
 		case b != nil && b.Quarantined():
--- a/process/quarantine/quarantine.go
+++ b/process/quarantine/quarantine.go
@@ -7,12 +7,19 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
 	"github.com/stoatmount/stoatmount/process/suspect"
 )
 
 const (
-	// crashLimit is the number of consecutive crashes after which a body is refused.
-	crashLimit = 3
+	// crashLimit is the number of consecutive crashes after which a body is refused that
+	// never completed, and provenBodyCrashes the number for one that did, the last of them
+	// provenBodyTime after the first or later. Copies of a body that many callers send run at
+	// each endpoint, and are lost whenever the endpoints of their service crash.
+	crashLimit        = 3
+	provenBodyCrashes = 5
+	provenBodyTime    = 1500 * time.Millisecond
 	// crashSpacing is the time after a crash from which another one counts though its copy
 	// was sent before: endpoints of one zone are lost within less.
 	crashSpacing = 300 * time.Millisecond
@@ -33,6 +40,8 @@
 	maxRecords = 1024
 	// maxLost bounds the lost endpoints that are kept for a body.
 	maxLost = 2 * crashLimit
+	// maxCompletedBodies bounds the bodies that are remembered to have completed.
+	maxCompletedBodies = 2048
 )
 
 // State is the result of the runs of a body, as far as one router knows it.
@@ -46,8 +55,16 @@
 	return cmp.Or(cmp.Compare(s.Resets, o.Resets), cmp.Compare(s.Crashes, o.Crashes))
 }
 
+// limit returns the number of crashes from which the body is refused.
+func (s State) limit() int {
+	if s.Resets > 0 {
+		return provenBodyCrashes
+	}
+	return crashLimit
+}
+
 // Quarantined reports whether the body is refused.
-func (s State) Quarantined() bool { return s.Crashes >= crashLimit }
+func (s State) Quarantined() bool { return s.Crashes >= s.limit() }
 
 // Report is the State of a body, or of a part of prompts, for other routers.
 type Report struct {
@@ -90,19 +107,24 @@
 	size     atomic.Int64 // of records
 	refuses  atomic.Bool  // some part is suspected or quarantined
 
-	mu       sync.Mutex
-	records  map[suspect.Fingerprint]*record
-	evidence evidence
+	mu        sync.Mutex
+	records   map[suspect.Fingerprint]*record
+	evidence  evidence
+	completed *simplelru.LRU[suspect.Fingerprint, struct{}] // bodies that completed at this router
 }
 
 // New returns an empty Table. onChange is called after each change, without locks.
 // mayTry reports whether this router is the one that runs the trials of a quarantined
 // body or part; it must not block.
 func New(onChange func(Change), mayTry func(f suspect.Fingerprint) bool) *Table {
-	return &Table{onChange: onChange, mayTry: mayTry, records: make(map[suspect.Fingerprint]*record), evidence: newEvidence()}
+	completed, err := simplelru.NewLRU[suspect.Fingerprint, struct{}](maxCompletedBodies, nil)
+	if err != nil {
+		panic(err) // only a size below 1 is an error
+	}
+	return &Table{onChange: onChange, mayTry: mayTry, records: make(map[suspect.Fingerprint]*record), evidence: newEvidence(), completed: completed}
 }
 
-// Empty reports whether no body is tracked, so that fingerprints need not be computed.
+// Empty reports whether no body is tracked.
 func (t *Table) Empty() bool { return t.size.Load() == 0 }
 
 // Check returns the State of a body before it is sent and, if it is refused, when it
@@ -140,16 +162,22 @@
 // Crashed records that a copy of a body crashed its endpoint. sent is what Check returned
 // before the copy was sent, at sentAt.
 func (t *Table) Crashed(now time.Time, f suspect.Fingerprint, sent State, endpoint string, sentAt time.Time) {
-	next := State{Resets: sent.Resets, Crashes: sent.Crashes + 1}
 	lost := []string{endpoint}
 	t.mu.Lock()
+	if t.completed.Contains(f) {
+		sent.Resets = max(sent.Resets, 1)
+	}
+	next := State{Resets: sent.Resets, Crashes: sent.Crashes + 1}
 	if b := t.records[f]; b != nil && b.Resets == sent.Resets {
 		if now.Sub(b.crashedAt) >= crashSpacing {
 			next.Crashes = b.Crashes + 1
 		}
 		lost = union(b.lost, lost)
-		if b.Crashes > 0 && sentAt.Sub(b.firstCrash) >= crashSpacing && len(lost) >= crashLimit {
-			next.Crashes = max(next.Crashes, crashLimit)
+		if b.Crashes > 0 && sentAt.Sub(b.firstCrash) >= crashSpacing && len(lost) >= next.limit() {
+			next.Crashes = max(next.Crashes, next.limit())
+		}
+		if next.Resets > 0 && now.Sub(b.firstCrash) < provenBodyTime {
+			next.Crashes = min(next.Crashes, provenBodyCrashes-1)
 		}
 	}
 	t.mu.Unlock()
@@ -159,6 +187,7 @@
 // Completed records that a body ran to its end.
 func (t *Table) Completed(now time.Time, f suspect.Fingerprint) {
 	t.mu.Lock()
+	t.completed.Add(f, struct{}{})
 	b := t.records[f]
 	if b == nil || b.Crashes == 0 {
 		t.mu.Unlock()
@@ -193,7 +222,7 @@
 	}
 	if changed {
 		b.State, b.crashedAt = r.State, now
-		b.nextTrial = now.Add(firstTrial << min(max(0, r.Crashes-crashLimit), maxDoublings))
+		b.nextTrial = now.Add(firstTrial << min(max(0, r.Crashes-r.limit()), maxDoublings))
 	}
 	if r.Resets == b.Resets {
 		b.lost = union(b.lost, r.Lost)
--- a/process/quarantine/quarantine_test.go
+++ b/process/quarantine/quarantine_test.go
@@ -207,3 +207,40 @@
 	c.Assert(refused(other, t0, 1), qt.IsTrue)
 	c.Assert(len(table.records) <= maxRecords, qt.IsTrue)
 }
+
+// Copies of a body that completes all the time run at each endpoint, so that each crash takes one along,
+// whatever caused it. While no endpoint of the service is there for 2 s, none completes.
+func TestCrashesOfAServiceDoNotBlameABodyThatCompletes(t *testing.T) {
+	c := qt.New(t)
+	tables := []*Table{newTable(), newTable()}
+	exchange := func(now time.Time) {
+		tables[0].Merge(now, tables[1].Reports(now))
+		tables[1].Merge(now, tables[0].Reports(now))
+	}
+	for _, table := range tables {
+		table.Completed(t0, 1)
+	}
+	now := t0
+	for i := range 6 {
+		now = t0.Add(time.Duration(i) * 400 * time.Millisecond)
+		crash(tables[i%2], now, 1)
+		exchange(now)
+		if now.Sub(t0) < provenBodyTime {
+			c.Assert(refused(tables[0], now, 1) || refused(tables[1], now, 1), qt.IsFalse, qt.Commentf("crash %d", i+1))
+		}
+	}
+	// It goes on to crash endpoints and never completes again.
+	c.Assert(refused(tables[0], now, 1) && refused(tables[1], now, 1), qt.IsTrue)
+}
+
+func TestFourCrashesOfABodyThatCompletedDoNotBlameIt(t *testing.T) {
+	c := qt.New(t)
+	table := newTable()
+	table.Completed(t0, 1)
+	for i := range provenBodyCrashes - 1 {
+		crash(table, t0.Add(time.Duration(i)*time.Second), 1)
+	}
+	c.Assert(refused(table, t0.Add(time.Minute), 1), qt.IsFalse)
+	crash(table, t0.Add(time.Minute), 1)
+	c.Assert(refused(table, t0.Add(time.Minute), 1), qt.IsTrue)
+}
