Save begun streams in the store while a service has several versions

Which version began a stream was known to processes only; when all are killed at once, to nobody.

While a service has several versions, and for 30 s after, the first router by name that reaches the store appends the begun streams of all to a log, each 50 ms at most. Others send it theirs at once, in a datagram; it confirms what it saved. The first event of a stream waits for that, 140 ms at most, and a router saves its streams itself after 90 ms without a confirmation. While one version serves nothing is written. The heartbeat says whether a build saves streams, so that in a mixed fleet one that can is chosen. This replaces the writes across a partition.

--- a/connection/forward/interfaces.go
+++ b/connection/forward/interfaces.go
@@ -48,7 +48,8 @@
 
 // Origins knows which software began each stream.
 type Origins interface {
-	Begin(now time.Time, k origins.Key, o origins.Origin)
+	// Begin records a stream before its first event is passed on. It may wait for that to be saved.
+	Begin(ctx context.Context, k origins.Key, o origins.Origin)
 	// Find returns the origin of a stream that one of services began. It may ask other routers.
 	Find(ctx context.Context, k origins.Key, services []string) (origins.Origin, bool)
 }
--- a/connection/forward/origin.go
+++ b/connection/forward/origin.go
@@ -32,7 +32,7 @@
 	}
 	j.origin = &origins.Origin{Service: a.grant.Service, Version: a.grant.Version}
 	if j.route.Resumable {
-		j.s.Origins.Begin(time.Now(), origins.KeyOf(j.req.ID), *j.origin)
+		j.s.Origins.Begin(j.ctx, origins.KeyOf(j.req.ID), *j.origin)
 	}
 }
 
--- a/process/origins/doc.go
+++ b/process/origins/doc.go
@@ -5,7 +5,8 @@
 // Each router records the streams that it begins and sends them to the others with its
 // heartbeats. A router that does not know a stream asks the others. If none knows it,
 // the version is still certain where the service has had only one for longer than a
-// stream can last.
+// stream can last. While a service has several versions, one router saves the streams of
+// all in a log, so that they are known after all routers were lost at once.
 //
 // Lock order: Table.mu is a leaf.
 package origins
--- a/process/origins/origins.go
+++ b/process/origins/origins.go
@@ -14,6 +14,8 @@
 	minRetention = 30 * time.Second
 	// maxStreams bounds the streams that are tracked.
 	maxStreams = 1 << 15
+	// maxUnsaved bounds the streams that Unsaved returns at once.
+	maxUnsaved = 4096
 	// maxRestoreAge is the age of a saved History, by the hosts' clocks, up to which no
 	// version is expected to have come and gone since.
 	maxRestoreAge = 15 * time.Second
@@ -69,9 +71,10 @@
 
 // stream is a tracked stream, in the order of recording.
 type stream struct {
-	key Key
-	at  time.Time
-	own bool // this router began it
+	key   Key
+	at    time.Time
+	own   bool // this router began it
+	saved bool // it was read from the log
 }
 
 // Table holds the origins of recent streams. It is safe for concurrent use.
@@ -82,6 +85,9 @@
 	retention time.Duration
 	origins   map[Key]Origin
 	order     []stream
+	dropped   int64   // streams dropped from the front of order; positions count them
+	unsaved   int64   // position of the first stream that this router has not saved
+	untold    int64   // position of the first stream that TakeOwn has not returned
 	pending   []Begun // own, to send with the next heartbeat
 	sent      []Begun // own, sent with the last heartbeat; sent twice, since heartbeats get lost
 	seen      map[Origin]time.Time
@@ -113,7 +119,7 @@
 func (t *Table) Begin(now time.Time, k Key, o Origin) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.record(now, k, o, true)
+	t.record(now, k, o, true, false)
 	t.pending = appendBegun(t.pending, k, o)
 }
 
@@ -128,7 +134,7 @@
 	return append(list, Begun{Origin: o, Streams: []Key{k}})
 }
 
-func (t *Table) record(now time.Time, k Key, o Origin, own bool) {
+func (t *Table) record(now time.Time, k Key, o Origin, own, saved bool) {
 	if _, known := t.origins[k]; known {
 		return // the first event decides
 	}
@@ -137,8 +143,12 @@
 		delete(t.origins, t.order[drop].key)
 		drop++
 	}
-	t.order = append(t.order[drop:], stream{k, now, own})
+	t.dropped += int64(drop)
+	t.order = append(t.order[drop:], stream{key: k, at: now, own: own, saved: saved})
 	t.origins[k] = o
+	if now.After(t.seen[o]) {
+		t.seen[o] = now
+	}
 }
 
 // TakeBegun returns the streams for the next heartbeat: each is returned twice.
@@ -150,41 +160,104 @@
 	return list
 }
 
-// OwnBegun returns all streams that this router began and that can still be taken up, if
-// a service has had several versions meanwhile; otherwise nil.
-func (t *Table) OwnBegun(now time.Time) []Begun {
+// Unsaved returns the streams to save, of all routers, for the one that saves them: those of
+// services with several versions that can still be taken up. Once they are saved, the
+// caller passes end to Saved. With rest there are more.
+func (t *Table) Unsaved(now time.Time) (list []Begun, end int64, rest bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.severalVersions() {
+	several := t.servicesWithSeveralVersions()
+	if len(several) == 0 {
+		return nil, t.unsaved, false // those of before count as soon as another version comes
+	}
+	n := 0
+	end = max(t.unsaved, t.dropped)
+	for _, s := range t.order[end-t.dropped:] {
+		if n >= maxUnsaved {
+			return list, end, true
+		}
+		end++
+		if o := t.origins[s.key]; !s.saved && several[o.Service] && now.Sub(s.at) <= t.retention {
+			list = appendBegun(list, s.key, o)
+			n++
+		}
+	}
+	return list, end, false
+}
+
+// Saved records that the streams that Unsaved returned with end were saved.
+func (t *Table) Saved(end int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.unsaved = max(t.unsaved, end)
+}
+
+// SaveAgain makes Unsaved return all streams again, as the log lost some.
+func (t *Table) SaveAgain() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.unsaved = 0
+	for i := range t.order {
+		t.order[i].saved = false
+	}
+}
+
+// TakeOwn returns the streams of services with several versions that this router began
+// since the last call, for the router that saves them.
+func (t *Table) TakeOwn() []Begun {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	several := t.servicesWithSeveralVersions()
+	from := max(t.untold, t.dropped) - t.dropped
+	t.untold = t.dropped + int64(len(t.order))
+	if len(several) == 0 {
 		return nil
 	}
 	var list []Begun
-	for _, s := range t.order {
-		if s.own && now.Sub(s.at) <= t.retention {
-			list = appendBegun(list, s.key, t.origins[s.key])
+	for _, s := range t.order[from:] {
+		if o := t.origins[s.key]; s.own && several[o.Service] {
+			list = appendBegun(list, s.key, o)
 		}
 	}
 	return list
 }
 
-func (t *Table) severalVersions() bool {
-	services := make(map[string]bool, len(t.seen))
+// SeveralVersions reports whether a service has had several versions while a stream can last.
+func (t *Table) SeveralVersions() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.servicesWithSeveralVersions()) > 0
+}
+
+// servicesWithSeveralVersions returns nil if there are none. The caller holds t.mu.
+func (t *Table) servicesWithSeveralVersions() map[string]bool {
+	var several map[string]bool
 	for o := range t.seen {
-		if services[o.Service] {
-			return true
+		for other := range t.seen {
+			if o.Service != other.Service || o.Version <= other.Version {
+				continue
+			}
+			if several == nil {
+				several = make(map[string]bool)
+			}
+			several[o.Service] = true
 		}
-		services[o.Service] = true
 	}
-	return false
+	return several
 }
 
 // Merge records streams that another router began.
-func (t *Table) Merge(now time.Time, list []Begun) {
+func (t *Table) Merge(now time.Time, list []Begun) { t.merge(now, list, false) }
+
+// MergeSaved records streams that were read from the log.
+func (t *Table) MergeSaved(now time.Time, list []Begun) { t.merge(now, list, true) }
+
+func (t *Table) merge(now time.Time, list []Begun, saved bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, b := range list {
 		for _, k := range b.Streams {
-			t.record(now, k, b.Origin, false)
+			t.record(now, k, b.Origin, false, saved)
 		}
 	}
 }
--- a/process/origins/origins_test.go
+++ b/process/origins/origins_test.go
@@ -142,3 +142,67 @@
 	after.Restore(later, table.History(t0))
 	c.Assert(after.Answer(later, 1, services).Complete, qt.IsTrue)
 }
+
+// While a service has several versions, the streams of it that all routers began are saved once, those
+// of before the second version came included.
+func TestStreamsAreSavedWhileSeveralVersionsServe(t *testing.T) {
+	c := qt.New(t)
+	table := New(t0)
+	other := Origin{Service: "other", Version: "v1"}
+	table.Observe(t0, []Origin{v1, other})
+	table.Begin(t0, 1, v1)
+	table.Begin(t0, 2, other)
+	list, _, _ := table.Unsaved(t0)
+	c.Assert(list, qt.HasLen, 0)
+	c.Assert(table.TakeOwn(), qt.HasLen, 0)
+
+	table.Begin(t0, 3, v2)
+	table.Merge(t0, []Begun{{v1, []Key{4}}})
+	table.MergeSaved(t0, []Begun{{v1, []Key{5}}})
+	c.Assert(table.TakeOwn(), qt.DeepEquals, []Begun{{v2, []Key{3}}})
+	c.Assert(table.TakeOwn(), qt.HasLen, 0)
+	want := []Begun{{v1, []Key{1, 4}}, {v2, []Key{3}}}
+	list, end, rest := table.Unsaved(t0)
+	c.Assert(list, qt.DeepEquals, want)
+	c.Assert(rest, qt.IsFalse)
+	list, _, _ = table.Unsaved(t0) // the write failed
+	c.Assert(list, qt.DeepEquals, want)
+	table.Begin(t0, 6, v2) // during the write
+	table.Saved(end)
+	list, end, _ = table.Unsaved(t0)
+	c.Assert(list, qt.DeepEquals, []Begun{{v2, []Key{6}}})
+	table.Saved(end)
+
+	table.SaveAgain()
+	list, _, _ = table.Unsaved(t0)
+	c.Assert(list, qt.DeepEquals, []Begun{{v1, []Key{1, 4, 5}}, {v2, []Key{3, 6}}})
+}
+
+// Streams that were dropped shift no position, and a long list is returned in parts.
+func TestUnsavedStreamsComeInParts(t *testing.T) {
+	c := qt.New(t)
+	table := New(t0)
+	table.Observe(t0, []Origin{v1, v2})
+	const streams = maxStreams + maxStreams/2
+	for k := range Key(streams) {
+		table.Merge(t0, []Begun{{v1, []Key{k}}})
+	}
+	seen := make(map[Key]bool)
+	for more := true; more; {
+		var list []Begun
+		var end int64
+		list, end, more = table.Unsaved(t0)
+		for _, b := range list {
+			c.Assert(len(b.Streams) <= maxUnsaved, qt.IsTrue)
+			for _, k := range b.Streams {
+				c.Assert(seen[k], qt.IsFalse)
+				seen[k] = true
+			}
+		}
+		table.Saved(end)
+	}
+	c.Assert(seen, qt.HasLen, maxStreams)
+	c.Assert(seen[streams-1], qt.IsTrue)
+	list, _, _ := table.Unsaved(t0.Add(2 * minRetention))
+	c.Assert(list, qt.HasLen, 0)
+}
--- a/process/peers/exchange.go
+++ b/process/peers/exchange.go
@@ -43,7 +43,9 @@
 	OnStoreLost func(now time.Time)              // called when a router tells that it no longer reaches the store; may be nil
 	OnRelay     func(now time.Time, r Relay)     // called with records that another router read
 	OnQuery     func(now time.Time, q OriginQuery) origins.Answer
-	Wake        chan struct{} // makes Run send a heartbeat at once; buffers one
+	OnBegun     func(now time.Time, list []origins.Begun, from string) // called with streams that this router is to save
+	OnSaved     func(saved []origins.Key)                              // called with streams of this router that another one saved
+	Wake        chan struct{}                                          // makes Run send a heartbeat at once; buffers one
 
 	number int64
 
@@ -96,6 +98,17 @@
 // datagram are not sent; the others read them from the log.
 func (e *Exchange) Relay(r Relay) { e.broadcast(message{Relay: &r}) }
 
+// SendBegun sends streams to the router that saves them. Those of a datagram that gets lost come
+// with the next heartbeat.
+func (e *Exchange) SendBegun(list []origins.Begun, addr string) {
+	e.sendTo(message{Begun: list}, []string{addr})
+}
+
+// SendSaved confirms to the router at addr that its streams are saved.
+func (e *Exchange) SendSaved(saved []origins.Key, addr string) {
+	e.sendTo(message{Saved: saved}, []string{addr})
+}
+
 func (e *Exchange) broadcast(m message) { e.sendTo(m, e.Table.Addresses()) }
 
 func (e *Exchange) sendTo(m message, addrs []string) {
@@ -156,6 +169,12 @@
 	if m.Reply != nil {
 		e.handleReply(*m.Reply)
 	}
+	if m.Begun != nil && e.OnBegun != nil {
+		e.OnBegun(now, m.Begun, from)
+	}
+	if m.Saved != nil && e.OnSaved != nil {
+		e.OnSaved(m.Saved)
+	}
 	if m.Heartbeat == nil {
 		return
 	}
--- a/process/peers/peers_test.go
+++ b/process/peers/peers_test.go
@@ -285,3 +285,33 @@
 	c.Assert(table.CountReadyWithLowerName(t0.Add((maxLostHeartbeats+1)*minInterval)), qt.Equals, 0)
 	c.Assert(table.Ready(t0.Add((maxLostHeartbeats+1)*minInterval)), qt.HasLen, 2) // still named to callers
 }
+
+// The first router by name that reaches the store, and whose build can, saves the streams of all.
+func TestStreamSaver(t *testing.T) {
+	c := qt.New(t)
+	table := New("c", 2*time.Second)
+	saver := func(now time.Time) string {
+		addr, other := table.StreamSaver(now)
+		c.Assert(other, qt.Equals, addr != "")
+		return addr
+	}
+	c.Assert(saver(t0), qt.Equals, "")
+	record := func(name, addr string, number int64, change func(h *Heartbeat)) {
+		h := heartbeat(name, 1, number)
+		h.SavesStreams = true
+		if change != nil {
+			change(&h)
+		}
+		table.RecordHeartbeat(t0, h, addr)
+	}
+	record("d", "4:4", 1, nil)
+	c.Assert(saver(t0), qt.Equals, "")
+	record("b", "2:2", 1, nil)
+	c.Assert(saver(t0), qt.Equals, "2:2")
+	record("a", "1:1", 1, func(h *Heartbeat) { h.SavesStreams = false }) // of an earlier build
+	c.Assert(saver(t0), qt.Equals, "2:2")
+	record("b", "2:2", 2, func(h *Heartbeat) { h.StoreReachable = false })
+	c.Assert(saver(t0), qt.Equals, "")
+	record("b", "2:2", 3, nil)
+	c.Assert(saver(t0.Add((maxLostHeartbeats+1)*minInterval)), qt.Equals, "")
+}
--- a/process/peers/table.go
+++ b/process/peers/table.go
@@ -30,6 +30,7 @@
 	Config         int64                  `json:"config,omitempty"`            // version of the configuration in force
 	Begun          []origins.Begun        `json:"begun,omitempty"`             // streams begun since the previous heartbeats
 	Leaving        []upstream.Incarnation `json:"endpoints_leaving,omitempty"` // announced by endpoints since the previous heartbeats
+	SavesStreams   bool                   `json:"saves_streams,omitempty"`     // its build saves the begun streams of all routers
 	Removals       []upstream.Removal     `json:"removals,omitempty"`          // read from the store without a gap, by its readers
 	Crashes        []quarantine.Report    `json:"crashes,omitempty"`           // bodies and parts of prompts that crashed endpoints
 	Parts          quarantine.Evidence    `json:"parts,omitzero"`              // recent runs that were lost and completed
@@ -47,10 +48,12 @@
 
 // message is the content of one datagram.
 type message struct {
-	Heartbeat *Heartbeat   `json:"beat,omitempty"`
-	Relay     *Relay       `json:"relay,omitempty"`
-	Query     *OriginQuery `json:"query,omitempty"`
-	Reply     *originReply `json:"reply,omitempty"`
+	Heartbeat *Heartbeat      `json:"beat,omitempty"`
+	Relay     *Relay          `json:"relay,omitempty"`
+	Query     *OriginQuery    `json:"query,omitempty"`
+	Reply     *originReply    `json:"reply,omitempty"`
+	Begun     []origins.Begun `json:"begun,omitempty"` // to the router that saves streams, before the next heartbeat
+	Saved     []origins.Key   `json:"saved,omitempty"` // to the router that sent Begun, once they are saved
 }
 
 // Placement means that a request of a prompt key went to an endpoint, which now
@@ -178,6 +181,20 @@
 	return n
 }
 
+// StreamSaver returns the address of the router that saves the begun streams of all, if that is
+// another one than this router: the one with the lowest name of those that reach the store.
+func (t *Table) StreamSaver(now time.Time) (addr string, other bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	first, lost := t.self, t.lostAfter()
+	for name, p := range t.peers {
+		if name < first && p.heartbeat.SavesStreams && p.heartbeat.StoreReachable && p.heartbeat.Ready && now.Sub(p.lastHeartbeatAt) < lost {
+			first, addr = name, p.addr
+		}
+	}
+	return addr, first != t.self
+}
+
 // Addresses returns the addresses to which heartbeats are sent.
 func (t *Table) Addresses() []string {
 	t.mu.Lock()
--- a/process/router/adapter.go
+++ b/process/router/adapter.go
@@ -55,10 +55,10 @@
 	// is running.
 	SaveHints(ctx context.Context, h Hints) error
 	LoadHints(ctx context.Context) (Hints, error)
-	// SaveBegun and LoadBegun store the streams that a router began, for routers that do
-	// not hear of them from it. LoadBegun returns those of all routers.
-	SaveBegun(ctx context.Context, router string, list []origins.Begun) error
-	LoadBegun(ctx context.Context) ([]origins.Begun, error)
+	// SaveBegun appends begun streams of all routers to a log. LoadBegun returns those from an
+	// offset on, or from the oldest that is left, and the offset to read on from.
+	SaveBegun(ctx context.Context, list []origins.Begun) error
+	LoadBegun(ctx context.Context, from int64) (list []origins.Begun, next int64, err error)
 	DecodeOperator(r feed.Record) (OperatorChange, error)
 	DecodeEndpoint(r feed.Record) (upstream.Change, error)
 	DecodeRouter(r feed.Record) (peers.Registration, bool, error) // false if the record was removed
--- a/process/router/follow.go
+++ b/process/router/follow.go
@@ -98,7 +98,7 @@
 	}
 	r.group.Go(func() { r.register(ctx) })
 	r.group.Go(func() { r.syncHints(ctx) })
-	r.group.Go(func() { r.saveBegun(ctx) })
+	r.group.Go(func() { r.streams.save(ctx) })
 }
 
 // isStoreReader reports whether this router reads the store for the others.
@@ -133,6 +133,8 @@
 	if r.era.Swap(era) == era {
 		return // the other follower was first
 	}
+	r.origins.SaveAgain()
+	r.streams.wakeSaver()
 	r.group.Go(func() { r.register(r.ctx) })
 }
 
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -80,6 +80,7 @@
 	retryBudget *retry.SharedBudget
 	quarantine  *quarantine.Table
 	origins     *origins.Table
+	streams     *streamOrigins
 	links       *endpointLinks
 	relayed     *frontend.Server // requests that other routers pass on
 	front       *frontend.Server
@@ -121,10 +122,11 @@
 	r.retryBudget = retry.NewSharedBudget(s.RetryWindow)
 	r.setBounds(s.Bounds)
 	r.origins = origins.New(time.Now())
+	r.streams = newStreamOrigins(r)
 	r.quarantine = quarantine.New(r.onCrashChange, r.runsTrials)
 	r.links = newEndpointLinks(r)
 	handler := &forward.Server{Links: r.links, Codec: adapter.Codec(), Table: r.table, Endpoints: r.endpoints, Pool: r.pool,
-		RetryBudget: sharedRetries{r.retryBudget, r.members}, Quarantine: r.quarantine, Origins: &streamOrigins{r: r}, Observer: observer, OnLeaving: r.onLeaving, OnAnnounced: r.onAnnounced, OnRejection: func(*balance.Grant) { r.sendNow() }, RouterCount: r.members,
+		RetryBudget: sharedRetries{r.retryBudget, r.members}, Quarantine: r.quarantine, Origins: r.streams, Observer: observer, OnLeaving: r.onLeaving, OnAnnounced: r.onAnnounced, OnRejection: func(*balance.Grant) { r.sendNow() }, RouterCount: r.members,
 		RefusesStreams: r.refusesStreams}
 	r.front = &frontend.Server{Handler: handler, Limits: r.limits, Log: log,
 		MaxConnections: int(callerDescriptorShare * float64(s.Descriptors))}
@@ -263,7 +265,7 @@
 			r.log.Error(err, "listener failed", "serves", "relayed requests")
 		}
 	})
-	r.exchange = &peers.Exchange{Table: r.peers, Conn: conn, Log: r.log, Self: r.heartbeat, OnHeartbeat: r.onHeartbeat, OnRelay: r.onRelay, OnQuery: r.onQuery, OnStoreLost: r.onStoreLost,
+	r.exchange = &peers.Exchange{Table: r.peers, Conn: conn, Log: r.log, Self: r.heartbeat, OnHeartbeat: r.onHeartbeat, OnRelay: r.onRelay, OnQuery: r.onQuery, OnBegun: r.streams.onBegun, OnSaved: r.streams.onSaved, OnStoreLost: r.onStoreLost,
 		Wake: make(chan struct{}, 1)}
 	r.group.Go(func() { r.exchange.Run(ctx) })
 	return nil
@@ -281,6 +283,7 @@
 		h.Placements = append(h.Placements, peers.Placement{Key: key, Endpoint: id})
 	}
 	h.Begun = r.origins.TakeBegun()
+	h.SavesStreams = true
 	h.Leaving = r.endpoints.NewlyLeaving(time.Now())
 	if r.isStoreReader() {
 		h.Removals = r.endpoints.NewRemovals(time.Now())
@@ -312,7 +315,7 @@
 	for _, p := range h.Placements {
 		r.endpoints.RecordPlacement(now, p.Key, p.Endpoint)
 	}
-	r.origins.Merge(now, h.Begun)
+	r.streams.merge(now, h.Begun)
 	r.endpoints.MergeLeaving(now, h.Leaving)
 	r.endpoints.MergeRemovals(now, h.Removals)
 	r.links.table.MergeReached(now, h.Reached)
