Count readers of the store before they are ready

Readers are now counted among those that reach the store and do not stop, and a started process leaves reading to the others for 0.6 s, until it has heard of them. TestRoutersThatAreNotReadyReadTheStore failed before.

--- a/process/peers/peers_test.go
+++ b/process/peers/peers_test.go
@@ -43,7 +43,7 @@
 	table.RecordHeartbeat(t0, old, "9.9.9.9:9") // of an earlier process
 	c.Assert(table.Ready(t0), qt.HasLen, 1)
 	c.Assert(table.Running(t0), qt.DeepEquals, map[string]float64{"e": 2})
-	c.Assert(table.CountReadyWithLowerName(t0), qt.Equals, 1)
+	c.Assert(table.CountReadersWithLowerName(t0), qt.Equals, 1)
 
 	// It restarted after its clock was set back.
 	table.RecordHeartbeat(t0.Add(maxDatagramDelay), heartbeat("a", 0, 1), "1.1.1.1:1")
@@ -54,7 +54,7 @@
 	later := t0.Add(2 * time.Second)
 	c.Assert(table.Ready(later), qt.HasLen, 0)
 	c.Assert(table.Running(later), qt.HasLen, 0)
-	c.Assert(table.CountReadyWithLowerName(later), qt.Equals, 0)
+	c.Assert(table.CountReadersWithLowerName(later), qt.Equals, 0)
 	c.Assert(table.Count(later), qt.Equals, 2) // it may be partitioned and still send requests
 
 	table.Register(t0, Registration{Name: "c", Addr: "2.2.2.2:2"})
@@ -281,8 +281,8 @@
 	table := New("c", 2*time.Second)
 	table.RecordHeartbeat(t0, heartbeat("a", 1, 1), "1.1.1.1:1")
 	table.RecordHeartbeat(t0, heartbeat("b", 1, 1), "2.2.2.2:2")
-	c.Assert(table.CountReadyWithLowerName(t0.Add(2*minInterval)), qt.Equals, 2)
-	c.Assert(table.CountReadyWithLowerName(t0.Add((maxLostHeartbeats+1)*minInterval)), qt.Equals, 0)
+	c.Assert(table.CountReadersWithLowerName(t0.Add(2*minInterval)), qt.Equals, 2)
+	c.Assert(table.CountReadersWithLowerName(t0.Add((maxLostHeartbeats+1)*minInterval)), qt.Equals, 0)
 	c.Assert(table.Ready(t0.Add((maxLostHeartbeats+1)*minInterval)), qt.HasLen, 2) // still named to callers
 }
 
@@ -315,3 +315,15 @@
 	record("b", "2:2", 3, nil)
 	c.Assert(saver(t0.Add((maxLostHeartbeats+1)*minInterval)), qt.Equals, "")
 }
+
+// Before the first configuration no router is ready, and two of them wait for it at the store.
+func TestRoutersThatAreNotReadyReadTheStore(t *testing.T) {
+	c := qt.New(t)
+	table := New("d", 2*time.Second)
+	for _, name := range []string{"a", "b", "c"} {
+		h := heartbeat(name, 1, 1)
+		h.Ready, h.Draining = false, name == "c"
+		table.RecordHeartbeat(t0, h, name+":1")
+	}
+	c.Assert(table.CountReadersWithLowerName(t0), qt.Equals, 2)
+}
--- a/process/peers/table.go
+++ b/process/peers/table.go
@@ -168,16 +168,17 @@
 	return h.Incarnation < last.Incarnation && sinceLast < maxDatagramDelay
 }
 
-// CountReadyWithLowerName returns how many ready routers that reach the store have a
-// lower name than this router. Those with the lowest names read the store for all. One that
+// CountReadersWithLowerName returns how many routers that reach the store have a lower name
+// than this router. Those with the lowest names read the store for all, also before there is
+// a configuration with which they could take requests. One that
 // is not heard of is replaced long before it counts as dead, as others may depend on a
 // record that it would read; an additional reader does no harm.
-func (t *Table) CountReadyWithLowerName(now time.Time) int {
+func (t *Table) CountReadersWithLowerName(now time.Time) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	n, lost := 0, t.lostAfter()
 	for name, p := range t.peers {
-		if name < t.self && p.heartbeat.StoreReachable && p.heartbeat.Ready && now.Sub(p.lastHeartbeatAt) < lost {
+		if name < t.self && p.heartbeat.StoreReachable && !p.heartbeat.Draining && now.Sub(p.lastHeartbeatAt) < lost {
 			n++
 		}
 	}
--- a/process/router/follow.go
+++ b/process/router/follow.go
@@ -44,6 +44,9 @@
 	// storeReaders is the number of routers that read the store for all. The second one
 	// covers the time until the loss of the first is detected.
 	storeReaders = 2
+	// firstHeartbeatsTime is how long a started process takes to hear of the others. Until then
+	// it cannot know who reads the store, and goes on from what it read at its start.
+	firstHeartbeatsTime = 600 * time.Millisecond
 	// followedTopics is the number of topics that are followed. The routers' topic is
 	// read once, since routers then know one another from heartbeats.
 	followedTopics = 2
@@ -103,7 +106,11 @@
 
 // isStoreReader reports whether this router reads the store for the others.
 func (r *Router) isStoreReader() bool {
-	return r.exchange == nil || r.peers.CountReadyWithLowerName(time.Now()) < storeReaders
+	if r.exchange == nil {
+		return true
+	}
+	now := time.Now()
+	return now.Sub(r.startedAt) >= firstHeartbeatsTime && r.peers.CountReadersWithLowerName(now) < storeReaders
 }
 
 // publishRelay sends the others what this router read.
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -87,6 +87,7 @@
 	exchange    *peers.Exchange
 	followers   [followedTopics]*feed.Follower // by topic
 	incarnation int64
+	startedAt   time.Time
 	peerUpdates peerUpdates
 
 	endpointsRead      atomic.Bool // the endpoints' topic was read at least once
@@ -180,7 +181,8 @@
 
 // Start opens the sockets and starts to follow the store.
 func (r *Router) Start() error {
-	r.catchUp.start(time.Now(), r.s.Peer == "") // before anyone asks whether the router is ready
+	r.startedAt = time.Now()
+	r.catchUp.start(r.startedAt, r.s.Peer == "") // before anyone asks whether the router is ready
 	l, err := net.Listen("tcp", r.s.Front)
 	if err != nil {
 		return errors.Wrap(err, "front")
