Save at once which endpoints announced that they leave

The router that saves hints now writes the announcements 0.25 s after one becomes known, without the placements, and a started process reads them with the hints.

--- a/process/router/adapter.go
+++ b/process/router/adapter.go
@@ -32,6 +32,7 @@
 	Placements Placements
 	Crashes    []quarantine.Report
 	Versions   origins.History
+	Leaving    []upstream.Incarnation // endpoints that announced that they leave
 }
 
 // OperatorChange is a record written by operators: a configuration, or a zone that
--- a/process/router/hints.go
+++ b/process/router/hints.go
@@ -8,6 +8,8 @@
 const (
 	// saveInterval is the pause between writes of the hints.
 	saveInterval = 2500 * time.Millisecond
+	// saveChangeInterval is the least time between writes because an endpoint announced that it leaves.
+	saveChangeInterval = 250 * time.Millisecond
 	// saveWindow limits the placements that are saved to those of recent requests.
 	saveWindow = 30 * time.Second
 	// loadAttempts bounds the reads of the hints at the start, for which readiness waits.
@@ -27,17 +29,48 @@
 	}
 	r.hintsTried.Store(true)
 	giveUp := time.Now().Add(loadTime)
-	every(ctx, saveInterval, func(now time.Time) {
-		if !loaded && now.Before(giveUp) {
+	tick := time.NewTicker(saveInterval)
+	defer tick.Stop()
+	for {
+		withPlacements := true
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-r.leavingChanged:
+			withPlacements = false         // they are large, and change all the time
+			sleep(ctx, saveChangeInterval) // others may announce it at the same time
+		}
+		if now := time.Now(); !loaded && now.Before(giveUp) {
 			loaded = r.loadHints(ctx) // before they are overwritten
 		} else if r.isHintWriter() {
-			r.saveHints(ctx, now)
+			r.saveHints(ctx, now, withPlacements)
 		}
-	})
+	}
+}
+
+// saveLeaving saves the hints before their time, as an endpoint announced that it leaves.
+func (r *Router) saveLeaving() {
+	select {
+	case r.leavingChanged <- struct{}{}:
+	default:
+	}
 }
 
-func (r *Router) saveHints(ctx context.Context, now time.Time) {
-	h := Hints{Placements: r.endpoints.Placements(now.Add(-saveWindow)), Crashes: r.quarantine.Reports(now), Versions: r.origins.History(now)}
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+func (r *Router) saveHints(ctx context.Context, now time.Time, withPlacements bool) {
+	h := Hints{Crashes: r.quarantine.Reports(now), Versions: r.origins.History(now), Leaving: r.endpoints.Leaving(now)}
+	if withPlacements {
+		h.Placements = r.endpoints.Placements(now.Add(-saveWindow))
+	}
 	call, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	if err := r.adapter.SaveHints(call, h); err != nil {
@@ -67,6 +100,7 @@
 	now := time.Now()
 	r.endpoints.RestorePlacements(now, h.Placements)
 	r.quarantine.Merge(now, h.Crashes)
+	r.endpoints.MergeLeaving(now, h.Leaving)
 	r.origins.Restore(now, h.Versions)
 	if r.s.FirstStart && h.Versions.SavedAtMS == 0 {
 		r.origins.SetFirst(now)
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -90,8 +90,9 @@
 	startedAt   time.Time
 	peerUpdates peerUpdates
 
-	endpointsRead      atomic.Bool // the endpoints' topic was read at least once
-	hintsTried         atomic.Bool // the hints were loaded, or loading failed
+	endpointsRead      atomic.Bool   // the endpoints' topic was read at least once
+	hintsTried         atomic.Bool   // the hints were loaded, or loading failed
+	leavingChanged     chan struct{} // signals a new announcement to save; buffers one
 	draining           atomic.Bool
 	acceptStreamsUntil atomic.Int64 // Unix time in ns until which new streams are accepted; 0 if not draining
 
@@ -116,7 +117,7 @@
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	}
-	r := &Router{s: s, log: log, adapter: adapter, incarnation: time.Now().UnixNano(), zones: make(map[string]bool), zoneHolds: make(map[string]time.Time)}
+	r := &Router{s: s, log: log, adapter: adapter, incarnation: time.Now().UnixNano(), leavingChanged: make(chan struct{}, 1), zones: make(map[string]bool), zoneHolds: make(map[string]time.Time)}
 	r.endpoints = upstream.New(upstream.Config{Zone: s.Zone, RemovalGrace: removalGrace, Bound: loadBound,
 		StaleBound: staleBound, StaleInterval: staleInterval, CapExtra: capExtra}, rand.Float64)
 	r.peers = peers.New(s.Name, peers.DeadAfter(1))
@@ -319,7 +320,9 @@
 		r.endpoints.RecordPlacement(now, p.Key, p.Endpoint)
 	}
 	r.streams.merge(now, h.Begun)
-	r.endpoints.MergeLeaving(now, h.Leaving)
+	if r.endpoints.MergeLeaving(now, h.Leaving) {
+		r.saveLeaving()
+	}
 	r.endpoints.MergeRemovals(now, h.Removals)
 	r.links.table.MergeReached(now, h.Reached)
 	r.endpoints.MergeRestrictions(now, h.Name, h.Restrictions)
--- a/process/upstream/leaving.go
+++ b/process/upstream/leaving.go
@@ -34,13 +34,29 @@
 	return t.markLeaving(now, Incarnation{g.ID, g.Started}, true)
 }
 
-// MergeLeaving records announcements that endpoints made to other routers.
-func (t *Table) MergeLeaving(now time.Time, list []Incarnation) {
+// MergeLeaving records announcements that endpoints made to other routers, and reports whether
+// one is new.
+func (t *Table) MergeLeaving(now time.Time, list []Incarnation) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	changed := false
 	for _, i := range list {
-		t.markLeaving(now, i, false)
+		changed = t.markLeaving(now, i, false) || changed
 	}
+	return changed
+}
+
+// Leaving returns the endpoints that announced to some router that they leave.
+func (t *Table) Leaving(now time.Time) []Incarnation {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []Incarnation
+	for i, mark := range t.leaving {
+		if now.Sub(mark.at) < leavingTTL {
+			list = append(list, i)
+		}
+	}
+	return list
 }
 
 func (t *Table) markLeaving(now time.Time, i Incarnation, own bool) bool {
