Let no stream of a service with one version wait to be saved

The wait is now by service, which TestStreamsAreSavedWhileSeveralVersionsServe checks in the table. Streams that another router wants confirmed are bounded.

--- a/process/origins/origins.go
+++ b/process/origins/origins.go
@@ -223,10 +223,10 @@
 }
 
 // SeveralVersions reports whether a service has had several versions while a stream can last.
-func (t *Table) SeveralVersions() bool {
+func (t *Table) SeveralVersions(service string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.servicesWithSeveralVersions()) > 0
+	return t.servicesWithSeveralVersions()[service]
 }
 
 // servicesWithSeveralVersions returns nil if there are none. The caller holds t.mu.
--- a/process/origins/origins_test.go
+++ b/process/origins/origins_test.go
@@ -159,6 +159,8 @@
 	table.Begin(t0, 3, v2)
 	table.Merge(t0, []Begun{{v1, []Key{4}}})
 	table.MergeSaved(t0, []Begun{{v1, []Key{5}}})
+	c.Assert(table.SeveralVersions(v1.Service), qt.IsTrue)
+	c.Assert(table.SeveralVersions(other.Service), qt.IsFalse)
 	c.Assert(table.TakeOwn(), qt.DeepEquals, []Begun{{v2, []Key{3}}})
 	c.Assert(table.TakeOwn(), qt.HasLen, 0)
 	want := []Begun{{v1, []Key{1, 4}}, {v2, []Key{3}}}
--- a/process/router/origins.go
+++ b/process/router/origins.go
@@ -24,6 +24,8 @@
 	saveWaitPause = 500 * time.Millisecond
 	// saveBegunRetry is the pause after a write that failed.
 	saveBegunRetry = 300 * time.Millisecond
+	// maxAsked bounds the streams of another router that wait for a confirmation.
+	maxAsked = 1024
 	// loadBegunInterval is the pause between reads of the streams that were saved.
 	loadBegunInterval = 200 * time.Millisecond
 	// loadBegunTimeout bounds such a read, for which a request waits.
@@ -57,13 +59,13 @@
 	return &streamOrigins{r: r, begun: make(chan struct{}, 1), waiting: make(map[origins.Key]waitingStream), asked: make(map[string][]origins.Key)}
 }
 
-// Begin implements forward.Origins. While a service has several versions, it waits until the
+// Begin implements forward.Origins. While the service has several versions, it waits until the
 // stream is saved, so that each stream of which a caller has an event is known after all
 // routers were lost.
 func (s *streamOrigins) Begin(ctx context.Context, k origins.Key, o origins.Origin) {
 	now := time.Now()
 	s.r.origins.Begin(now, k, o)
-	if !s.r.origins.SeveralVersions() {
+	if !s.r.origins.SeveralVersions(o.Service) {
 		return
 	}
 	saved := make(chan struct{})
@@ -98,9 +100,12 @@
 
 // merge records streams that other routers began.
 func (s *streamOrigins) merge(now time.Time, list []origins.Begun) {
-	if len(list) > 0 {
-		s.r.origins.Merge(now, list)
-		s.wakeSaver()
+	s.r.origins.Merge(now, list)
+	for _, b := range list {
+		if s.r.origins.SeveralVersions(b.Service) {
+			s.wakeSaver()
+			return
+		}
 	}
 }
 
@@ -108,7 +113,9 @@
 func (s *streamOrigins) onBegun(now time.Time, list []origins.Begun, from string) {
 	s.savesMu.Lock()
 	for _, b := range list {
-		s.asked[from] = append(s.asked[from], b.Streams...)
+		if len(s.asked[from]) < maxAsked {
+			s.asked[from] = append(s.asked[from], b.Streams...)
+		}
 	}
 	s.savesMu.Unlock()
 	s.merge(now, list)
@@ -139,9 +146,6 @@
 
 // wakeSaver makes save look for streams to save.
 func (s *streamOrigins) wakeSaver() {
-	if !s.r.origins.SeveralVersions() {
-		return
-	}
 	select {
 	case s.begun <- struct{}{}:
 	default:
