--- a/process/peers/peers_test.go
+++ b/process/peers/peers_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net"
 	"sync/atomic"
@@ -327,3 +328,45 @@
 	}
 	c.Assert(table.CountReadersWithLowerName(t0), qt.Equals, 2)
 }
+
+// The sums that are kept equal those of the last heartbeats of all routers that are alive.
+func TestRunningIsTheSumOfLastHeartbeats(t *testing.T) {
+	c := qt.New(t)
+	rng := rand.New(rand.NewPCG(1, 2))
+	table := New("self", 2*time.Second)
+	last := make(map[string]Heartbeat)
+	heard := make(map[string]time.Time)
+	now := t0
+	for n := range int64(3000) {
+		now = now.Add(time.Duration(rng.IntN(100)) * time.Millisecond)
+		h := heartbeat(fmt.Sprint("r", rng.IntN(8)), 1, n+1)
+		h.Running = make(map[string]float64)
+		for range rng.IntN(4) {
+			h.Running[fmt.Sprint("e", rng.IntN(5))] = float64(rng.IntN(30)) / 10
+		}
+		if rng.IntN(50) == 0 {
+			now = now.Add(1900 * time.Millisecond) // some are lost
+		}
+		table.RecordHeartbeat(now, h, "1.1.1.1:1")
+		last[h.Name], heard[h.Name] = h, now
+		if n%3 > 0 {
+			continue
+		}
+		want := make(map[string]float64)
+		for name, h := range last {
+			for id, requests := range h.Running {
+				if now.Sub(heard[name]) < 2*time.Second {
+					want[id] += requests
+				}
+			}
+		}
+		got := table.Running(now)
+		for id, sum := range want {
+			c.Assert(math.Abs(got[id]-sum) < 1e-6, qt.IsTrue, qt.Commentf("%s: %v, want %v", id, got[id], sum))
+		}
+		for id := range got {
+			_, known := want[id]
+			c.Assert(known, qt.IsTrue)
+		}
+	}
+}
--- a/process/peers/table.go
+++ b/process/peers/table.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"math"
 	"net"
 	"slices"
 	"sort"
@@ -81,6 +82,7 @@
 	registeredAt    time.Time // last registration
 	lastHeartbeatAt time.Time
 	heartbeat       Heartbeat
+	summed          bool // its requests are in Table.running
 }
 
 // Table holds the other routers. It is safe for concurrent use.
@@ -88,14 +90,15 @@
 	self      string
 	mu        sync.Mutex
 	peers     map[string]*peer
-	names     []string // of peers, sorted
+	names     []string         // of peers, sorted
+	running   map[string]int64 // requests of the others by endpoint, in runningUnit
 	deadAfter time.Duration
 }
 
 // New returns the empty table of router self. A router without a heartbeat for
 // deadAfter is not named to callers.
 func New(self string, deadAfter time.Duration) *Table {
-	return &Table{self: self, peers: make(map[string]*peer), deadAfter: deadAfter}
+	return &Table{self: self, peers: make(map[string]*peer), running: make(map[string]int64), deadAfter: deadAfter}
 }
 
 // SetDeadAfter sets the time without a heartbeat after which a router is not named.
@@ -151,7 +154,11 @@
 	if h.outdated(&p.heartbeat, now.Sub(p.lastHeartbeatAt)) {
 		return false
 	}
+	if p.summed {
+		t.addRunning(p, -1)
+	}
 	p.heartbeat, p.lastHeartbeatAt, p.addr = h, now, addr
+	t.addRunning(p, 1)
 	return !known
 }
 
@@ -360,19 +367,40 @@
 	return n
 }
 
+// runningUnit is the unit in which requests are summed, as routers tell them: whole numbers add
+// and subtract without errors that grow.
+const runningUnit = 0.1
+
+// addRunning adds the requests of a router to the sums, or subtracts them with sign -1.
+func (t *Table) addRunning(p *peer, sign int64) {
+	for id, n := range p.heartbeat.Running {
+		sum := t.running[id] + sign*int64(math.Round(n/runningUnit))
+		if sum == 0 {
+			delete(t.running, id)
+			continue
+		}
+		t.running[id] = sum
+	}
+	p.summed = sign > 0
+}
+
 // Running returns the sum of the requests that the other routers run, by endpoint.
 // Routers without a recent heartbeat do not count.
 func (t *Table) Running(now time.Time) map[string]float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	sum := make(map[string]float64)
 	for _, p := range t.peers {
-		if now.Sub(p.lastHeartbeatAt) >= t.deadAfter {
-			continue
-		}
-		for id, n := range p.heartbeat.Running {
-			sum[id] += n
+		if alive := now.Sub(p.lastHeartbeatAt) < t.deadAfter; p.summed != alive {
+			sign := int64(1)
+			if !alive {
+				sign = -1
+			}
+			t.addRunning(p, sign)
 		}
 	}
-	return sum
+	list := make(map[string]float64, len(t.running))
+	for id, sum := range t.running {
+		list[id] = float64(sum) * runningUnit
+	}
+	return list
 }
