Read saved streams before asking, in a process that started a moment ago

A process younger than 30 s reads the log first, at most each 200 ms. - A router confirmed streams before they were in its table, so that the write before the confirmation could lack them. - A read of the log within 200 ms stood for one of the registry. - After the store came back from an older copy, saved streams were read on from an offset of before.

The order of table and confirmation has no test of its own.

--- a/process/router/follow.go
+++ b/process/router/follow.go
@@ -142,6 +142,7 @@
 	}
 	r.origins.SaveAgain()
 	r.streams.wakeSaver()
+	r.group.Go(r.streams.readFromStart)
 	r.group.Go(func() { r.register(r.ctx) })
 }
 
--- a/process/router/origins.go
+++ b/process/router/origins.go
@@ -26,6 +26,9 @@
 	saveBegunRetry = 300 * time.Millisecond
 	// maxAsked bounds the streams of another router that wait for a confirmation.
 	maxAsked = 1024
+	// freshProcessTime is how long after its start a process reads the saved streams before it
+	// asks the others, which may have started as well.
+	freshProcessTime = 30 * time.Second
 	// loadBegunInterval is the pause between reads of the streams that were saved.
 	loadBegunInterval = 200 * time.Millisecond
 	// loadBegunTimeout bounds such a read, for which a request waits.
@@ -43,11 +46,20 @@
 	waitAfter time.Time
 
 	loadMu   sync.Mutex // held during a read of the store, so that requests share it
-	loadedAt time.Time
-	loaded   bool  // the last read succeeded
-	next     int64 // offset in the log of begun streams
+	log      storeRead  // of the log of begun streams
+	registry storeRead
+	next     int64 // offset in the log
 }
 
+// storeRead is when something was read from the store.
+type storeRead struct{ attempted, succeeded time.Time }
+
+// isFresh reports whether requests use the last read in place of another one.
+func (r *storeRead) isFresh() bool { return time.Since(r.succeeded) < loadBegunInterval }
+
+// isDue reports whether to attempt another read.
+func (r *storeRead) isDue() bool { return time.Since(r.attempted) >= loadBegunInterval }
+
 // waitingStream is a stream whose first event waits until it is saved.
 type waitingStream struct {
 	origins.Origin
@@ -111,6 +123,7 @@
 
 // onBegun records streams that another router wants to be saved, and confirmed.
 func (s *streamOrigins) onBegun(now time.Time, list []origins.Begun, from string) {
+	s.merge(now, list) // before they are confirmed with what is saved then
 	s.savesMu.Lock()
 	for _, b := range list {
 		if len(s.asked[from]) < maxAsked {
@@ -118,7 +131,7 @@
 		}
 	}
 	s.savesMu.Unlock()
-	s.merge(now, list)
+	s.wakeSaver()
 }
 
 // onSaved ends the wait for streams of this router that were saved.
@@ -157,6 +170,9 @@
 func (s *streamOrigins) Find(ctx context.Context, k origins.Key, services []string) (origins.Origin, bool) {
 	r := s.r
 	own := r.answer(time.Now(), k, services)
+	if own.Origin == nil && len(own.Seen) > 1 && time.Since(r.startedAt) < freshProcessTime && s.load(ctx, false) {
+		own = r.answer(time.Now(), k, services)
+	}
 	if own.Origin != nil {
 		return *own.Origin, true
 	}
@@ -185,24 +201,39 @@
 }
 
 // load reads the streams that were saved and, with registry, the versions that are in the
-// registry now. It reports whether all was read within the last loadBegunInterval.
+// registry now. It reports whether all was read within the last loadBegunInterval, in which
+// requests share one attempt.
 func (s *streamOrigins) load(ctx context.Context, registry bool) bool {
 	s.loadMu.Lock()
 	defer s.loadMu.Unlock()
-	if time.Since(s.loadedAt) < loadBegunInterval {
-		return s.loaded
-	}
 	ctx, cancel := context.WithTimeout(ctx, loadBegunTimeout)
 	defer cancel()
-	err := s.loadBegun(ctx)
-	if err == nil && registry {
-		err = s.loadVersions(ctx)
+	s.readOnce(ctx, &s.log, s.loadBegun)
+	if registry && s.log.isFresh() {
+		s.readOnce(ctx, &s.registry, s.loadVersions)
 	}
-	s.loadedAt, s.loaded = time.Now(), err == nil
-	if err != nil {
+	return s.log.isFresh() && (!registry || s.registry.isFresh())
+}
+
+// readOnce attempts a read if it is due. The caller holds loadMu.
+func (s *streamOrigins) readOnce(ctx context.Context, state *storeRead, read func(context.Context) error) {
+	if !state.isDue() {
+		return
+	}
+	state.attempted = time.Now()
+	if err := read(ctx); err != nil {
 		s.r.log.Info("loading begun streams failed", "error", err.Error())
+		return
 	}
-	return s.loaded
+	state.succeeded = time.Now()
+}
+
+// readFromStart makes the next read begin at the oldest saved stream, as the log came back
+// from an older copy, in which offsets were given out again.
+func (s *streamOrigins) readFromStart() {
+	s.loadMu.Lock()
+	defer s.loadMu.Unlock()
+	s.next = 0
 }
 
 func (s *streamOrigins) loadBegun(ctx context.Context) error {
