Let another router try where the last endpoint was not reached

Traced: the stream broke while its endpoint still accepted connections, the only other endpoint of its version refused one, and the request was refused as no endpoint was left. One failed connection puts the links in no doubt, so that no other router was asked.

A request for which no endpoint is left here, and of which one was not reached, now goes through another router, under the bounds of relayed requests. TestStreamGoesOnThroughAnotherRouterThatReachesTheLastEndpoint plays it without a race; it failed each time before and passes.

--- a/connection/forward/relay.go
+++ b/connection/forward/relay.go
@@ -75,14 +75,27 @@
 	return j.route.Retryable() && j.runs < j.maxRuns-1
 }
 
+// mayRelay reports whether the request may be passed on: it came from a caller, and few routers have
+// had it.
+func (j *job) mayRelay() bool { return !j.rec.Relayed && len(j.relays) < maxRelays }
+
 // viaRelay reports whether the next attempt goes through another router.
 func (j *job) viaRelay() bool {
-	if j.rec.Relayed || len(j.relays) >= maxRelays {
+	if !j.mayRelay() {
 		return false
 	}
 	return j.unreached >= maxUnreached || j.s.Links.UseRelay(time.Now(), j.relayedService(), j.repeatable())
 }
 
+// relayUnreached passes a request on for which no endpoint is left here, if one of them was not
+// reached: another router may reach it. It returns what relay does.
+func (j *job) relayUnreached(refusal *balance.Refusal) (relayed, final bool) {
+	if refusal.Code != outcome.NoEndpoint || j.unreached == 0 || !j.mayRelay() {
+		return false, false
+	}
+	return j.relay()
+}
+
 // relayedService returns the service of the next attempt.
 func (j *job) relayedService() string {
 	if j.origin != nil {
--- a/connection/forward/server.go
+++ b/connection/forward/server.go
@@ -203,6 +203,13 @@
 		}
 		g, refusal := j.acquire()
 		if refusal != nil {
+			relayed, final := j.relayUnreached(refusal)
+			if final {
+				return
+			}
+			if relayed {
+				continue
+			}
 			j.rec.Refusal = refusal
 			j.fail(refusal.Code, refusal.RetryAfter)
 			return
