Try a body soon that was lost with the same endpoints as another

A body that was lost with two of the same endpoints as another one, itself lost twice, may be sound. Within five seconds, one copy now runs a second after the quarantine, at the router that runs its trials. A sound body is free then; a crashing one takes one endpoint more, within the contact time. A body that is lost alone is tried as before.

TestSoundBodyThatIsLostBesideACrashingOneIsFreeSoon failed before.

--- a/process/quarantine/doc.go
+++ b/process/quarantine/doc.go
@@ -8,7 +8,9 @@
 // that, or after the last known one if that was some time ago. Copies that are lost
 // together, for example with a zone, therefore count as one crash, until a copy that was
 // sent later is lost too. A run that completes anywhere starts the count again. A body that
-// reaches the limit is refused, but for a trial now and then by one of the routers.
+// reaches the limit is refused, but for a trial now and then by one of the routers; the first
+// comes after a second if another body was lost with the same endpoints, as one of them may
+// be sound.
 //
 // A part of prompts is at fault though no two requests with it are alike, and whatever ran
 // beside them is lost as well. Routers therefore tell one another which runs were lost with
--- a/process/quarantine/quarantine.go
+++ b/process/quarantine/quarantine.go
@@ -23,6 +23,13 @@
 	// crashSpacing is the time after a crash from which another one counts though its copy
 	// was sent before: endpoints of one zone are lost within less.
 	crashSpacing = 300 * time.Millisecond
+	// doubtTime is the time from a body's quarantine until one copy runs as a trial if another
+	// body was lost with the same endpoints, so that one of them may be sound. That is no longer
+	// done maxDoubtTime after the quarantine.
+	doubtTime    = time.Second
+	maxDoubtTime = 5 * time.Second
+	// commonLosses is the number of endpoints that two bodies have to be lost with.
+	commonLosses = 2
 	// quietTime is how long no copy may arrive until a body is forgotten.
 	quietTime = time.Hour
 	// firstTrial is the time from a body's quarantine until one copy may run again, so
@@ -87,6 +94,7 @@
 	crashedAt   time.Time // when the last crash became known
 	changedAt   time.Time // last change by a request of this router
 	nextTrial   time.Time // if quarantined
+	doubtEnded  bool      // the trial of a body that may be sound began here
 }
 
 // Change is a change of what is known of a body or of a part of prompts.
@@ -150,6 +158,15 @@
 	switch {
 	case !b.Quarantined():
 		return 0
+	case t.isDoubtful(now, b):
+		if until := b.crashedAt.Add(doubtTime); now.Before(until) {
+			return until.Sub(now)
+		}
+		if !t.mayTry(f) {
+			return doubtTime
+		}
+		b.doubtEnded = true
+		return 0
 	case now.Before(b.nextTrial):
 		return b.nextTrial.Sub(now)
 	case !t.mayTry(f):
@@ -159,6 +176,30 @@
 	return 0
 }
 
+// isDoubtful reports whether the body may be sound, as another one was lost with the same
+// endpoints, and no trial has decided that.
+func (t *Table) isDoubtful(now time.Time, b *record) bool {
+	if b.part != 0 || b.doubtEnded || b.Crashes > b.limit() || now.Sub(b.crashedAt) >= maxDoubtTime {
+		return false
+	}
+	need := min(commonLosses, len(b.lost))
+	for _, other := range t.records {
+		if other == b || other.part != 0 || other.Crashes < commonLosses {
+			continue
+		}
+		common := 0
+		for _, e := range b.lost {
+			if slices.Contains(other.lost, e) {
+				common++
+			}
+		}
+		if common >= need {
+			return true
+		}
+	}
+	return false
+}
+
 // Crashed records that a copy of a body crashed its endpoint. sent is what Check returned
 // before the copy was sent, at sentAt.
 func (t *Table) Crashed(now time.Time, f suspect.Fingerprint, sent State, endpoint string, sentAt time.Time) {
@@ -218,7 +259,7 @@
 		t.evidence.suspect(now)
 	}
 	if r.Resets > b.Resets || b.Crashes == 0 {
-		b.lost, b.firstCrash = nil, now
+		b.lost, b.firstCrash, b.doubtEnded = nil, now, false
 	}
 	if changed {
 		b.State, b.crashedAt = r.State, now
--- a/process/quarantine/quarantine_test.go
+++ b/process/quarantine/quarantine_test.go
@@ -244,3 +244,51 @@
 	crash(table, t0.Add(time.Minute), 1)
 	c.Assert(refused(table, t0.Add(time.Minute), 1), qt.IsTrue)
 }
+
+// A request crashes all endpoints of its service within a moment after the start. A sound body that many callers
+// send is lost with each of them before any router has seen a copy complete. Whichever is tried first, the crashing
+// one takes one endpoint more at the most.
+func TestSoundBodyThatIsLostBesideACrashingOneIsFreeSoon(t *testing.T) {
+	const sound, crashing = suspect.Fingerprint(1), suspect.Fingerprint(2)
+	for _, order := range [][]suspect.Fingerprint{{sound, crashing}, {crashing, sound}} {
+		c := qt.New(t)
+		tables := []*Table{newTable(), newTable()}
+		exchange := func(now time.Time) {
+			tables[0].Merge(now, tables[1].Reports(now))
+			tables[1].Merge(now, tables[0].Reports(now))
+		}
+		now := t0
+		for i := range crashLimit {
+			now = now.Add(40 * time.Millisecond)
+			for _, f := range order {
+				table := tables[int(f)%2]
+				sent, _ := table.Check(now, f)
+				table.Crashed(now, f, sent, fmt.Sprint("e", i), now)
+			}
+			exchange(now)
+		}
+		c.Assert(refused(tables[0], now, sound), qt.IsTrue)
+		trials := make(map[suspect.Fingerprint]int)
+		for end := now.Add(10 * time.Second); now.Before(end); now = now.Add(100 * time.Millisecond) {
+			for _, f := range order {
+				sent, wait := tables[0].Check(now, f)
+				if wait > 0 {
+					continue
+				}
+				trials[f]++
+				if f == sound {
+					tables[0].Completed(now, f)
+				} else {
+					tables[0].Crashed(now, f, sent, fmt.Sprint("e", trials[f]), now)
+				}
+				exchange(now)
+			}
+			if now.Sub(t0) > 2*time.Second {
+				c.Assert(refused(tables[1], now, sound), qt.IsFalse)
+				c.Assert(refused(tables[1], now, crashing), qt.IsTrue)
+			}
+		}
+		c.Assert(trials[crashing] <= 1, qt.IsTrue, qt.Commentf("%d trials", trials[crashing]))
+		c.Assert(trials[sound] > 1, qt.IsTrue)
+	}
+}
