--- a/process/upstream/leaving.go
+++ b/process/upstream/leaving.go
@@ -48,11 +48,16 @@
 
 // Leaving returns the endpoints that announced to some router that they leave.
 func (t *Table) Leaving(now time.Time) []Incarnation {
+	return t.listLeaving(func(mark leavingMark) bool { return now.Sub(mark.at) < leavingTTL })
+}
+
+// listLeaving returns the endpoints that leave and whose mark is selected.
+func (t *Table) listLeaving(selects func(leavingMark) bool) []Incarnation {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var list []Incarnation
 	for i, mark := range t.leaving {
-		if now.Sub(mark.at) < leavingTTL {
+		if selects(mark) {
 			list = append(list, i)
 		}
 	}
@@ -75,15 +80,7 @@
 // NewlyLeaving returns the endpoints that announced to this router that they leave, for
 // the other routers.
 func (t *Table) NewlyLeaving(now time.Time) []Incarnation {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var list []Incarnation
-	for i, mark := range t.leaving {
-		if mark.own && now.Sub(mark.at) < leavingReportTime {
-			list = append(list, i)
-		}
-	}
-	return list
+	return t.listLeaving(func(mark leavingMark) bool { return mark.own && now.Sub(mark.at) < leavingReportTime })
 }
 
 // isDraining reports whether the endpoint takes no new requests, by its entry or by its
--- a/test/soak/rejoin_test.go
+++ b/test/soak/rejoin_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"os/exec"
 	"path/filepath"
 	"sync"
 	"syscall"
@@ -92,27 +91,12 @@
 	}
 }
 
-func buildRouter(t *testing.T, sources string) string {
-	binary := filepath.Join(t.TempDir(), "stoatmount")
-	build := exec.Command("go", "build", "-o", binary, "./cmd/stoatmount")
-	build.Dir = sources
-	if out, err := build.CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
-	return binary
-}
-
 // sourcesOf returns a folder with the sources of a commit.
 func sourcesOf(t *testing.T, commit string) string {
 	folder := t.TempDir()
-	archive := exec.Command("git", "archive", "--output", filepath.Join(folder, "sources.tar"), commit)
-	archive.Dir = "../.."
-	if out, err := archive.CombinedOutput(); err != nil {
-		t.Fatalf("sources of %s: %v\n%s", commit, err, out)
-	}
-	if out, err := exec.Command("tar", "-xf", filepath.Join(folder, "sources.tar"), "-C", folder).CombinedOutput(); err != nil {
-		t.Fatalf("sources of %s: %v\n%s", commit, err, out)
-	}
+	archive := filepath.Join(folder, "sources.tar")
+	runIn(t, "../..", "git", "archive", "--output", archive, commit)
+	runIn(t, folder, "tar", "-xf", archive)
 	return folder
 }
 
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -67,11 +67,25 @@
 	runSoaks(t, list, options{cutLinks: true})
 }
 
-func runSoaks(t *testing.T, seeds []uint64, o options) {
+// buildRouter builds the router in a folder with sources.
+func buildRouter(t *testing.T, sources string) string {
 	binary := filepath.Join(t.TempDir(), "stoatmount")
-	if out, err := exec.Command("go", "build", "-o", binary, "../../cmd/stoatmount").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
+	runIn(t, sources, "go", "build", "-o", binary, "./cmd/stoatmount")
+	return binary
+}
+
+// runIn runs a command in a folder and fails the test if it fails.
+func runIn(t *testing.T, folder, name string, args ...string) {
+	t.Helper()
+	cmd := exec.Command(name, args...)
+	cmd.Dir = folder
+	if out, err := cmd.CombinedOutput(); err != nil {
+		t.Fatalf("%s %v: %v\n%s", name, args, err, out)
 	}
+}
+
+func runSoaks(t *testing.T, seeds []uint64, o options) {
+	binary := buildRouter(t, "../..")
 	for _, s := range seeds {
 		t.Run(fmt.Sprint(s), func(t *testing.T) { soak(t, binary, s, o) })
 	}
