Read the saved streams before a restored history counts as complete

Cause: the history of versions in the hints is complete up to its last save, up to 2.5 s before the loss, but a process that restored it took it as complete up to its own start. A version that came and went between is named by the log of begun streams only, and a fresh process read that log only if it had itself seen several versions. All routers had seen the same single one, so they were sure.

Ruled out: unsaved streams; a router that had seen v2.

Change: a restored history counts once the saved streams were read after it, and a fresh process reads them for an unknown stream while its view is incomplete. Hints that are saved before that pass the restored time on, so that a second loss costs nothing. This works as a stream's first event waits for the log while its service has several versions.

The two tests of restored histories in process/origins now also require that they are not complete before the log was read.

--- a/process/origins/origins.go
+++ b/process/origins/origins.go
@@ -59,7 +59,7 @@
 // History is the saved part of a Table, for processes that start when no other router runs.
 type History struct {
 	SavedAtMS  int64 `json:"saved_at_ms"` // Unix time
-	CompleteMS int64 `json:"complete_ms"` // time before SavedAtMS since when Seen is complete
+	CompleteMS int64 `json:"complete_ms"` // time before SavedAtMS since when Seen is complete, together with the saved streams
 	Seen       []Age `json:"seen"`
 }
 
@@ -92,6 +92,9 @@
 	sent      []Begun // own, sent with the last heartbeat; sent twice, since heartbeats get lost
 	seen      map[Origin]time.Time
 	complete  time.Time // seen is complete since then
+	// restored replaces complete once the saved streams were read: a version that came after the
+	// History was saved shows in them only. Zero without a restored History.
+	restored time.Time
 }
 
 // New returns an empty Table.
@@ -318,7 +321,11 @@
 func (t *Table) History(now time.Time) History {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	h := History{SavedAtMS: now.UnixMilli(), CompleteMS: now.Sub(t.complete).Milliseconds()}
+	complete := t.complete
+	if !t.restored.IsZero() && t.restored.Before(complete) {
+		complete = t.restored
+	}
+	h := History{SavedAtMS: now.UnixMilli(), CompleteMS: now.Sub(complete).Milliseconds()}
 	for o, at := range t.seen {
 		h.Seen = append(h.Seen, Age{Origin: o, AgoMS: now.Sub(at).Milliseconds()})
 	}
@@ -326,7 +333,8 @@
 	return h
 }
 
-// Restore adds a saved History. One that is too old does not make this one complete.
+// Restore adds a saved History, which makes this one complete once ConfirmRestored is called. One
+// that is too old does not.
 func (t *Table) Restore(now time.Time, h History) {
 	age := now.Sub(time.UnixMilli(h.SavedAtMS))
 	if age < -maxClockOffset || age > maxRestoreAge {
@@ -341,7 +349,16 @@
 			t.seen[s.Origin] = at
 		}
 	}
-	if complete := now.Add(-age - time.Duration(h.CompleteMS)*time.Millisecond); complete.Before(t.complete) {
-		t.complete = complete
+	t.restored = now.Add(-age - time.Duration(h.CompleteMS)*time.Millisecond)
+}
+
+// ConfirmRestored records that all saved streams were read since Restore. Together they show each
+// version that served while no process of now ran.
+func (t *Table) ConfirmRestored() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.restored.IsZero() && t.restored.Before(t.complete) {
+		t.complete = t.restored
 	}
+	t.restored = time.Time{}
 }
--- a/process/origins/origins_test.go
+++ b/process/origins/origins_test.go
@@ -100,6 +100,9 @@
 		after.Restore(now, before.History(t0.Add(time.Minute)))
 		after.Observe(now, []Origin{v1})
 		_, ok := Combine([]Answer{after.Answer(now, 1, services)})
+		c.Assert(ok, qt.IsFalse) // another version may have come since the history was saved
+		after.ConfirmRestored()
+		_, ok = Combine([]Answer{after.Answer(now, 1, services)})
 		c.Assert(ok, qt.Equals, test.sole, qt.Commentf("%v", test.away))
 		after.Observe(now, []Origin{v2})
 		_, ok = Combine([]Answer{after.Answer(now, 1, services)})
@@ -140,6 +143,13 @@
 	later := t0.Add(5 * time.Second)
 	after := New(later)
 	after.Restore(later, table.History(t0))
+	c.Assert(after.Answer(later, 1, services).Complete, qt.IsFalse)
+	// A process that is lost before it read the saved streams passes its history on.
+	again := New(later)
+	again.Restore(later, after.History(later))
+	again.ConfirmRestored()
+	c.Assert(again.Answer(later, 1, services).Complete, qt.IsTrue)
+	after.ConfirmRestored()
 	c.Assert(after.Answer(later, 1, services).Complete, qt.IsTrue)
 }
 
--- a/process/router/origins.go
+++ b/process/router/origins.go
@@ -170,7 +170,8 @@
 func (s *streamOrigins) Find(ctx context.Context, k origins.Key, services []string) (origins.Origin, bool) {
 	r := s.r
 	own := r.answer(time.Now(), k, services)
-	if own.Origin == nil && len(own.Seen) > 1 && time.Since(r.startedAt) < freshProcessTime && s.load(ctx, false) {
+	// What the others have seen may have been restored as well, without a version of before.
+	if own.Origin == nil && (len(own.Seen) > 1 || !own.Complete) && time.Since(r.startedAt) < freshProcessTime && s.load(ctx, false) {
 		own = r.answer(time.Now(), k, services)
 	}
 	if own.Origin != nil {
@@ -243,6 +244,7 @@
 	}
 	s.next = next
 	s.r.origins.MergeSaved(time.Now(), list)
+	s.r.origins.ConfirmRestored()
 	return nil
 }
 
