Catch signals until the process has ended

Cause: the signal loop returned on SIGTERM and its deferred signal.Stop gave SIGHUP, SIGINT and SIGTERM their default action back while the shutdown served. Evidence: the process ended 2 ms after the SIGHUP with "signal: hangup".

Change: signals are caught from the first line of the command to the end of the process. SIGHUP reloads, also while the process is being stopped; later termination signals change nothing.

--- a/process/cli/cli.go
+++ b/process/cli/cli.go
@@ -6,7 +6,6 @@
 	"io"
 	"math/rand/v2"
 	"os"
-	"os/signal"
 	"syscall"
 	"time"
 
@@ -43,10 +42,12 @@
 
 It accepts requests of callers, chooses endpoints in coordination with the other
 routers, and stores nothing on disk. SIGTERM and SIGINT shut it down without
-aborting requests in progress; a second signal stops it immediately.`
+aborting requests in progress. A second one stops ` + "`stoatmount serve`" + ` immediately;
+on the platform only SIGKILL does.`
 
 // Main runs the command and returns its exit status.
 func Main(args []string, stdout, stderr io.Writer) int {
+	signals := catchSignals()
 	var a arguments
 	parser, err := kong.New(&a, kong.Name("stoatmount"), kong.Description(description),
 		kong.Writers(stdout, stderr), kong.Exit(func(int) {}))
@@ -62,13 +63,13 @@
 		return fail(stderr, exitUsage, err)
 	}
 	if command.Command() == "platform" {
-		return servePlatform(a.Platform, stdout, stderr)
+		return servePlatform(a.Platform, signals, stdout, stderr)
 	}
-	return serveWithSettings(a.Serve, stdout, stderr)
+	return serveWithSettings(a.Serve, signals, stdout, stderr)
 }
 
 // serveWithSettings runs the process with the file of package settings.
-func serveWithSettings(a serveArguments, stdout, stderr io.Writer) int {
+func serveWithSettings(a serveArguments, signals <-chan os.Signal, stdout, stderr io.Writer) int {
 	s, err := settings.Load(a.Settings)
 	if err != nil {
 		return fail(stderr, exitFailed, err)
@@ -80,7 +81,7 @@
 		_, _ = fmt.Fprintf(stdout, "%s is valid\n", a.Settings)
 		return exitOK
 	}
-	return serve(s, a.Grace, logging.New(stderr, s.Log.Level))
+	return serve(s, a.Grace, signals, logging.New(stderr, s.Log.Level))
 }
 
 func helpWanted(args []string) bool {
@@ -97,22 +98,20 @@
 	return status
 }
 
-// serve runs the process until a termination signal.
-func serve(s settings.Settings, grace time.Duration, log logr.Logger) int {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	defer signal.Stop(signals)
+// serve runs the process until a termination signal. A second one ends requests in progress. SIGHUP
+// changes nothing, as settings are read at the start only.
+func serve(s settings.Settings, grace time.Duration, signals <-chan os.Signal, log logr.Logger) int {
 	process, err := node.New(node.Options{Settings: s, Clock: clockwork.NewRealClock(), Log: log, Seed: rand.Uint64()})
 	if err != nil {
 		log.Error(err, "could not start")
 		return exitFailed
 	}
 	process.Start()
-	<-signals
+	awaitTermination(signals, log)
 	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
 	go func() {
-		<-signals
+		awaitTermination(signals, log)
 		cancel()
 	}()
 	process.Shutdown(ctx)
@@ -121,3 +120,13 @@
 	}
 	return exitOK
 }
+
+// awaitTermination blocks until a termination signal.
+func awaitTermination(signals <-chan os.Signal, log logr.Logger) {
+	for sig := range signals {
+		if sig != syscall.SIGHUP {
+			return
+		}
+		log.Info("signal without effect; restart the process to apply changed settings", "signal", sig.String())
+	}
+}
--- a/process/cli/platform.go
+++ b/process/cli/platform.go
@@ -7,9 +7,7 @@
 	"io"
 	"net"
 	"os"
-	"os/signal"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -31,7 +29,7 @@
 const logFlushTimeout = 200 * time.Millisecond
 
 // servePlatform runs the process with the platform's file. Logs go to stdout.
-func servePlatform(a platformArguments, stdout, stderr io.Writer) int {
+func servePlatform(a platformArguments, signals <-chan os.Signal, stdout, stderr io.Writer) int {
 	s, err := platform.LoadSettings(a.Settings)
 	if err != nil {
 		return fail(stderr, exitFailed, err)
@@ -58,7 +56,9 @@
 		log.Error(err, "could not start")
 		return exitFailed
 	}
-	reloadUntilTermination(log, a.Settings, r.Reload)
+	term := newTermination()
+	go watchSettings(log, a.Settings, signals, term, r.Reload) // to the end of the process
+	<-term.begun
 	r.Shutdown()
 	return exitOK
 }
@@ -67,12 +67,9 @@
 // changes without a signal.
 const settingsPollInterval = 2 * time.Second
 
-// reloadUntilTermination returns on a termination signal. Until then it reloads
-// the settings at path on SIGHUP or when the content of the file has changed.
-func reloadUntilTermination(log logr.Logger, path string, reload func(router.Settings) error) {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
+// watchSettings reloads the settings at path on SIGHUP or when the content of the file has
+// changed, also while the process is being stopped, and tells term of the other signals.
+func watchSettings(log logr.Logger, path string, signals <-chan os.Signal, term *termination, reload func(router.Settings) error) {
 	tick := time.NewTicker(settingsPollInterval)
 	defer tick.Stop()
 	known, _ := os.ReadFile(path) // LoadSettings has just read it without an error
@@ -80,11 +77,9 @@
 		force := false
 		select {
 		case sig := <-signals:
-			log.Info("signal", "signal", sig.String())
-			if sig != syscall.SIGHUP {
-				return
+			if force = term.handle(log, sig); !force {
+				continue
 			}
-			force = true
 		case <-tick.C:
 		}
 		known = reloadIfChanged(log, path, known, force, reload)
--- a/process/logging/async.go
+++ b/process/logging/async.go
@@ -29,6 +29,7 @@
 	mu               sync.Mutex
 	buffered         []byte
 	droppedSinceLast int64 // lines dropped since the last line that fitted
+	closed           bool
 	wake             chan struct{}
 	done             chan struct{}
 }
@@ -44,6 +45,10 @@
 func (a *AsyncWriter) Write(line []byte) (int, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.closed {
+		a.dropped.Add(1)
+		return len(line), nil
+	}
 	notice := ""
 	if a.droppedSinceLast > 0 {
 		notice = fmt.Sprintf("{\"level\":\"info\",\"msg\":\"log lines left out\",\"reason\":\"slow reader\",\"lines\":%d}\n", a.droppedSinceLast)
@@ -107,8 +112,11 @@
 	return len(lines)
 }
 
-// Close flushes the buffered lines, for at most timeout. Write must not be called afterwards.
+// Close flushes the buffered lines, for at most timeout. Lines that are written afterwards are dropped.
 func (a *AsyncWriter) Close(timeout time.Duration) {
+	a.mu.Lock()
+	a.closed = true
+	a.mu.Unlock()
 	close(a.wake)
 	select {
 	case <-a.done:
--- a/process/logging/async_test.go
+++ b/process/logging/async_test.go
@@ -116,3 +116,16 @@
 		c.Assert(len(chunk) <= atomicBytes || chunk == long, qt.IsTrue)
 	}
 }
+
+// A process logs until its end, also after its log was closed.
+func TestWriteAfterCloseIsDropped(t *testing.T) {
+	c := qt.New(t)
+	var out bytes.Buffer
+	a := NewAsyncWriter(&out)
+	_, _ = a.Write([]byte("{}\n"))
+	a.Close(5 * time.Second)
+	_, err := a.Write([]byte("late\n"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(out.String(), qt.Equals, "{}\n")
+	c.Assert(a.Dropped(), qt.Equals, int64(1))
+}
--- a/test/process/process_test.go
+++ b/test/process/process_test.go
@@ -82,3 +82,19 @@
 	f.awaitServed(c, after)
 	f.finish(c)
 }
+
+// Guards against a process that ends at once, with what it has in progress, because of a SIGHUP.
+func TestHangupDoesNotEndTheProcess(t *testing.T) {
+	t.Parallel()
+	c, f := startFleet(t, 3, fleetOptions{})
+	f.startLoad(c)
+	f.awaitServed(c, before)
+	for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP} {
+		f.routers[2].signal(c, s)
+	}
+	f.routers[2].awaitExit(c)
+	f.awaitServed(c, before)
+	result := f.finish(c)
+	total := result.Total()
+	c.Check(total.Interrupted, qt.Equals, 0)
+}
