Keep a silent attempt until another endpoint has the request

Cause: a pause of four gap objectives ended the attempt, which cancels the run, before anything told whether the stream can go on elsewhere: the attempts of the route, the retry budget and another endpoint of the version were asked afterwards. Evidence: the router closed its connection 1.2 s after the last event, found no endpoint and aborted the response; on a route that is not resumable, where nothing waits for the pause, the same streams are whole.

Change: a silent endpoint makes the job ask for all three first and send the request to the other endpoint. The silent attempt is kept until that responds, 200 ms at most, and wins if its endpoint goes on before. Otherwise the request waits on. The wait is in the connection's reader, below the parsers, so that a read goes on after it. The first byte of repeatable requests is awaited in the same way, and a silent relay is given up only if another one and a retry are left.

--- a/connection/forward/attempt.go
+++ b/connection/forward/attempt.go
@@ -36,6 +36,7 @@
 	grant        *balance.Grant
 	conn         *http1.Conn
 	stopWatch    func() bool // stops watching the context
+	cancel       func()      // ends the attempt's own context; nil if it has none
 	sentAt       time.Time
 	firstAt      time.Time // first byte of the response
 	begunAt      time.Time // first event of a stream
@@ -80,6 +81,9 @@
 		return a
 	}
 	a.reached = true
+	if j.silent != nil {
+		defer time.AfterFunc(overlapTime, j.silent.close).Stop()
+	}
 	j.runs++
 	j.rec.Runs = j.runs
 	a.run = outcome.RunUnknown
@@ -124,35 +128,23 @@
 // tried. It is not 1, because a second endpoint processes the prompt again.
 const firstByteFactor = 2
 
-// errSlowFirstByte ends an attempt in favour of another endpoint.
-var errSlowFirstByte = errors.New("no first byte in time; trying another endpoint")
+// errSlowFirstByte ends an attempt in favour of another router.
+var errSlowFirstByte = errors.New("no first byte in time; trying another router")
 
-// awaitFirstByte waits for the response to begin, for a bounded time, if the request may be
-// retried elsewhere and its deadline is at least two such waits away. Otherwise it returns at once.
+// awaitFirstByte waits for the response to begin. If the request may be retried elsewhere and its
+// deadline is at least two such waits away, another endpoint is tried after firstByteFactor objectives.
 func (j *job) awaitFirstByte(a *attempt) error {
-	if !j.mayRetryElsewhere(a.grant.Service) {
-		return nil
-	}
 	firstByteTimeout := firstByteFactor * j.route.Objective
-	if time.Until(j.deadline) < 2*firstByteTimeout {
+	if !j.mayRetryElsewhere(a.grant.Service) || time.Until(j.deadline) < 2*firstByteTimeout {
 		return nil
 	}
-	if err := a.conn.SetReadDeadline(a.sentAt.Add(firstByteTimeout)); err != nil {
+	if err := a.conn.OnSilence(j.ctx, firstByteTimeout, func() error { return j.onSilence(a) }); err != nil {
 		return err
 	}
-	if err := j.ctx.Err(); err != nil {
-		return err // must not block: the deadline that wakes the read was overwritten above
-	}
-	_, err := a.conn.R.Peek(1)
-	var t net.Error
-	if errors.As(err, &t) && t.Timeout() && j.ctx.Err() == nil && j.s.RetryBudget.Allow(time.Now(), a.grant.Service) {
-		a.retryAllowed = true
-		return errSlowFirstByte
-	}
-	if err := a.conn.SetReadDeadline(time.Time{}); err != nil {
+	if _, err := a.conn.R.Peek(1); errors.Is(err, errTakenOver) || errors.Is(err, errSlowFirstByte) {
 		return err
 	}
-	return j.ctx.Err()
+	return a.conn.OnSilence(j.ctx, 0, nil)
 }
 
 // mayRetryElsewhere reports whether the request may also run at another
@@ -224,7 +216,9 @@
 	switch {
 	case j.callerGone(), j.ctx.Err() != nil && time.Since(a.sentAt) < j.route.Objective:
 		return balance.Abandoned
-	case j.ctx.Err() != nil, errors.Is(err, errSlowFirstByte):
+	case j.ctx.Err() != nil && j.requestCtx.Err() == nil: // the silent attempt before it goes on
+		return balance.Abandoned
+	case j.ctx.Err() != nil, errors.Is(err, errSlowFirstByte), errors.Is(err, errTakenOver):
 		return balance.TimedOut
 	}
 	var t net.Error
@@ -323,6 +317,9 @@
 	if j.s.Endpoints.Release(now, a.grant, a.failure, latency) {
 		j.rec.Ejected = a.grant.ID
 	}
+	if a.cancel != nil {
+		defer a.cancel()
+	}
 	if a.conn == nil {
 		return
 	}
--- a/connection/forward/crash.go
+++ b/connection/forward/crash.go
@@ -87,9 +87,10 @@
 	if !j.s.beginCrashCheck() {
 		return
 	}
+	ctx := context.WithoutCancel(j.requestCtx)
 	go func() {
 		defer j.s.crashChecks.Add(-1)
-		j.checkCrash(context.WithoutCancel(j.ctx), a, f, sent, run)
+		j.checkCrash(ctx, a, f, sent, run)
 	}()
 }
 
@@ -109,14 +110,14 @@
 	if j.route.Objective <= 0 {
 		return func() bool { return true }
 	}
-	sent, run := j.sent, j.runOf(a) // as the job goes on beside the timer's goroutine
+	ctx, sent, run := context.WithoutCancel(j.requestCtx), j.sent, j.runOf(a) // as the job goes on beside the timer's goroutine
 	return time.AfterFunc(min(firstByteFactor*j.route.Objective, maxSilence), func() {
 		j.s.Links.Failed(time.Now(), a.grant)
 		if !j.s.Endpoints.DownSince(a.sentAt, a.grant) && !j.s.Endpoints.Probe(time.Now(), a.sentAt, a.grant) || !j.s.beginCrashCheck() {
 			return
 		}
 		defer j.s.crashChecks.Add(-1)
-		if j.checkCrash(context.WithoutCancel(j.ctx), a, j.computeFingerprint(), sent, run) {
+		if j.checkCrash(ctx, a, j.computeFingerprint(), sent, run) {
 			a.crashedSilently.Store(true)
 		}
 	}).Stop
--- a/connection/forward/events.go
+++ b/connection/forward/events.go
@@ -143,8 +143,8 @@
 	return 0, false
 }
 
-// streamIdleTimeout is how long a stream may send nothing before it counts as
-// broken.
+// streamIdleTimeout is how long a stream may send nothing before another endpoint is
+// asked to go on with it.
 func streamIdleTimeout(gap time.Duration) time.Duration {
 	const (
 		gapFactor  = 4 // a healthy stream never pauses for this multiple of gap
--- a/connection/forward/relay.go
+++ b/connection/forward/relay.go
@@ -172,18 +172,15 @@
 // repeated does not wait longer than it does for an endpoint.
 func (j *job) readRelayHead(a *attempt) error {
 	if wait := firstByteFactor*j.route.Objective + connectTimeout; j.repeatable() && j.route.Objective > 0 && time.Until(j.deadline) > 2*wait {
-		if err := a.conn.SetReadDeadline(a.sentAt.Add(wait)); err != nil {
+		if err := a.conn.OnSilence(j.ctx, wait, func() error { return j.onSilentRelay(a) }); err != nil {
 			return err
 		}
 	}
-	if err := j.ctx.Err(); err != nil {
-		return err
-	}
 	head, err := http1.ReadResponse(a.conn.R, responseHeadBytes, j.x.Head.Method)
 	if err != nil {
 		return err
 	}
-	if err := a.conn.SetReadDeadline(time.Time{}); err != nil {
+	if err := a.conn.OnSilence(j.ctx, 0, nil); err != nil {
 		return err
 	}
 	a.firstAt = time.Now()
@@ -191,7 +188,17 @@
 	if a.response.RequestID != j.req.ID {
 		return errors.New("router's response to another request")
 	}
-	return j.ctx.Err()
+	return nil
+}
+
+// onSilentRelay ends the attempt of a silent router if there is another one and the budget
+// allows the retry.
+func (j *job) onSilentRelay(a *attempt) error {
+	if !j.hasRelay() || !j.s.RetryBudget.Allow(time.Now(), a.grant.Service) {
+		return nil
+	}
+	a.retryAllowed = true
+	return errSlowFirstByte
 }
 
 // elsewhere reports whether another router may do better after a refusal.
@@ -276,7 +283,7 @@
 	switch {
 	case !j.route.Retryable() || j.runs >= j.maxRuns:
 		code = outcome.EndpointFailed
-	case !j.s.RetryBudget.Allow(time.Now(), a.grant.Service):
+	case !a.retryAllowed && !j.s.RetryBudget.Allow(time.Now(), a.grant.Service):
 		code = outcome.RetryBudgetSpent
 	case j.rec.HeadSent && j.origin == nil:
 		code = j.findBegun()
--- a/connection/forward/server.go
+++ b/connection/forward/server.go
@@ -80,7 +80,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
-	j.ctx = ctx
+	j.requestCtx, j.ctx = ctx, ctx
 	defer func() { s.buffered.Release(j.buffered) }()
 	j.run()
 }
@@ -149,16 +149,17 @@
 
 // job is one request in progress.
 type job struct {
-	s         *Server
-	ctx       context.Context
-	x         *frontend.Exchange
-	req       Request
-	route     *routing.Route
-	table     *routing.Table
-	rec       *Record
-	workspace string
-	priority  int
-	deadline  time.Time
+	s          *Server
+	requestCtx context.Context
+	ctx        context.Context // of the attempt in progress
+	x          *frontend.Exchange
+	req        Request
+	route      *routing.Route
+	table      *routing.Table
+	rec        *Record
+	workspace  string
+	priority   int
+	deadline   time.Time
 
 	buffered    int64             // bytes reserved for responses
 	runs        int               // endpoints that may have run it
@@ -170,6 +171,8 @@
 	mayHaveRun  bool              // it was sent, and whether it ran is not known
 	unreached   int               // endpoints to which no connection could be opened
 	relays      []string          // addresses of the routers to which it was relayed
+	silent      *silentAttempt    // to which the attempt in progress is the successor; nil if there is none
+	successor   *attempt          // took over from the attempt before; nil if there is none
 
 	origin *origins.Origin // of the stream's events; nil before the first
 
@@ -215,7 +218,12 @@
 			return
 		}
 		a := j.sendAttempt(g)
-		if j.finish(a) {
+		final := j.finish(a)
+		for !final && j.successor != nil {
+			a, j.successor = j.successor, nil
+			final = j.finish(a)
+		}
+		if final {
 			return
 		}
 		if code := j.checkRetry(a); code != outcome.OK {
@@ -353,7 +361,7 @@
 // callerGone reports whether the caller closed its connection: the context ended
 // before the deadline.
 func (j *job) callerGone() bool {
-	return j.ctx.Err() != nil && time.Now().Before(j.deadline)
+	return j.requestCtx.Err() != nil && time.Now().Before(j.deadline)
 }
 
 // responseFields returns the fields of an endpoint's response that are passed
--- a/connection/forward/stream.go
+++ b/connection/forward/stream.go
@@ -49,14 +49,13 @@
 func (j *job) copyEvents(a *attempt) error {
 	ev := newEvents(a.body)
 	fields := appendRelayFields(responseFields(a.head), j.rec, outcome.OK)
-	idle := streamIdleTimeout(j.route.GapObjective)
-	if !j.route.Resumable {
-		idle = 0 // it cannot be resumed elsewhere, so waiting on is best
-	}
-	for {
-		if err := j.setIdleTimeout(a, idle); err != nil {
+	if j.route.Resumable && !a.relayed { // the other router looks after a relayed stream
+		idle := streamIdleTimeout(j.route.GapObjective)
+		if err := a.conn.OnSilence(j.ctx, idle, func() error { return j.onSilence(a) }); err != nil {
 			return err
 		}
+	}
+	for {
 		b, err := ev.next()
 		if err == io.EOF && !j.rec.HeadSent {
 			j.writeHead(a.head.Status, fields)
@@ -86,18 +85,6 @@
 	}
 }
 
-// setIdleTimeout sets the time by which the next event must arrive.
-func (j *job) setIdleTimeout(a *attempt, idle time.Duration) error {
-	if idle <= 0 {
-		return nil
-	}
-	if err := a.conn.SetReadDeadline(time.Now().Add(idle)); err != nil {
-		return err
-	}
-	// The next read must not block if the context ended: the deadline that wakes it was overwritten.
-	return j.ctx.Err()
-}
-
 // writeHead writes the head of the response. The head of the first endpoint is
 // kept when the stream is resumed at another one.
 func (j *job) writeHead(status int, fields []http1.Field) {
--- /dev/null
+++ b/connection/forward/takeover.go
@@ -0,0 +1,126 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/stoatmount/stoatmount/connection/http1"
+	"github.com/stoatmount/stoatmount/request/balance"
+)
+
+// overlapTime is how long a silent attempt is kept beside its successor. It is long enough for the
+// successor to be refused, and below the 400 ms after which both count as at work.
+const overlapTime = 200 * time.Millisecond
+
+// errTakenOver ends an attempt whose request another endpoint has taken over.
+var errTakenOver = errors.New("no response in time; another endpoint has taken over")
+
+// silentAttempt is an attempt whose endpoint is silent, while its successor begins.
+type silentAttempt struct {
+	conn  *http1.Conn
+	state atomic.Int32
+}
+
+// States of a silentAttempt.
+const (
+	silentOpen   = iota // its endpoint may still go on
+	silentWoke          // its endpoint goes on
+	silentClosed        // the successor has the request
+)
+
+// close closes the attempt unless its endpoint goes on.
+func (s *silentAttempt) close() {
+	if s.state.CompareAndSwap(silentOpen, silentClosed) {
+		_ = s.conn.Close() // cancels the request at the endpoint
+	}
+}
+
+// goOn keeps the attempt, and reports whether it is still open.
+func (s *silentAttempt) goOn() bool {
+	s.state.CompareAndSwap(silentOpen, silentWoke)
+	return s.state.Load() == silentWoke
+}
+
+// onSilence handles that the endpoint of an attempt has sent nothing for a while. The attempt ends only once
+// another endpoint has taken the request over, or another router may reach one: silence alone
+// is no failure.
+func (j *job) onSilence(a *attempt) error {
+	if !j.mayRetryElsewhere(a.grant.Service) || j.silent != nil && j.silent.state.Load() == silentOpen {
+		return nil
+	}
+	if !j.rec.HeadSent && j.hasRelay() && j.viaRelay() {
+		if !j.s.RetryBudget.Allow(time.Now(), a.grant.Service) {
+			return nil
+		}
+		a.retryAllowed = true
+		return errSlowFirstByte
+	}
+	return j.takeOver(a)
+}
+
+// hasRelay reports whether there is another router that reaches the service.
+func (j *job) hasRelay() bool {
+	addr, ok := j.s.Links.AcquireRelay(time.Now(), j.relayedService(), j.relays)
+	if ok {
+		j.s.Links.ReleaseRelay(addr)
+	}
+	return ok
+}
+
+// takeOver sends the request of a silent attempt to another endpoint. It returns errTakenOver, with the
+// new attempt in j.successor, or nil if the silent one goes on.
+func (j *job) takeOver(a *attempt) error {
+	if !j.s.RetryBudget.Allow(time.Now(), a.grant.Service) {
+		return nil
+	}
+	g, refusal := j.acquire()
+	if refusal != nil {
+		return nil
+	}
+	s := &silentAttempt{conn: a.conn}
+	ctx, cancel := context.WithCancel(j.requestCtx)
+	woke := a.conn.ReadAhead(func(err error) {
+		if err == nil && s.state.CompareAndSwap(silentOpen, silentWoke) {
+			cancel()
+		}
+	})
+	j.ctx, j.silent = ctx, s
+	b := j.sendAttempt(g)
+	b.cancel = cancel
+	j.ctx, j.silent = j.requestCtx, nil
+	for errors.Is(b.err, errTakenOver) { // another one has taken over from it
+		j.endFailed(b)
+		b, j.successor = j.successor, nil
+	}
+	if b.err == nil && !b.response.NotRun && b.head.Status < http.StatusInternalServerError {
+		s.close()
+	}
+	if s.goOn() {
+		j.endUnused(b)
+		j.rec.LastGrant = *a.grant
+		<-woke // or until the connection fails or the request ends
+		return nil
+	}
+	<-woke
+	j.successor, j.mayHaveRun = b, true
+	return errTakenOver
+}
+
+// endUnused ends an attempt whose response, if there is one, is not passed on.
+func (j *job) endUnused(b *attempt) {
+	if b.err == nil {
+		j.drain(b)
+		switch {
+		case b.response.NotRun:
+		case b.head.Status >= http.StatusInternalServerError:
+			b.failure = balance.ServerError
+		default:
+			b.failure = balance.Abandoned
+		}
+	}
+	j.endFailed(b)
+}
--- a/connection/http1/pool.go
+++ b/connection/http1/pool.go
@@ -35,6 +35,12 @@
 	expires time.Time
 
 	ackTimeout time.Duration // TCP_USER_TIMEOUT in force
+
+	silence   time.Duration // after which onSilence is called; 0 is never
+	onSilence func() error
+	ctx       context.Context // whose end ends reads
+	ahead     []byte          // read by ReadAhead and not returned by R yet
+	aheadErr  error           // that ended ReadAhead
 }
 
 // SetAckTimeout sets the silence of the other end after which the connection is closed, whether
@@ -95,7 +101,8 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "connect")
 	}
-	c := &Conn{Conn: conn, R: bufio.NewReaderSize(conn, readBufferBytes), addr: addr}
+	c := &Conn{Conn: conn, addr: addr}
+	c.R = bufio.NewReaderSize(silenceReader{c}, readBufferBytes)
 	c.SetAckTimeout(p.userTimeout)
 	return c, nil
 }
@@ -107,7 +114,8 @@
 	if idle > 0 {
 		keep = idle - idleTimeoutMargin
 	}
-	if keep <= 0 || c.R.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
+	c.silence, c.onSilence, c.ctx = 0, nil, nil
+	if keep <= 0 || c.R.Buffered() > 0 || len(c.ahead) > 0 || c.SetDeadline(time.Time{}) != nil {
 		_ = c.Close()
 		return
 	}
