Take late in the grace period only what is complete before its end

Cause: fixed times decided what is taken; the time that requests of a route take and the end of the process were not in the decision. Evidence: the cut requests were all sent after 3 s and would have taken longer than the rest of the 7.6 s; of the routes alone that cannot be told, as their limits are 12 and 6 s.

Change: after the time for which callers may have the address, a request is taken if its time limit, or the longest recent duration of its route with 1.5 s for a silent endpoint, ends before the process does; otherwise it is refused as not run. What is still in progress without a response at the end gets 504. Short streams are now taken for longer than before.

--- a/connection/forward/server.go
+++ b/connection/forward/server.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 
 	"github.com/stoatmount/stoatmount/connection/frontend"
 	"github.com/stoatmount/stoatmount/connection/http1"
@@ -34,10 +35,9 @@
 	OnAnnounced func(g *balance.Grant, a balance.Announcement) // called when what an endpoint says about its requests changes
 	OnRejection func(g *balance.Grant)                         // called when a brittle endpoint rejects a request
 	RouterCount func() int                                     // routers that share the connections of an endpoint
-	// RefusesStreams reports whether the process ends so soon that a new stream
-	// may not complete.
-	RefusesStreams func() bool
 
+	drain       drain
+	durations   durations
 	crashChecks atomic.Int64 // in progress beside their requests or after their end
 	buffered    http1.Memory // of responses
 }
@@ -63,7 +63,11 @@
 func (s *Server) serve(ctx context.Context, x *frontend.Exchange, relayed bool) {
 	rec := &Record{Arrived: x.Arrived, Method: x.Head.Method, Target: x.Head.Target, LastEventID: -1, Relayed: relayed}
 	defer func() {
-		rec.Duration = time.Since(rec.Arrived)
+		now := time.Now()
+		rec.Duration = now.Sub(rec.Arrived)
+		if rec.Runs > 0 {
+			s.durations.record(now, rec.Route, rec.Duration)
+		}
 		s.Observer.Request(rec)
 	}()
 	req, err := s.Codec.DecodeRequest(x.Head)
@@ -78,7 +82,7 @@
 		s.refuse(x, rec, code, after)
 		return
 	}
-	ctx, cancel := context.WithDeadline(ctx, j.deadline)
+	ctx, cancel := s.requestContext(ctx, j.deadline)
 	defer cancel()
 	j.requestCtx, j.ctx = ctx, ctx
 	defer func() { s.buffered.Release(j.buffered) }()
@@ -118,9 +122,6 @@
 			j.priority = *workspace.Priority
 		}
 	}
-	if route.Kind == routing.Stream && s.RefusesStreams() {
-		return nil, outcome.Draining
-	}
 	timeout := defaultTimeout
 	if req.Timeout > 0 {
 		timeout = req.Timeout
@@ -129,6 +130,9 @@
 		timeout = min(timeout, route.Timeout)
 	}
 	j.deadline = x.Arrived.Add(timeout)
+	if !s.mayComplete(time.Now(), route.Name, j.deadline) {
+		return nil, outcome.Draining
+	}
 	return j, outcome.OK
 }
 
@@ -359,9 +363,9 @@
 }
 
 // callerGone reports whether the caller closed its connection: the context ended
-// before the deadline.
+// before the deadline, and not with the process.
 func (j *job) callerGone() bool {
-	return j.requestCtx.Err() != nil && time.Now().Before(j.deadline)
+	return j.requestCtx.Err() != nil && time.Now().Before(j.deadline) && !errors.Is(context.Cause(j.requestCtx), errProcessEnds)
 }
 
 // responseFields returns the fields of an endpoint's response that are passed
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -82,6 +82,7 @@
 	origins     *origins.Table
 	streams     *streamOrigins
 	links       *endpointLinks
+	requests    *forward.Server
 	relayed     *frontend.Server // requests that other routers pass on
 	front       *frontend.Server
 	exchange    *peers.Exchange
@@ -90,11 +91,10 @@
 	startedAt   time.Time
 	peerUpdates peerUpdates
 
-	endpointsRead      atomic.Bool   // the endpoints' topic was read at least once
-	hintsTried         atomic.Bool   // the hints were loaded, or loading failed
-	leavingChanged     chan struct{} // signals a new announcement to save; buffers one
-	draining           atomic.Bool
-	acceptStreamsUntil atomic.Int64 // Unix time in ns until which new streams are accepted; 0 if not draining
+	endpointsRead  atomic.Bool   // the endpoints' topic was read at least once
+	hintsTried     atomic.Bool   // the hints were loaded, or loading failed
+	leavingChanged chan struct{} // signals a new announcement to save; buffers one
+	draining       atomic.Bool
 
 	zonesMu   sync.Mutex // guards zones and zoneHolds; only upstream.Table.mu and the logger's locks are taken under it
 	zones     map[string]bool
@@ -129,8 +129,8 @@
 	r.quarantine = quarantine.New(r.onCrashChange, r.runsTrials)
 	r.links = newEndpointLinks(r)
 	handler := &forward.Server{Links: r.links, Codec: adapter.Codec(), Table: r.table, Endpoints: r.endpoints, Pool: r.pool,
-		RetryBudget: sharedRetries{r.retryBudget, r.members}, Quarantine: r.quarantine, Origins: r.streams, Observer: observer, OnLeaving: r.onLeaving, OnAnnounced: r.onAnnounced, OnRejection: func(*balance.Grant) { r.sendNow() }, RouterCount: r.members,
-		RefusesStreams: r.refusesStreams}
+		RetryBudget: sharedRetries{r.retryBudget, r.members}, Quarantine: r.quarantine, Origins: r.streams, Observer: observer, OnLeaving: r.onLeaving, OnAnnounced: r.onAnnounced, OnRejection: func(*balance.Grant) { r.sendNow() }, RouterCount: r.members}
+	r.requests = handler
 	r.front = &frontend.Server{Handler: handler, Limits: r.limits, Log: log,
 		MaxConnections: int(callerDescriptorShare * float64(s.Descriptors))}
 	r.relayed = &frontend.Server{Handler: handler.RelayHandler(), Limits: r.limits, Log: log, MaxConnections: int(relayDescriptorShare * float64(s.Descriptors))}
--- a/process/router/shutdown.go
+++ b/process/router/shutdown.go
@@ -15,10 +15,14 @@
 	closeBeforeGraceEnd = 1200 * time.Millisecond
 	// exitBeforeGraceEnd is the time before the end of the grace period at which the
 	// process exits.
-	exitBeforeGraceEnd = 400 * time.Millisecond
-	// acceptStreamsFor is how long a draining router accepts new streams: callers may
-	// cache its address that long, and a later stream might not end in the grace period.
-	acceptStreamsFor = maxTTLMultiple*addressTTL + 500*time.Millisecond
+	exitBeforeGraceEnd = 250 * time.Millisecond
+	// answerTime is the time before the process exits at which requests whose response has not
+	// begun are answered that they may have run.
+	answerTime = 150 * time.Millisecond
+	// acceptAllFor is how long a draining router accepts every request, at most half of the grace
+	// period: callers may have its address that long, less the time that a signal and a request
+	// may take to arrive. Later ones must be complete before the process ends.
+	acceptAllFor = maxTTLMultiple*addressTTL - 200*time.Millisecond
 	// drainPoll is the pause between checks for open connections.
 	drainPoll = 50 * time.Millisecond
 )
@@ -39,21 +43,15 @@
 	return list, ttl
 }
 
-// refusesStreams reports whether new streams are refused, since the process may end
-// before they do.
-func (r *Router) refusesStreams() bool {
-	until := r.acceptStreamsUntil.Load()
-	return until != 0 && time.Now().UnixNano() > until
-}
-
 // Shutdown stops the process without interrupting requests: it withdraws the
-// address at once, serves requests that still arrive, and returns when no connection
-// is open or the grace period is nearly over.
+// address at once, serves requests that still arrive and are complete before its end, and returns
+// when no connection is open or the grace period is nearly over.
 func (r *Router) Shutdown() {
 	began, grace := time.Now(), r.bounds.Load().Grace
 	r.front.StartDrain()
 	r.relayed.StartDrain()
-	r.acceptStreamsUntil.Store(began.Add(acceptStreamsFor).UnixNano())
+	end := began.Add(grace - exitBeforeGraceEnd)
+	r.requests.StartDrain(began.Add(min(acceptAllFor, grace/2)), end.Add(-answerTime))
 	r.draining.Store(true)
 	open, busy := r.connectionCounts()
 	r.log.Info("leaving", "open", open, "busy", busy, "grace_ms", grace.Milliseconds())
@@ -78,16 +76,22 @@
 	}
 	r.front.CloseIdle()
 	r.relayed.CloseIdle()
-	end := began.Add(grace - exitBeforeGraceEnd)
+	r.awaitClosed(end.Add(-answerTime))
+	r.requests.EndRequests()
+	r.awaitClosed(end)
+	open, busy = r.connectionCounts()
+	r.log.Info("ended", "open", open, "busy", busy, "took_ms", time.Since(began).Milliseconds())
+	r.Close()
+}
+
+// awaitClosed waits until no connection is open, or until end.
+func (r *Router) awaitClosed(end time.Time) {
 	for time.Now().Before(end) {
-		if open, _ = r.connectionCounts(); open == 0 {
-			break
+		if open, _ := r.connectionCounts(); open == 0 {
+			return
 		}
 		time.Sleep(drainPoll)
 	}
-	open, busy = r.connectionCounts()
-	r.log.Info("ended", "open", open, "busy", busy, "took_ms", time.Since(began).Milliseconds())
-	r.Close()
 }
 
 // connectionCounts returns the number of open connections of callers and other routers, and
