Tell slow endpoints from broken links by a status check

Callers saw: bookings and reads that ended in 502 endpoint_failed (4004), in calm, while every endpoint of the service accepted connections and answered.

Cause: a response that is late by a multiple of the objective counts as an endpoint that failed. Two of them put the links in doubt, and the probe that ends the doubt opened connections only: an endpoint that had failed and accepts one counted as silent, so that two slow ones made the service lost, again and again, for 0.2 to 0.8 s.

Change: in a doubt, endpoints that failed and accept a connection get a status check; those that respond have not failed. For a second after that late responses cause no doubt; refused connections still do. Links that accept and are silent are found as before.

--- a/connection/forward/attempt.go
+++ b/connection/forward/attempt.go
@@ -92,7 +92,11 @@
 	}
 	if a.err != nil {
 		a.failure = j.classify(a, a.err)
-		if a.failure != balance.Abandoned && a.firstAt.IsZero() {
+		switch {
+		case !a.firstAt.IsZero() || a.failure == balance.Abandoned:
+		case a.failure == balance.TimedOut:
+			j.s.Links.Late(time.Now(), g)
+		default:
 			j.s.Links.Failed(time.Now(), g)
 		}
 		return a
--- a/connection/forward/crash.go
+++ b/connection/forward/crash.go
@@ -112,7 +112,7 @@
 	}
 	ctx, sent, run := context.WithoutCancel(j.requestCtx), j.sent, j.runOf(a) // as the job goes on beside the timer's goroutine
 	return time.AfterFunc(min(firstByteFactor*j.route.Objective, maxSilence), func() {
-		j.s.Links.Failed(time.Now(), a.grant)
+		j.s.Links.Late(time.Now(), a.grant)
 		if !j.s.Endpoints.DownSince(a.sentAt, a.grant) && !j.s.Endpoints.Probe(time.Now(), a.sentAt, a.grant) || !j.s.beginCrashCheck() {
 			return
 		}
--- a/connection/forward/interfaces.go
+++ b/connection/forward/interfaces.go
@@ -61,8 +61,10 @@
 
 // Links knows which services this router reaches, and which other routers do.
 type Links interface {
-	// Failed records that an endpoint accepted no connection or sent no response.
+	// Failed records that an endpoint accepted no connection or ended one without a response.
 	Failed(now time.Time, g *balance.Grant)
+	// Late records that the response of an endpoint is late. The endpoint may be slow.
+	Late(now time.Time, g *balance.Grant)
 	// Connected records that an endpoint accepted a connection.
 	Connected(now time.Time, g *balance.Grant)
 	// Proved records a response of an endpoint.
--- a/process/links/links.go
+++ b/process/links/links.go
@@ -13,6 +13,9 @@
 	restartTime = 700 * time.Millisecond
 	// tellTime is how long the other routers need to tell of the responses that they got.
 	tellTime = 500 * time.Millisecond
+	// clearedTime is how long late responses cause no doubt after endpoints showed that they are
+	// slow, and the links sound.
+	clearedTime = time.Second
 	// trialTime is how long a request may be the only one that is sent to a service whose
 	// endpoints accept connections again.
 	trialTime = time.Second
@@ -32,8 +35,9 @@
 }
 
 type service struct {
-	failed   map[string]bool // endpoints that failed since the last response
-	provedAt time.Time       // last response
+	failed    map[string]bool // endpoints that failed since the last response
+	provedAt  time.Time       // last response
+	clearedAt time.Time       // when late endpoints last responded to status checks
 
 	doubt    chan struct{} // closed once a probe has found out whether the service is lost; nil without doubt
 	lost     bool
@@ -68,13 +72,30 @@
 	return s
 }
 
-// Failed records that an endpoint accepted no connection or sent no response. endpoints is
+// Late records that the response of an endpoint is late, which may be slow or out of reach. It is
+// otherwise like Failed.
+func (t *Table) Late(now time.Time, name, endpoint string, endpoints int) (doubted bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.service(name)
+	if now.Sub(s.clearedAt) < clearedTime && !s.lost {
+		s.failed[endpoint] = true
+		return false
+	}
+	return t.recordFailure(now, s, endpoint, endpoints)
+}
+
+// Failed records that an endpoint accepted no connection or ended one without a response. endpoints is
 // the number that the service has. It reports whether the links are in doubt from now on; the
 // caller then tries to open connections to the endpoints and calls EndDoubt.
 func (t *Table) Failed(now time.Time, name, endpoint string, endpoints int) (doubted bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.service(name)
+	return t.recordFailure(now, t.service(name), endpoint, endpoints)
+}
+
+// recordFailure implements Failed. The caller holds t.mu.
+func (t *Table) recordFailure(now time.Time, s *service, endpoint string, endpoints int) (doubted bool) {
 	s.failed[endpoint] = true
 	if s.lost {
 		s.connectsAt = time.Time{}
@@ -123,6 +144,8 @@
 	Began     time.Time
 	Accepting []string // endpoints that accepted one
 	Failing   []string // the others
+	// Responding lists those of Accepting that had failed and that responded to a status check.
+	Responding []string
 }
 
 // Reached reports whether enough endpoints accepted a connection to serve requests.
@@ -131,14 +154,18 @@
 }
 
 // EndDoubt records the probe of a service whose links are in doubt. It is lost if few endpoints
-// accept connections, or if enough of these failed all the same. The caller carries out the
-// conclusions.
+// accept connections, or if enough of these failed all the same and do not respond. The caller
+// carries out the conclusions.
 func (t *Table) EndDoubt(name string, p Probe) (conclusions []func(), c Change, lost bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.service(name)
 	close(s.doubt)
 	s.doubt = nil
+	for _, endpoint := range p.Responding {
+		delete(s.failed, endpoint)
+		s.clearedAt = p.Began
+	}
 	silent := 0
 	for _, endpoint := range p.Accepting {
 		if s.failed[endpoint] {
--- a/process/links/links_test.go
+++ b/process/links/links_test.go
@@ -254,3 +254,30 @@
 	carryOut(conclusions)
 	c.Assert(concluded, qt.Equals, 1)
 }
+
+// Guards against a service whose endpoints are slow and that is taken for one out of reach.
+func TestSlowEndpointsAreNotLost(t *testing.T) {
+	c := qt.New(t)
+	links := New()
+	doubt := func(ms int) {
+		c.Assert(links.Late(at(ms), "s", "e1", 4), qt.IsFalse)
+		c.Assert(links.Late(at(ms), "s", "e2", 4), qt.IsTrue)
+	}
+	doubt(0)
+	p := probe(0, "e1", "e2", "e3", "e4")
+	p.Responding = []string{"e1", "e2"}
+	_, _, lost := links.EndDoubt("s", p)
+	c.Assert(lost, qt.IsFalse)
+	c.Assert(links.HasFailed("s", "e1"), qt.IsFalse)
+	c.Assert(links.Late(at(100), "s", "e3", 4), qt.IsFalse)
+	c.Assert(links.Late(at(200), "s", "e1", 4), qt.IsFalse)
+	c.Assert(links.Failed(at(300), "s", "e4", 4), qt.IsTrue) // what is refused counts at once
+	p.Responding = p.Accepting
+	_, _, lost = links.EndDoubt("s", p)
+	c.Assert(lost, qt.IsFalse)
+
+	links = New()
+	doubt(0)
+	_, _, lost = links.EndDoubt("s", probe(0, "e1", "e2", "e3", "e4")) // they accept and are silent
+	c.Assert(lost, qt.IsTrue)
+}
--- a/process/router/links.go
+++ b/process/router/links.go
@@ -46,6 +46,13 @@
 	l.failed(now, g.Service, g.ID)
 }
 
+// Late implements forward.Links.
+func (l *endpointLinks) Late(now time.Time, g *balance.Grant) {
+	if l.table.Late(now, g.Service, g.ID, len(l.r.endpoints.Addresses(g.Service))) {
+		go l.endDoubt(g.Service)
+	}
+}
+
 func (l *endpointLinks) failed(now time.Time, service, endpoint string) {
 	if l.table.Failed(now, service, endpoint, len(l.r.endpoints.Addresses(service))) {
 		go l.endDoubt(service) // not in the group, which may be waited for already; ends with the context
@@ -54,7 +61,11 @@
 
 // endDoubt finds out whether a service is lost, and probes it if so.
 func (l *endpointLinks) endDoubt(service string) {
-	conclusions, c, lost := l.table.EndDoubt(service, l.open(l.r.ctx, service, maxProbedEndpoints, ""))
+	p := l.open(l.r.ctx, service, maxProbedEndpoints, "")
+	if p.Reached() {
+		p.Responding = l.checkStatus(l.r.ctx, service, p.Accepting)
+	}
+	conclusions, c, lost := l.table.EndDoubt(service, p)
 	carryOut(conclusions)
 	if lost {
 		l.report(c)
