Relay from the host's own address, and refuse strangers with a word

Callers saw: 502 endpoint_failed (4004) for bookings and cut streams within a millisecond, whenever a router passed requests on to another one, on hosts whose outgoing connections carry another address than the settings name.

Cause: a router took relayed requests only from the source addresses of heartbeats and closed other connections unread. Heartbeats leave from a socket on the host's address, relayed requests left from an address of the system's choice. The sender got EOF after its request was written, which means that it may have run. Evidence: relays, failure broken, run unknown, error EOF in the sender's log; with loopback aliases each relay failed so.

Change: connections to other routers come from the address in the settings. A request from a host without a known router gets a refusal of its own, unknown_router (3008), on 16 connections at most, so that its sender knows that it has not run. A repeatable request goes on after another router's refusal also when an earlier attempt may have run.

--- a/connection/forward/connect.go
+++ b/connection/forward/connect.go
@@ -23,9 +23,13 @@
 
 // connect takes an idle connection or opens one.
 func (j *job) connect(a *attempt) error {
-	a.conn = j.s.Pool.Get(a.grant.Addr, time.Now())
+	pool := j.s.Pool
+	if a.relayed {
+		pool = j.s.RelayPool
+	}
+	a.conn = pool.Get(a.grant.Addr, time.Now())
 	if a.conn == nil {
-		c, err := j.s.Pool.Dial(j.ctx, a.grant.Addr, connectTimeout)
+		c, err := pool.Dial(j.ctx, a.grant.Addr, connectTimeout)
 		if err != nil {
 			return err
 		}
--- a/connection/forward/relay.go
+++ b/connection/forward/relay.go
@@ -34,17 +34,31 @@
 	maxUnreached = 2
 )
 
-// ServeRelayed handles a request that another router passes on.
-func (s *Server) ServeRelayed(ctx context.Context, x *frontend.Exchange) {
-	s.serve(ctx, x, true)
-}
-
 // RelayHandler serves the requests that other routers pass on.
 func (s *Server) RelayHandler() frontend.Handler { return relayHandler{s} }
 
 type relayHandler struct{ s *Server }
 
-func (h relayHandler) Serve(ctx context.Context, x *frontend.Exchange) { h.s.ServeRelayed(ctx, x) }
+// Serve implements frontend.Handler.
+func (h relayHandler) Serve(ctx context.Context, x *frontend.Exchange) { h.s.serve(ctx, x, true) }
+
+// UnknownRouterHandler refuses requests that come as those of another router from a host at
+// which none is known. The router that sent one learns that it has not run.
+func (s *Server) UnknownRouterHandler() frontend.Handler { return unknownRouterHandler{s} }
+
+type unknownRouterHandler struct{ s *Server }
+
+// Serve implements frontend.Handler.
+func (h unknownRouterHandler) Serve(_ context.Context, x *frontend.Exchange) {
+	rec := &Record{Arrived: x.Arrived, Method: x.Head.Method, Target: x.Head.Target, LastEventID: -1, Relayed: true}
+	if req, err := h.s.Codec.DecodeRequest(x.Head); err == nil {
+		rec.ID = req.ID // otherwise the refusal names none
+	}
+	x.CloseAfter()
+	h.s.refuse(x, rec, outcome.UnknownRouter, retryRefused)
+	rec.Duration = time.Since(rec.Arrived)
+	h.s.Observer.Request(rec)
+}
 
 // relayRuns returns the number of endpoints that may have run a relayed request before. The
 // router to which it was relayed runs it at one more at the most, so that the one that relays it
@@ -204,7 +218,7 @@
 // elsewhere reports whether another router may do better after a refusal.
 func elsewhere(code outcome.Code) bool {
 	switch code {
-	case outcome.Draining, outcome.NoConfig, outcome.NoEndpoint:
+	case outcome.Draining, outcome.NoConfig, outcome.NoEndpoint, outcome.UnknownRouter:
 		return true
 	}
 	return false
@@ -218,7 +232,7 @@
 		a.err = errors.Wrap(err, "router's response truncated")
 		return j.relayFailed(a)
 	}
-	if elsewhere(code) && !j.mayHaveRun {
+	if elsewhere(code) && (!j.mayHaveRun || j.route.Retryable()) {
 		a.run, a.err = outcome.RunNot, errors.Errorf("router refused with %s", code)
 		return j.relayFailed(a)
 	}
@@ -310,7 +324,7 @@
 	}
 	watchStopped := a.stopWatch()
 	if watchStopped && a.body != nil && a.body.Complete() && !a.head.Close {
-		j.s.Pool.Put(a.conn, time.Now(), a.head.KeepAliveTimeout, maxIdleRelays)
+		j.s.RelayPool.Put(a.conn, time.Now(), a.head.KeepAliveTimeout, maxIdleRelays)
 		return
 	}
 	_ = a.conn.Close() // cancels the request at the other router if it is still running
--- a/connection/forward/server.go
+++ b/connection/forward/server.go
@@ -25,7 +25,8 @@
 	Codec       Codec
 	Table       func() *routing.Table // the configuration in force; nil if none is known
 	Endpoints   Endpoints
-	Pool        *http1.Pool
+	Pool        *http1.Pool // to endpoints
+	RelayPool   *http1.Pool // to other routers
 	RetryBudget RetryBudget
 	Quarantine  *quarantine.Table // bodies and parts of prompts that crashed endpoints
 	Origins     Origins
--- a/connection/frontend/exchange.go
+++ b/connection/frontend/exchange.go
@@ -71,6 +71,9 @@
 	return x.flushLast()
 }
 
+// CloseAfter makes the server close the connection after the response.
+func (x *Exchange) CloseAfter() { x.close = true }
+
 // Abort makes the server close the connection before the response is complete. If
 // the response is not chunked, a TCP reset follows: a plain close would mark its end.
 func (x *Exchange) Abort() {
--- a/connection/frontend/server.go
+++ b/connection/frontend/server.go
@@ -104,11 +104,16 @@
 			time.Sleep(acceptBackoff)
 			continue
 		}
-		if s.makeRoom() {
-			s.start(c)
-		} else {
-			_ = c.Close() // nothing was read from it
-		}
+		s.ServeConn(c)
+	}
+}
+
+// ServeConn serves a connection in the background, or closes it unread if MaxConnections are open.
+func (s *Server) ServeConn(nc net.Conn) {
+	if s.makeRoom() {
+		s.start(nc)
+	} else {
+		_ = nc.Close()
 	}
 }
 
--- a/connection/http1/pool.go
+++ b/connection/http1/pool.go
@@ -56,6 +56,7 @@
 // for concurrent use; no other lock is acquired while Pool.mu is held.
 type Pool struct {
 	userTimeout time.Duration // TCP_USER_TIMEOUT of the connections
+	source      net.IP        // of the connections; nil leaves the choice to the system
 
 	mu   sync.Mutex
 	idle map[string][]*Conn
@@ -67,6 +68,14 @@
 	return &Pool{userTimeout: userTimeout, idle: make(map[string][]*Conn)}
 }
 
+// NewPoolFrom returns an empty pool whose connections come from an address of this host. If
+// that is empty or not one of this host, the system chooses the address.
+func NewPoolFrom(source string, userTimeout time.Duration) *Pool {
+	p := NewPool(userTimeout)
+	p.source = net.ParseIP(source)
+	return p
+}
+
 // Get returns an idle connection to addr that holds no unread bytes, or nil.
 func (p *Pool) Get(addr string, now time.Time) *Conn {
 	for {
@@ -97,7 +106,14 @@
 func (p *Pool) Dial(ctx context.Context, addr string, timeout time.Duration) (*Conn, error) {
 	d := net.Dialer{Timeout: timeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveProbe, Interval: keepAliveProbe, Count: keepAliveProbes}}
+	if p.source != nil {
+		d.LocalAddr = &net.TCPAddr{IP: p.source}
+	}
 	conn, err := d.DialContext(ctx, "tcp", addr)
+	if errors.Is(err, syscall.EADDRNOTAVAIL) && d.LocalAddr != nil {
+		d.LocalAddr = nil
+		conn, err = d.DialContext(ctx, "tcp", addr)
+	}
 	if err != nil {
 		return nil, errors.Wrap(err, "connect")
 	}
--- a/process/router/links.go
+++ b/process/router/links.go
@@ -251,10 +251,11 @@
 // with a request.
 func (r *Router) RelayedConnections() (open, busy int) { return r.relayed.ConnectionCounts() }
 
-// routerListener accepts connections from the hosts of known routers only.
+// routerListener accepts connections from the hosts of known routers, and passes others on to unknown.
 type routerListener struct {
 	net.Listener
-	known func(host string) bool
+	known   func(host string) bool
+	unknown func(net.Conn)
 }
 
 // Accept implements net.Listener.
@@ -267,6 +268,6 @@
 		if host, _, err := net.SplitHostPort(conn.RemoteAddr().String()); err == nil && l.known(host) {
 			return conn, nil
 		}
-		_ = conn.Close() // it is not told why
+		l.unknown(conn)
 	}
 }
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -46,6 +46,8 @@
 	callerDescriptorShare = 0.6
 	// relayDescriptorShare is the same for the connections of other routers.
 	relayDescriptorShare = 0.15
+	// maxStrangers bounds the connections for relayed requests from hosts without a known router.
+	maxStrangers = 16
 )
 
 // The platform limits the load of an endpoint to LoadCap times the mean plus three
@@ -76,7 +78,8 @@
 	catchUp     catchUp
 	endpoints   *upstream.Table
 	peers       *peers.Table
-	pool        *http1.Pool
+	pool        *http1.Pool // to endpoints
+	relayPool   *http1.Pool // to other routers
 	retryBudget *retry.SharedBudget
 	quarantine  *quarantine.Table
 	origins     *origins.Table
@@ -84,6 +87,7 @@
 	links       *endpointLinks
 	requests    *forward.Server
 	relayed     *frontend.Server // requests that other routers pass on
+	strangers   *frontend.Server // the same from hosts without a known router, which are refused
 	front       *frontend.Server
 	exchange    *peers.Exchange
 	followers   [followedTopics]*feed.Follower // by topic
@@ -122,18 +126,20 @@
 		StaleBound: staleBound, StaleInterval: staleInterval, CapExtra: capExtra}, rand.Float64)
 	r.peers = peers.New(s.Name, peers.DeadAfter(1))
 	r.pool = http1.NewPool(endpointAckTimeout)
+	r.relayPool = http1.NewPoolFrom(s.Address, endpointAckTimeout)
 	r.retryBudget = retry.NewSharedBudget(s.RetryWindow)
 	r.setBounds(s.Bounds)
 	r.origins = origins.New(time.Now())
 	r.streams = newStreamOrigins(r)
 	r.quarantine = quarantine.New(r.onCrashChange, r.runsTrials)
 	r.links = newEndpointLinks(r)
-	handler := &forward.Server{Links: r.links, Codec: adapter.Codec(), Table: r.table, Endpoints: r.endpoints, Pool: r.pool,
+	handler := &forward.Server{Links: r.links, Codec: adapter.Codec(), Table: r.table, Endpoints: r.endpoints, Pool: r.pool, RelayPool: r.relayPool,
 		RetryBudget: sharedRetries{r.retryBudget, r.members}, Quarantine: r.quarantine, Origins: r.streams, Observer: observer, OnLeaving: r.onLeaving, OnAnnounced: r.onAnnounced, OnRejection: func(*balance.Grant) { r.sendNow() }, RouterCount: r.members}
 	r.requests = handler
 	r.front = &frontend.Server{Handler: handler, Limits: r.limits, Log: log,
 		MaxConnections: int(callerDescriptorShare * float64(s.Descriptors))}
 	r.relayed = &frontend.Server{Handler: handler.RelayHandler(), Limits: r.limits, Log: log, MaxConnections: int(relayDescriptorShare * float64(s.Descriptors))}
+	r.strangers = &frontend.Server{Handler: handler.UnknownRouterHandler(), Limits: r.limits, Log: log, MaxConnections: maxStrangers}
 	return r, nil
 }
 
@@ -265,7 +271,7 @@
 	}
 	r.listeners.relay = l
 	r.group.Go(func() {
-		if err := r.relayed.Serve(routerListener{l, r.peers.IsHost}); err != nil {
+		if err := r.relayed.Serve(routerListener{l, r.peers.IsHost, r.strangers.ServeConn}); err != nil {
 			r.log.Error(err, "listener failed", "serves", "relayed requests")
 		}
 	})
@@ -352,6 +358,7 @@
 func (r *Router) runHousekeeping(ctx context.Context) {
 	every(ctx, housekeepingInterval, func(now time.Time) {
 		r.pool.Expire(now)
+		r.relayPool.Expire(now)
 		r.endpoints.Sweep(now)
 		r.expireZoneHolds(now)
 		r.origins.Observe(now, r.endpoints.Versions())
--- a/process/router/shutdown.go
+++ b/process/router/shutdown.go
@@ -114,6 +114,7 @@
 		}
 		r.front.Close()
 		r.relayed.Close()
+		r.strangers.Close()
 		for _, s := range r.listeners.http {
 			_ = s.Close()
 		}
--- a/request/outcome/code.go
+++ b/request/outcome/code.go
@@ -44,6 +44,7 @@
 	NotOwner          Code = 3005
 	LogUnavailable    Code = 3006
 	InternalInvariant Code = 3007
+	UnknownRouter     Code = 3008
 
 	NoEndpoint       Code = 4001
 	EndpointOut      Code = 4002
@@ -116,6 +117,7 @@
 	{NotOwner, "not_owner", http.StatusServiceUnavailable, "The asked router is not the admission owner under its view."},
 	{LogUnavailable, "log_unavailable", http.StatusServiceUnavailable, "The log service did not answer in time."},
 	{InternalInvariant, "internal_invariant", http.StatusInternalServerError, "An internal check failed."},
+	{UnknownRouter, "unknown_router", http.StatusServiceUnavailable, "The request came as one of another router, from a host at which none is known."},
 
 	{NoEndpoint, "no_endpoint", http.StatusServiceUnavailable, "No endpoint serves this kind at the moment."},
 	{EndpointOut, "endpoint_out", http.StatusServiceUnavailable, "The endpoint was taken out of service."},
