--- a/connection/frontend/conn.go
+++ b/connection/frontend/conn.go
@@ -147,7 +147,7 @@
 	if err := c.nc.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
 		return nil, 0, err
 	}
-	return http1.NewBody(c.r, head.Length).ReadReserved(limits.BodyBytes, maxBodyMemoryBytes, &c.s.bodies)
+	return http1.NewBody(c.r, head.Length).ReadReserved(limits.BodyBytes, c.s.maxBodyMemory(), &c.s.bodies)
 }
 
 // watch calls cancel when the caller closes the connection. It stops at the
--- a/connection/frontend/server.go
+++ b/connection/frontend/server.go
@@ -68,6 +68,8 @@
 	// connection replaces the one that was idle longest; if none is idle, the new
 	// one is closed at once, unread, so that its caller tries another router.
 	MaxConnections int
+	// MaxBodyMemory bounds the bytes of request bodies in memory at a time; 0 is maxBodyMemoryBytes.
+	MaxBodyMemory int64
 
 	draining  atomic.Bool
 	full      atomic.Bool  // the last connection was closed because of MaxConnections
@@ -92,6 +94,14 @@
 // acceptBackoff follows a failed accept, such as when no file descriptor is left.
 const acceptBackoff = 20 * time.Millisecond
 
+// maxBodyMemory returns the bound on the bytes of request bodies in memory.
+func (s *Server) maxBodyMemory() int64 {
+	if s.MaxBodyMemory > 0 {
+		return s.MaxBodyMemory
+	}
+	return maxBodyMemoryBytes
+}
+
 // Serve accepts connections of l until l is closed.
 func (s *Server) Serve(l net.Listener) error {
 	for {
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -46,8 +46,10 @@
 	callerDescriptorShare = 0.6
 	// relayDescriptorShare is the same for the connections of other routers.
 	relayDescriptorShare = 0.15
-	// maxStrangers bounds the connections for relayed requests from hosts without a known router.
-	maxStrangers = 16
+	// maxStrangers bounds the connections for relayed requests from hosts without a known router,
+	// and maxStrangerBytes the bodies of these requests that are in memory.
+	maxStrangers     = 16
+	maxStrangerBytes = 8 << 20
 )
 
 // The platform limits the load of an endpoint to LoadCap times the mean plus three
@@ -139,7 +141,7 @@
 	r.front = &frontend.Server{Handler: handler, Limits: r.limits, Log: log,
 		MaxConnections: int(callerDescriptorShare * float64(s.Descriptors))}
 	r.relayed = &frontend.Server{Handler: handler.RelayHandler(), Limits: r.limits, Log: log, MaxConnections: int(relayDescriptorShare * float64(s.Descriptors))}
-	r.strangers = &frontend.Server{Handler: handler.UnknownRouterHandler(), Limits: r.limits, Log: log, MaxConnections: maxStrangers}
+	r.strangers = &frontend.Server{Handler: handler.UnknownRouterHandler(), Limits: r.limits, Log: log, MaxConnections: maxStrangers, MaxBodyMemory: maxStrangerBytes}
 	return r, nil
 }
 
