Take an unsaved stream for one of the only version before a loss

Cause: the versions that the routers of before had seen were mixed with those that their successors see in the registry; two candidates for each stream. Evidence: hints with v1, registry with v1 and v2, no record in the log, origin_unknown for each attempt.

Change: streams of a service with several versions are saved before their first event, so one that is neither in the log nor known to a router began at the only version of then. It goes on there if the restored history is whole and names one, and the log as first read after the restart names no other.

--- a/process/origins/origins.go
+++ b/process/origins/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -54,6 +55,9 @@
 	Seen []Origin `json:"seen,omitempty"`
 	// Complete means that Seen covers all that time.
 	Complete bool `json:"complete,omitempty"`
+	// Before is the only version that served before all routers were lost, by what they saved
+	// last: that of each stream of then that was not saved. nil if it is not known or not single.
+	Before *Origin `json:"before,omitempty"`
 }
 
 // History is the saved part of a Table, for processes that start when no other router runs.
@@ -95,6 +99,15 @@
 	// restored replaces complete once the saved streams were read: a version that came after the
 	// History was saved shows in them only. Zero without a restored History.
 	restored time.Time
+	before   beforeLoss
+}
+
+// beforeLoss is what a restored History and the saved streams say about the time before it. Streams are
+// saved while their service has several versions, so that one that is not saved began at the only one.
+type beforeLoss struct {
+	versions  map[string]string // the only version of each service
+	at        time.Time         // when the History was restored
+	confirmed bool              // the saved streams were read, and none is of another version
 }
 
 // New returns an empty Table.
@@ -294,9 +307,24 @@
 		}
 	}
 	slices.SortFunc(a.Seen, Origin.compare)
+	if now.Sub(t.before.at) <= t.retention {
+		a.Before = t.before.only(services)
+	}
 	return a
 }
 
+// only returns the only version that a service had before the loss, or nil.
+func (b *beforeLoss) only(services []string) *Origin {
+	if !b.confirmed || len(services) != 1 {
+		return nil // of several services, any may have begun the stream
+	}
+	version, single := b.versions[services[0]]
+	if !single {
+		return nil
+	}
+	return &Origin{Service: services[0], Version: version}
+}
+
 // Combine returns the origin of a stream by the answers of several routers. Without a
 // router that knows the stream, it is certain only if all have seen the same single
 // version and one of them has seen all of the time in which the stream can have begun.
@@ -317,6 +345,21 @@
 	return seen[0], true
 }
 
+// CombineBefore returns the origin of a stream that neither a router nor the saved streams know,
+// by what routers restored: it began before they were lost, at the only version of then.
+func CombineBefore(answers []Answer) (Origin, bool) {
+	var only []Origin
+	for _, a := range answers {
+		if a.Before != nil {
+			only = append(only, *a.Before)
+		}
+	}
+	if slices.SortFunc(only, Origin.compare); len(slices.Compact(only)) != 1 {
+		return Origin{}, false
+	}
+	return only[0], true
+}
+
 // History returns what to save.
 func (t *Table) History(now time.Time) History {
 	t.mu.Lock()
@@ -350,6 +393,23 @@
 		}
 	}
 	t.restored = now.Add(-age - time.Duration(h.CompleteMS)*time.Millisecond)
+	t.before = beforeLoss{at: now}
+	if time.Duration(h.CompleteMS)*time.Millisecond >= t.retention {
+		t.before.versions = h.single()
+	}
+}
+
+// single returns the version of each service that had only one.
+func (h *History) single() map[string]string {
+	versions, several := make(map[string]string), make(map[string]bool)
+	for _, s := range h.Seen {
+		if other, known := versions[s.Service]; known && other != s.Version {
+			several[s.Service] = true
+		}
+		versions[s.Service] = s.Version
+	}
+	maps.DeleteFunc(versions, func(service, _ string) bool { return several[service] })
+	return versions
 }
 
 // ConfirmRestored records that all saved streams were read since Restore. Together they show each
@@ -361,4 +421,10 @@
 		t.complete = t.restored
 	}
 	t.restored = time.Time{}
+	for _, s := range t.order {
+		if o := t.origins[s.key]; s.saved && !t.before.confirmed && t.before.versions[o.Service] != o.Version {
+			delete(t.before.versions, o.Service)
+		}
+	}
+	t.before.confirmed = true
 }
--- a/process/router/origins.go
+++ b/process/router/origins.go
@@ -198,7 +198,11 @@
 	if own = r.answer(time.Now(), k, services); own.Origin != nil {
 		return *own.Origin, true
 	}
-	return origins.Combine(append(others, own))
+	all := append(others, own)
+	if o, sole := origins.Combine(all); sole {
+		return o, true
+	}
+	return origins.CombineBefore(all)
 }
 
 // load reads the streams that were saved and, with registry, the versions that are in the
