Ask the quarantine before an endpoint takes a silent request over

Cause: the loop of attempts asks it before each, the new way around a silent endpoint did not, so that a body which crashes endpoints without a word could be sent once more. Found by reading. Change: it is asked there too; the attempt waits on if it refuses.

--- a/connection/forward/takeover.go
+++ b/connection/forward/takeover.go
@@ -10,6 +10,7 @@
 
 	"github.com/stoatmount/stoatmount/connection/http1"
 	"github.com/stoatmount/stoatmount/request/balance"
+	"github.com/stoatmount/stoatmount/request/outcome"
 )
 
 // overlapTime is how long a silent attempt is kept beside its successor. It is long enough for the
@@ -74,6 +75,9 @@
 // takeOver sends the request of a silent attempt to another endpoint. It returns errTakenOver, with the
 // new attempt in j.successor, or nil if the silent one goes on.
 func (j *job) takeOver(a *attempt) error {
+	if code, _ := j.checkQuarantine(); code != outcome.OK {
+		return nil
+	}
 	if !j.s.RetryBudget.Allow(time.Now(), a.grant.Service) {
 		return nil
 	}
