Tell by whom an attempt was ended, and whether the router was being stopped

In the record of streams that were cut around a SIGTERM, three ends of an attempt look the same: `abandoned` with `i/o timeout` is written when the caller leaves, when its time is over and when the process ends. Nor does a request's line tell whether it came before or after the SIGTERM, or whether the endpoint was silent.

A failed attempt now has `ended_by` (deadline, caller, process) and `silent_ms`, a request `draining_ms`, and a process that cuts requests at its end says how many. `stoatctl explain` shows the former. No decision changed.

--- a/connection/forward/attempt.go
+++ b/connection/forward/attempt.go
@@ -40,6 +40,7 @@
 	sentAt       time.Time
 	firstAt      time.Time // first byte of the response
 	begunAt      time.Time // first event of a stream
+	lastAt       time.Time // last event of a stream
 	head         *http1.Head
 	response     Response
 	body         *http1.Body
@@ -355,11 +356,21 @@
 	j.recordFailure(a)
 }
 
+// silentFor returns for how long the endpoint has sent nothing of its response.
+func (a *attempt) silentFor(now time.Time) time.Duration {
+	for _, last := range []time.Time{a.lastAt, a.firstAt, a.sentAt} {
+		if !last.IsZero() {
+			return now.Sub(last)
+		}
+	}
+	return 0
+}
+
 // recordFailure adds a failed attempt to the record.
 func (j *job) recordFailure(a *attempt) {
 	f := FailedAttempt{Endpoint: a.grant.ID, Failure: a.failure, Run: a.run, AfterMS: time.Since(j.rec.Arrived).Milliseconds(), Crashed: a.crashed}
 	if a.err != nil {
-		f.Error = a.err.Error()
+		f.Error, f.EndedBy, f.SilentMS = a.err.Error(), j.endedBy(), a.silentFor(time.Now()).Milliseconds()
 	} else if a.head != nil {
 		f.Status = a.head.Status
 	}
--- a/connection/forward/drain.go
+++ b/connection/forward/drain.go
@@ -24,17 +24,27 @@
 }
 
 type drainPlan struct {
+	began          time.Time
 	acceptAllUntil time.Time
 	end            time.Time
 }
 
+// since returns the time from the beginning of the drain to t, or 0 if t is before it.
+func (d *drain) since(t time.Time) time.Duration {
+	if plan := d.plan.Load(); plan != nil {
+		return max(0, t.Sub(plan.began))
+	}
+	return 0
+}
+
 func (d *drain) init() {
 	d.prepare.Do(func() { d.ending, d.endAll = context.WithCancelCause(context.Background()) })
 }
 
-// StartDrain makes the server refuse, from acceptAllUntil on, requests that may not be complete by end.
-func (s *Server) StartDrain(acceptAllUntil, end time.Time) {
-	s.drain.plan.Store(&drainPlan{acceptAllUntil: acceptAllUntil, end: end})
+// StartDrain begins a drain at began: from acceptAllUntil on, the server refuses requests that may not be
+// complete by end.
+func (s *Server) StartDrain(began, acceptAllUntil, end time.Time) {
+	s.drain.plan.Store(&drainPlan{began: began, acceptAllUntil: acceptAllUntil, end: end})
 }
 
 // EndRequests ends the requests in progress. Those whose response has not begun get one that
--- a/connection/forward/drain_test.go
+++ b/connection/forward/drain_test.go
@@ -15,7 +15,7 @@
 	const route, limit = "r", 5 * time.Second
 	may := func(ms int) bool { return s.mayComplete(at(ms), route, at(ms).Add(limit)) }
 	c.Assert(may(7000), qt.IsTrue) // the process is not being stopped
-	s.StartDrain(at(2800), at(7600))
+	s.StartDrain(t0, at(2800), at(7600))
 	c.Assert(may(2700), qt.IsTrue)
 	c.Assert(may(2800), qt.IsFalse) // nothing is known but its limit
 	c.Assert(s.mayComplete(at(6000), route, at(7600)), qt.IsTrue)
--- a/connection/forward/record.go
+++ b/connection/forward/record.go
@@ -32,17 +32,18 @@
 	LastGrant           balance.Grant       // of the last attempt
 	Refusal             *balance.Refusal    // why no endpoint was chosen; nil if one was
 	FailedAttempts      []FailedAttempt
-	Relayed             bool     // another router passed it on
-	Relays              []string // addresses of the routers to which this one passed it on
-	Runs                int      // endpoints that may have run it, so far
-	Dials               int      // connections opened for it
-	MismatchedResponses int      // responses to other requests on its connection
-	HeadSent            bool     // the head of the response was sent to the caller
-	Events              int      // of a stream, passed on
-	Resumes             string   // id of the caller's attempt that began the stream; "" if this one did
-	LastEventID         int64    // last event that the caller had when the request arrived; -1 if none
-	Resumed             int      // times that a stream was resumed at another endpoint
-	Ejected             string   // endpoint that was ejected because of this request
+	Relayed             bool          // another router passed it on
+	Relays              []string      // addresses of the routers to which this one passed it on
+	Runs                int           // endpoints that may have run it, so far
+	Dials               int           // connections opened for it
+	MismatchedResponses int           // responses to other requests on its connection
+	HeadSent            bool          // the head of the response was sent to the caller
+	Events              int           // of a stream, passed on
+	Resumes             string        // id of the caller's attempt that began the stream; "" if this one did
+	LastEventID         int64         // last event that the caller had when the request arrived; -1 if none
+	Resumed             int           // times that a stream was resumed at another endpoint
+	Draining            time.Duration // from the beginning of the process's drain to the request's arrival; 0 before it
+	Ejected             string        // endpoint that was ejected because of this request
 	Error               string
 }
 
@@ -54,5 +55,17 @@
 	Status   int             `json:"status,omitempty"`  // of the endpoint's response
 	AfterMS  int64           `json:"after_ms"`          // from the request's arrival
 	Crashed  bool            `json:"crashed,omitempty"` // the endpoint was found to be down after it
+	EndedBy  EndedBy         `json:"ended_by,omitempty"`
+	SilentMS int64           `json:"silent_ms,omitempty"` // for which the endpoint had sent nothing when the attempt ended
 	Error    string          `json:"error,omitempty"`
 }
+
+// EndedBy is what ended an attempt that its endpoint did not end.
+type EndedBy string
+
+// What ends attempts.
+const (
+	EndedByDeadline EndedBy = "deadline"
+	EndedByCaller   EndedBy = "caller"  // it closed its connection
+	EndedByProcess  EndedBy = "process" // it ends
+)
--- a/connection/forward/relay.go
+++ b/connection/forward/relay.go
@@ -284,7 +284,7 @@
 // response; otherwise it may be sent again.
 func (j *job) relayFailed(a *attempt) (final bool) {
 	j.rec.FailedAttempts = append(j.rec.FailedAttempts, FailedAttempt{Endpoint: a.grant.Addr, Failure: balance.Broken, Run: a.run,
-		AfterMS: time.Since(j.rec.Arrived).Milliseconds(), Error: a.err.Error()})
+		AfterMS: time.Since(j.rec.Arrived).Milliseconds(), EndedBy: j.endedBy(), SilentMS: a.silentFor(time.Now()).Milliseconds(), Error: a.err.Error()})
 	if j.ctx.Err() != nil {
 		j.fail(outcome.DeadlinePassed, 0)
 		return true
--- a/connection/forward/server.go
+++ b/connection/forward/server.go
@@ -77,6 +77,7 @@
 		return
 	}
 	rec.ID, rec.Resumes, rec.LastEventID = req.ID, req.Resumes, req.LastEventID
+	rec.Draining = s.drain.since(rec.Arrived)
 	j, code := s.admit(x, rec, req)
 	if code != outcome.OK {
 		after := map[outcome.Code]time.Duration{outcome.NoConfig: retryNoConfig, outcome.Draining: retryDraining}[code]
@@ -369,6 +370,19 @@
 	return j.requestCtx.Err() != nil && time.Now().Before(j.deadline) && !errors.Is(context.Cause(j.requestCtx), errProcessEnds)
 }
 
+// endedBy returns what has ended the request, or "".
+func (j *job) endedBy() EndedBy {
+	switch cause := context.Cause(j.requestCtx); {
+	case cause == nil:
+		return ""
+	case errors.Is(cause, errProcessEnds):
+		return EndedByProcess
+	case errors.Is(cause, context.DeadlineExceeded):
+		return EndedByDeadline
+	}
+	return EndedByCaller
+}
+
 // responseFields returns the fields of an endpoint's response that are passed
 // on to the caller.
 func responseFields(h *http1.Head) []http1.Field {
--- a/connection/forward/stream.go
+++ b/connection/forward/stream.go
@@ -66,8 +66,9 @@
 		if b.first >= 0 && b.first <= j.lastEventID {
 			return errors.Errorf("event %d was already passed on", b.first)
 		}
+		a.lastAt = time.Now()
 		if a.begunAt.IsZero() {
-			a.begunAt = time.Now()
+			a.begunAt = a.lastAt
 		}
 		if !a.relayed {
 			j.recordOrigin(a)
--- a/operate/explain/explain.go
+++ b/operate/explain/explain.go
@@ -60,6 +60,8 @@
 	Run      string `json:"run"` // whether the endpoint ran it, an outcome.Run
 	Status   int    `json:"status"`
 	AfterMS  int64  `json:"after_ms"`
+	EndedBy  string `json:"ended_by"`  // a forward.EndedBy
+	SilentMS int64  `json:"silent_ms"` // of the endpoint, at the end of the attempt
 	Error    string `json:"error"`
 }
 
@@ -173,6 +175,9 @@
 	if f.Status != 0 {
 		text += fmt.Sprintf(", status %d", f.Status)
 	}
+	if f.EndedBy != "" {
+		text += fmt.Sprintf(", ended by the %s %d ms after the endpoint's last bytes", f.EndedBy, f.SilentMS)
+	}
 	if f.Error != "" {
 		text += ", " + f.Error
 	}
--- a/process/observe/requests.go
+++ b/process/observe/requests.go
@@ -184,6 +184,9 @@
 	if rec.Resumed > 0 {
 		kv = append(kv, "resumed", rec.Resumed)
 	}
+	if rec.Draining > 0 {
+		kv = append(kv, "draining_ms", rec.Draining.Milliseconds())
+	}
 	if rec.Ejected != "" {
 		kv = append(kv, "left_out", rec.Ejected)
 	}
--- a/process/router/shutdown.go
+++ b/process/router/shutdown.go
@@ -51,7 +51,7 @@
 	r.front.StartDrain()
 	r.relayed.StartDrain()
 	end := began.Add(grace - exitBeforeGraceEnd)
-	r.requests.StartDrain(began.Add(min(acceptAllFor, grace/2)), end.Add(-answerTime))
+	r.requests.StartDrain(began, began.Add(min(acceptAllFor, grace/2)), end.Add(-answerTime))
 	r.draining.Store(true)
 	open, busy := r.connectionCounts()
 	r.log.Info("leaving", "open", open, "busy", busy, "grace_ms", grace.Milliseconds())
@@ -77,6 +77,9 @@
 	r.front.CloseIdle()
 	r.relayed.CloseIdle()
 	r.awaitClosed(end.Add(-answerTime))
+	if _, busy := r.connectionCounts(); busy > 0 {
+		r.log.Info("ending the requests in progress", "busy", busy, "after_ms", time.Since(began).Milliseconds())
+	}
 	r.requests.EndRequests()
 	r.awaitClosed(end)
 	open, busy = r.connectionCounts()
