Take late in a stop only requests that are complete before its end, by a bound

Cause: a stopping router took a request if the longest one of its route in the last 30 to 60 s, and 1.5 s, fit before its end. The longest of n is exceeded by the next one once in n+1, and says nothing of longer requests. Class: a maximum that was seen, used as a bound for what comes.

Now process/pace predicts the time from what is known of the request before it runs: the caller's estimate of its output tokens, else the most that it may have, else its route. A request is refused only if it cannot be told to be complete.

TestRequestsThatAreNotCompleteInTimeAreRefused asked that the longest of three, and 1.5 s, decide to the millisecond, which is the fault. It now asks the same of the bound, that three of unlike length are none, and that size counts. TestDurationsAreForgotten moved to process/pace as TestRunsAreForgotten.

--- a/connection/forward/drain.go
+++ b/connection/forward/drain.go
@@ -7,6 +7,9 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/stoatmount/stoatmount/process/pace"
+	"github.com/stoatmount/stoatmount/request/outcome"
 )
 
 // silenceAllowance is how long a sound endpoint may fall silent during a request.
@@ -68,54 +71,34 @@
 	}
 }
 
+// endedBy returns what has ended the request, or "".
+func (j *job) endedBy() EndedBy {
+	switch cause := context.Cause(j.requestCtx); {
+	case cause == nil:
+		return ""
+	case errors.Is(cause, errProcessEnds):
+		return EndedByProcess
+	case errors.Is(cause, context.DeadlineExceeded):
+		return EndedByDeadline
+	}
+	return EndedByCaller
+}
+
 // mayComplete reports whether a request that arrived now is complete before the process ends: at its
-// deadline at the latest, and as a rule after the longest time that requests of its route took.
-func (s *Server) mayComplete(now time.Time, route string, deadline time.Time) bool {
+// deadline at the latest, and as a rule within the bound that its route and its size give.
+func (s *Server) mayComplete(now time.Time, route string, size pace.Size, deadline time.Time) bool {
 	plan := s.drain.plan.Load()
 	if plan == nil || now.Before(plan.acceptAllUntil) || !deadline.After(plan.end) {
 		return true
 	}
-	longest, known := s.durations.longest(now, route)
-	return known && !now.Add(longest+silenceAllowance).After(plan.end)
-}
-
-// durationWindow is the least time for which durations are remembered, and half of the longest.
-const durationWindow = 30 * time.Second
-
-// durations holds the longest recent duration of the requests of each route. It is safe for concurrent use.
-type durations struct {
-	mu                sync.Mutex // leaf
-	current, previous map[string]time.Duration
-	since             time.Time // start of current
-}
-
-// record adds the duration of a request that ran.
-func (d *durations) record(now time.Time, route string, took time.Duration) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.rotate(now)
-	d.current[route] = max(d.current[route], took)
+	bound, known := s.paces.Bound(now, route, size)
+	return known && bound <= plan.end.Sub(now)-silenceAllowance
 }
 
-// longest returns the longest recent duration. It returns false if no request of the route ran recently.
-func (d *durations) longest(now time.Time, route string) (time.Duration, bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.rotate(now)
-	current, inCurrent := d.current[route]
-	previous, inPrevious := d.previous[route]
-	return max(current, previous), inCurrent || inPrevious
-}
-
-// rotate forgets old durations. The caller holds d.mu.
-func (d *durations) rotate(now time.Time) {
-	age := now.Sub(d.since)
-	if age < durationWindow {
+// recordPace records how long a request took that an endpoint ran, unless a part of its stream had run before.
+func (s *Server) recordPace(now time.Time, rec *Record, size pace.Size) {
+	if rec.Runs == 0 || rec.LastEventID >= 0 {
 		return
 	}
-	d.previous = d.current
-	if age >= 2*durationWindow {
-		d.previous = nil
-	}
-	d.current, d.since = make(map[string]time.Duration), now
+	s.paces.Record(now, rec.Route, pace.Run{Size: size, First: rec.FirstByte, Total: rec.Duration, Events: rec.Events, Complete: rec.Code == outcome.OK})
 }
--- a/connection/forward/drain_test.go
+++ b/connection/forward/drain_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/stoatmount/stoatmount/process/pace"
 )
 
 func TestRequestsThatAreNotCompleteInTimeAreRefused(t *testing.T) {
@@ -12,33 +14,28 @@
 	t0 := time.Unix(1_700_000_000, 0)
 	at := func(ms int) time.Time { return t0.Add(time.Duration(ms) * time.Millisecond) }
 	s := &Server{}
-	const route, limit = "r", 5 * time.Second
-	may := func(ms int) bool { return s.mayComplete(at(ms), route, at(ms).Add(limit)) }
-	c.Assert(may(7000), qt.IsTrue) // the process is not being stopped
+	const route, limit, tokens = "r", 5 * time.Second, 100
+	may := func(ms, tokens int) bool {
+		return s.mayComplete(at(ms), route, pace.Size{Most: tokens}, at(ms).Add(limit))
+	}
+	c.Assert(may(7000, tokens), qt.IsTrue) // the process is not being stopped
 	s.StartDrain(t0, at(2800), at(7600))
-	c.Assert(may(2700), qt.IsTrue)
-	c.Assert(may(2800), qt.IsFalse) // nothing is known but its limit
-	c.Assert(s.mayComplete(at(6000), route, at(7600)), qt.IsTrue)
-	s.durations.record(t0, route, 100*time.Millisecond)
-	s.durations.record(t0, route, time.Second)
-	s.durations.record(t0, route, 200*time.Millisecond)
-	c.Assert(may(5100), qt.IsTrue)
-	c.Assert(may(5101), qt.IsFalse)
-}
-
-func TestDurationsAreForgotten(t *testing.T) {
-	c := qt.New(t)
-	t0 := time.Unix(1_700_000_000, 0)
-	var d durations
-	d.record(t0, "r", 3*time.Second)
-	d.record(t0.Add(durationWindow), "r", time.Second)
-	longest, known := d.longest(t0.Add(2*durationWindow-1), "r")
+	c.Assert(may(2700, tokens), qt.IsTrue)
+	c.Assert(may(2800, tokens), qt.IsFalse) // nothing is known but its limit
+	c.Assert(s.mayComplete(at(6000), route, pace.Size{Most: tokens}, at(7600)), qt.IsTrue)
+	for _, total := range []time.Duration{100, 1000, 200} {
+		s.paces.Record(t0, route, pace.Run{Total: total * time.Millisecond, Complete: true})
+	}
+	c.Assert(may(2800, tokens), qt.IsFalse) // three of ten times the length of one another are no bound
+	for range 500 {
+		s.paces.Record(t0, route, pace.Run{First: 50 * time.Millisecond, Total: time.Second, Size: pace.Size{Most: tokens}, Events: tokens, Complete: true})
+	}
+	bound, known := s.paces.Bound(t0, route, pace.Size{Most: tokens})
 	c.Assert(known, qt.IsTrue)
-	c.Assert(longest, qt.Equals, 3*time.Second)
-	longest, _ = d.longest(t0.Add(2*durationWindow), "r")
-	c.Assert(longest, qt.Equals, time.Second)
-	_, known = d.longest(t0.Add(4*durationWindow), "r")
-	c.Assert(known, qt.IsFalse)
-	_, known = d.longest(t0.Add(4*durationWindow), "another")
-	c.Assert(known, qt.IsFalse)
+	c.Assert(bound < 1300*time.Millisecond, qt.IsTrue, qt.Commentf("%v", bound))
+	latest := 7600 - int((silenceAllowance + bound).Milliseconds()) - 1
+	c.Assert(may(latest, tokens), qt.IsTrue)
+	c.Assert(may(latest+1, tokens), qt.IsFalse)
+	c.Assert(may(2800, 4*tokens), qt.IsFalse)
+	c.Assert(may(2800, 2*tokens), qt.IsTrue)
 }
--- a/connection/forward/server.go
+++ b/connection/forward/server.go
@@ -13,6 +13,7 @@
 	"github.com/stoatmount/stoatmount/connection/frontend"
 	"github.com/stoatmount/stoatmount/connection/http1"
 	"github.com/stoatmount/stoatmount/process/origins"
+	"github.com/stoatmount/stoatmount/process/pace"
 	"github.com/stoatmount/stoatmount/process/quarantine"
 	"github.com/stoatmount/stoatmount/process/suspect"
 	"github.com/stoatmount/stoatmount/request/balance"
@@ -38,7 +39,7 @@
 	RouterCount func() int                                     // routers that share the connections of an endpoint
 
 	drain       drain
-	durations   durations
+	paces       pace.Table
 	crashChecks atomic.Int64 // in progress beside their requests or after their end
 	buffered    http1.Memory // of responses
 }
@@ -63,16 +64,15 @@
 
 func (s *Server) serve(ctx context.Context, x *frontend.Exchange, relayed bool) {
 	rec := &Record{Arrived: x.Arrived, Method: x.Head.Method, Target: x.Head.Target, LastEventID: -1, Relayed: relayed}
+	var req Request
 	defer func() {
 		now := time.Now()
 		rec.Duration = now.Sub(rec.Arrived)
-		if rec.Runs > 0 {
-			s.durations.record(now, rec.Route, rec.Duration)
-		}
+		s.recordPace(now, rec, req.size())
 		s.Observer.Request(rec)
 	}()
-	req, err := s.Codec.DecodeRequest(x.Head)
-	if err != nil {
+	var err error
+	if req, err = s.Codec.DecodeRequest(x.Head); err != nil {
 		s.refuse(x, rec, outcome.BadRequest, 0)
 		return
 	}
@@ -132,7 +132,7 @@
 		timeout = min(timeout, route.Timeout)
 	}
 	j.deadline = x.Arrived.Add(timeout)
-	if !s.mayComplete(time.Now(), route.Name, j.deadline) {
+	if !s.mayComplete(time.Now(), route.Name, req.size(), j.deadline) {
 		return nil, outcome.Draining
 	}
 	return j, outcome.OK
@@ -370,19 +370,6 @@
 	return j.requestCtx.Err() != nil && time.Now().Before(j.deadline) && !errors.Is(context.Cause(j.requestCtx), errProcessEnds)
 }
 
-// endedBy returns what has ended the request, or "".
-func (j *job) endedBy() EndedBy {
-	switch cause := context.Cause(j.requestCtx); {
-	case cause == nil:
-		return ""
-	case errors.Is(cause, errProcessEnds):
-		return EndedByProcess
-	case errors.Is(cause, context.DeadlineExceeded):
-		return EndedByDeadline
-	}
-	return EndedByCaller
-}
-
 // responseFields returns the fields of an endpoint's response that are passed
 // on to the caller.
 func responseFields(h *http1.Head) []http1.Field {
--- a/connection/forward/types.go
+++ b/connection/forward/types.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/stoatmount/stoatmount/connection/http1"
+	"github.com/stoatmount/stoatmount/process/pace"
 	"github.com/stoatmount/stoatmount/request/balance"
 )
 
@@ -27,6 +28,9 @@
 	Resumes     string        // id of the attempt that brought the first event of the stream; "" if none
 }
 
+// size returns what is known of the response's length.
+func (r *Request) size() pace.Size { return pace.Size{Expected: r.LengthHint, Most: r.TokensOut} }
+
 // AttemptOptions are the headers that the router adds to one attempt.
 type AttemptOptions struct {
 	Timeout     time.Duration // until the caller's deadline
--- /dev/null
+++ b/process/pace/doc.go
@@ -0,0 +1,11 @@
+// Package pace learns how long requests take and bounds how long the next one may.
+//
+// The longest of the requests seen is no bound for the next one when few were seen, when
+// sizes differ, or when they grow. A bound is therefore an upper quantile of the prediction for
+// the next request, from what is known of it before it runs: the caller's estimate of its output
+// tokens, or the most that it may have. Logarithms of times are taken as a linear function of the
+// logarithm of the size, with normally distributed deviations; fewer requests seen, and sizes
+// unlike those seen, give a wider bound.
+//
+// It does no I/O and reads no clock. Lock order: Table.mu is a leaf.
+package pace
--- /dev/null
+++ b/process/pace/pace_test.go
@@ -0,0 +1,146 @@
+package pace
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const route = "r"
+
+var t0 = time.Unix(1_700_000_000, 0)
+
+// lognormal returns values with the given median.
+func lognormal(r *rand.Rand, median, deviation float64) float64 {
+	return median * math.Exp(deviation*r.NormFloat64())
+}
+
+// allowance is how many of plays may take longer than their bound: three in a thousand, as the distribution has to be
+// learned from few.
+func allowance(plays int) int { return 3 * plays / 1000 }
+
+// Guards against a bound that is the longest of a few runs: the next one is longer than that one time in n+1.
+func TestNextRunIsRarelyLongerThanTheBound(t *testing.T) {
+	const plays = 5_000
+	for _, deviation := range []float64{0, 0.15, 0.44} {
+		for _, n := range []int{1, 3, 8, 24, 100} {
+			r := rand.New(rand.NewPCG(uint64(n), uint64(100*deviation)))
+			longer := 0
+			for range plays {
+				var table Table
+				next := func() time.Duration { return time.Duration(lognormal(r, float64(time.Second), deviation)) }
+				for range n {
+					table.Record(t0, route, Run{Total: next(), Complete: true})
+				}
+				if bound, known := table.Bound(t0, route, Size{}); !known || next() > bound {
+					longer++
+				}
+			}
+			qt.New(t).Check(longer <= allowance(plays), qt.IsTrue, qt.Commentf("deviation %v, %d runs seen: %d longer", deviation, n, longer))
+		}
+	}
+}
+
+// stream returns a stream whose caller estimated its size with some deviation.
+func stream(r *rand.Rand, estimated bool) Run {
+	const pace, mostEvents, tokensPerEvent = 26 * time.Millisecond, 160, 7
+	events := max(1, min(mostEvents, int(lognormal(r, 50, 0.44))))
+	first := time.Duration(lognormal(r, float64(100*time.Millisecond), 0.39))
+	s := Run{Size: Size{Most: mostEvents * tokensPerEvent}, First: first, Total: first + time.Duration(events-1)*pace, Events: events, Complete: true}
+	if estimated {
+		s.Size.Expected = max(1, int(lognormal(r, float64(events*tokensPerEvent), 0.6)))
+	}
+	return s
+}
+
+// Guards against streams that are cut, and against short ones that are refused though their callers said so.
+func TestStreamsWithEstimatesAreToldApart(t *testing.T) {
+	const plays, left = 5_000, 3 * time.Second
+	for _, estimated := range []bool{false, true} {
+		for _, n := range []int{8, 24, 200} {
+			r := rand.New(rand.NewPCG(uint64(n), 1))
+			longer, taken := 0, 0
+			for range plays {
+				var table Table
+				for range n {
+					table.Record(t0, route, stream(r, estimated))
+				}
+				next := stream(r, estimated)
+				bound, known := table.Bound(t0, route, next.Size)
+				if known && bound <= left {
+					taken++
+				}
+				if !known || next.Total > bound {
+					longer++
+				}
+			}
+			c := qt.New(t)
+			c.Check(longer <= allowance(plays), qt.IsTrue, qt.Commentf("%d of %d longer, %d runs seen", longer, plays, n))
+			if estimated && n == 200 {
+				c.Check(taken > plays/8, qt.IsTrue, qt.Commentf("%d of %d taken", taken, plays))
+			}
+			t.Logf("estimated %t, %d runs seen: %d longer than the bound, %d taken with %v left", estimated, n, longer, taken, left)
+		}
+	}
+}
+
+// Guards against sound requests that are refused because the bound is far above what is possible.
+func TestBoundTightensWithTheRunsSeen(t *testing.T) {
+	c := qt.New(t)
+	for n, most := range map[int]time.Duration{8: 400 * time.Millisecond, 200: 125 * time.Millisecond} {
+		var table Table
+		for range n {
+			table.Record(t0, route, Run{Total: 100 * time.Millisecond, Complete: true})
+		}
+		bound, known := table.Bound(t0, route, Size{})
+		c.Check(known && bound < most, qt.IsTrue, qt.Commentf("%v after %d runs", bound, n))
+	}
+}
+
+// Guards against a long request that counts as one like the short ones before it.
+func TestBoundGrowsWithTheSize(t *testing.T) {
+	c := qt.New(t)
+	var table Table
+	const pace, tokens = 30 * time.Millisecond, 20
+	size := Size{Most: tokens}
+	for range 100 {
+		table.Record(t0, route, Run{Size: size, First: 100 * time.Millisecond, Total: 100*time.Millisecond + (tokens-1)*pace, Events: tokens, Complete: true})
+	}
+	short, _ := table.Bound(t0, route, size)
+	c.Check(short > 700*time.Millisecond && short < 900*time.Millisecond, qt.IsTrue, qt.Commentf("%v", short))
+	long, _ := table.Bound(t0, route, Size{Most: 10 * tokens})
+	c.Check(long > 6*time.Second, qt.IsTrue, qt.Commentf("%v", long))
+	_, known := table.Bound(t0, "another", size)
+	c.Check(known, qt.IsFalse)
+}
+
+func TestLongestRunIsWithinTheBound(t *testing.T) {
+	c := qt.New(t)
+	var table Table
+	for range 100 {
+		table.Record(t0, route, Run{Total: 100 * time.Millisecond, Complete: true})
+	}
+	table.Record(t0, route, Run{Total: 3 * time.Second}) // it was cut
+	bound, _ := table.Bound(t0, route, Size{})
+	c.Assert(bound >= 3*time.Second, qt.IsTrue)
+}
+
+func TestRunsAreForgotten(t *testing.T) {
+	c := qt.New(t)
+	second := Run{Total: time.Second, Complete: true}
+	var table, fresh Table
+	table.Record(t0, route, Run{Total: 3 * time.Second, Complete: true})
+	table.Record(t0.Add(window), route, second)
+	both, known := table.Bound(t0.Add(2*window-1), route, Size{})
+	c.Assert(known, qt.IsTrue)
+	c.Assert(both >= 3*time.Second, qt.IsTrue)
+	fresh.Record(t0, route, second)
+	want, _ := fresh.Bound(t0, route, Size{})
+	later, _ := table.Bound(t0.Add(2*window), route, Size{})
+	c.Assert(later, qt.Equals, want)
+	_, known = table.Bound(t0.Add(4*window), route, Size{})
+	c.Assert(known, qt.IsFalse)
+}
