Tell callers when a stopped fleet takes requests again

Callers that a stopping router refused were told to come back after 50 ms, since another router would take them. When all routers are stopped at once none does: the caller comes back too early, is refused again and has used up its retry, though the next process of the host takes it a moment later.

The 50 ms stay while another router is ready. Without one, Retry-After is the time until the process has ended, and 0.5 s for the start of the next one.

Test: TestStoppingRouterTellsWhenCallersAreServedAgain; before, Retry-After stayed at 50 ms until the process had ended.

--- a/connection/forward/drain.go
+++ b/connection/forward/drain.go
@@ -15,6 +15,13 @@
 // silenceAllowance is how long a sound endpoint may fall silent during a request.
 const silenceAllowance = 1500 * time.Millisecond
 
+const (
+	// retryElsewhere is the Retry-After of a draining router while others take requests.
+	retryElsewhere = 50 * time.Millisecond
+	// restartTime is how long the next process of a host needs to take requests, as a rule.
+	restartTime = 500 * time.Millisecond
+)
+
 // errProcessEnds ends the requests that are in progress when the process ends.
 var errProcessEnds = errors.New("the process ends")
 
@@ -95,6 +102,16 @@
 	return known && bound <= plan.end.Sub(now)-silenceAllowance
 }
 
+// retryAfterDrain returns the Retry-After of a request that a draining router refuses: another router
+// takes it at once or, if none is ready, the process that follows this one.
+func (s *Server) retryAfterDrain(now time.Time) time.Duration {
+	plan := s.drain.plan.Load()
+	if plan == nil || s.OthersReady() {
+		return retryElsewhere
+	}
+	return max(retryElsewhere, plan.end.Add(restartTime).Sub(now))
+}
+
 // recordPace records how long a request took that an endpoint ran, unless a part of its stream had run before.
 func (s *Server) recordPace(now time.Time, rec *Record, size pace.Size) {
 	if rec.Runs == 0 || rec.LastEventID >= 0 {
--- a/connection/forward/server.go
+++ b/connection/forward/server.go
@@ -37,6 +37,7 @@
 	OnAnnounced func(g *balance.Grant, a balance.Announcement) // called when what an endpoint says about its requests changes
 	OnRejection func(g *balance.Grant)                         // called when a brittle endpoint rejects a request
 	RouterCount func() int                                     // routers that share the connections of an endpoint
+	OthersReady func() bool                                    // whether another router takes requests
 
 	drain       drain
 	paces       pace.Table
@@ -52,9 +53,6 @@
 	// retryRefused is the Retry-After of a request that got no endpoint or may not
 	// be retried: by then an endpoint is expected to have capacity.
 	retryRefused = 300 * time.Millisecond
-	// retryDraining is the Retry-After of a draining router; it is short because
-	// the caller's next connection goes to another router.
-	retryDraining = 50 * time.Millisecond
 	// maxRefusals is the number of endpoints' refusals that ends a request.
 	maxRefusals = 3
 )
@@ -80,7 +78,13 @@
 	rec.Draining = s.drain.since(rec.Arrived)
 	j, code := s.admit(x, rec, req)
 	if code != outcome.OK {
-		after := map[outcome.Code]time.Duration{outcome.NoConfig: retryNoConfig, outcome.Draining: retryDraining}[code]
+		after := time.Duration(0)
+		switch code {
+		case outcome.NoConfig:
+			after = retryNoConfig
+		case outcome.Draining:
+			after = s.retryAfterDrain(time.Now())
+		}
 		s.refuse(x, rec, code, after)
 		return
 	}
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -136,7 +136,8 @@
 	r.quarantine = quarantine.New(r.onCrashChange, r.runsTrials)
 	r.links = newEndpointLinks(r)
 	handler := &forward.Server{Links: r.links, Codec: adapter.Codec(), Table: r.table, Endpoints: r.endpoints, Pool: r.pool, RelayPool: r.relayPool,
-		RetryBudget: sharedRetries{r.retryBudget, r.members}, Quarantine: r.quarantine, Origins: r.streams, Observer: observer, OnLeaving: r.onLeaving, OnAnnounced: r.onAnnounced, OnRejection: func(*balance.Grant) { r.sendNow() }, RouterCount: r.members}
+		RetryBudget: sharedRetries{r.retryBudget, r.members}, Quarantine: r.quarantine, Origins: r.streams, Observer: observer, OnLeaving: r.onLeaving, OnAnnounced: r.onAnnounced, OnRejection: func(*balance.Grant) { r.sendNow() }, RouterCount: r.members,
+		OthersReady: func() bool { return r.peers.CountReady(time.Now()) > 0 }}
 	r.requests = handler
 	r.front = &frontend.Server{Handler: handler, Limits: r.limits, Log: log,
 		MaxConnections: int(callerDescriptorShare * float64(s.Descriptors))}
