Compare a late request only with requests of which as much was known

Causes: the largest deviations were left out, so that 3 long streams among 60 short ones were outside the bound; runs that were cut short hardly counted; and a request with an estimate, or without a size, was compared with runs of which another thing was known, whatever their sizes. Very large estimates could give a bound that is not a number, which counted as none. An attempt that the process ended counted as a timeout of its endpoint.

Now a run counts among those of the same knowledge: estimate, most, or nothing; a request with an estimate is compared by its most while no run with an estimate was seen, one that is unlike all runs is refused. The largest deviation seen is within the bound, runs that were cut included. One line for the whole time replaces two, so that it also holds for responses that are not streams; only successes count as complete.

TestLongRunsThatWereSeenAreWithinTheBound takes the place of TestLongestRunIsWithinTheBound, with all kinds of sizes, and TestBoundIsOfRequestsLikeThis that of TestBoundGrowsWithTheSize.

--- a/connection/forward/attempt.go
+++ b/connection/forward/attempt.go
@@ -219,7 +219,7 @@
 // whose context ended within its objective says nothing about the endpoint.
 func (j *job) classify(a *attempt, err error) balance.Failure {
 	switch {
-	case j.callerGone(), j.ctx.Err() != nil && time.Since(a.sentAt) < j.route.Objective:
+	case j.callerGone(), j.endedBy() == EndedByProcess, j.ctx.Err() != nil && time.Since(a.sentAt) < j.route.Objective:
 		return balance.Abandoned
 	case j.ctx.Err() != nil && j.requestCtx.Err() == nil: // the silent attempt before it goes on
 		return balance.Abandoned
--- a/connection/forward/drain.go
+++ b/connection/forward/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -117,5 +118,5 @@
 	if rec.Runs == 0 || rec.LastEventID >= 0 {
 		return
 	}
-	s.paces.Record(now, rec.Route, pace.Run{Size: size, First: rec.FirstByte, Total: rec.Duration, Events: rec.Events, Complete: rec.Code == outcome.OK})
+	s.paces.Record(now, rec.Route, pace.Run{Size: size, Took: rec.Duration, Complete: rec.Code == outcome.OK && rec.Status < http.StatusMultipleChoices})
 }
--- a/connection/forward/drain_test.go
+++ b/connection/forward/drain_test.go
@@ -23,12 +23,12 @@
 	c.Assert(may(2700, tokens), qt.IsTrue)
 	c.Assert(may(2800, tokens), qt.IsFalse) // nothing is known but its limit
 	c.Assert(s.mayComplete(at(6000), route, pace.Size{Most: tokens}, at(7600)), qt.IsTrue)
-	for _, total := range []time.Duration{100, 1000, 200} {
-		s.paces.Record(t0, route, pace.Run{Total: total * time.Millisecond, Complete: true})
+	for _, took := range []time.Duration{100, 1000, 200} {
+		s.paces.Record(t0, "few", pace.Run{Took: took * time.Millisecond, Complete: true})
 	}
-	c.Assert(may(2800, tokens), qt.IsFalse) // three of ten times the length of one another are no bound
+	c.Assert(s.mayComplete(at(2800), "few", pace.Size{}, at(8000)), qt.IsFalse) // three that differ are no bound
 	for range 500 {
-		s.paces.Record(t0, route, pace.Run{First: 50 * time.Millisecond, Total: time.Second, Size: pace.Size{Most: tokens}, Events: tokens, Complete: true})
+		s.paces.Record(t0, route, pace.Run{Size: pace.Size{Most: tokens}, Took: time.Second, Complete: true})
 	}
 	bound, known := s.paces.Bound(t0, route, pace.Size{Most: tokens})
 	c.Assert(known, qt.IsTrue)
--- a/process/pace/doc.go
+++ b/process/pace/doc.go
@@ -3,9 +3,10 @@
 // The longest of the requests seen is no bound for the next one when few were seen, when
 // sizes differ, or when they grow. A bound is therefore an upper quantile of the prediction for
 // the next request, from what is known of it before it runs: the caller's estimate of its output
-// tokens, or the most that it may have. Logarithms of times are taken as a linear function of the
-// logarithm of the size, with normally distributed deviations; fewer requests seen, and sizes
-// unlike those seen, give a wider bound.
+// tokens, else the most that it may have, else its route. Logarithms of times are taken as a linear
+// function of the logarithm of the size, with normally distributed deviations; fewer requests seen, and
+// sizes unlike those seen, give a wider bound. The largest deviation that was seen is always within it.
+// Requests of which less is known say nothing of those of which more is known, and the reverse.
 //
 // It does no I/O and reads no clock. Lock order: Table.mu is a leaf.
 package pace
--- a/process/pace/fit.go
+++ b/process/pace/fit.go
@@ -18,51 +18,75 @@
 	priorSpread = 0.5
 )
 
-// fit is a linear regression of y on x.
-type fit struct {
-	n                float64
-	x, y, xx, xy, yy float64 // sums
+// point is a run: the logarithms of its size in tokens and of its time in nanoseconds.
+type point struct {
+	x, y     float64
+	complete bool
 }
 
-func (f *fit) add(x, y float64) {
-	f.n++
-	f.x += x
-	f.y += y
-	f.xx += x * x
-	f.xy += x * y
-	f.yy += y * y
+// line is a linear regression of y on x.
+type line struct {
+	n, meanX, meanY float64
+	spread          float64 // of x, with the prior's
+	slope           float64
+	residuals       float64 // sum of squares
+	worst           float64 // largest residual
 }
 
-func (f *fit) merge(o fit) {
-	f.n += o.n
-	f.x += o.x
-	f.y += o.y
-	f.xx += o.xx
-	f.xy += o.xy
-	f.yy += o.yy
+// fitLine fits a line to points. It returns false if there are none.
+func fitLine(points []point) (line, bool) {
+	var l line
+	if len(points) == 0 {
+		return l, false
+	}
+	l.n = float64(len(points))
+	for _, p := range points {
+		l.meanX += p.x / l.n
+		l.meanY += p.y / l.n
+	}
+	l.spread, l.slope = priorSpread, priorSpread
+	for _, p := range points {
+		l.spread += (p.x - l.meanX) * (p.x - l.meanX)
+		l.slope += (p.x - l.meanX) * (p.y - l.meanY)
+	}
+	l.slope /= l.spread
+	for _, p := range points {
+		residual := p.y - l.at(p.x)
+		l.residuals += residual * residual
+		l.worst = max(l.worst, residual)
+	}
+	return l, true
 }
 
-// line returns the means, the sum of squared deviations of x with the prior's, and the slope. f.n must not be 0.
-func (f *fit) line() (meanX, meanY, spread, slope float64) {
-	meanX, meanY = f.x/f.n, f.y/f.n
-	spread = max(0, f.xx-f.n*meanX*meanX) + priorSpread
-	slope = (f.xy - f.n*meanX*meanY + priorSpread) / spread
-	return meanX, meanY, spread, slope
-}
-
-// predict returns the expected y at x.
-func (f *fit) predict(x float64) float64 {
-	meanX, meanY, _, slope := f.line()
-	return meanY + slope*(x-meanX)
-}
+// at returns the expected y at x.
+func (l *line) at(x float64) float64 { return l.meanY + l.slope*(x-l.meanX) }
 
 // upper returns the quantile for the next y at x.
-func (f *fit) upper(x float64) float64 {
-	meanX, meanY, spread, slope := f.line()
-	xx, xy, yy := f.xx-f.n*meanX*meanX, f.xy-f.n*meanX*meanY, f.yy-f.n*meanY*meanY
-	degrees := priorDegrees + f.n - 1
-	variance := (priorDegrees*priorDeviation*priorDeviation + max(0, yy-2*slope*xy+slope*slope*xx)) / degrees
+func (l *line) upper(x float64) float64 {
+	degrees := priorDegrees + l.n - 1
+	variance := (priorDegrees*priorDeviation*priorDeviation + l.residuals) / degrees
 	t := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: degrees}.Quantile(quantile)
-	distance := x - meanX
-	return meanY + slope*distance + t*math.Sqrt(variance*(1+1/f.n+distance*distance/spread))
+	distance := x - l.meanX
+	margin := t * math.Sqrt(variance*(1+1/l.n+distance*distance/l.spread))
+	return l.at(x) + max(margin, l.worst)
+}
+
+// fit fits a line to the complete runs, and to those of the others that were longer than it tells.
+func fit(points []point) (line, bool) {
+	complete := make([]point, 0, len(points))
+	for _, p := range points {
+		if p.complete {
+			complete = append(complete, p)
+		}
+	}
+	l, ok := fitLine(complete)
+	if !ok || len(complete) == len(points) {
+		return l, ok
+	}
+	for _, p := range points {
+		if !p.complete && p.y > l.at(p.x) {
+			complete = append(complete, p)
+		}
+	}
+	return fitLine(complete)
 }
--- a/process/pace/pace.go
+++ b/process/pace/pace.go
@@ -6,8 +6,16 @@
 	"time"
 )
 
-// window is the least time for which runs are remembered, and half of the longest.
-const window = 30 * time.Second
+const (
+	// window is the least time for which runs are remembered, and half of the longest.
+	window = 30 * time.Second
+	// maxRuns bounds the runs of one kind that are remembered in a window.
+	maxRuns = 1024
+	// maxTokens bounds sizes, so that a malformed one stays within the range of the arithmetic.
+	maxTokens = 1 << 30
+	// maxBound stands for all longer times.
+	maxBound = 24 * time.Hour
+)
 
 // Size is what is known of the output of a request before it runs, in tokens; 0 is unknown.
 type Size struct {
@@ -15,135 +23,106 @@
 	Most     int // the bound on the output
 }
 
-// basis is the kind of a Size.
+// basis is what is known of a size.
 type basis uint8
 
 const (
 	unsized basis = iota
 	byEstimate
-	byBound
+	byMost
 )
 
-func (s Size) basis() (b basis, tokens float64) {
+// bases returns what is known of the size, the most telling first.
+func (s Size) bases() []basis {
+	var list []basis
+	if s.Expected > 0 {
+		list = append(list, byEstimate)
+	}
+	if s.Most > 0 {
+		list = append(list, byMost)
+	}
+	if len(list) == 0 {
+		list = append(list, unsized)
+	}
+	return list
+}
+
+// log returns the logarithm of the size.
+func (s Size) log(b basis) float64 {
+	tokens := 1
 	switch {
-	case s.Expected > 0 && s.Most > 0:
-		return byEstimate, float64(min(s.Expected, s.Most))
-	case s.Expected > 0:
-		return byEstimate, float64(s.Expected)
-	case s.Most > 0:
-		return byBound, float64(s.Most)
+	case b == byEstimate && s.Most > 0:
+		tokens = min(s.Expected, s.Most)
+	case b == byEstimate:
+		tokens = s.Expected
+	case b == byMost:
+		tokens = s.Most
 	}
-	return unsized, 1
+	return math.Log(float64(min(tokens, maxTokens)))
 }
 
 // Run is a request that an endpoint ran.
 type Run struct {
 	Size     Size
-	First    time.Duration // until the first byte of the response; 0 if there was none
-	Total    time.Duration // until its end
-	Events   int           // of a stream
-	Complete bool          // the response was; others only show how long a run takes at least
+	Took     time.Duration
+	Complete bool // the response was; others only show how long a run takes at least
 }
 
 // Table holds the times of the recent runs of each route. Its zero value is ready; it is safe for
 // concurrent use.
 type Table struct {
 	mu                sync.Mutex
-	current, previous map[key]*times
+	current, previous map[kind][]point
 	since             time.Time // start of current
 }
 
-type key struct {
+// kind is runs that are compared with one another.
+type kind struct {
 	route string
 	basis basis
 }
 
-// times are those of the runs of a route whose sizes have one basis, as logarithms of nanoseconds.
-// With unsized they are those of all runs.
-type times struct {
-	longest time.Duration // of total, also of runs that were not complete
-	total   fit
-	first   fit // until the first byte
-	rest    fit // of a stream, after it
-}
-
-func (t *times) merge(o *times) {
-	t.longest = max(t.longest, o.longest)
-	t.total.merge(o.total)
-	t.first.merge(o.first)
-	t.rest.merge(o.rest)
-}
-
 // Record adds a run.
 func (t *Table) Record(now time.Time, route string, r Run) {
+	y := math.Log(float64(max(r.Took, time.Microsecond)))
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.rotate(now)
-	all := t.of(key{route, unsized})
-	all.longest = max(all.longest, r.Total)
-	add(&all.total, 0, r.Total, r.Complete)
-	b, tokens := r.Size.basis()
-	if b == unsized || r.First <= 0 {
-		return
-	}
-	sized := t.of(key{route, b})
-	add(&sized.first, 0, r.First, r.Complete)
-	if gaps := r.Events - 1; gaps > 0 {
-		rest := float64(r.Total-r.First) * float64(r.Events) / float64(gaps)
-		add(&sized.rest, math.Log(tokens), time.Duration(rest), r.Complete)
+	for _, b := range r.Size.bases() {
+		k := kind{route, b}
+		points := t.current[k]
+		if len(points) >= maxRuns {
+			points = points[1:]
+		}
+		t.current[k] = append(points, point{x: r.Size.log(b), y: y, complete: r.Complete})
 	}
 }
 
-// of returns the times under a key. The caller holds t.mu.
-func (t *Table) of(k key) *times {
-	s := t.current[k]
-	if s == nil {
-		s = &times{}
-		t.current[k] = s
+// Bound returns the time that the next request of the route takes at most, but for one in a thousand. It
+// returns false if no run of the route is known of which as much was known.
+func (t *Table) Bound(now time.Time, route string, size Size) (time.Duration, bool) {
+	for _, b := range size.bases() {
+		if l, ok := fit(t.recent(now, kind{route, b})); ok {
+			return duration(math.Exp(l.upper(size.log(b)))), true
+		}
 	}
-	return s
+	return 0, false
 }
 
-// add adds a time to f. One that was cut short counts only if it shows that times are longer.
-func add(f *fit, x float64, d time.Duration, complete bool) {
-	y := math.Log(float64(max(d, time.Microsecond)))
-	if complete || f.n > 0 && y > f.predict(x) {
-		f.add(x, y)
+// duration returns ns as a duration, at most maxBound.
+func duration(ns float64) time.Duration {
+	if ns < float64(maxBound) {
+		return time.Duration(ns) + time.Microsecond // not below what was seen, by rounding
 	}
+	return maxBound // also for what is not a number
 }
 
-// Bound returns the time that the next request of the route takes at most, but for one in a thousand. It
-// returns false if nothing was seen of the route.
-func (t *Table) Bound(now time.Time, route string, size Size) (time.Duration, bool) {
+// recent returns the runs of a kind.
+func (t *Table) recent(now time.Time, k kind) []point {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.rotate(now)
-	b, tokens := size.basis()
-	if s := t.recent(key{route, b}); b != unsized && s.first.n > 0 && s.rest.n > 0 {
-		x := math.Log(tokens)
-		first, rest := math.Exp(s.first.predict(0)), math.Exp(s.rest.predict(x))
-		margin := math.Hypot(math.Exp(s.first.upper(0))-first, math.Exp(s.rest.upper(x))-rest)
-		return duration(first + rest + margin), true
-	}
-	s := t.recent(key{route, unsized})
-	if s.total.n == 0 {
-		return 0, false
-	}
-	return max(s.longest, duration(math.Exp(s.total.upper(0)))), true
-}
-
-// duration returns ns as a duration, or a very long one.
-func duration(ns float64) time.Duration { return time.Duration(min(ns, float64(24*time.Hour))) }
-
-// recent returns the times of both generations under a key. The caller holds t.mu.
-func (t *Table) recent(k key) times {
-	var s times
-	for _, generation := range []map[key]*times{t.current, t.previous} {
-		if g := generation[k]; g != nil {
-			s.merge(g)
-		}
-	}
-	return s
+	return append(append([]point(nil), t.previous[k]...), t.current[k]...)
 }
 
 // rotate forgets old runs. The caller holds t.mu.
@@ -156,5 +135,5 @@
 	if age >= 2*window {
 		t.previous = nil
 	}
-	t.current, t.since = make(map[key]*times), now
+	t.current, t.since = make(map[kind][]point), now
 }
--- a/process/pace/pace_test.go
+++ b/process/pace/pace_test.go
@@ -33,7 +33,7 @@
 				var table Table
 				next := func() time.Duration { return time.Duration(lognormal(r, float64(time.Second), deviation)) }
 				for range n {
-					table.Record(t0, route, Run{Total: next(), Complete: true})
+					table.Record(t0, route, Run{Took: next(), Complete: true})
 				}
 				if bound, known := table.Bound(t0, route, Size{}); !known || next() > bound {
 					longer++
@@ -49,7 +49,7 @@
 	const pace, mostEvents, tokensPerEvent = 26 * time.Millisecond, 160, 7
 	events := max(1, min(mostEvents, int(lognormal(r, 50, 0.44))))
 	first := time.Duration(lognormal(r, float64(100*time.Millisecond), 0.39))
-	s := Run{Size: Size{Most: mostEvents * tokensPerEvent}, First: first, Total: first + time.Duration(events-1)*pace, Events: events, Complete: true}
+	s := Run{Size: Size{Most: mostEvents * tokensPerEvent}, Took: first + time.Duration(events-1)*pace, Complete: true}
 	if estimated {
 		s.Size.Expected = max(1, int(lognormal(r, float64(events*tokensPerEvent), 0.6)))
 	}
@@ -73,7 +73,7 @@
 				if known && bound <= left {
 					taken++
 				}
-				if !known || next.Total > bound {
+				if !known || next.Took > bound {
 					longer++
 				}
 			}
@@ -93,46 +93,84 @@
 	for n, most := range map[int]time.Duration{8: 400 * time.Millisecond, 200: 125 * time.Millisecond} {
 		var table Table
 		for range n {
-			table.Record(t0, route, Run{Total: 100 * time.Millisecond, Complete: true})
+			table.Record(t0, route, Run{Took: 100 * time.Millisecond, Complete: true})
 		}
 		bound, known := table.Bound(t0, route, Size{})
 		c.Check(known && bound < most, qt.IsTrue, qt.Commentf("%v after %d runs", bound, n))
 	}
 }
 
-// Guards against a long request that counts as one like the short ones before it.
-func TestBoundGrowsWithTheSize(t *testing.T) {
+// add records n runs that took some time.
+func add(table *Table, n int, size Size, took time.Duration, complete bool) {
+	for range n {
+		table.Record(t0, route, Run{Size: size, Took: took, Complete: complete})
+	}
+}
+
+// Guards against a request that counts as one like those before it, though it is larger or less is known of it.
+func TestBoundIsOfRequestsLikeThis(t *testing.T) {
 	c := qt.New(t)
+	short := Size{Most: 20}
+	const took = 670 * time.Millisecond
 	var table Table
-	const pace, tokens = 30 * time.Millisecond, 20
-	size := Size{Most: tokens}
-	for range 100 {
-		table.Record(t0, route, Run{Size: size, First: 100 * time.Millisecond, Total: 100*time.Millisecond + (tokens-1)*pace, Events: tokens, Complete: true})
+	add(&table, 100, short, took, true)
+	bound, known := table.Bound(t0, route, short)
+	c.Check(known && bound > took && bound < 900*time.Millisecond, qt.IsTrue, qt.Commentf("%v", bound))
+	for _, large := range []Size{{Most: 200}, {Expected: 200, Most: 200}, {Expected: 10, Most: 200}, {Most: 1 << 62}} {
+		bound, known := table.Bound(t0, route, large)
+		c.Check(!known || bound > 6*time.Second, qt.IsTrue, qt.Commentf("%+v: %v", large, bound))
 	}
-	short, _ := table.Bound(t0, route, size)
-	c.Check(short > 700*time.Millisecond && short < 900*time.Millisecond, qt.IsTrue, qt.Commentf("%v", short))
-	long, _ := table.Bound(t0, route, Size{Most: 10 * tokens})
-	c.Check(long > 6*time.Second, qt.IsTrue, qt.Commentf("%v", long))
-	_, known := table.Bound(t0, "another", size)
+	for _, unlike := range []Size{{}, {Expected: 20}} {
+		_, known := table.Bound(t0, route, unlike)
+		c.Check(known, qt.IsFalse, qt.Commentf("%+v", unlike))
+	}
+	_, known = table.Bound(t0, "another", short)
 	c.Check(known, qt.IsFalse)
 }
 
-func TestLongestRunIsWithinTheBound(t *testing.T) {
+// Guards against long runs that a bound leaves out because most were short, were cut short, or told more of their size.
+func TestLongRunsThatWereSeenAreWithinTheBound(t *testing.T) {
+	const shortTime, longTime = 480 * time.Millisecond, 4480 * time.Millisecond
+	for _, n := range []int{1, 2, 6} {
+		for _, complete := range []bool{true, false} {
+			for _, size := range []Size{{}, {Most: 1120}, {Expected: 40, Most: 1120}} {
+				for _, longFirst := range []bool{true, false} {
+					var table Table
+					longRuns := Size{Expected: size.Expected, Most: size.Most}
+					if size.Most > 0 {
+						longRuns.Expected = 40 // they also count among those of which only the most is known
+					}
+					if longFirst {
+						add(&table, n, longRuns, longTime, complete)
+					}
+					add(&table, 100, size, shortTime, true)
+					if !longFirst {
+						add(&table, n, longRuns, longTime, complete)
+					}
+					bound, known := table.Bound(t0, route, size)
+					qt.New(t).Check(known && bound >= longTime, qt.IsTrue, qt.Commentf("%d of %v, complete %t, %+v: bound %v", n, longTime, complete, size, bound))
+				}
+			}
+		}
+	}
+}
+
+// Guards against a bound that is not a number and counts as none.
+func TestSteepTimesGiveALongBound(t *testing.T) {
 	c := qt.New(t)
 	var table Table
-	for range 100 {
-		table.Record(t0, route, Run{Total: 100 * time.Millisecond, Complete: true})
-	}
-	table.Record(t0, route, Run{Total: 3 * time.Second}) // it was cut
-	bound, _ := table.Bound(t0, route, Size{})
-	c.Assert(bound >= 3*time.Second, qt.IsTrue)
+	add(&table, 500, Size{Expected: 10}, 100*time.Millisecond, true)
+	add(&table, 500, Size{Expected: 11}, time.Hour, true)
+	bound, known := table.Bound(t0, route, Size{Expected: 1 << 62})
+	c.Assert(known, qt.IsTrue)
+	c.Assert(bound, qt.Equals, maxBound)
 }
 
 func TestRunsAreForgotten(t *testing.T) {
 	c := qt.New(t)
-	second := Run{Total: time.Second, Complete: true}
+	second := Run{Took: time.Second, Complete: true}
 	var table, fresh Table
-	table.Record(t0, route, Run{Total: 3 * time.Second, Complete: true})
+	table.Record(t0, route, Run{Took: 3 * time.Second, Complete: true})
 	table.Record(t0.Add(window), route, second)
 	both, known := table.Bound(t0.Add(2*window-1), route, Size{})
 	c.Assert(known, qt.IsTrue)
