Judge a shared read by when it began, not by when a request concludes

Cause: whether a read of the log was recent enough was decided after the registry had been read too. A request that waited for the registry so grew too late for the log.

The class: a request's conclusion hung on the time and fate of a read that it shared. A read ended with the caller that it began for; a failed or ended one refused all requests of the next 200 ms; one of more than 250 ms counted as failed, whatever time the caller had. All came again in virtual time (TestLateReadRefusesNoStream).

Change: a read counts if it began at most 200 ms before the request arrived. It runs by itself, for a second at most. A request is refused only after a read that began while it waited has failed, or after 1 s, as long as the refusal would send it away, or half of its time. A starting process still asks the others after 250 ms. If only the late read of the log shows that a single version served, the registry must confirm that too.

--- a/process/router/origins.go
+++ b/process/router/origins.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/stoatmount/stoatmount/process/origins"
-	"github.com/stoatmount/stoatmount/process/peers"
 )
 
 const (
@@ -26,13 +25,6 @@
 	saveBegunRetry = 300 * time.Millisecond
 	// maxAsked bounds the streams of another router that wait for a confirmation.
 	maxAsked = 1024
-	// freshProcessTime is how long after its start a process reads the saved streams before it
-	// asks the others, which may have started as well.
-	freshProcessTime = 30 * time.Second
-	// loadBegunInterval is the pause between reads of the streams that were saved.
-	loadBegunInterval = 200 * time.Millisecond
-	// loadBegunTimeout bounds such a read, for which a request waits.
-	loadBegunTimeout = 250 * time.Millisecond
 )
 
 // streamOrigins implements forward.Origins.
@@ -45,21 +37,12 @@
 	asked     map[string][]origins.Key      // streams of other routers that are to be confirmed, by their address
 	waitAfter time.Time
 
-	loadMu   sync.Mutex // held during a read of the store, so that requests share it
-	log      storeRead  // of the log of begun streams
-	registry storeRead
-	next     int64 // offset in the log
+	log      storeRead  // of the begun streams
+	registry storeRead  // of the versions in the registry
+	nextMu   sync.Mutex // guards next; held during a read of the log, for which only that read and readFromStart wait
+	next     int64      // offset in the log
 }
 
-// storeRead is when something was read from the store.
-type storeRead struct{ attempted, succeeded time.Time }
-
-// isFresh reports whether requests use the last read in place of another one.
-func (r *storeRead) isFresh() bool { return time.Since(r.succeeded) < loadBegunInterval }
-
-// isDue reports whether to attempt another read.
-func (r *storeRead) isDue() bool { return time.Since(r.attempted) >= loadBegunInterval }
-
 // waitingStream is a stream whose first event waits until it is saved.
 type waitingStream struct {
 	origins.Origin
@@ -165,111 +148,6 @@
 	}
 }
 
-// Find implements forward.Origins. It asks the other routers about a stream that this one
-// does not know, and reads the saved ones if not all answer.
-func (s *streamOrigins) Find(ctx context.Context, k origins.Key, services []string) (origins.Origin, bool) {
-	r := s.r
-	own := r.answer(time.Now(), k, services)
-	// What the others have seen may have been restored as well, without a version of before.
-	if own.Origin == nil && (len(own.Seen) > 1 || !own.Complete) && time.Since(r.startedAt) < freshProcessTime && s.load(ctx, false) {
-		own = r.answer(time.Now(), k, services)
-	}
-	if own.Origin != nil {
-		return *own.Origin, true
-	}
-	var others []origins.Answer
-	if r.exchange != nil {
-		others = r.exchange.Ask(ctx, peers.OriginQuery{Stream: k, Services: services})
-	}
-	for _, a := range others {
-		if a.Origin != nil {
-			return *a.Origin, true
-		}
-	}
-	o, sole := origins.Combine(append(others, own))
-	if sole && len(others) >= r.members()-1 {
-		return o, true
-	}
-	// A router that does not answer, or an earlier process of one that does, may have begun
-	// it, at a version that none of these has seen.
-	if !s.load(ctx, sole) {
-		return origins.Origin{}, false
-	}
-	if own = r.answer(time.Now(), k, services); own.Origin != nil {
-		return *own.Origin, true
-	}
-	all := append(others, own)
-	if o, sole := origins.Combine(all); sole {
-		return o, true
-	}
-	return origins.CombineBefore(all)
-}
-
-// load reads the streams that were saved and, with registry, the versions that are in the
-// registry now. It reports whether all was read within the last loadBegunInterval, in which
-// requests share one attempt.
-func (s *streamOrigins) load(ctx context.Context, registry bool) bool {
-	s.loadMu.Lock()
-	defer s.loadMu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, loadBegunTimeout)
-	defer cancel()
-	s.readOnce(ctx, &s.log, s.loadBegun)
-	if registry && s.log.isFresh() {
-		s.readOnce(ctx, &s.registry, s.loadVersions)
-	}
-	return s.log.isFresh() && (!registry || s.registry.isFresh())
-}
-
-// readOnce attempts a read if it is due. The caller holds loadMu.
-func (s *streamOrigins) readOnce(ctx context.Context, state *storeRead, read func(context.Context) error) {
-	if !state.isDue() {
-		return
-	}
-	state.attempted = time.Now()
-	if err := read(ctx); err != nil {
-		s.r.log.Info("loading begun streams failed", "error", err.Error())
-		return
-	}
-	state.succeeded = time.Now()
-}
-
-// readFromStart makes the next read begin at the oldest saved stream, as the log came back
-// from an older copy, in which offsets were given out again.
-func (s *streamOrigins) readFromStart() {
-	s.loadMu.Lock()
-	defer s.loadMu.Unlock()
-	s.next = 0
-}
-
-func (s *streamOrigins) loadBegun(ctx context.Context) error {
-	list, next, err := s.r.adapter.LoadBegun(ctx, s.next)
-	if err != nil {
-		return err
-	}
-	s.next = next
-	s.r.origins.MergeSaved(time.Now(), list)
-	s.r.origins.ConfirmRestored()
-	return nil
-}
-
-// loadVersions observes the versions of all entries in the registry, which this router may
-// not have read yet.
-func (s *streamOrigins) loadVersions(ctx context.Context) error {
-	page, err := s.r.adapter.Topic(Endpoints).Newest(ctx)
-	if err != nil {
-		return err
-	}
-	var present []origins.Origin
-	for _, record := range page.Records {
-		// An entry that cannot be decoded names no endpoint; the follower logs it.
-		if c, err := s.r.adapter.DecodeEndpoint(record); err == nil && c.Entry != nil {
-			present = append(present, origins.Origin{Service: c.Entry.Service, Version: c.Entry.Version})
-		}
-	}
-	s.r.origins.Observe(time.Now(), present)
-	return nil
-}
-
 // save saves the begun streams of all routers if this is the router for that, and otherwise
 // sends it those of this router at once.
 func (s *streamOrigins) save(ctx context.Context) {
@@ -363,15 +241,3 @@
 	defer cancel()
 	return s.r.adapter.SaveBegun(ctx, list)
 }
-
-// answer returns what this router knows of a stream.
-func (r *Router) answer(now time.Time, k origins.Key, services []string) origins.Answer {
-	r.origins.Observe(now, r.endpoints.Versions())
-	a := r.origins.Answer(now, k, services)
-	a.Router = r.s.Name
-	return a
-}
-
-func (r *Router) onQuery(now time.Time, q peers.OriginQuery) origins.Answer {
-	return r.answer(now, q.Stream, q.Services)
-}
