Take no reset or timeout for the end of a response without a length

Callers saw a 200 with a part of the body, framed as whole, or a stream that ended as complete after its first event, when an endpoint began a response without a length before it had read a long body and then reset the connection, and when a silent endpoint acknowledged nothing for 2 s.

Cause: the system tells of the failure of a connection once, to the read or write that comes first; later reads return 0 bytes, as after a FIN. The write of the request was told of the reset, its error was set aside because the endpoint may have responded already, and the read found an end. While an endpoint is watched for silence, ETIMEDOUT counted as one more silence, since it says Timeout() too, and the read after it found an end.

Why it works: a connection keeps its first failure and returns it in place of an end of the data. Beside net/http, where a read and a write may meet, an end of the data waits for the write that fails if the socket is closed.

--- a/connection/endpoint/client.go
+++ b/connection/endpoint/client.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/stoatmount/stoatmount/connection/http1"
 )
 
 const (
@@ -49,7 +51,13 @@
 		Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3,
 	}}
 	return &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return http1.KeepFailure(conn), nil
+		},
 		TLSClientConfig:        tlsConfig,
 		TLSHandshakeTimeout:    dialTimeout,
 		DisableCompression:     true,
--- a/connection/endpoint/client_test.go
+++ b/connection/endpoint/client_test.go
@@ -215,3 +215,29 @@
 		_ = response.Body.Close()
 	}
 }
+
+func TestResponseThatIsResetBesideItsRequestIsNotWhole(t *testing.T) {
+	c := qt.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for conn, err := listener.Accept(); err == nil; conn, err = listener.Accept() {
+			_, _ = io.ReadFull(conn, make([]byte, 100))
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+protocol.HeaderRequestID+": r1.1\r\n\r\nhalf")
+			time.Sleep(50 * time.Millisecond) // so that the response arrives before the reset
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}
+	}()
+	address := netip.MustParseAddrPort(listener.Addr().String())
+	for range 20 { // the reset is told to the write or to the read
+		response, refusal := NewClient(nil).Do(context.Background(), nonIdempotentRequest(address, strings.Repeat("x", 24<<20)))
+		if refusal != nil {
+			continue // the write ended before the head was read
+		}
+		_, err := io.ReadAll(response.Body)
+		c.Check(err, qt.IsNotNil)
+		c.Check(response.Body.Close(), qt.IsNil)
+	}
+}
--- a/connection/forward/attempt.go
+++ b/connection/forward/attempt.go
@@ -118,14 +118,7 @@
 		FetchFrom: a.grant.FetchFrom, Priority: j.priority}
 	head := j.s.Codec.EncodeRequest(j.x.Head, s, int64(len(j.x.Body)))
 	a.sentAt = time.Now()
-	var err error
-	if len(j.x.Body) == 0 {
-		_, err = a.conn.Write(head)
-	} else {
-		buffers := net.Buffers{head, j.x.Body}
-		_, err = buffers.WriteTo(a.conn.Conn)
-	}
-	return err
+	return a.conn.WriteAll(head, j.x.Body)
 }
 
 // firstByteFactor bounds the wait for the first byte of the response to a request
--- a/connection/forward/relay.go
+++ b/connection/forward/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -169,9 +168,7 @@
 	fields := []http1.Field{{Name: relayFieldRuns, Value: strconv.Itoa(j.runs)}}
 	head := j.s.Codec.EncodeRelay(j.x.Head, o, int64(len(j.x.Body)), fields)
 	a.sentAt = time.Now()
-	buffers := net.Buffers{head, j.x.Body}
-	_, err := buffers.WriteTo(a.conn.Conn)
-	return err
+	return a.conn.WriteAll(head, j.x.Body)
 }
 
 // streamID returns the id of the attempt that began the stream.
--- a/connection/http1/pool.go
+++ b/connection/http1/pool.go
@@ -35,6 +35,7 @@
 	expires time.Time
 
 	ackTimeout time.Duration // TCP_USER_TIMEOUT in force
+	failure    failure
 
 	silence   time.Duration // after which onSilence is called; 0 is never
 	onSilence func() error
@@ -43,6 +44,27 @@
 	aheadErr  error           // that ended ReadAhead
 }
 
+// Write implements io.Writer.
+func (c *Conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.failure.note(err)
+	return n, err
+}
+
+// WriteAll writes the parts of a message.
+func (c *Conn) WriteAll(parts ...[]byte) error {
+	buffers := net.Buffers(parts)
+	_, err := buffers.WriteTo(c.Conn)
+	c.failure.note(err)
+	return err
+}
+
+// read reads from the connection.
+func (c *Conn) read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	return n, c.failure.ofRead(err)
+}
+
 // SetAckTimeout sets the silence of the other end after which the connection is closed, whether
 // bytes wait for an acknowledgement or only keep-alive probes do.
 func (c *Conn) SetAckTimeout(d time.Duration) {
--- a/connection/http1/silence.go
+++ b/connection/http1/silence.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"net"
+	"os"
 	"time"
 
 	"github.com/pkg/errors"
@@ -36,7 +36,7 @@
 	go func() {
 		defer close(done)
 		buf := make([]byte, readBufferBytes)
-		n, err := c.Conn.Read(buf)
+		n, err := c.read(buf)
 		c.ahead, c.aheadErr = buf[:n], err
 		if n > 0 {
 			err = nil
@@ -57,14 +57,13 @@
 			return 0, c.aheadErr
 		}
 		if c.silence <= 0 {
-			return c.Conn.Read(p)
+			return c.read(p)
 		}
 		if err := c.setReadDeadline(time.Now().Add(c.silence)); err != nil {
 			return 0, err
 		}
-		n, err := c.Conn.Read(p)
-		var t net.Error
-		if n > 0 || !errors.As(err, &t) || !t.Timeout() {
+		n, err := c.read(p)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) { // a timeout of TCP is a failure
 			return n, err
 		}
 		if err := c.ctx.Err(); err != nil {
