Take no head that another response continues for a response

Callers got the body of another request as a success, or a 200 with an empty body, and bookings that may have run were sent to a second endpoint, when an endpoint or another router stopped in the middle of a head and the response to another request followed on the connection.

Cause: where the first head stops inside a field's value or the reason phrase, the status line of the next one becomes the rest of it, and the fields of both count as one head. The id and the signature are the first one's; the length, the body and "not run" are the other's.

In stoatmount serve, which reads with net/http, a response with two ids was taken (a new row of endpoint.TestResponsesAreChecked).

Why it works: a status line at the end of a value or of the reason phrase is where one response cuts off another; such a head is malformed, and the outcome of its request unknown. serve takes a response only if it names one id.

Cost: an endpoint that quotes a status line in a field of its own gets its responses refused; no field that the platform defines does.

--- a/connection/endpoint/client_test.go
+++ b/connection/endpoint/client_test.go
@@ -142,6 +142,9 @@
 		{"crossed", func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set(protocol.HeaderRequestID, "other.1")
 		}, outcome.AnswerCrossed, outcome.RunUnknown},
+		{"head continued by another one", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Add(protocol.HeaderRequestID, "other.1")
+		}, outcome.AnswerCrossed, outcome.RunUnknown},
 		{"refused as not run", func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set(protocol.HeaderNotRun, "true")
 			w.WriteHeader(http.StatusServiceUnavailable)
--- a/connection/endpoint/request.go
+++ b/connection/endpoint/request.go
@@ -147,7 +147,7 @@
 // checkResponse returns a refusal for a response to another request, and for one
 // that says that the endpoint has not run the request.
 func (r *Request) checkResponse(response *http.Response) *outcome.Refusal {
-	if echoed := response.Header.Get(protocol.HeaderRequestID); echoed != r.ID {
+	if echoed := response.Header.Values(protocol.HeaderRequestID); len(echoed) != 1 || echoed[0] != r.ID {
 		return outcome.Unknown(outcome.AnswerCrossed, "the endpoint answered another request")
 	}
 	if response.Header.Get(protocol.HeaderNotRun) != "true" || response.StatusCode < http.StatusBadRequest {
--- a/connection/http1/cut_test.go
+++ b/connection/http1/cut_test.go
@@ -74,6 +74,22 @@
 	t.Logf("%d cuts", cuts)
 }
 
+func TestCutHeadIsNotContinuedByAnotherResponse(t *testing.T) {
+	c := qt.New(t)
+	cuts := 0
+	for _, first := range cutResponses {
+		begin := strings.LastIndex(first, "HTTP/1.") // of the final head
+		for n := begin + 1; n < strings.LastIndex(first[:strings.Index(first[begin:], "\r\n\r\n")+begin+4], "\r\n")+2; n++ {
+			for _, next := range cutResponses {
+				h, body, err := readMessage(strings.NewReader(first[:n]+next), false)
+				c.Check(err, qt.IsNotNil, qt.Commentf("%q, then %q: %+v %q", first[:n], next, h, body))
+				cuts++
+			}
+		}
+	}
+	t.Logf("%d cuts", cuts)
+}
+
 func TestTrailerThatCannotBeReadIsNoEnd(t *testing.T) {
 	c := qt.New(t)
 	for _, end := range []string{"0\r\nSum\n\r\n", "0\r\n" + strings.Repeat("Sum: 1\r\n", maxTrailerBytes/8+1) + "\r\n", "0\r\n"} {
--- a/connection/http1/head.go
+++ b/connection/http1/head.go
@@ -139,6 +139,9 @@
 		if !found || !isToken(name) || !isFieldValue(value) {
 			return nil, errors.Wrap(ErrMalformed, "invalid header field")
 		}
+		if !request && holdsStatusLine(value) {
+			return nil, errors.Wrap(ErrMalformed, "head cut off by another response")
+		}
 		h.Fields = append(h.Fields, Field{Name: name, Value: value})
 	}
 	return h, nil
@@ -193,6 +196,9 @@
 	if err != nil || len(code) != 3 || status < 100 {
 		return errors.Wrap(ErrMalformed, "invalid status line")
 	}
+	if holdsStatusLine(reason) {
+		return errors.Wrap(ErrMalformed, "status line cut off by another response")
+	}
 	h.Status, h.Reason = status, reason
 	return h.parseVersion(proto)
 }
@@ -311,6 +317,19 @@
 	return true
 }
 
+// holdsStatusLine reports whether a status line ends a text: the sender stopped there, and the fields
+// that follow are those of another response.
+func holdsStatusLine(s string) bool {
+	const prefix, code = "HTTP/1.", "0 200"
+	i := strings.LastIndex(s, prefix)
+	if i < 0 || len(s) < i+len(prefix)+len(code) {
+		return false
+	}
+	rest := s[i+len(prefix):]
+	_, err := strconv.ParseUint(rest[2:len(code)], 10, 16)
+	return err == nil && rest[1] == ' ' && (len(rest) == len(code) || rest[len(code)] == ' ')
+}
+
 func isTarget(s string) bool {
 	for i := 0; i < len(s); i++ {
 		if c := s[i]; c <= ' ' || c == 0x7f {
