Believe a response without an id only as the first on its connection

Callers were told 503, not run, for bookings that an endpoint had run, or a booking ran at both endpoints. The endpoint had written an earlier refusal once more, without a request id, on a kept connection.

readHead took a response that names no request for the response to this one. Endpoints echo the id, so a refusal that names none is this request's for certain only where the connection has carried nothing before.

Such a response is now discarded and the endpoint's own is awaited; a request that may be repeated is handed to another endpoint in the way of a silent attempt, from the budget of retries and as one more run.

readHead, checkHead and drain move to response.go; drain no longer makes a connection usable again that was not to be reused.

--- a/connection/forward/attempt.go
+++ b/connection/forward/attempt.go
@@ -23,12 +23,6 @@
 	// maxBufferedTotal all of them. It is a part of the memory of a small host.
 	maxBufferedBytes = 8 << 20
 	maxBufferedTotal = 48 << 20
-	// maxMismatched bounds the responses to other requests that are discarded
-	// while waiting for the response to this one.
-	maxMismatched = 2
-	// maxDrainBytes and drainTimeout bound the body of a response that is not passed on.
-	maxDrainBytes = 64 << 10
-	drainTimeout  = 20 * time.Millisecond
 )
 
 // attempt is one send of a request to an endpoint.
@@ -45,7 +39,8 @@
 	response     Response
 	body         *http1.Body
 	retryAllowed bool // the retry that follows already counts against the budget
-	noReuse      bool // the connection carried a response to another request, or an unread rest
+	noReuse      bool // the connection carried a response that may be to another request, or an unread rest
+	hadResponse  bool // the connection carried a response before the one that is awaited
 
 	relayed  bool        // to another router, not to an endpoint
 	reached  bool        // a connection was established
@@ -159,62 +154,6 @@
 		j.s.Endpoints.CountHealthy(time.Now(), j.balanceRequest(service)) > 0
 }
 
-// readHead reads the head of the response to this request.
-func (j *job) readHead(a *attempt) error {
-	defer j.watchSilence(a)()
-	if err := j.awaitFirstByte(a); err != nil {
-		return err
-	}
-	for mismatched := 0; ; mismatched++ {
-		head, err := http1.ReadResponse(a.conn.R, responseHeadBytes, j.x.Head.Method)
-		if err != nil {
-			return err
-		}
-		a.firstAt = time.Now()
-		j.s.Links.Proved(a.firstAt, a.grant)
-		response := j.s.Codec.DecodeResponse(head)
-		if response.Leaving && (response.EndpointID == "" || response.EndpointID == a.grant.ID) && j.s.Endpoints.RecordLeaving(a.firstAt, a.grant) {
-			j.s.OnLeaving(a.grant)
-		}
-		if response.RetryAfter > 0 {
-			j.s.Endpoints.RecordRetryAfter(a.firstAt, a.grant, response.RetryAfter)
-		}
-		body := http1.NewBody(a.conn.R, head.Length)
-		if response.RequestID == "" || response.RequestID == j.req.ID {
-			a.head, a.response, a.body = head, response, body
-			j.recordAnnouncement(a)
-			if response.HasLoad {
-				j.s.Endpoints.RecordLoad(a.firstAt, a.grant, response.Load.Running+response.Load.Waiting)
-			}
-			return j.checkHead(a)
-		}
-		a.noReuse = true
-		j.rec.MismatchedResponses++
-		if mismatched >= maxMismatched || head.Close {
-			return errors.New("response to another request")
-		}
-		if _, err := body.ReadAll(maxDrainBytes); err != nil {
-			return errors.Wrap(err, "response to another request")
-		}
-	}
-}
-
-// checkHead rejects a success that the endpoint did not sign for this request,
-// and one whose body is encoded.
-func (j *job) checkHead(a *attempt) error {
-	if a.response.NotRun {
-		return nil
-	}
-	success := a.head.Status >= 200 && a.head.Status < 300
-	if success && (!a.response.Signed || a.response.RequestID != j.req.ID) {
-		return errors.New("success without the endpoint's signature or the request's id")
-	}
-	if success && a.head.Get("Content-Encoding") != "" {
-		return errors.New("response body has a Content-Encoding")
-	}
-	return nil
-}
-
 // classify returns the failure that an error means for the endpoint. A request
 // whose context ended within its objective says nothing about the endpoint.
 func (j *job) classify(a *attempt, err error) balance.Failure {
@@ -280,18 +219,6 @@
 	return j.route.Retryable() && j.runs < j.maxRuns
 }
 
-// drain reads a short response that is not passed on, so that its connection
-// can be reused. A body that has not arrived yet is not worth the wait.
-func (j *job) drain(a *attempt) {
-	a.noReuse = true // an unread rest would be taken for the next response
-	if a.head.Length == http1.UntilClose || a.conn.SetReadDeadline(time.Now().Add(drainTimeout)) != nil {
-		return
-	}
-	if _, err := a.body.ReadAll(maxDrainBytes); err == nil {
-		a.noReuse = false
-	}
-}
-
 // respond passes a buffered response on to the caller.
 func (j *job) respond(buffered *bufferedResponse) bool {
 	j.rec.Status, j.rec.Code = buffered.head.Status, outcome.OK
--- a/connection/forward/connect.go
+++ b/connection/forward/connect.go
@@ -39,6 +39,7 @@
 			j.s.Links.Connected(time.Now(), a.grant)
 		}
 	}
+	a.hadResponse = a.conn.Received()
 	a.conn.SetAckTimeout(j.ackTimeout())
 	conn := a.conn
 	a.stopWatch = context.AfterFunc(j.ctx, func() {
--- a/connection/forward/record.go
+++ b/connection/forward/record.go
@@ -36,7 +36,7 @@
 	Relays              []string      // addresses of the routers to which this one passed it on
 	Runs                int           // endpoints that may have run it, so far
 	Dials               int           // connections opened for it
-	MismatchedResponses int           // responses to other requests on its connection
+	MismatchedResponses int           // responses on its connection that were to other requests, or may have been
 	HeadSent            bool          // the head of the response was sent to the caller
 	Events              int           // of a stream, passed on
 	Resumes             string        // id of the caller's attempt that began the stream; "" if this one did
--- /dev/null
+++ b/connection/forward/response.go
@@ -0,0 +1,111 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/stoatmount/stoatmount/connection/http1"
+)
+
+const (
+	// maxMismatched bounds the responses to other requests that are discarded
+	// while waiting for the response to this one.
+	maxMismatched = 2
+	// maxDrainBytes and drainTimeout bound the body of a response that is not passed on.
+	maxDrainBytes = 64 << 10
+	drainTimeout  = 20 * time.Millisecond
+)
+
+// readHead reads the head of the response to this request.
+func (j *job) readHead(a *attempt) error {
+	defer j.watchSilence(a)()
+	if err := j.awaitFirstByte(a); err != nil {
+		return err
+	}
+	for mismatched := 0; ; mismatched++ {
+		head, err := http1.ReadResponse(a.conn.R, responseHeadBytes, j.x.Head.Method)
+		if err != nil {
+			return err
+		}
+		a.firstAt = time.Now()
+		j.s.Links.Proved(a.firstAt, a.grant)
+		response := j.s.Codec.DecodeResponse(head)
+		if response.Leaving && (response.EndpointID == "" || response.EndpointID == a.grant.ID) && j.s.Endpoints.RecordLeaving(a.firstAt, a.grant) {
+			j.s.OnLeaving(a.grant)
+		}
+		if response.RetryAfter > 0 {
+			j.s.Endpoints.RecordRetryAfter(a.firstAt, a.grant, response.RetryAfter)
+		}
+		body := http1.NewBody(a.conn.R, head.Length)
+		if a.isOwnResponse(response.RequestID, j.req.ID) {
+			a.noReuse = a.noReuse || response.RequestID == "" // a copy of it could not be told from the next one
+			a.head, a.response, a.body = head, response, body
+			j.recordAnnouncement(a)
+			if response.HasLoad {
+				j.s.Endpoints.RecordLoad(a.firstAt, a.grant, response.Load.Running+response.Load.Waiting)
+			}
+			return j.checkHead(a)
+		}
+		a.noReuse, a.hadResponse = true, true
+		j.rec.MismatchedResponses++
+		if mismatched >= maxMismatched || head.Close {
+			return errors.New("response to another request")
+		}
+		if _, err := body.ReadAll(maxDrainBytes); err != nil {
+			return errors.Wrap(err, "response to another request")
+		}
+		if response.RequestID == "" {
+			if err := j.tryElsewhere(a); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// isOwnResponse reports whether a response is to this request. One that names no request can be a copy
+// of an earlier one, unless the connection has carried none.
+func (a *attempt) isOwnResponse(id, own string) bool {
+	return id == own || id == "" && !a.hadResponse
+}
+
+// tryElsewhere sends a request that may be repeated to another endpoint after a response that can be a refusal
+// of this request or a copy of an earlier response. The endpoint's own response is taken if it comes first.
+func (j *job) tryElsewhere(a *attempt) error {
+	if !j.mayRetryServerError() || j.overlaps() || a.conn.R.Buffered() > 0 {
+		return nil
+	}
+	if err := a.conn.OnSilence(j.ctx, 0, nil); err != nil {
+		return err
+	}
+	return j.takeOver(a)
+}
+
+// checkHead rejects a success that the endpoint did not sign for this request,
+// and one whose body is encoded.
+func (j *job) checkHead(a *attempt) error {
+	if a.response.NotRun {
+		return nil
+	}
+	success := a.head.Status >= 200 && a.head.Status < 300
+	if success && (!a.response.Signed || a.response.RequestID != j.req.ID) {
+		return errors.New("success without the endpoint's signature or the request's id")
+	}
+	if success && a.head.Get("Content-Encoding") != "" {
+		return errors.New("response body has a Content-Encoding")
+	}
+	return nil
+}
+
+// drain reads a short response that is not passed on, so that its connection
+// can be reused. A body that has not arrived yet is not worth the wait.
+func (j *job) drain(a *attempt) {
+	noReuse := a.noReuse
+	a.noReuse = true // an unread rest would be taken for the next response
+	if a.head.Length == http1.UntilClose || a.conn.SetReadDeadline(time.Now().Add(drainTimeout)) != nil {
+		return
+	}
+	if _, err := a.body.ReadAll(maxDrainBytes); err == nil {
+		a.noReuse = noReuse
+	}
+}
--- a/connection/forward/takeover.go
+++ b/connection/forward/takeover.go
@@ -50,7 +50,7 @@
 // another endpoint has taken the request over, or another router may reach one: silence alone
 // is no failure.
 func (j *job) onSilence(a *attempt) error {
-	if !j.mayRetryElsewhere(a.grant.Service) || j.silent != nil && j.silent.state.Load() == silentOpen {
+	if !j.mayRetryElsewhere(a.grant.Service) || j.overlaps() {
 		return nil
 	}
 	if !j.rec.HeadSent && j.hasRelay() && j.viaRelay() {
@@ -63,6 +63,9 @@
 	return j.takeOver(a)
 }
 
+// overlaps reports whether the attempt in progress is the successor of one that may still go on.
+func (j *job) overlaps() bool { return j.silent != nil && j.silent.state.Load() == silentOpen }
+
 // hasRelay reports whether there is another router that reaches the service.
 func (j *job) hasRelay() bool {
 	addr, ok := j.s.Links.AcquireRelay(time.Now(), j.relayedService(), j.relays)
--- a/connection/http1/pool.go
+++ b/connection/http1/pool.go
@@ -34,6 +34,7 @@
 	addr    string
 	expires time.Time
 
+	received   bool          // the other end has sent something
 	ackTimeout time.Duration // TCP_USER_TIMEOUT in force
 
 	silence   time.Duration // after which onSilence is called; 0 is never
@@ -43,6 +44,10 @@
 	aheadErr  error           // that ended ReadAhead
 }
 
+// Received reports whether anything was read from the connection, as of an earlier response. A connection that
+// was only opened and kept has received nothing.
+func (c *Conn) Received() bool { return c.received }
+
 // SetAckTimeout sets the silence of the other end after which the connection is closed, whether
 // bytes wait for an acknowledgement or only keep-alive probes do.
 func (c *Conn) SetAckTimeout(d time.Duration) {
--- a/connection/http1/pool_test.go
+++ b/connection/http1/pool_test.go
@@ -101,3 +101,32 @@
 	conn.SetAckTimeout(2 * time.Second)
 	c.Assert(inForce(), qt.Equals, 2000)
 }
+
+// Guards against connections that were only opened being taken for ones that have carried a response, and the reverse.
+func TestConnectionsTellWhetherTheyHaveCarriedAResponse(t *testing.T) {
+	c := qt.New(t)
+	p := NewPool(time.Second)
+	for name, read := range map[string]func(conn *Conn) error{
+		"read": func(conn *Conn) error { _, err := conn.R.Peek(1); return err },
+		"read with a bound on silence": func(conn *Conn) error {
+			if err := conn.OnSilence(context.Background(), time.Minute, nil); err != nil {
+				return err
+			}
+			_, err := conn.R.Peek(1)
+			return err
+		},
+		"read ahead": func(conn *Conn) error {
+			err := conn.OnSilence(context.Background(), 0, nil)
+			<-conn.ReadAhead(func(error) {})
+			return err
+		},
+	} {
+		conn, other := connPair(c, p)
+		p.Put(conn, time.Now(), 0, 4)
+		c.Assert(p.Get(conn.addr, time.Now()).Received(), qt.IsFalse, qt.Commentf("%s", name))
+		_, err := other.Write([]byte("H"))
+		c.Assert(err, qt.IsNil)
+		c.Assert(read(conn), qt.IsNil)
+		c.Assert(conn.Received(), qt.IsTrue, qt.Commentf("%s", name))
+	}
+}
--- a/connection/http1/silence.go
+++ b/connection/http1/silence.go
@@ -39,7 +39,7 @@
 		n, err := c.Conn.Read(buf)
 		c.ahead, c.aheadErr = buf[:n], err
 		if n > 0 {
-			err = nil
+			c.received, err = true, nil
 		}
 		woke(err)
 	}()
@@ -57,12 +57,15 @@
 			return 0, c.aheadErr
 		}
 		if c.silence <= 0 {
-			return c.Conn.Read(p)
+			n, err := c.Conn.Read(p)
+			c.received = c.received || n > 0
+			return n, err
 		}
 		if err := c.setReadDeadline(time.Now().Add(c.silence)); err != nil {
 			return 0, err
 		}
 		n, err := c.Conn.Read(p)
+		c.received = c.received || n > 0
 		var t net.Error
 		if n > 0 || !errors.As(err, &t) || !t.Timeout() {
 			return n, err
