Take no Retry-After from a response to another request

Callers were refused with 503 though both endpoints served: each had written a copy of an earlier refusal with Retry-After, which names its request, before its response.

The pause was recorded before the id of the response was looked at, and counted anew from the copy. The original had been read on the same connection and had been kept.

A refusal without an id pauses its endpoint as before. Leaving and working links are believed from a response to another request: they speak of the process at the other end of the connection, and do not end.

--- a/connection/forward/response.go
+++ b/connection/forward/response.go
@@ -34,7 +34,7 @@
 		if response.Leaving && (response.EndpointID == "" || response.EndpointID == a.grant.ID) && j.s.Endpoints.RecordLeaving(a.firstAt, a.grant) {
 			j.s.OnLeaving(a.grant)
 		}
-		if response.RetryAfter > 0 {
+		if response.RetryAfter > 0 && (response.RequestID == "" || response.RequestID == j.req.ID) { // the time of a copy began with its original
 			j.s.Endpoints.RecordRetryAfter(a.firstAt, a.grant, response.RetryAfter)
 		}
 		body := http1.NewBody(a.conn.R, head.Length)
