Ask another endpoint also after a response to another request

A read got 504 at its time limit when its endpoint wrote an earlier response, with that one's id, in place of its own. It may be repeated, and another endpoint was there.

The wait for the first byte, after which another endpoint is asked, ended with the first response, whatever request that named.

The wait begins again after each discarded response.

--- a/connection/forward/response.go
+++ b/connection/forward/response.go
@@ -20,10 +20,10 @@
 // readHead reads the head of the response to this request.
 func (j *job) readHead(a *attempt) error {
 	defer j.watchSilence(a)()
-	if err := j.awaitFirstByte(a); err != nil {
-		return err
-	}
 	for mismatched := 0; ; mismatched++ {
+		if err := j.awaitFirstByte(a); err != nil {
+			return err
+		}
 		head, err := http1.ReadResponse(a.conn.R, responseHeadBytes, j.x.Head.Method)
 		if err != nil {
 			return err
