--- a/connection/http1/pool.go
+++ b/connection/http1/pool.go
@@ -34,6 +34,7 @@
 	addr    string
 	expires time.Time
 
+	received   bool          // the other end has sent something
 	ackTimeout time.Duration // TCP_USER_TIMEOUT in force
 	failure    failure
 
@@ -62,9 +63,14 @@
 // read reads from the connection.
 func (c *Conn) read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.received = c.received || n > 0
 	return n, c.failure.ofRead(err)
 }
 
+// Received reports whether anything was read from the connection, as of an earlier response. A connection that
+// was only opened and kept has received nothing.
+func (c *Conn) Received() bool { return c.received }
+
 // SetAckTimeout sets the silence of the other end after which the connection is closed, whether
 // bytes wait for an acknowledgement or only keep-alive probes do.
 func (c *Conn) SetAckTimeout(d time.Duration) {
