Take a stream for complete without an event only on a second endpoint's word

An operator saw streams that broke off and then ended as if they were complete (ORDER, MIXED).

What callers saw: after 3 of 6 events, a clean end. After a head alone, a complete response with status 200.

Cause: the end of an endpoint's body ended the stream, also when the response held no event. A sound endpoint sends that when nothing is left after Last-Event-Id, and an endpoint that fails after its head can send the same bytes; id, signature and framing do not tell.

Mend: after a break such an end counts when a second endpoint says the same, or when as many events were passed on as the output may have tokens. Otherwise another endpoint is asked within the route's attempts and the budget, and if none may be, the caller sees that the stream broke off and can take it up after its last event. A response of its own without events is asked for once more and passed on if that does no better, so that a caller that takes a stream up after its last event gets its end. Without a length and any event it was cut after its head: a retry, or 502. The endpoint is not held to be broken for an end that may be right. A wrong end breaks ORDER and cannot be put right; a right one that is not believed costs the caller one attempt.

--- a/connection/forward/attempt.go
+++ b/connection/forward/attempt.go
@@ -41,6 +41,7 @@
 	firstAt      time.Time // first byte of the response
 	begunAt      time.Time // first event of a stream
 	lastAt       time.Time // last event of a stream
+	events       int       // of a stream, passed on
 	head         *http1.Head
 	response     Response
 	body         *http1.Body
@@ -266,7 +267,7 @@
 	if a.head.Status >= http.StatusInternalServerError {
 		a.failure = balance.ServerError
 		j.endFailed(a)
-		j.lastFailure = buffered
+		j.lastResponse = buffered
 		return !j.mayRetryServerError() && j.respond(buffered)
 	}
 	j.release(a)
--- a/connection/forward/relay.go
+++ b/connection/forward/relay.go
@@ -238,7 +238,7 @@
 	}
 	if code == outcome.EndpointFailed && j.mayRetryServerError() {
 		if a.response.Signed {
-			j.lastFailure = &bufferedResponse{head: a.head, body: data}
+			j.lastResponse = &bufferedResponse{head: a.head, body: data}
 		}
 		a.err = errors.Errorf("router ended with %s", code)
 		return j.relayFailed(a)
@@ -266,9 +266,10 @@
 	}
 	err := j.copyEvents(a)
 	if err == io.EOF {
-		if err := j.x.End(); err != nil {
-			j.rec.Code, j.rec.Error = outcome.CallerGone, err.Error()
-		}
+		err = j.confirmEnd(a)
+	}
+	if err == nil {
+		j.endStream(a)
 		return true
 	}
 	a.err = err
--- a/connection/forward/server.go
+++ b/connection/forward/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -167,18 +166,19 @@
 	priority   int
 	deadline   time.Time
 
-	buffered    int64             // bytes reserved for responses
-	runs        int               // endpoints that may have run it
-	maxRuns     int               // bound on runs
-	refusals    int               // by endpoints, which did not run it
-	tried       []string          // endpoints to exclude from the next attempt
-	lastEventID int64             // last event that the caller has; -1 if none
-	lastFailure *bufferedResponse // server error to pass on if no retry does better
-	mayHaveRun  bool              // it was sent, and whether it ran is not known
-	unreached   int               // endpoints to which no connection could be opened
-	relays      []string          // addresses of the routers to which it was relayed
-	silent      *silentAttempt    // to which the attempt in progress is the successor; nil if there is none
-	successor   *attempt          // took over from the attempt before; nil if there is none
+	buffered     int64             // bytes reserved for responses
+	runs         int               // endpoints that may have run it
+	maxRuns      int               // bound on runs
+	refusals     int               // by endpoints, which did not run it
+	tried        []string          // endpoints to exclude from the next attempt
+	lastEventID  int64             // last event that the caller has; -1 if none
+	lastResponse *bufferedResponse // server error, or stream without events, to pass on if no retry does better
+	ends         int               // endpoints in a row that sent no event and said that the stream has ended
+	mayHaveRun   bool              // it was sent, and whether it ran is not known
+	unreached    int               // endpoints to which no connection could be opened
+	relays       []string          // addresses of the routers to which it was relayed
+	silent       *silentAttempt    // to which the attempt in progress is the successor; nil if there is none
+	successor    *attempt          // took over from the attempt before; nil if there is none
 
 	origin *origins.Origin // of the stream's events; nil before the first
 
@@ -352,8 +352,8 @@
 		j.x.Abort()
 		return
 	}
-	if j.lastFailure != nil {
-		j.respond(j.lastFailure)
+	if j.lastResponse != nil {
+		j.respond(j.lastResponse)
 		return
 	}
 	if j.ctx.Err() != nil {
@@ -395,7 +395,3 @@
 	}
 	return fields
 }
-
-func isEventStream(h *http1.Head) bool {
-	return h.Status == http.StatusOK && strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
-}
--- a/connection/forward/stream.go
+++ b/connection/forward/stream.go
@@ -2,6 +2,8 @@
 
 import (
 	"io"
+	"net/http"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,11 +25,12 @@
 		err = errEndedByCrash
 	}
 	if err == io.EOF {
+		err = j.confirmEnd(a)
+	}
+	if err == nil {
 		j.release(a)
 		j.recordCompletion(a)
-		if err := j.x.End(); err != nil {
-			j.rec.Code, j.rec.Error = outcome.CallerGone, err.Error()
-		}
+		j.endStream(a)
 		return true
 	}
 	a.err = err
@@ -39,16 +42,63 @@
 		return true
 	}
 	a.failure = j.classify(a, err)
+	switch {
+	case !errors.Is(err, errNoEvents):
+	case j.lastEventID >= 0:
+		a.failure = balance.Abandoned // the endpoint may be right
+	case a.head.Length != http1.UntilClose:
+		a.failure = balance.ServerError // counts against the others' errors
+	}
 	j.endFailed(a)
 	return false
 }
 
+// errNoEvents ends an attempt whose response is complete without any event.
+var errNoEvents = errors.New("the response has no event; the end of the stream needs the word of another endpoint")
+
+// endsToConfirm is the number of endpoints that must agree that a stream has ended if the last
+// one sent no event.
+const endsToConfirm = 2
+
+// confirmEnd returns nil if the caller may take the stream for complete at the end of an
+// attempt's response. Of a response without events the router cannot tell whether nothing was left to
+// send or its endpoint failed.
+func (j *job) confirmEnd(a *attempt) error {
+	if a.events > 0 || j.req.TokensOut > 0 && j.rec.Events >= j.req.TokensOut { // an event has at least one token
+		return nil
+	}
+	if a.head.Length == http1.UntilClose && j.lastEventID < 0 {
+		return errNoEvents // cut after the head
+	}
+	if j.ends++; j.ends >= endsToConfirm {
+		return nil
+	}
+	if !j.rec.HeadSent { // it is the endpoint's own response, and not joined to another one
+		j.lastResponse = &bufferedResponse{head: a.head}
+	}
+	return errNoEvents
+}
+
+// endStream completes the caller's response.
+func (j *job) endStream(a *attempt) {
+	if !j.rec.HeadSent {
+		j.writeHead(a.head.Status, j.streamFields(a))
+	}
+	if err := j.x.End(); err != nil {
+		j.rec.Code, j.rec.Error = outcome.CallerGone, err.Error()
+	}
+}
+
+// streamFields returns the fields of the head of a stream.
+func (j *job) streamFields(a *attempt) []http1.Field {
+	return appendRelayFields(responseFields(a.head), j.rec, outcome.OK)
+}
+
 // errCallerConn marks an error of the caller's connection.
 var errCallerConn = errors.New("caller's connection")
 
 func (j *job) copyEvents(a *attempt) error {
 	ev := newEvents(a.body)
-	fields := appendRelayFields(responseFields(a.head), j.rec, outcome.OK)
 	if j.route.Resumable && !a.relayed { // the other router looks after a relayed stream
 		idle := streamIdleTimeout(j.route.GapObjective)
 		if err := a.conn.OnSilence(j.ctx, idle, func() error { return j.onSilence(a) }); err != nil {
@@ -57,9 +107,6 @@
 	}
 	for {
 		b, err := ev.next()
-		if err == io.EOF && !j.rec.HeadSent {
-			j.writeHead(a.head.Status, fields)
-		}
 		if err != nil {
 			return err
 		}
@@ -74,12 +121,14 @@
 			j.recordOrigin(a)
 		}
 		if !j.rec.HeadSent {
-			j.writeHead(a.head.Status, fields)
+			j.writeHead(a.head.Status, j.streamFields(a))
 		}
 		if err := j.x.Write(b.data); err != nil {
 			return errors.Wrap(errCallerConn, err.Error())
 		}
 		j.rec.Events += b.count
+		a.events += b.count
+		j.ends = 0
 		if b.last >= 0 {
 			j.lastEventID = b.last
 		}
@@ -94,3 +143,7 @@
 	j.rec.FirstByte = time.Since(j.rec.Arrived)
 	_ = j.x.WriteHead(status, fields) // only fills a buffer; errors are reported by the write of the first event
 }
+
+func isEventStream(h *http1.Head) bool {
+	return h.Status == http.StatusOK && strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
+}
