Join a stream only to its next event, and pass on no text that is no event

What callers saw: "event: error" or plain lines behind the events, "HTTP/1.1 500" with its fields, a missing event, events twice.

Ids were compared only if there was one, and only the first of what one read returned, so that it depended on the split of the bytes whether a repeated event was found. A response without a length takes in a second head as well.

Mend: each event is looked at by itself and the stream stops before one that does not fit, to go on elsewhere as after any break. Text without any field of an event does not fit anywhere. After a break, the first event needs an id, and the next one where the ids that the caller has were consecutive: PROTOCOL only says that ids increase, so a step of one is required only where the stream itself has shown it. What an endpoint sends as events of its own run is passed on as it is, comments too.

--- a/connection/forward/attempt.go
+++ b/connection/forward/attempt.go
@@ -42,6 +42,7 @@
 	begunAt      time.Time // first event of a stream
 	lastAt       time.Time // last event of a stream
 	events       int       // of a stream, passed on
+	continues    bool      // it goes on with a stream of which the caller has events
 	head         *http1.Head
 	response     Response
 	body         *http1.Body
--- a/connection/forward/events.go
+++ b/connection/forward/events.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"io"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -19,42 +18,39 @@
 
 // events splits the body of a stream into complete events.
 type events struct {
-	body  *http1.Body
-	buf   []byte
-	start int  // of the bytes not returned yet
-	ended bool // the body was read to its end
+	body   *http1.Body
+	accept func(event []byte) error // called for each event in turn; an error ends the stream before it
+	err    error                    // of accept
+	buf    []byte
+	start  int  // of the bytes not returned yet
+	ended  bool // the body was read to its end
 }
 
-func newEvents(body *http1.Body) *events {
-	return &events{body: body, buf: make([]byte, 0, eventBufferBytes)}
+func newEvents(body *http1.Body, accept func(event []byte) error) *events {
+	return &events{body: body, accept: accept, buf: make([]byte, 0, eventBufferBytes)}
 }
 
 // errPartialEvent is returned for a stream that ended inside an event.
 var errPartialEvent = errors.New("stream ended inside an event")
 
-// batch holds complete events that were read together. The ids are -1 if no
-// event has one; data is valid until the next read.
-type batch struct {
-	data        []byte
-	count       int
-	first, last int64
-}
-
 // next returns the complete events that are buffered, blocking for at least
-// one. At the end of a complete body it returns io.EOF.
-func (e *events) next() (batch, error) {
+// one. They are valid until the next read. At the end of a complete body it returns io.EOF.
+func (e *events) next() ([]byte, error) {
 	for {
-		if b := e.takeEvents(); b.count > 0 {
-			return b, nil
+		if taken := e.takeEvents(); len(taken) > 0 {
+			return taken, nil
+		}
+		if e.err != nil {
+			return nil, e.err
 		}
 		if e.ended {
 			if e.start < len(e.buf) {
-				return batch{}, errPartialEvent
+				return nil, errPartialEvent
 			}
-			return batch{}, io.EOF
+			return nil, io.EOF
 		}
 		if err := e.fill(); err != nil {
-			return batch{}, err
+			return nil, err
 		}
 	}
 }
@@ -84,25 +80,19 @@
 	return err
 }
 
-// takeEvents returns the complete events at the start of the buffer.
-func (e *events) takeEvents() batch {
-	b := batch{first: -1, last: -1}
+// takeEvents returns the complete events at the start of the buffer, up to one that is not accepted.
+func (e *events) takeEvents() []byte {
 	from := e.start
-	for {
+	for e.err == nil {
 		n := eventLength(e.buf[e.start:])
 		if n == 0 {
-			b.data = e.buf[from:e.start]
-			return b
+			break
 		}
-		if id, ok := eventID(e.buf[e.start : e.start+n]); ok {
-			if b.first < 0 {
-				b.first = id
-			}
-			b.last = id
+		if e.err = e.accept(e.buf[e.start : e.start+n]); e.err == nil {
+			e.start += n
 		}
-		e.start += n
-		b.count++
 	}
+	return e.buf[from:e.start]
 }
 
 // eventLength returns the length of the first event, its blank line included,
@@ -124,25 +114,6 @@
 	}
 }
 
-// eventID returns the value of the event's id line.
-func eventID(p []byte) (int64, bool) {
-	for len(p) > 0 {
-		line := p
-		if i := bytes.IndexByte(p, '\n'); i >= 0 {
-			line, p = p[:i], p[i+1:]
-		} else {
-			p = nil
-		}
-		value, ok := bytes.CutPrefix(line, []byte("id:"))
-		if !ok {
-			continue
-		}
-		id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
-		return id, err == nil
-	}
-	return 0, false
-}
-
 // streamIdleTimeout is how long a stream may send nothing before another endpoint is
 // asked to go on with it.
 func streamIdleTimeout(gap time.Duration) time.Duration {
--- a/connection/forward/server.go
+++ b/connection/forward/server.go
@@ -171,6 +171,7 @@
 	maxRuns      int               // bound on runs
 	refusals     int               // by endpoints, which did not run it
 	tried        []string          // endpoints to exclude from the next attempt
+	ids          numbering         // of the events that the caller has
 	lastEventID  int64             // last event that the caller has; -1 if none
 	lastResponse *bufferedResponse // server error, or stream without events, to pass on if no retry does better
 	ends         int               // endpoints in a row that sent no event and said that the stream has ended
--- a/connection/forward/stream.go
+++ b/connection/forward/stream.go
@@ -98,7 +98,8 @@
 var errCallerConn = errors.New("caller's connection")
 
 func (j *job) copyEvents(a *attempt) error {
-	ev := newEvents(a.body)
+	a.continues = j.rec.HeadSent && j.lastEventID >= 0
+	ev := newEvents(a.body, func(event []byte) error { return j.acceptEvent(a, event) })
 	if j.route.Resumable && !a.relayed { // the other router looks after a relayed stream
 		idle := streamIdleTimeout(j.route.GapObjective)
 		if err := a.conn.OnSilence(j.ctx, idle, func() error { return j.onSilence(a) }); err != nil {
@@ -106,13 +107,10 @@
 		}
 	}
 	for {
-		b, err := ev.next()
+		data, err := ev.next()
 		if err != nil {
 			return err
 		}
-		if b.first >= 0 && b.first <= j.lastEventID {
-			return errors.Errorf("event %d was already passed on", b.first)
-		}
 		a.lastAt = time.Now()
 		if a.begunAt.IsZero() {
 			a.begunAt = a.lastAt
@@ -123,15 +121,9 @@
 		if !j.rec.HeadSent {
 			j.writeHead(a.head.Status, j.streamFields(a))
 		}
-		if err := j.x.Write(b.data); err != nil {
+		if err := j.x.Write(data); err != nil {
 			return errors.Wrap(errCallerConn, err.Error())
 		}
-		j.rec.Events += b.count
-		a.events += b.count
-		j.ends = 0
-		if b.last >= 0 {
-			j.lastEventID = b.last
-		}
 	}
 }
 
