Do not resume a stream behind an event without an id

What callers saw: two events without ids, and behind them a whole second run.

Cause: without an id there is nothing to go on from, and the request was sent again as it had come.

Mend: after an event without an id the request does not run again within its response. The caller sees that the stream broke off, as on a route that may not be resumed.

--- a/connection/forward/attempt.go
+++ b/connection/forward/attempt.go
@@ -157,7 +157,7 @@
 // mayRetryElsewhere reports whether the request may also run at another
 // endpoint of the service.
 func (j *job) mayRetryElsewhere(service string) bool {
-	return j.route.Retryable() && j.route.Objective > 0 && j.runs < j.maxRuns &&
+	return j.mayRunAgain() && j.route.Objective > 0 && j.runs < j.maxRuns &&
 		j.s.Endpoints.CountHealthy(time.Now(), j.balanceRequest(service)) > 0
 }
 
--- a/connection/forward/relay.go
+++ b/connection/forward/relay.go
@@ -296,7 +296,7 @@
 	j.mayHaveRun = true
 	code := outcome.OK
 	switch {
-	case !j.route.Retryable() || j.runs >= j.maxRuns:
+	case !j.mayRunAgain() || j.runs >= j.maxRuns:
 		code = outcome.EndpointFailed
 	case !a.retryAllowed && !j.s.RetryBudget.Allow(time.Now(), a.grant.Service):
 		code = outcome.RetryBudgetSpent
--- a/connection/forward/sequence.go
+++ b/connection/forward/sequence.go
@@ -76,10 +76,14 @@
 	}
 	a.events++
 	j.rec.Events++
-	j.ends = 0
+	j.ends, j.unnumbered = 0, b.id < 0
 	if b.id >= 0 {
 		j.ids.record(j.lastEventID, b.id)
 		j.lastEventID = b.id
 	}
 	return nil
 }
+
+// mayRunAgain reports whether another endpoint may run the request, also within its response: after an
+// event without an id, no endpoint can be told where to go on.
+func (j *job) mayRunAgain() bool { return j.route.Retryable() && !j.unnumbered }
--- a/connection/forward/server.go
+++ b/connection/forward/server.go
@@ -172,6 +172,7 @@
 	refusals     int               // by endpoints, which did not run it
 	tried        []string          // endpoints to exclude from the next attempt
 	ids          numbering         // of the events that the caller has
+	unnumbered   bool              // the last event that the caller has has no id
 	lastEventID  int64             // last event that the caller has; -1 if none
 	lastResponse *bufferedResponse // server error, or stream without events, to pass on if no retry does better
 	ends         int               // endpoints in a row that sent no event and said that the stream has ended
@@ -329,7 +330,7 @@
 		}
 	default:
 		j.mayHaveRun = true
-		if !j.route.Retryable() {
+		if !j.mayRunAgain() {
 			return outcome.EndpointFailed
 		}
 		if j.runs >= j.maxRuns {
