Keep a silent stream when another endpoint's answer cannot go on with it

What callers saw: a stream broken off 1 s into a silence of 1.3 s of a sound endpoint, because the endpoint that was asked to go on answered at once with 404, 204 or a body that is no stream.

Cause: any status below 500 closed the silent attempt, though such an answer is of no use to a caller that has a part of a stream.

--- a/connection/forward/takeover.go
+++ b/connection/forward/takeover.go
@@ -100,7 +100,7 @@
 		j.endFailed(b)
 		b, j.successor = j.successor, nil
 	}
-	if b.err == nil && !b.response.NotRun && b.head.Status < http.StatusInternalServerError {
+	if j.takesOver(b) {
 		s.close()
 	}
 	if s.goOn() {
@@ -114,6 +114,15 @@
 	return errTakenOver
 }
 
+// takesOver reports whether the response of an attempt is better than waiting on. A stream of which the
+// caller has a part can only go on with another stream.
+func (j *job) takesOver(b *attempt) bool {
+	if b.err != nil || b.response.NotRun || j.rec.HeadSent && !isEventStream(b.head) {
+		return false
+	}
+	return b.head.Status < http.StatusInternalServerError
+}
+
 // endUnused ends an attempt whose response, if there is one, is not passed on.
 func (j *job) endUnused(b *attempt) {
 	if b.err == nil {
