--- a/connection/forward/attempt.go
+++ b/connection/forward/attempt.go
@@ -35,6 +35,8 @@
 	firstAt      time.Time // first byte of the response
 	begunAt      time.Time // first event of a stream
 	lastAt       time.Time // last event of a stream
+	events       int       // of a stream, passed on
+	continues    bool      // it goes on with a stream of which the caller has events
 	head         *http1.Head
 	response     Response
 	body         *http1.Body
@@ -143,7 +145,7 @@
 // mayRetryElsewhere reports whether the request may also run at another
 // endpoint of the service.
 func (j *job) mayRetryElsewhere(service string) bool {
-	return j.route.Retryable() && j.route.Objective > 0 && j.runs < j.maxRuns &&
+	return j.mayRunAgain() && j.route.Objective > 0 && j.runs < j.maxRuns &&
 		j.s.Endpoints.CountHealthy(time.Now(), j.balanceRequest(service)) > 0
 }
 
@@ -198,7 +200,7 @@
 	if a.head.Status >= http.StatusInternalServerError {
 		a.failure = balance.ServerError
 		j.endFailed(a)
-		j.lastFailure = buffered
+		j.lastResponse = buffered
 		return !j.mayRetryServerError() && j.respond(buffered)
 	}
 	j.release(a)
