Try another endpoint also after a silence inside a response's head

Reads and resumable streams got 504 at their deadline when an endpoint stopped in the middle of its response's head and kept the connection open, though another endpoint could serve them.

Cause: silence was watched up to the first byte of a response, and then between the events of a stream. Responses of other routers are watched to the end of the head already.

Before: TestEndpointThatFallsSilentInItsHeadIsTakenOver got 504. A trial with heads that stop after 10, 20, ... 100 bytes: 504 for 10 of 10 reads and 10 of 10 streams. Now: the test passes, 10 of 10 and 10 of 10 are served after two objectives. Bookings and streams that may not be resumed get 504 as before.

Why it works: the same watch covers the whole head, with the same bounds: another endpoint, the budget, and the silent one is closed only once the other responded.

27 tests of platform about silence, relays, crashes, responses and retries pass with the race detector.

--- a/connection/forward/attempt.go
+++ b/connection/forward/attempt.go
@@ -121,7 +121,7 @@
 	return a.conn.WriteAll(head, j.x.Body)
 }
 
-// firstByteFactor bounds the wait for the first byte of the response to a request
+// firstByteFactor bounds the silence up to the end of the head of the response to a request
 // that may be retried, as a multiple of its objective. After it another endpoint is
 // tried. It is not 1, because a second endpoint processes the prompt again.
 const firstByteFactor = 2
@@ -129,20 +129,14 @@
 // errSlowFirstByte ends an attempt in favour of another router.
 var errSlowFirstByte = errors.New("no first byte in time; trying another router")
 
-// awaitFirstByte waits for the response to begin. If the request may be retried elsewhere and its
-// deadline is at least two such waits away, another endpoint is tried after firstByteFactor objectives.
-func (j *job) awaitFirstByte(a *attempt) error {
-	firstByteTimeout := firstByteFactor * j.route.Objective
-	if !j.mayRetryElsewhere(a.grant.Service) || time.Until(j.deadline) < 2*firstByteTimeout {
-		return nil
-	}
-	if err := a.conn.OnSilence(j.ctx, firstByteTimeout, func() error { return j.onSilence(a) }); err != nil {
-		return err
-	}
-	if _, err := a.conn.R.Peek(1); errors.Is(err, errTakenOver) || errors.Is(err, errSlowFirstByte) {
-		return err
-	}
-	return a.conn.OnSilence(j.ctx, 0, nil)
+// watchHead makes reads of the head try another endpoint after a silence of firstByteFactor objectives, if the
+// request may be retried elsewhere and its deadline is at least two such waits away. It reports whether it does.
+func (j *job) watchHead(a *attempt) (bool, error) {
+	silence := firstByteFactor * j.route.Objective
+	if !j.mayRetryElsewhere(a.grant.Service) || time.Until(j.deadline) < 2*silence {
+		return false, nil
+	}
+	return true, a.conn.OnSilence(j.ctx, silence, func() error { return j.onSilence(a) })
 }
 
 // mayRetryElsewhere reports whether the request may also run at another
@@ -155,7 +149,8 @@
 // readHead reads the head of the response to this request.
 func (j *job) readHead(a *attempt) error {
 	defer j.watchSilence(a)()
-	if err := j.awaitFirstByte(a); err != nil {
+	watched, err := j.watchHead(a)
+	if err != nil {
 		return err
 	}
 	for mismatched := 0; ; mismatched++ {
@@ -174,6 +169,11 @@
 		}
 		body := http1.NewBody(a.conn.R, head.Length)
 		if response.RequestID == "" || response.RequestID == j.req.ID {
+			if watched {
+				if err := a.conn.OnSilence(j.ctx, 0, nil); err != nil {
+					return err
+				}
+			}
 			a.head, a.response, a.body = head, response, body
 			j.recordAnnouncement(a)
 			if response.HasLoad {
