Move no part of a KV cache that is over the limit

MoveCache sent the first 256 MB of a longer cache to the other endpoint and reported success.

Cause: a limited reader ends like a whole body, and that the limit was reached was not looked at. Found by reading; no caller reported it.

Before: TestCacheOverTheLimitIsNotMovedInPart, with a limit of 4 bytes, saw 4 of 5 imported and no error. Now: none, and an error that names the limit.

Why it works: one byte over the limit is read, which tells a longer cache from one that ends there.

--- a/connection/endpoint/client.go
+++ b/connection/endpoint/client.go
@@ -32,6 +32,8 @@
 	pooled   *http.Transport
 	unpooled *http.Transport
 	scheme   string
+
+	maxCacheBytes int64 // bounds one exported KV cache
 }
 
 // NewClient returns a Client. tlsConfig may be nil for plain connections.
@@ -39,7 +41,7 @@
 	pooled := newTransport(tlsConfig)
 	unpooled := newTransport(tlsConfig)
 	unpooled.DisableKeepAlives = true
-	client := &Client{pooled: pooled, unpooled: unpooled, scheme: "http"}
+	client := &Client{pooled: pooled, unpooled: unpooled, scheme: "http", maxCacheBytes: maxCacheBytes}
 	if tlsConfig != nil {
 		client.scheme = "https"
 	}
--- a/connection/endpoint/client_test.go
+++ b/connection/endpoint/client_test.go
@@ -244,3 +244,23 @@
 		c.Check(response.Body.Close(), qt.IsNil)
 	}
 }
+
+func TestCacheOverTheLimitIsNotMovedInPart(t *testing.T) {
+	c := qt.New(t)
+	var imported atomic.Int64
+	address := serve(c, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == protocol.PathCacheExport {
+			_, _ = io.WriteString(w, "12345")
+			return
+		}
+		n, _ := io.Copy(io.Discard, r.Body)
+		imported.Add(n)
+	}))
+	for limit, moved := range map[int64]int64{5: 5, 4: 0} {
+		client := NewClient(nil)
+		client.maxCacheBytes = limit
+		imported.Store(0)
+		c.Check(client.MoveCache(context.Background(), address, address, "s") == nil, qt.Equals, moved > 0)
+		c.Check(imported.Load(), qt.Equals, moved)
+	}
+}
--- a/connection/endpoint/query.go
+++ b/connection/endpoint/query.go
@@ -71,10 +71,13 @@
 		return err
 	}
 	defer func() { _ = exported.Body.Close() }()
-	cache, err := io.ReadAll(io.LimitReader(exported.Body, maxCacheBytes))
+	cache, err := io.ReadAll(io.LimitReader(exported.Body, c.maxCacheBytes+1))
 	if err != nil {
 		return errors.WithStack(err)
 	}
+	if int64(len(cache)) > c.maxCacheBytes {
+		return errors.Errorf("KV cache of %s has over %d bytes; it is not moved", session, c.maxCacheBytes)
+	}
 	imported, err := c.send(ctx, http.MethodPost, to, protocol.PathCacheImport, cache)
 	if err != nil {
 		return err
