--- a/connection/forward/response.go
+++ b/connection/forward/response.go
@@ -20,10 +20,13 @@
 // readHead reads the head of the response to this request.
 func (j *job) readHead(a *attempt) error {
 	defer j.watchSilence(a)()
+	watched := false
 	for mismatched := 0; ; mismatched++ {
-		if err := j.awaitFirstByte(a); err != nil {
+		again, err := j.watchHead(a)
+		if err != nil {
 			return err
 		}
+		watched = watched || again
 		head, err := http1.ReadResponse(a.conn.R, responseHeadBytes, j.x.Head.Method)
 		if err != nil {
 			return err
@@ -39,6 +42,11 @@
 		}
 		body := http1.NewBody(a.conn.R, head.Length)
 		if a.isOwnResponse(response.RequestID, j.req.ID) {
+			if watched {
+				if err := a.conn.OnSilence(j.ctx, 0, nil); err != nil {
+					return err
+				}
+			}
 			a.noReuse = a.noReuse || response.RequestID == "" // a copy of it could not be told from the next one
 			a.head, a.response, a.body = head, response, body
 			j.recordAnnouncement(a)
