Let a stream go on at the only endpoint of its version

A resumable stream of a version with one endpoint was cut when its connection broke, though the endpoint accepted connections, and the route and the budget allowed a further attempt.

Cause: a further attempt goes to an endpoint that the request has not tried, and of a version there may be none.

Change: a stream that may go on nowhere else goes on at the endpoint to which its connection broke, if that was found to accept another one and no endpoint was out of reach. max_attempts and the retry budget bound it as before; if it accepts none then, the stream goes on through another router.

--- a/connection/forward/origin.go
+++ b/connection/forward/origin.go
@@ -1,9 +1,11 @@
 package forward
 
 import (
+	"slices"
 	"time"
 
 	"github.com/stoatmount/stoatmount/process/origins"
+	"github.com/stoatmount/stoatmount/request/balance"
 	"github.com/stoatmount/stoatmount/request/outcome"
 )
 
@@ -38,3 +40,19 @@
 
 // mayGoOnAt reports whether a service may have the next attempt of the request.
 func (j *job) mayGoOnAt(service string) bool { return j.origin == nil || j.origin.Service == service }
+
+// acquireNext chooses the endpoint of the next attempt. A stream that may go on nowhere else goes on at
+// the endpoint to which its connection broke, if that was found to accept another one.
+func (j *job) acquireNext() (*balance.Grant, *balance.Refusal) {
+	g, refusal := j.acquire()
+	failed := j.rec.FailedAttempts
+	if refusal == nil || refusal.Code != outcome.NoEndpoint || j.origin == nil || j.unreached > 0 || len(failed) == 0 {
+		return g, refusal
+	}
+	last := failed[len(failed)-1]
+	if last.Failure != balance.Broken || last.Crashed {
+		return g, refusal
+	}
+	j.tried = slices.DeleteFunc(j.tried, func(id string) bool { return id == last.Endpoint })
+	return j.acquire()
+}
--- a/connection/forward/server.go
+++ b/connection/forward/server.go
@@ -210,7 +210,7 @@
 				continue
 			}
 		}
-		g, refusal := j.acquire()
+		g, refusal := j.acquireNext()
 		if refusal != nil {
 			relayed, final := j.relayUnreached(refusal)
 			if final {
