Refuse requests that arrive while a stop closes idle connections (serve)

Cause: no response closed its connection during the drain, and the shutdown of net/http closes idle connections without regard to a request that is on its way. Lost attempts are logged now.

During the drain each response closes its connection now. At its end idle connections get the refusal of a draining router and are read until the caller closes them, so that a request on its way is refused as not run, and never read. The listener accepts what is waiting before it is closed.

--- a/connection/caller/serve.go
+++ b/connection/caller/serve.go
@@ -43,7 +43,7 @@
 		s.refuseBeforeServe(w, r, id, refusal)
 		return
 	}
-	sink := &responseSink{w: w, controller: http.NewResponseController(w), job: job, clock: s.clock}
+	sink := &responseSink{w: w, server: s, controller: http.NewResponseController(w), job: job, clock: s.clock}
 	refusal = s.router.Serve(r.Context(), job, sink)
 	s.report(job, sink, refusal)
 	if refusal == nil {
@@ -53,6 +53,7 @@
 		// A clean end would make the response look complete to the caller.
 		panic(http.ErrAbortHandler)
 	}
+	s.drainHeader(w.Header())
 	refuse(w, id, refusal)
 }
 
--- a/connection/caller/server.go
+++ b/connection/caller/server.go
@@ -44,6 +44,8 @@
 	clock     clockwork.Clock
 	log       logr.Logger
 	http      *http.Server
+	listener  atomic.Pointer[listener]
+	draining  atomic.Bool  // connections are closed after their next response
 	openConns atomic.Int64 // number of connections, without those in released
 	released  sync.Map     // connections (net.Conn) that are closed after the refusal being written
 }
@@ -52,12 +54,12 @@
 func NewServer(router Router, options Options, clock clockwork.Clock, log logr.Logger) *Server {
 	s := &Server{router: router, options: options, clock: clock, log: log}
 	s.http = &http.Server{
-		Handler:           s.routes(),
+		Handler:           s.withDrainHeader(s.routes()),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    2 * options.HeaderBytes, // above the limit of checkHeaderSize, which refuses with a code
 		TLSConfig:         options.TLS,
-		ConnState:         s.countConnection,
+		ConnState:         s.trackConnection,
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, conn)
 		},
@@ -65,23 +67,17 @@
 	return s
 }
 
-// Serve serves callers on listener until Shutdown or Close.
-func (s *Server) Serve(listener net.Listener) error {
-	if s.options.TLS != nil {
-		listener = tls.NewListener(listener, s.options.TLS)
-	}
-	err := s.http.Serve(listener)
-	if errors.Is(err, http.ErrServerClosed) {
+// Serve serves callers on l until Shutdown or Close.
+func (s *Server) Serve(l net.Listener) error {
+	wrapped := newListener(l, s.options.TLS)
+	s.listener.Store(wrapped)
+	err := s.http.Serve(wrapped)
+	if errors.Is(err, http.ErrServerClosed) || s.draining.Load() && errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
 }
 
-// Shutdown waits for the requests in progress.
-func (s *Server) Shutdown(ctx context.Context) error {
-	return s.http.Shutdown(ctx)
-}
-
 // Close closes all connections at once.
 func (s *Server) Close() error {
 	return s.http.Close()
@@ -92,17 +88,21 @@
 	return s.openConns.Load()
 }
 
-func (s *Server) countConnection(conn net.Conn, state http.ConnState) {
+func (s *Server) trackConnection(nc net.Conn, state http.ConnState) {
 	switch state {
 	case http.StateNew:
 		if s.openConns.Add(1) > int64(hardLimitFactor*s.options.MaxConnections) {
-			_ = conn.Close()
+			_ = nc.Close()
 		}
 	case http.StateClosed, http.StateHijacked:
-		if _, released := s.released.LoadAndDelete(conn); !released {
+		if _, released := s.released.LoadAndDelete(nc); !released {
 			s.openConns.Add(-1)
 		}
-	case http.StateActive, http.StateIdle:
+	case http.StateIdle:
+		if c := connOf(nc); c != nil {
+			c.setIdle()
+		}
+	case http.StateActive:
 	}
 }
 
--- a/connection/caller/sink.go
+++ b/connection/caller/sink.go
@@ -17,6 +17,7 @@
 // responseSink writes a response to a caller.
 type responseSink struct {
 	w          http.ResponseWriter
+	server     *Server
 	controller *http.ResponseController
 	job        *serve.Job
 	clock      clockwork.Clock
@@ -33,6 +34,7 @@
 		target[name] = values
 	}
 	target.Set(HeaderRequest, s.job.ID)
+	s.server.drainHeader(target)
 	if length >= 0 {
 		target.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
--- a/lab/load/attempt.go
+++ b/lab/load/attempt.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"time"
 
@@ -95,9 +96,14 @@
 		return attempt{end: endUnreachable, detail: err.Error()}
 	}
 	sent := q.generator.clock.Now()
-	resp, err := q.generator.options.HTTP.Do(req)
+	var conn httptrace.GotConnInfo
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn = info }}
+	resp, err := q.generator.options.HTTP.Do(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
-		return failedAttempt(ctx, err)
+		t := failedAttempt(ctx, err)
+		t.detail += fmt.Sprintf(", sent at %s, after %v, kept connection: %v, idle for %v",
+			sent.UTC().Format("15:04:05.000"), q.generator.clock.Since(sent), conn.Reused, conn.IdleTime)
+		return t
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
--- a/process/node/callerapi.go
+++ b/process/node/callerapi.go
@@ -53,10 +53,7 @@
 func (n *Node) NewWorkRefusal() *outcome.Refusal {
 	now := n.clock.Now()
 	if n.drain.refusing() || n.outOfServiceFor(now) > outOfServiceGrace {
-		refusal := outcome.NotRun(outcome.Draining, "")
-		refusal.Address = n.otherAddress(now)
-		refusal.RetryAfter = redirectRetryAfter
-		return refusal
+		return n.drainingRefusal(now)
 	}
 	if n.selector.Load() == nil {
 		// The tables get the first configuration slightly after the follower.
@@ -70,6 +67,14 @@
 	return nil
 }
 
+// drainingRefusal names another entry host, if there is one.
+func (n *Node) drainingRefusal(now time.Time) *outcome.Refusal {
+	refusal := outcome.NotRun(outcome.Draining, "")
+	refusal.Address = n.otherAddress(now)
+	refusal.RetryAfter = redirectRetryAfter
+	return refusal
+}
+
 // Ready implements caller.Router.
 func (n *Node) Ready() bool {
 	now := n.clock.Now()
--- a/process/node/lifecycle.go
+++ b/process/node/lifecycle.go
@@ -47,6 +47,7 @@
 // and waits for requests in progress. It stops waiting when ctx ends.
 func (n *Node) Shutdown(ctx context.Context) {
 	n.drain.stage.Store(stageDraining)
+	n.callerServer.StartDrain()
 	n.members.SetDraining(n.clock.Now(), true)
 	n.log.Info("leaving", "in_progress", n.inProgress.Load())
 	n.sleep(ctx, n.drainTime())
@@ -55,7 +56,7 @@
 	n.waitIdle(ctx)
 	left := n.inProgress.Load()
 	n.invariants.Check(left == 0, invariant.NoRequestCutOff, func() string { return "requests in progress at the end of the shutdown" })
-	_ = n.callerServer.Shutdown(ctx)
+	n.callerServer.Shutdown(ctx, n.drainingRefusal(n.clock.Now()))
 	n.flushBurn()
 	n.Close()
 }
--- a/test/process/fleet_test.go
+++ b/test/process/fleet_test.go
@@ -264,13 +264,14 @@
 	return result
 }
 
-// logUnserved logs the first requests that were not served in time.
+// logUnserved logs the first requests that were not served in time or whose connection failed.
 func logUnserved(c *qt.C, result *load.Result) {
 	const maxLogged = 10
 	logged := 0
 	for i := range result.Requests {
 		r := &result.Requests[i]
-		if r.Verdict == load.InTime || logged == maxLogged {
+		failed := r.Unsent + r.Lost + r.Interrupted
+		if r.Verdict == load.InTime && failed == 0 || logged == maxLogged {
 			continue
 		}
 		logged++
