--- a/process/node/callerapi.go
+++ b/process/node/callerapi.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 
 	"github.com/stoatmount/stoatmount/connection/caller"
 	"github.com/stoatmount/stoatmount/process/burn"
@@ -41,7 +42,15 @@
 		n.inProgress.Add(-1)
 		n.counters.end(job.Kind.Name)
 	}()
-	return n.server.Serve(ctx, job, sink)
+	ctx, release := n.endWithProcess(ctx)
+	defer release()
+	refusal := n.server.Serve(ctx, job, sink)
+	if refusal == nil || !errors.Is(context.Cause(ctx), errProcessEnds) {
+		return refusal
+	}
+	ended := n.drainingRefusal(n.clock.Now())
+	ended.Run, ended.Detail = refusal.Run, "the process ended before the request did"
+	return ended
 }
 
 // TakeRetry implements serve.Dependencies.
--- a/process/node/lifecycle.go
+++ b/process/node/lifecycle.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/stoatmount/stoatmount/process/invariant"
 )
 
@@ -43,24 +45,48 @@
 }
 
 // Shutdown stops the process without interrupting requests: it is removed from
-// address responses, serves until cached addresses have expired, then refuses new work
-// and waits for requests in progress. It stops waiting when ctx ends.
+// address responses, serves until cached addresses have expired, at most for half of the time
+// until the deadline of ctx, then refuses new work and waits for requests in progress. When ctx ends, they are
+// ended; those whose response has not begun get one that does not promise that they have not run.
 func (n *Node) Shutdown(ctx context.Context) {
 	n.drain.stage.Store(stageDraining)
 	n.callerServer.StartDrain()
 	n.members.SetDraining(n.clock.Now(), true)
 	n.log.Info("leaving", "in_progress", n.inProgress.Load())
-	n.sleep(ctx, n.drainTime())
+	n.sleep(ctx, n.drainTime(ctx))
 	n.drain.stage.Store(stageRefusing)
 	n.log.Info("refusing new work", "in_progress", n.inProgress.Load())
 	n.waitIdle(ctx)
 	left := n.inProgress.Load()
 	n.invariants.Check(left == 0, invariant.NoRequestCutOff, func() string { return "requests in progress at the end of the shutdown" })
+	if left > 0 {
+		n.log.Info("ending the requests in progress", "in_progress", left)
+		n.endRequests(errProcessEnds)
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), answerTime)
+		defer cancel()
+	}
 	n.callerServer.Shutdown(ctx, n.drainingRefusal(n.clock.Now()))
 	n.flushBurn()
 	n.Close()
 }
 
+// answerTime bounds the responses to requests that the end of the process ends.
+const answerTime = 250 * time.Millisecond
+
+// errProcessEnds ends the requests that are in progress at the end of a shutdown.
+var errProcessEnds = errors.New("the process ends")
+
+// endWithProcess returns a context that also ends with endRequests, and a function that releases it.
+func (n *Node) endWithProcess(ctx context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(n.ending, func() { cancel(errProcessEnds) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
 // idlePollInterval is the interval at which requests in progress are checked.
 const idlePollInterval = 20 * time.Millisecond
 
@@ -72,13 +98,18 @@
 }
 
 // drainTime is how long callers may cache an address response, at most the Drain limit and
-// at least two binding leases (Promise), the time that the duties of this router need to move.
-func (n *Node) drainTime() time.Duration {
+// at least two binding leases (Promise), the time that the duties of this router need to move. Requests that
+// are taken in that time need the other half of the time until the deadline of ctx.
+func (n *Node) drainTime(ctx context.Context) time.Duration {
 	drain := n.settings.Limits.Drain.Std()
 	if snapshot := n.follower.Snapshot(); snapshot != nil {
 		drain = min(drain, snapshot.Config.Limits.AddressTTL.Std())
 	}
-	return max(drain, 2*n.settings.Member.Promise.Std())
+	drain = max(drain, 2*n.settings.Member.Promise.Std())
+	if end, ok := ctx.Deadline(); ok {
+		drain = min(drain, time.Until(end)/2)
+	}
+	return drain
 }
 
 func (n *Node) sleep(ctx context.Context, d time.Duration) {
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -112,6 +112,9 @@
 	// finalCheck is permit.check; tests replace it to trigger the invariants.
 	finalCheck func(*permit, time.Time) *outcome.Refusal
 
+	ending      context.Context // of the requests in progress
+	endRequests context.CancelCauseFunc
+
 	cancel context.CancelFunc
 	wg     conc.WaitGroup
 }
@@ -134,6 +137,7 @@
 
 		finalCheck: (*permit).check,
 	}
+	n.ending, n.endRequests = context.WithCancelCause(context.Background())
 	if err := n.openListeners(o); err != nil {
 		return nil, err
 	}
