Take no bound from short runs while long ones are still in progress

What callers saw: streams that a stopping router had taken late and passed on ended without a complete answer at the end of its process (LOST), though their endpoints were sound.

Cause: process/pace learnt only from runs that had ended. Those are the shorter ones: after a restart, or once longer requests come, the long ones are still in progress and count for nothing, however long they have run.

Now requests in progress are known with the time up to the last part of their response. While one of them has taken longer than the bound of its like, none is known, and a late request of that kind is refused as not run. Of an endpoint that sends nothing only the time beyond 1.5 s counts, so that a silent endpoint does not have others' requests refused. The margin of a line is computed once, as it is now asked for each run in progress.

--- a/connection/forward/drain.go
+++ b/connection/forward/drain.go
@@ -13,9 +13,6 @@
 	"github.com/stoatmount/stoatmount/request/outcome"
 )
 
-// silenceAllowance is how long a sound endpoint may fall silent during a request.
-const silenceAllowance = 1500 * time.Millisecond
-
 const (
 	// retryElsewhere is the Retry-After of a draining router while others take requests.
 	retryElsewhere = 50 * time.Millisecond
@@ -100,7 +97,7 @@
 		return true
 	}
 	bound, known := s.paces.Bound(now, route, size)
-	return known && bound <= plan.end.Sub(now)-silenceAllowance
+	return known && bound <= plan.end.Sub(now)-pace.Silence
 }
 
 // retryAfterDrain returns the Retry-After of a request that a draining router refuses: another router
--- a/connection/forward/drain_test.go
+++ b/connection/forward/drain_test.go
@@ -33,7 +33,7 @@
 	bound, known := s.paces.Bound(t0, route, pace.Size{Most: tokens})
 	c.Assert(known, qt.IsTrue)
 	c.Assert(bound < 1300*time.Millisecond, qt.IsTrue, qt.Commentf("%v", bound))
-	latest := 7600 - int((silenceAllowance + bound).Milliseconds()) - 1
+	latest := 7600 - int((pace.Silence + bound).Milliseconds()) - 1
 	c.Assert(may(latest, tokens), qt.IsTrue)
 	c.Assert(may(latest+1, tokens), qt.IsFalse)
 	c.Assert(may(2800, 4*tokens), qt.IsFalse)
--- a/connection/forward/server.go
+++ b/connection/forward/server.go
@@ -87,6 +87,10 @@
 		s.refuse(x, rec, code, after)
 		return
 	}
+	if req.LastEventID < 0 {
+		j.pace = s.paces.Begin(rec.Arrived, rec.Route, req.size())
+		defer s.paces.End(j.pace)
+	}
 	ctx, cancel := s.requestContext(ctx, j.deadline)
 	defer cancel()
 	j.requestCtx, j.ctx = ctx, ctx
@@ -169,6 +173,7 @@
 	workspace  string
 	priority   int
 	deadline   time.Time
+	pace       *pace.Running // nil if a part of its stream had run before
 
 	buffered     int64             // bytes reserved for responses
 	runs         int               // endpoints that may have run it
--- a/process/pace/doc.go
+++ b/process/pace/doc.go
@@ -7,6 +7,8 @@
 // function of the logarithm of the size, with normally distributed deviations; fewer requests seen, and
 // sizes unlike those seen, give a wider bound. The largest deviation that was seen is always within it.
 // Requests of which less is known say nothing of those of which more is known, and the reverse.
+// Those that have ended are the shorter ones; one in progress that has taken longer than their bound
+// shows that they tell none.
 //
 // It does no I/O and reads no clock. Lock order: Table.mu is a leaf.
 package pace
--- a/process/pace/fit.go
+++ b/process/pace/fit.go
@@ -31,6 +31,7 @@
 	slope           float64
 	residuals       float64 // sum of squares
 	worst           float64 // largest residual
+	margin          float64 // between the expected y at meanX and its quantile, of many points
 }
 
 // fitLine fits a line to points. It returns false if there are none.
@@ -55,6 +56,9 @@
 		l.residuals += residual * residual
 		l.worst = max(l.worst, residual)
 	}
+	degrees := priorDegrees + l.n - 1
+	variance := (priorDegrees*priorDeviation*priorDeviation + l.residuals) / degrees
+	l.margin = distuv.StudentsT{Mu: 0, Sigma: 1, Nu: degrees}.Quantile(quantile) * math.Sqrt(variance)
 	return l, true
 }
 
@@ -63,12 +67,8 @@
 
 // upper returns the quantile for the next y at x.
 func (l *line) upper(x float64) float64 {
-	degrees := priorDegrees + l.n - 1
-	variance := (priorDegrees*priorDeviation*priorDeviation + l.residuals) / degrees
-	t := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: degrees}.Quantile(quantile)
 	distance := x - l.meanX
-	margin := t * math.Sqrt(variance*(1+1/l.n+distance*distance/l.spread))
-	return l.at(x) + max(margin, l.worst)
+	return l.at(x) + max(l.margin*math.Sqrt(1+1/l.n+distance*distance/l.spread), l.worst)
 }
 
 // fit fits a line to the complete runs, and to those of the others that were longer than it tells.
--- a/process/pace/pace.go
+++ b/process/pace/pace.go
@@ -2,10 +2,15 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
+// Silence is how long a sound endpoint may fall silent during a run.
+const Silence = 1500 * time.Millisecond
+
 const (
 	// window is the least time for which runs are remembered, and half of the longest.
 	window = 30 * time.Second
@@ -74,6 +79,22 @@
 	mu                sync.Mutex
 	current, previous map[kind][]point
 	since             time.Time // start of current
+	running           map[*Running]struct{}
+}
+
+// Running is a run in progress.
+type Running struct {
+	began    time.Time
+	route    string
+	size     Size
+	progress atomic.Int64 // ns from began to the last part of the response
+}
+
+// Progress records that a part of the response came at now. It does nothing if r is nil.
+func (r *Running) Progress(now time.Time) {
+	if r != nil {
+		r.progress.Store(int64(now.Sub(r.began)))
+	}
 }
 
 // kind is runs that are compared with one another.
@@ -82,7 +103,26 @@
 	basis basis
 }
 
-// Record adds a run.
+// Begin adds a run in progress that began at began. It counts until End.
+func (t *Table) Begin(began time.Time, route string, size Size) *Running {
+	r := &Running{began: began, route: route, size: size}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.running == nil {
+		t.running = make(map[*Running]struct{})
+	}
+	t.running[r] = struct{}{}
+	return r
+}
+
+// End removes a run in progress. It does not record its time.
+func (t *Table) End(r *Running) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.running, r)
+}
+
+// Record adds a run that has ended.
 func (t *Table) Record(now time.Time, route string, r Run) {
 	y := math.Log(float64(max(r.Took, time.Microsecond)))
 	t.mu.Lock()
@@ -99,16 +139,40 @@
 }
 
 // Bound returns the time that the next request of the route takes at most, but for one in a thousand. It
-// returns false if no run of the route is known of which as much was known.
+// returns false if no run of the route is known of which as much was known, or if one in progress takes
+// longer than those runs tell, so that how long it takes is not known.
 func (t *Table) Bound(now time.Time, route string, size Size) (time.Duration, bool) {
 	for _, b := range size.bases() {
-		if l, ok := fit(t.recent(now, kind{route, b})); ok {
-			return duration(math.Exp(l.upper(size.log(b)))), true
+		k := kind{route, b}
+		l, ok := fit(t.recent(now, k))
+		if !ok {
+			continue
+		}
+		for _, p := range t.inProgress(now, k) {
+			if p.y > l.upper(p.x) {
+				return 0, false
+			}
 		}
+		return duration(math.Exp(l.upper(size.log(b)))), true
 	}
 	return 0, false
 }
 
+// inProgress returns the runs of a kind that are in progress, with the times that they take at least. Of an
+// endpoint that sends nothing only what is beyond Silence counts.
+func (t *Table) inProgress(now time.Time, k kind) []point {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var points []point
+	for r := range t.running {
+		if r.route == k.route && slices.Contains(r.size.bases(), k.basis) {
+			took := max(time.Duration(r.progress.Load()), now.Sub(r.began)-Silence, 1)
+			points = append(points, point{x: r.size.log(k.basis), y: math.Log(float64(took))})
+		}
+	}
+	return points
+}
+
 // duration returns ns as a duration, at most maxBound.
 func duration(ns float64) time.Duration {
 	if ns < float64(maxBound) {
--- a/process/pace/pace_test.go
+++ b/process/pace/pace_test.go
@@ -155,6 +155,30 @@
 	}
 }
 
+// Guards against a bound from the short runs that have ended, while long ones are still in progress.
+func TestRunInProgressBeyondTheBoundLeavesNone(t *testing.T) {
+	c := qt.New(t)
+	size := Size{Expected: 40, Most: 300}
+	const took, beyond = 400 * time.Millisecond, 800 * time.Millisecond
+	var table Table
+	add(&table, 100, size, took, true)
+	for _, like := range []Size{size, {Most: size.Most}} {
+		for age, want := range map[time.Duration][2]bool{took: {true, true}, beyond: {true, false}, beyond + Silence: {false, false}} {
+			r := table.Begin(t0.Add(-age), route, size)
+			_, known := table.Bound(t0, route, like)
+			c.Check(known, qt.Equals, want[0], qt.Commentf("%+v, in progress for %v", like, age))
+			r.Progress(t0)
+			_, known = table.Bound(t0, route, like)
+			c.Check(known, qt.Equals, want[1], qt.Commentf("%+v, in progress for %v, with a part of the response", like, age))
+			table.End(r)
+		}
+	}
+	other := table.Begin(t0.Add(-time.Hour), "another", size)
+	_, known := table.Bound(t0, route, size)
+	c.Check(known, qt.IsTrue)
+	table.End(other)
+}
+
 // Guards against a bound that is not a number and counts as none.
 func TestSteepTimesGiveALongBound(t *testing.T) {
 	c := qt.New(t)
