Bound a late request also by the size of its prompt

What callers saw: requests that a stopping router had taken late and passed on were cut by the end of its process without an answer (LOST).

Cause: of what a request tells of itself, the bound looked at the output only. A prompt far larger than those before takes its endpoint that much longer before the first event, and counted as like them.

Now a prompt larger than all of the complete runs of its like widens the bound in proportion: a run takes at most as much longer. Prompts up to the largest seen change nothing, as the largest deviation is in the bound anyway.

Not covered: a prompt that was cached when its like ran and is not any more.

--- a/connection/forward/types.go
+++ b/connection/forward/types.go
@@ -28,8 +28,10 @@
 	Resumes     string        // id of the attempt that brought the first event of the stream; "" if none
 }
 
-// size returns what is known of the response's length.
-func (r *Request) size() pace.Size { return pace.Size{Expected: r.LengthHint, Most: r.TokensOut} }
+// size returns what is known of how long the request takes.
+func (r *Request) size() pace.Size {
+	return pace.Size{Expected: r.LengthHint, Most: r.TokensOut, Prompt: r.TokensIn}
+}
 
 // AttemptOptions are the headers that the router adds to one attempt.
 type AttemptOptions struct {
--- a/process/pace/doc.go
+++ b/process/pace/doc.go
@@ -6,6 +6,7 @@
 // tokens, else the most that it may have, else its route. Logarithms of times are taken as a linear
 // function of the logarithm of the size, with normally distributed deviations; fewer requests seen, and
 // sizes unlike those seen, give a wider bound. The largest deviation that was seen is always within it.
+// A prompt that is larger than all that were seen widens it in proportion.
 // Requests of which less is known say nothing of those of which more is known, and the reverse.
 // Those that have ended are the shorter ones; one in progress that has taken longer than their bound
 // shows that they tell none.
--- a/process/pace/fit.go
+++ b/process/pace/fit.go
@@ -21,6 +21,7 @@
 // point is a run: the logarithms of its size in tokens and of its time in nanoseconds.
 type point struct {
 	x, y     float64
+	prompt   int // tokens
 	complete bool
 }
 
@@ -32,6 +33,7 @@
 	residuals       float64 // sum of squares
 	worst           float64 // largest residual
 	margin          float64 // between the expected y at meanX and its quantile, of many points
+	prompt          int     // tokens of the largest prompt of a complete run
 }
 
 // fitLine fits a line to points. It returns false if there are none.
@@ -52,6 +54,9 @@
 	}
 	l.slope /= l.spread
 	for _, p := range points {
+		if p.complete {
+			l.prompt = max(l.prompt, p.prompt)
+		}
 		residual := p.y - l.at(p.x)
 		l.residuals += residual * residual
 		l.worst = max(l.worst, residual)
@@ -71,6 +76,12 @@
 	return l.at(x) + max(l.margin*math.Sqrt(1+1/l.n+distance*distance/l.spread), l.worst)
 }
 
+// larger returns by how much a prompt of some tokens is larger than all that were seen, at least 1. A run
+// takes at most that much longer.
+func (l *line) larger(tokens int) float64 {
+	return max(1, float64(tokens)/float64(max(1, l.prompt)))
+}
+
 // fit fits a line to the complete runs, and to those of the others that were longer than it tells.
 func fit(points []point) (line, bool) {
 	complete := make([]point, 0, len(points))
--- a/process/pace/pace.go
+++ b/process/pace/pace.go
@@ -22,10 +22,11 @@
 	maxBound = 24 * time.Hour
 )
 
-// Size is what is known of the output of a request before it runs, in tokens; 0 is unknown.
+// Size is what is known of a request before it runs, in tokens; 0 is unknown.
 type Size struct {
-	Expected int // the caller's estimate
+	Expected int // the caller's estimate of the output
 	Most     int // the bound on the output
+	Prompt   int
 }
 
 // basis is what is known of a size.
@@ -134,7 +135,7 @@
 		if len(points) >= maxRuns {
 			points = points[1:]
 		}
-		t.current[k] = append(points, point{x: r.Size.log(b), y: y, complete: r.Complete})
+		t.current[k] = append(points, point{x: r.Size.log(b), y: y, prompt: r.Size.Prompt, complete: r.Complete})
 	}
 }
 
@@ -149,11 +150,11 @@
 			continue
 		}
 		for _, p := range t.inProgress(now, k) {
-			if p.y > l.upper(p.x) {
+			if p.y > l.upper(p.x)+math.Log(l.larger(p.prompt)) {
 				return 0, false
 			}
 		}
-		return duration(math.Exp(l.upper(size.log(b)))), true
+		return duration(math.Exp(l.upper(size.log(b))) * l.larger(size.Prompt)), true
 	}
 	return 0, false
 }
@@ -167,7 +168,7 @@
 	for r := range t.running {
 		if r.route == k.route && slices.Contains(r.size.bases(), k.basis) {
 			took := max(time.Duration(r.progress.Load()), now.Sub(r.began)-Silence, 1)
-			points = append(points, point{x: r.size.log(k.basis), y: math.Log(float64(took))})
+			points = append(points, point{x: r.size.log(k.basis), y: math.Log(float64(took)), prompt: r.size.Prompt})
 		}
 	}
 	return points
--- a/process/pace/pace_test.go
+++ b/process/pace/pace_test.go
@@ -155,6 +155,31 @@
 	}
 }
 
+// Guards against the bound of short prompts for a request whose prompt takes long to process.
+func TestBoundGrowsWithThePrompt(t *testing.T) {
+	c := qt.New(t)
+	const took, seen = 500 * time.Millisecond, 1000
+	var table Table
+	add(&table, 100, Size{Most: 20, Prompt: seen / 2}, took/2, true)
+	add(&table, 100, Size{Most: 20, Prompt: seen}, took, true)
+	add(&table, 1, Size{Most: 20, Prompt: 100 * seen}, took, false)
+	bound := func(prompt int) time.Duration {
+		d, known := table.Bound(t0, route, Size{Most: 20, Prompt: prompt})
+		c.Assert(known, qt.IsTrue)
+		return d
+	}
+	for _, prompt := range []int{0, 1, seen} {
+		c.Check(bound(prompt), qt.Equals, bound(seen/2))
+	}
+	c.Check(bound(10*seen) >= 10*took, qt.IsTrue, qt.Commentf("%v", bound(10*seen)))
+	c.Check(bound(seen+seen/10) < bound(seen)*12/10, qt.IsTrue, qt.Commentf("%v", bound(seen+seen/10)))
+	c.Check(bound(1<<62), qt.Equals, maxBound)
+	var promptless Table
+	add(&promptless, 100, Size{Most: 20}, took, true)
+	d, known := promptless.Bound(t0, route, Size{Most: 20, Prompt: seen})
+	c.Check(known && d > time.Minute, qt.IsTrue, qt.Commentf("%v", d))
+}
+
 // Guards against a bound from the short runs that have ended, while long ones are still in progress.
 func TestRunInProgressBeyondTheBoundLeavesNone(t *testing.T) {
 	c := qt.New(t)
@@ -173,10 +198,14 @@
 			table.End(r)
 		}
 	}
-	other := table.Begin(t0.Add(-time.Hour), "another", size)
-	_, known := table.Bound(t0, route, size)
-	c.Check(known, qt.IsTrue)
-	table.End(other)
+	larger := size
+	larger.Prompt = 1000
+	for place, like := range map[string]Size{"another": size, route: larger} { // whose times say nothing of this kind
+		r := table.Begin(t0.Add(-10*beyond), place, like)
+		_, known := table.Bound(t0, route, size)
+		c.Check(known, qt.IsTrue)
+		table.End(r)
+	}
 }
 
 // Guards against a bound that is not a number and counts as none.
