--- a/test/soak/environment_test.go
+++ b/test/soak/environment_test.go
@@ -102,7 +102,6 @@
 	crashes     []crash           // of the request that crashes endpoints
 	partCrashes []crash           // of requests with the part that does
 	crashForm   crashForm
-	ownerMu     sync.Mutex        // held while the owner of a connection is looked up
 	cuts        []cut             // of links to the endpoints
 	limits      map[string]string // that endpoints name, by endpoint
 	limitTimes  map[string]time.Time
--- a/test/soak/links_test.go
+++ b/test/soak/links_test.go
@@ -3,14 +3,8 @@
 package soak
 
 import (
-	"bufio"
-	"fmt"
 	"math/rand/v2"
-	"net"
-	"os"
-	"path/filepath"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/stoatmount/stoatmount/platform/platformtest"
@@ -25,54 +19,6 @@
 	routers  map[string]bool
 }
 
-// ownerOf returns the router that opened a connection on this host, or "".
-func (env *environment) ownerOf(c net.Conn) string {
-	env.ownerMu.Lock() // one at a time, as the table of sockets is large while many come and go
-	defer env.ownerMu.Unlock()
-	inode := inodeOf(c.RemoteAddr().(*net.TCPAddr).Port)
-	if inode == "" {
-		return ""
-	}
-	for _, r := range env.routers {
-		r.mu.Lock()
-		pid := r.cmd.Process.Pid
-		r.mu.Unlock()
-		folder := fmt.Sprintf("/proc/%d/fd", pid)
-		files, err := os.ReadDir(folder)
-		if err != nil {
-			continue // the process has ended
-		}
-		for _, f := range files {
-			if target, err := os.Readlink(filepath.Join(folder, f.Name())); err == nil && target == "socket:["+inode+"]" {
-				return r.name
-			}
-		}
-	}
-	return ""
-}
-
-// inodeOf returns the inode of the connected socket with a local port of 127.0.0.1, or "".
-func inodeOf(port int) string {
-	const localAddress, inode = 1, 9 // columns
-	file, err := os.Open("/proc/net/tcp")
-	if err != nil {
-		return ""
-	}
-	defer func() { _ = file.Close() }()
-	suffix := ":" + strings.ToUpper(fmt.Sprintf("%04x", port))
-	for lines := bufio.NewScanner(file); lines.Scan(); {
-		if !strings.Contains(lines.Text(), suffix) {
-			continue
-		}
-		if f := strings.Fields(lines.Text()); len(f) > inode && strings.HasSuffix(f[localAddress], suffix) {
-			if n, err := strconv.Atoi(f[inode]); err == nil && n > 0 {
-				return f[inode]
-			}
-		}
-	}
-	return ""
-}
-
 // cutLinks cuts the links of one, most or all routers of a zone to all endpoints. The returned
 // function heals them.
 func (env *environment) cutLinks(seed uint64) (heal func()) {
