Take no reset while connecting for a crashed endpoint

Callers saw: with links of three of four routers that accept connections and reset them, all requests of the whole fleet refused with part_quarantined (503) after the links were healed, for as long as the soak went on: 0 of 2505 served.

Cause: a router opens another connection after a response broke off; an endpoint that has ended refuses it. A connection that is accepted and reset at once also fails to open, with ECONNRESET, if the reset arrives before the router looks, and counts as open if it arrives later.

Now a reset while connecting shows no crash, and does not mark the endpoint as ended. The connection is tried up to three times, as a process that ends resets what it has not accepted and refuses after that. An attempt that ends so is not sent, goes on elsewhere and ejects the endpoint as before (failure reset_at_once).

Tests of the packages with -race pass.

Open: what was quarantined wrongly is tried again after two minutes; the probes of process/links count such a connection by the same chance.

--- a/connection/forward/attempt.go
+++ b/connection/forward/attempt.go
@@ -71,6 +71,9 @@
 	j.tried = append(j.tried, g.ID)
 	if a.err = j.connect(a); a.err != nil {
 		a.failure = balance.NotReached
+		if resetAtOnce(a.err) {
+			a.failure = balance.ResetAtOnce
+		}
 		if j.ctx.Err() != nil {
 			a.failure = balance.Abandoned
 		} else {
--- a/connection/forward/crash.go
+++ b/connection/forward/crash.go
@@ -136,8 +136,10 @@
 // checkCrash records a crash, and returns true, if no connection to the endpoint can be
 // opened any more, which tells it from a single connection that broke.
 func (j *job) checkCrash(ctx context.Context, a *attempt, f suspect.Fingerprint, sent quarantine.State, run quarantine.Run) bool {
-	if !j.s.Endpoints.DownSince(a.sentAt, a.grant) && j.connectAgain(ctx, a) == nil {
-		return false
+	if !j.s.Endpoints.DownSince(a.sentAt, a.grant) {
+		if err := j.connectAgain(ctx, a); err == nil || resetAtOnce(err) {
+			return false
+		}
 	}
 	now := time.Now()
 	if j.s.Endpoints.FellUnderLoad(now, a.grant) {
@@ -150,17 +152,34 @@
 	return true
 }
 
+const (
+	// resetDials is how often a connection is opened that is reset at once, and resetPause the time
+	// between: a process that ends resets those that it has not accepted, and then refuses them.
+	resetDials = 3
+	resetPause = 20 * time.Millisecond
+)
+
+// resetAtOnce reports whether err is that of a connection that was accepted and reset while it was
+// being opened. Whether the reset is noticed then or at the first use is a matter of chance.
+func resetAtOnce(err error) bool { return errors.Is(err, syscall.ECONNRESET) }
+
 // connectAgain opens another connection to the endpoint of an attempt, which the pool
 // keeps, and ejects an endpoint that cannot be reached. It returns nil if the request
 // ended meanwhile.
 func (j *job) connectAgain(ctx context.Context, a *attempt) error {
 	conn, err := j.s.Pool.Dial(ctx, a.grant.Addr, connectTimeout)
+	for i := 1; i < resetDials && resetAtOnce(err) && ctx.Err() == nil; i++ {
+		time.Sleep(resetPause)
+		conn, err = j.s.Pool.Dial(ctx, a.grant.Addr, connectTimeout)
+	}
 	now := time.Now()
 	switch {
 	case err == nil:
 		j.s.Pool.Put(conn, now, 0, j.maxIdle(a.grant.Service))
 	case ctx.Err() != nil:
 		return nil
+	case resetAtOnce(err):
+		j.s.Pool.CloseIdle(a.grant.Addr)
 	default:
 		j.s.Endpoints.RecordUnreachable(now, a.grant)
 		j.s.Pool.CloseIdle(a.grant.Addr)
--- a/process/upstream/health.go
+++ b/process/upstream/health.go
@@ -60,6 +60,9 @@
 		h.maybeCold, h.registryCurrentAt = true, time.Time{}
 		h.eject(now, unreachableEjection)
 		return
+	case balance.ResetAtOnce: // something listens, so that the process has not ended
+		h.eject(now, unreachableEjection)
+		return
 	case balance.Broken:
 		h.consecutiveBroken++
 		h.sample(1)
--- a/process/upstream/table_test.go
+++ b/process/upstream/table_test.go
@@ -122,6 +122,14 @@
 	}
 }
 
+func TestEndpointThatResetsConnectionsIsEjectedAndNotDown(t *testing.T) {
+	c := qt.New(t)
+	table := newTable(2)
+	g, _ := table.Acquire(t0, balance.Request{Service: "s", Exclude: []string{"e1"}})
+	c.Assert(table.Release(t0.Add(time.Millisecond), g, balance.ResetAtOnce, 0), qt.IsTrue)
+	c.Assert(table.DownSince(t0, g), qt.IsFalse)
+}
+
 // An unreachable endpoint is ejected, and treated as cold until the registry has
 // had time to show its state.
 func TestUnreachableEndpointIsEjected(t *testing.T) {
--- a/request/balance/grant.go
+++ b/request/balance/grant.go
@@ -63,9 +63,10 @@
 	Shed                // refused without being run
 	TimedOut            // no response within the request's timeout
 	Abandoned           // the caller disconnected or the router canceled; says nothing about the endpoint
+	ResetAtOnce         // a connection was accepted and reset before it was used; not sent, like NotReached
 )
 
-var failureNames = [...]string{"none", "not_reached", "broken", "erred", "shed", "timed_out", "abandoned"}
+var failureNames = [...]string{"none", "not_reached", "broken", "erred", "shed", "timed_out", "abandoned", "reset_at_once"}
 
 // String returns the stable identifier of f.
 func (f Failure) String() string { return failureNames[f] }
