Tell each of many quarantined bodies, and those that are freed

What callers see: with over 64 quarantined bodies and parts, routers find out for themselves what crashes endpoints, though others know, and go on refusing for two minutes what a trial at another router has freed.

Cause: a heartbeat holds 64 reports, those with the most crashes first, so always the same ones; a freed body has none and comes last.

Now what a request of the router quarantined or freed comes first, then what is quarantined, then mere crashes, and in each what was reported least recently. Hints in the store keep the old order.

TestEachOfManyQuarantinedBodiesIsToldAndFreed (192 bodies, 4 heartbeats) failed before: body 64 was not told It passes now; ./process/quarantine passes with -race.

--- a/process/quarantine/quarantine.go
+++ b/process/quarantine/quarantine.go
@@ -94,6 +94,7 @@
 	crashedAt   time.Time // when the last crash became known
 	changedAt   time.Time // last change by a request of this router
 	nextTrial   time.Time // if quarantined
+	reportedAt  time.Time // in a heartbeat, since the last change by a request of this router
 	doubtEnded  bool      // the trial of a body that may be sound began here
 }
 
@@ -270,7 +271,7 @@
 	}
 	b.with = both(b.with, r.With)
 	if changed && own {
-		b.changedAt = now
+		b.changedAt, b.reportedAt = now, time.Time{}
 	}
 	if b.part != 0 && b.Quarantined() {
 		t.refuses.Store(true)
@@ -302,30 +303,6 @@
 	}
 }
 
-// Reports returns what the other routers should know: quarantined bodies and this
-// router's recent changes, those with the most crashes first.
-func (t *Table) Reports(now time.Time) []Report {
-	if t.Empty() {
-		return nil
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var list []Report
-	for f, b := range t.records {
-		if b.expired(now) {
-			t.remove(f)
-			continue
-		}
-		if b.Quarantined() || now.Sub(b.changedAt) < reportFor {
-			list = append(list, Report{Fingerprint: f, Part: b.part, With: b.with, State: b.State, QuietMS: now.Sub(b.lastArrival).Milliseconds(), Lost: b.lost})
-		}
-	}
-	slices.SortFunc(list, func(a, b Report) int {
-		return cmp.Or(cmp.Compare(b.Crashes, a.Crashes), cmp.Compare(a.QuietMS, b.QuietMS), cmp.Compare(a.Fingerprint, b.Fingerprint))
-	})
-	return list[:min(len(list), maxReports)]
-}
-
 func (b *record) expired(now time.Time) bool { return now.Sub(b.lastArrival) >= quietTime }
 
 func (t *Table) remove(f suspect.Fingerprint) {
--- a/process/quarantine/quarantine_test.go
+++ b/process/quarantine/quarantine_test.go
@@ -208,6 +208,34 @@
 	c.Assert(len(table.records) <= maxRecords, qt.IsTrue)
 }
 
+func TestEachOfManyQuarantinedBodiesIsToldAndFreed(t *testing.T) {
+	c := qt.New(t)
+	from, to := newTable(), newTable()
+	now := t0
+	tell := func() {
+		for range 4 {
+			now = now.Add(250 * time.Millisecond)
+			to.Merge(now, from.Reports(now))
+		}
+	}
+	const bodies = suspect.Fingerprint(3 * maxReports)
+	for f := range bodies {
+		for range crashLimit {
+			crash(from, t0, f)
+		}
+	}
+	tell()
+	for f := range bodies {
+		c.Assert(refused(to, now, f), qt.IsTrue, qt.Commentf("body %d was not told", f))
+	}
+	now = now.Add(firstTrial)
+	from.Completed(now, bodies/2)
+	tell()
+	c.Assert(refused(to, now, bodies/2), qt.IsFalse)
+	state, _ := to.Check(now, bodies/2)
+	c.Assert(state, qt.Equals, State{Resets: 1})
+}
+
 // Copies of a body that completes all the time run at each endpoint, so that each crash takes one along,
 // whatever caused it. While no endpoint of the service is there for 2 s, none completes.
 func TestCrashesOfAServiceDoNotBlameABodyThatCompletes(t *testing.T) {
--- a/process/router/hints.go
+++ b/process/router/hints.go
@@ -67,7 +67,7 @@
 }
 
 func (r *Router) saveHints(ctx context.Context, now time.Time, withPlacements bool) {
-	h := Hints{Crashes: r.quarantine.Reports(now), Versions: r.origins.History(now), Leaving: r.endpoints.Leaving(now)}
+	h := Hints{Crashes: r.quarantine.Worst(now), Versions: r.origins.History(now), Leaving: r.endpoints.Leaving(now)}
 	if withPlacements {
 		h.Placements = r.endpoints.Placements(now.Add(-saveWindow))
 	}
