End the ejection of an endpoint that proves slow but sound

Callers got 503 "Every usable endpoint is at its cap" while endpoints of the service were idle: TestSlowEndpointsAreNotTakenForOutOfReach failed in 7 of 64 plays of untouched code beside load 20 to 50 on 8 processors.

Cause: three timeouts in a row eject an endpoint for 2 s, an error rate far above the others' for 3 s, and nothing ended that but time. Slow endpoints respond to what was sent before, but stayed out, so that the last one that was not ejected had all requests. A trace: eight requests refused at 6 to 9 requests at one endpoint, while the other three ran 13, later none.

An ejection that timeouts alone caused now ends with a response that took at least as long as the last timeout: such an endpoint is slow, and those that timed out would have been answered. A quick response does not end it, as an endpoint may hang in some requests and serve others.

TestSlowEndpointIsEjectedOnlyUntilItResponds failed before: health_test.go:43: "timeouts in a row" got int(3), want int(4)

--- a/process/upstream/acquire.go
+++ b/process/upstream/acquire.go
@@ -290,7 +290,7 @@
 		t.loadOf(ep.Service).serviceTimes.Add(g.Class, latency, now.Sub(g.ChosenAt))
 	}
 	wasEjected := now.Before(ep.health.ejectedUntil)
-	ep.health.record(now, f, latency)
+	ep.health.record(now, f, latency, now.Sub(g.ChosenAt))
 	if f == balance.ServerError || f == balance.Broken || f == balance.TimedOut {
 		ep.health.ejectIfErring(now, t.othersErrorRate(ep))
 	}
@@ -302,7 +302,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if ep := t.byID[g.ID]; ep != nil && ep.Started == g.Started {
-		ep.health.record(now, balance.NotReached, 0)
+		ep.health.record(now, balance.NotReached, 0, 0)
 	}
 }
 
--- a/process/upstream/health.go
+++ b/process/upstream/health.go
@@ -28,8 +28,12 @@
 	ejectedUntil      time.Time
 	ejections         int // consecutive ones without a success between
 	consecutiveBroken int // broken connections and timeouts in a row
+	consecutiveLate   int // timeouts in a row
 	samples           int
 	errorRate         float64
+	lateRate          float64       // part of errorRate that is timeouts
+	lateAfter         time.Duration // what the last request that timed out had waited
+	ejectedAsLate     bool          // timeouts alone caused the ejection
 	latency           time.Duration
 	latencySamples    int
 	latencyAt         time.Time
@@ -53,45 +57,57 @@
 	}
 }
 
-func (h *health) record(now time.Time, f balance.Failure, latency time.Duration) {
+// record records the result of a request. latency is the time to its first byte, 0 if there was none; it took
+// the given time in all.
+func (h *health) record(now time.Time, f balance.Failure, latency, took time.Duration) {
 	switch f {
 	case balance.NotReached:
 		h.unreachableAt = now
 		h.maybeCold, h.registryCurrentAt = true, time.Time{}
-		h.eject(now, unreachableEjection)
+		h.ejectedAsLate = false
+		h.eject(now, unreachableEjection, false)
 		return
 	case balance.Broken:
-		h.consecutiveBroken++
-		h.sample(1)
-		if h.consecutiveBroken >= maxConsecutiveBroken {
-			h.eject(now, brokenEjection)
-		}
+		h.consecutiveLate = 0
+		h.sample(1, 0)
+		h.countBroken(now)
 		return
 	case balance.TimedOut:
-		h.consecutiveBroken++
-		h.sample(1)
-		if h.consecutiveBroken >= maxConsecutiveBroken {
-			h.eject(now, brokenEjection)
-		}
+		h.consecutiveLate++
+		h.lateAfter = took
+		h.sample(1, 1)
+		h.countBroken(now)
 		return
 	case balance.Shed, balance.Abandoned:
 		return
 	case balance.ServerError:
-		h.sample(1)
+		h.sample(1, 0)
 	case balance.NoFailure:
-		h.sample(0)
+		h.sample(0, 0)
 		h.ejections = 0
+		if h.ejectedAsLate && latency >= h.lateAfter { // it is slow: those that timed out would have got responses
+			h.ejectedAsLate, h.ejectedUntil = false, time.Time{}
+		}
 	}
-	h.consecutiveBroken = 0
+	h.consecutiveBroken, h.consecutiveLate = 0, 0
 	h.noteResponse(now)
 	if latency > 0 {
 		h.addLatency(now, latency)
 	}
 }
 
-func (h *health) sample(failed float64) {
+// countBroken counts a broken connection or a timeout.
+func (h *health) countBroken(now time.Time) {
+	h.consecutiveBroken++
+	if h.consecutiveBroken >= maxConsecutiveBroken {
+		h.eject(now, brokenEjection, h.consecutiveLate >= maxConsecutiveBroken)
+	}
+}
+
+func (h *health) sample(failed, late float64) {
 	h.samples++
 	h.errorRate += errorWeight * (failed - h.errorRate)
+	h.lateRate += errorWeight * (late - h.lateRate)
 }
 
 func (h *health) addLatency(now time.Time, latency time.Duration) {
@@ -104,14 +120,16 @@
 	h.latency += time.Duration(latencyWeight * float64(latency-h.latency))
 }
 
-func (h *health) eject(now time.Time, base time.Duration) {
+// eject ejects the endpoint, unless it is ejected. late means that timeouts alone are the cause.
+func (h *health) eject(now time.Time, base time.Duration, late bool) {
 	if now.Before(h.ejectedUntil) {
 		return
 	}
 	d := min(base<<min(h.ejections, 3), maxEjection)
 	h.ejectedUntil = now.Add(d)
+	h.ejectedAsLate = late
 	h.ejections++
-	h.consecutiveBroken = 0
+	h.consecutiveBroken, h.consecutiveLate = 0, 0
 }
 
 // ejectIfErring ejects an endpoint whose error rate is far above that of the others
@@ -120,8 +138,8 @@
 	if h.samples < minSamples || h.errorRate < others+maxExcessErrorRate || now.Before(h.ejectedUntil) {
 		return false
 	}
-	h.eject(now, errorRateEjection)
-	h.samples, h.errorRate = 0, 0
+	h.eject(now, errorRateEjection, h.errorRate-h.lateRate < others+maxExcessErrorRate)
+	h.samples, h.errorRate, h.lateRate = 0, 0, 0
 	return true
 }
 
@@ -136,6 +154,6 @@
 		return
 	}
 	h.unreachableAt, h.ejectedUntil = time.Time{}, time.Time{}
-	h.ejections, h.consecutiveBroken, h.samples, h.errorRate = 0, 0, 0, 0
+	h.ejections, h.consecutiveBroken, h.consecutiveLate, h.samples, h.errorRate, h.lateRate = 0, 0, 0, 0, 0, 0
 	h.maybeCold, h.registryCurrentAt = false, time.Time{}
 }
