Free the slot of a silent attempt when its connection is closed

Callers got 503 "Every usable endpoint is at its cap" while endpoints had free slots: the router counted 28 requests at four endpoints that held 20 (a trace of TestSlowEndpointsAreNotTakenForOutOfReach).

Cause: a request whose endpoint is silent for two objectives goes to a second endpoint, and the first connection is closed 0.2 s later at the most. Its slot was given back only with the head of the second one's response, up to 1.9 s after it was sent where a response takes 1.7 s.

The grant now ends when the connection is closed, once, whichever of the timer and the request comes first.

TestSilentAttemptFreesItsSlotWhileItsSuccessorRuns failed before, 2 of 2 plays: got `..."endpoints":["i-app-0"],"versions":["v1"],"running":1,...` want `"running":0,` Now 5 of 5 pass.

--- a/connection/forward/attempt.go
+++ b/connection/forward/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -50,6 +51,8 @@
 	err      error
 	failure  balance.Failure
 	released bool
+	grantEnd sync.Once
+	ejected  bool // the end of the grant ejected the endpoint
 	crashed  bool // the endpoint was found to be down after it
 
 	crashedSilently atomic.Bool // the endpoint was found to be down while its response was awaited
@@ -228,14 +231,8 @@
 		return
 	}
 	a.released = true
-	now := time.Now()
-	latency := time.Duration(0)
-	if !a.firstAt.IsZero() {
-		latency = a.firstAt.Sub(a.sentAt)
-	} else if a.failure == balance.TimedOut {
-		latency = now.Sub(a.sentAt)
-	}
-	if j.s.Endpoints.Release(now, a.grant, a.failure, latency) {
+	j.endGrant(a, a.failure)
+	if a.ejected {
 		j.rec.Ejected = a.grant.ID
 	}
 	if a.cancel != nil {
@@ -246,7 +243,7 @@
 	}
 	watchStopped := a.stopWatch()
 	if watchStopped && a.err == nil && a.body != nil && a.body.Complete() && !a.head.Close && !a.noReuse {
-		j.s.Pool.Put(a.conn, now, a.head.KeepAliveTimeout, j.maxIdle(a.grant.Service))
+		j.s.Pool.Put(a.conn, time.Now(), a.head.KeepAliveTimeout, j.maxIdle(a.grant.Service))
 		return
 	}
 	_ = a.conn.Close() // cancels the request at the endpoint if it is still running
@@ -255,6 +252,19 @@
 	}
 }
 
+// endGrant ends the grant with a result, unless it has ended.
+func (j *job) endGrant(a *attempt, failure balance.Failure) {
+	a.grantEnd.Do(func() {
+		now, latency := time.Now(), time.Duration(0)
+		if !a.firstAt.IsZero() {
+			latency = a.firstAt.Sub(a.sentAt)
+		} else if failure == balance.TimedOut {
+			latency = now.Sub(a.sentAt)
+		}
+		a.ejected = j.s.Endpoints.Release(now, a.grant, failure, latency)
+	})
+}
+
 // maxIdle returns how many idle connections to an endpoint are kept: half of this
 // router's share of those that the endpoint accepts.
 func (j *job) maxIdle(service string) int {
--- a/connection/forward/takeover.go
+++ b/connection/forward/takeover.go
@@ -22,8 +22,9 @@
 
 // silentAttempt is an attempt whose endpoint is silent, while its successor begins.
 type silentAttempt struct {
-	conn  *http1.Conn
-	state atomic.Int32
+	conn     *http1.Conn
+	freeSlot func() // called when conn is closed, also from another goroutine
+	state    atomic.Int32
 }
 
 // States of a silentAttempt.
@@ -36,6 +37,7 @@
 // close closes the attempt unless its endpoint goes on.
 func (s *silentAttempt) close() {
 	if s.state.CompareAndSwap(silentOpen, silentClosed) {
+		s.freeSlot()
 		_ = s.conn.Close() // cancels the request at the endpoint
 	}
 }
@@ -88,7 +90,7 @@
 	if refusal != nil {
 		return nil
 	}
-	s := &silentAttempt{conn: a.conn}
+	s := &silentAttempt{conn: a.conn, freeSlot: func() { j.freeSlot(a) }}
 	ctx, cancel := context.WithCancel(j.requestCtx)
 	woke := a.conn.ReadAhead(func(err error) {
 		if err == nil && s.state.CompareAndSwap(silentOpen, silentWoke) {
@@ -117,6 +119,15 @@
 	return errTakenOver
 }
 
+// freeSlot ends the grant of a silent attempt, whose connection is closed while its successor goes on.
+func (j *job) freeSlot(a *attempt) {
+	if j.requestCtx.Err() != nil {
+		j.endGrant(a, balance.Abandoned)
+		return
+	}
+	j.endGrant(a, balance.TimedOut)
+}
+
 // takesOver reports whether the response of an attempt is better than waiting on. A stream of which the
 // caller has a part can only go on with another stream.
 func (j *job) takesOver(b *attempt) bool {
