Pass on what has arrived of a chunk

Callers got an event only with the next one, and a stream whose endpoint hung then was broken off, although another endpoint could go on with it.

Cause: the chunk reader of net/http waits for a whole chunk, while it holds data of the chunk before, once the size of the next one has arrived. The next endpoint was asked for an event that the caller then got from the first one; its own was refused as passed on already.

Why it works: the new reader returns what it has as soon as the next byte of data or line has not arrived. An earlier trial of it found a crash on a bare line feed after a chunk, now a row of the bad bodies in the test of bodies.

--- a/connection/http1/body.go
+++ b/connection/http1/body.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"io"
-	"net/http/httputil"
 
 	"github.com/pkg/errors"
 )
@@ -26,7 +25,7 @@
 	b := &Body{src: src, length: length, remaining: length}
 	switch length {
 	case Chunked:
-		b.chunks = httputil.NewChunkedReader(src)
+		b.chunks = &chunkReader{src: src}
 	case 0:
 		b.complete = true
 	}
@@ -81,9 +80,6 @@
 	if err != io.EOF {
 		return n, err
 	}
-	if n > 0 {
-		return n, nil // the data does not wait for the trailer
-	}
 	if err := b.skipTrailer(); err != nil {
 		return 0, err
 	}
--- a/connection/http1/head_test.go
+++ b/connection/http1/head_test.go
@@ -86,7 +86,7 @@
 	for _, bad := range []struct {
 		text   string
 		length int64
-	}{{"abc", 5}, {"3\r\nabc\r\n", Chunked}, {"3\r\nabc\r\n0\r\n", Chunked}, {"3\r\nabcX2\r\nde\r\n0\r\n\r\n", Chunked}, {"zz\r\n", Chunked}, {"3\nabc\r\n0\r\n\r\n", Chunked}} {
+	}{{"abc", 5}, {"3\r\nabc\r\n", Chunked}, {"3\r\nabc\r\n0\r\n", Chunked}, {"3\r\nabcX2\r\nde\r\n0\r\n\r\n", Chunked}, {"3\r\nabc\n0\r\n\r\n", Chunked}, {"zz\r\n", Chunked}, {"3\nabc\r\n0\r\n\r\n", Chunked}} {
 		_, complete, err := read(bad.text, bad.length)
 		c.Assert(err, qt.Not(qt.IsNil), qt.Commentf("%q", bad.text))
 		c.Assert(complete, qt.IsFalse)
