Send a read elsewhere when its endpoint falls silent within the body

Reads got 504 at their deadline, though another endpoint could serve them, when an endpoint fell silent after the head of a response that is no stream.

Cause: silence was watched up to the end of the head and between the events of a stream only.

Before: platform.TestEndpointThatFallsSilentInItsBodyIsTakenOver /look/1 after "X-Server-Seal: seal\r\nContent-Length: 20\r\n\r\n" got: int(504), want: int(200) It passes now, for its four forms of bodies.

Why it works: reads of the body are watched with the bounds of the head. Another endpoint is asked from the budget of retries, and the silent one is closed only once that one has responded. Requests that may run once wait as before.

--- a/connection/forward/attempt.go
+++ b/connection/forward/attempt.go
@@ -118,17 +118,29 @@
 	return a.conn.WriteAll(head, j.x.Body)
 }
 
-// firstByteFactor bounds the silence up to the end of the head of the response to a request
-// that may be retried, as a multiple of its objective. After it another endpoint is
-// tried. It is not 1, because a second endpoint processes the prompt again.
+// firstByteFactor bounds the silence before and within the response to a request that may be
+// retried, if it is no stream, as a multiple of its objective. After it another endpoint is tried. It is not 1, because a second endpoint processes the prompt again.
 const firstByteFactor = 2
 
 // errSlowFirstByte ends an attempt in favour of another router.
 var errSlowFirstByte = errors.New("no first byte in time; trying another router")
 
-// watchHead makes reads of the head try another endpoint after a silence of firstByteFactor objectives, if the
+// readBody reads the body of a response that is no stream. A silence within it is handled as one before it.
+func (j *job) readBody(a *attempt) ([]byte, error) {
+	if _, err := j.watchReads(a); err != nil {
+		return nil, err
+	}
+	data, reserved, err := a.body.ReadReserved(maxBufferedBytes, maxBufferedTotal, &j.s.buffered)
+	j.buffered += reserved
+	if err == nil && j.endedByCrash(a) {
+		err = errEndedByCrash
+	}
+	return data, err
+}
+
+// watchReads makes reads of the response try another endpoint after a silence of firstByteFactor objectives, if the
 // request may be retried elsewhere and its deadline is at least two such waits away. It reports whether it does.
-func (j *job) watchHead(a *attempt) (bool, error) {
+func (j *job) watchReads(a *attempt) (bool, error) {
 	silence := firstByteFactor * j.route.Objective
 	if !j.mayRetryElsewhere(a.grant.Service) || time.Until(j.deadline) < 2*silence {
 		return false, nil
@@ -180,11 +192,7 @@
 		j.endFailed(a)
 		return false // the caller already has a part of another endpoint's response
 	}
-	data, reserved, err := a.body.ReadReserved(maxBufferedBytes, maxBufferedTotal, &j.s.buffered)
-	j.buffered += reserved
-	if err == nil && j.endedByCrash(a) {
-		err = errEndedByCrash
-	}
+	data, err := j.readBody(a)
 	if err != nil {
 		a.err, a.failure = errors.Wrap(err, "response truncated"), j.classify(a, err)
 		j.endFailed(a)
--- a/connection/forward/response.go
+++ b/connection/forward/response.go
@@ -22,7 +22,7 @@
 	defer j.watchSilence(a)()
 	watched := false
 	for mismatched := 0; ; mismatched++ {
-		again, err := j.watchHead(a)
+		again, err := j.watchReads(a)
 		if err != nil {
 			return err
 		}
