End the request of a caller that TCP finds to be out of reach

A request whose caller's host or link had failed went on at its endpoint until its deadline.

Cause: the read that waits for the caller's close ended with ETIMEDOUT, which says Timeout() as a deadline that was set here does.

Before: frontend.TestRequestEndsWhenItsCallerIsOutOfReach server_test.go:133: value is not true, got: bool(false) The request had not ended after 1 s. It passes now, three of three runs with -race.

Why it works: only os.ErrDeadlineExceeded counts as a deadline; any other error of that read ends the request.

--- a/connection/frontend/conn.go
+++ b/connection/frontend/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -181,10 +182,9 @@
 	return <-done
 }
 
-func isTimeout(err error) bool {
-	var t net.Error
-	return errors.As(err, &t) && t.Timeout()
-}
+// isTimeout reports whether a read deadline that was set here passed. The timeout of TCP, after which the
+// caller is out of reach, is a failure of the connection.
+func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
 
 // reject responds to a request that could not be read. No part of it was forwarded.
 func (c *conn) reject(err error) {
--- a/connection/frontend/server_test.go
+++ b/connection/frontend/server_test.go
@@ -6,6 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -97,3 +100,35 @@
 	_, err = first.r.ReadByte()
 	c.Assert(err, qt.Equals, io.EOF)
 }
+
+// lostConn is a connection whose other end has sent a request and acknowledges nothing any more.
+type lostConn struct {
+	net.Conn
+	request io.Reader
+}
+
+func (l lostConn) Read(p []byte) (int, error) {
+	if n, _ := l.request.Read(p); n > 0 {
+		return n, nil
+	}
+	return 0, &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", syscall.ETIMEDOUT)}
+}
+
+// Guards against requests that go on for a caller whose host or link is gone: the timeout of TCP is no read deadline.
+func TestRequestEndsWhenItsCallerIsOutOfReach(t *testing.T) {
+	c := qt.New(t)
+	ended := make(chan bool, 1)
+	s := &Server{Log: logr.Discard(), Limits: func() Limits { return Limits{} }, Handler: handlerFunc(func(ctx context.Context, _ *Exchange) {
+		select {
+		case <-ctx.Done():
+			ended <- true
+		case <-time.After(time.Second):
+			ended <- false
+		}
+	})}
+	c.Cleanup(s.Close)
+	conn, other := net.Pipe()
+	c.Cleanup(func() { _ = other.Close() })
+	s.ServeConn(lostConn{conn, strings.NewReader("GET / HTTP/1.1\r\nHost: a.example\r\n\r\n")})
+	c.Assert(<-ended, qt.IsTrue)
+}
