Keep no connection to a router whose response is still due

A booking got 502 after the request before it on a connection between routers had been answered with a response to another request that had no body.

Cause: the connection was kept if the body of the response was complete, which is so at once without a body, although the response was refused for its id.

Before: forward.TestConnectionToARouterIsNotKeptAfterAResponseToAnotherRequest relay_test.go:57: values are not equal, got: bool(true), want: bool(false) It passes now. That a sound router sends such a response was not seen; the test plays it at the connection.

Why it works: the head and the body are the attempt's only once the id matches; without a body the connection is closed.

--- a/connection/forward/relay.go
+++ b/connection/forward/relay.go
@@ -195,10 +195,11 @@
 		return err
 	}
 	a.firstAt = time.Now()
-	a.head, a.response, a.body = head, j.s.Codec.DecodeResponse(head), http1.NewBody(a.conn.R, head.Length)
-	if a.response.RequestID != j.req.ID {
-		return errors.New("router's response to another request")
+	response := j.s.Codec.DecodeResponse(head)
+	if response.RequestID != j.req.ID {
+		return errors.New("router's response to another request") // its own is still due on the connection
 	}
+	a.head, a.response, a.body = head, response, http1.NewBody(a.conn.R, head.Length)
 	return nil
 }
 
--- /dev/null
+++ b/connection/forward/relay_test.go
@@ -0,0 +1,59 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/stoatmount/stoatmount/connection/frontend"
+	"github.com/stoatmount/stoatmount/connection/http1"
+	"github.com/stoatmount/stoatmount/request/balance"
+	"github.com/stoatmount/stoatmount/version/routing"
+)
+
+// relayCodec reads the ids of responses.
+type relayCodec struct{ Codec }
+
+func (relayCodec) DecodeResponse(h *http1.Head) Response {
+	return Response{RequestID: h.Get("X-Request-Id")}
+}
+
+func (relayCodec) EncodeRelay(*http1.Head, RelayOptions, int64, []http1.Field) []byte {
+	return []byte("GET / HTTP/1.1\r\n\r\n")
+}
+
+// relayed returns a request, and an attempt at a router that responds as given and keeps the connection.
+func relayed(c *qt.C, response string) (*job, *attempt) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = l.Close() })
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, response)
+		_, _ = io.Copy(io.Discard, conn) // until it is closed
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	c.Cleanup(cancel)
+	j := &job{s: &Server{RelayPool: http1.NewPool(time.Second), Codec: relayCodec{}}, x: &frontend.Exchange{Head: &http1.Head{Method: "GET"}}, req: Request{ID: "own"},
+		ctx: ctx, requestCtx: ctx, deadline: time.Now().Add(5 * time.Second), route: &routing.Route{Kind: routing.NonIdempotent}, rec: &Record{}}
+	return j, &attempt{grant: &balance.Grant{Addr: l.Addr().String()}, relayed: true}
+}
+
+// Guards against a connection that is used again while its response is due: the next request would get that one.
+func TestConnectionToARouterIsNotKeptAfterAResponseToAnotherRequest(t *testing.T) {
+	for id, kept := range map[string]bool{"own": true, "other": false} {
+		c := qt.New(t)
+		j, a := relayed(c, "HTTP/1.1 204 No Content\r\nX-Request-Id: "+id+"\r\n\r\n")
+		c.Assert(j.connect(a), qt.IsNil)
+		c.Check(j.readRelayHead(a) == nil, qt.Equals, kept)
+		j.closeRelay(a)
+		c.Check(j.s.RelayPool.Get(a.grant.Addr, time.Now()) != nil, qt.Equals, kept)
+	}
+}
