Take no change to another protocol for a response

Callers got an endpoint's 101, with a length and no body.

Cause: 101 was left out of the interim responses that are skipped, and passed on as a final response. No request asks for another protocol.

Why it works: such a head is malformed, and the outcome of its request unknown; stoatmount serve refuses it by its status.

--- a/connection/endpoint/client_test.go
+++ b/connection/endpoint/client_test.go
@@ -145,6 +145,9 @@
 		{"head continued by another one", func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Add(protocol.HeaderRequestID, "other.1")
 		}, outcome.AnswerCrossed, outcome.RunUnknown},
+		{"change to another protocol", func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusSwitchingProtocols)
+		}, outcome.EndpointFailed, outcome.RunUnknown},
 		{"refused as not run", func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set(protocol.HeaderNotRun, "true")
 			w.WriteHeader(http.StatusServiceUnavailable)
--- a/connection/endpoint/request.go
+++ b/connection/endpoint/request.go
@@ -150,6 +150,9 @@
 	if echoed := response.Header.Values(protocol.HeaderRequestID); len(echoed) != 1 || echoed[0] != r.ID {
 		return outcome.Unknown(outcome.AnswerCrossed, "the endpoint answered another request")
 	}
+	if response.StatusCode == http.StatusSwitchingProtocols {
+		return outcome.Unknown(outcome.EndpointFailed, "the endpoint changed to another protocol, which no request asks for")
+	}
 	if response.Header.Get(protocol.HeaderNotRun) != "true" || response.StatusCode < http.StatusBadRequest {
 		return nil
 	}
--- a/connection/http1/head.go
+++ b/connection/http1/head.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -78,8 +79,8 @@
 }
 
 // ReadResponse reads the head of the response to a request with the given
-// method. Interim responses (1xx other than 101) are skipped. All heads together may
-// have at most limit bytes.
+// method. Interim responses (1xx) are skipped; 101 is malformed, as no request asks for another
+// protocol. All heads together may have at most limit bytes.
 func ReadResponse(r *bufio.Reader, limit int, method string) (*Head, error) {
 	for {
 		if err := expectPrefix(r, "HTTP/1."); err != nil {
@@ -94,7 +95,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if h.Status >= 100 && h.Status < 200 && h.Status != 101 {
+		switch {
+		case h.Status == http.StatusSwitchingProtocols:
+			return nil, errors.Wrap(ErrMalformed, "change to another protocol that was not asked for")
+		case h.Status < http.StatusOK:
 			continue
 		}
 		return h, h.parseFraming(false, method)
