Ask a further router for a stream that one does not know

A caller's stream was broken off when the router to which it was passed on did not know which software had begun it.

Cause: origin_unknown of another router counted as the last word on the request. It says only what that router could find out in time.

Before: forward.TestBegunStreamGoesOnAfterARouterThatDoesNotKnowIt relay_test.go:79: value is not false, origin_unknown, got: bool(true) It passes now.

--- a/connection/forward/relay.go
+++ b/connection/forward/relay.go
@@ -216,7 +216,7 @@
 // elsewhere reports whether another router may do better after a refusal.
 func elsewhere(code outcome.Code) bool {
 	switch code {
-	case outcome.Draining, outcome.NoConfig, outcome.NoEndpoint, outcome.UnknownRouter:
+	case outcome.Draining, outcome.NoConfig, outcome.NoEndpoint, outcome.UnknownRouter, outcome.OriginUnknown:
 		return true
 	}
 	return false
--- a/connection/forward/relay_test.go
+++ b/connection/forward/relay_test.go
@@ -4,14 +4,17 @@
 	"context"
 	"io"
 	"net"
+	"strconv"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
 
 	"github.com/stoatmount/stoatmount/connection/frontend"
 	"github.com/stoatmount/stoatmount/connection/http1"
 	"github.com/stoatmount/stoatmount/request/balance"
+	"github.com/stoatmount/stoatmount/request/outcome"
 	"github.com/stoatmount/stoatmount/version/routing"
 )
 
@@ -57,3 +60,26 @@
 		c.Check(j.s.RelayPool.Get(a.grant.Addr, time.Now()) != nil, qt.Equals, kept)
 	}
 }
+
+// Guards against a stream that is cut because one router does not know which software began it.
+func TestBegunStreamGoesOnAfterARouterThatDoesNotKnowIt(t *testing.T) {
+	c := qt.New(t)
+	j, a := relayed(c, "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: own\r\n"+relayFieldCode+": "+strconv.Itoa(int(outcome.OriginUnknown))+"\r\nContent-Length: 0\r\n\r\n")
+	j.route, j.rec.HeadSent, j.lastEventID, j.mayHaveRun = &routing.Route{Kind: routing.Stream, Resumable: true}, true, 3, true
+	ended := make(chan bool)
+	s := &frontend.Server{Log: logr.Discard(), Limits: func() frontend.Limits { return frontend.Limits{} }, Handler: handlerFunc(func(x *frontend.Exchange) {
+		j.x = x
+		ended <- j.sendRelay(a)
+	})}
+	c.Cleanup(s.Close)
+	conn, caller := net.Pipe()
+	s.ServeConn(conn)
+	_, err := io.WriteString(caller, "GET / HTTP/1.1\r\nHost: a.example\r\n\r\n")
+	c.Assert(err, qt.IsNil)
+	c.Assert(<-ended, qt.IsFalse, qt.Commentf("%s", j.rec.Code))
+	c.Assert(a.run, qt.Equals, outcome.RunNot)
+}
+
+type handlerFunc func(x *frontend.Exchange)
+
+func (f handlerFunc) Serve(_ context.Context, x *frontend.Exchange) { f(x) }
