Refuse a message with an empty transfer coding

A message with an empty Transfer-Encoding was delimited as if it had none, and with a second, valid field as a chunked one. Its sender may mean another end.

Cause: an empty text stood for "no field". FuzzReadRequest found it: framing of "0 / HTTP/1.0\r\n0000:\r\nTrAnsfer-EnCoding:\r\n\r\n": 0

Before, two rows of http1.TestReadRequest: head_test.go:45: got nil error but want non-nil, "empty, then coding" and likewise "empty coding". Both pass now, and 15 s of FuzzReadRequest and of FuzzReadResponse found nothing.

Why it works: that the field occurred is kept apart from its value, which must name chunks.

--- a/connection/http1/head.go
+++ b/connection/http1/head.go
@@ -222,7 +222,7 @@
 // parseFraming determines how the body is delimited and whether the connection
 // is kept alive.
 func (h *Head) parseFraming(request bool, method string) error {
-	length, coding := int64(-1), ""
+	length, coded := int64(-1), false
 	h.Close = h.MinorVersion == 0
 	for _, f := range h.Fields {
 		switch {
@@ -233,10 +233,10 @@
 			}
 			length = int64(n)
 		case strings.EqualFold(f.Name, "Transfer-Encoding"):
-			if coding != "" {
-				return errors.Wrap(ErrMalformed, "two Transfer-Encoding fields")
+			if coded || !strings.EqualFold(f.Value, "chunked") {
+				return errors.Wrap(ErrMalformed, "Transfer-Encoding other than chunked")
 			}
-			coding = f.Value
+			coded = true
 		case strings.EqualFold(f.Name, "Connection"):
 			for _, option := range strings.Split(f.Value, ",") {
 				switch strings.ToLower(strings.TrimSpace(option)) {
@@ -250,13 +250,13 @@
 			h.KeepAliveTimeout = idleTimeout(f.Value)
 		}
 	}
-	if coding != "" && (!strings.EqualFold(coding, "chunked") || length >= 0 || h.MinorVersion == 0) {
+	if coded && (length >= 0 || h.MinorVersion == 0) {
 		return errors.Wrap(ErrMalformed, "ambiguous framing")
 	}
 	switch {
 	case !request && (h.Status == 204 || h.Status == 304 || method == "HEAD"):
 		h.Length = 0
-	case coding != "":
+	case coded:
 		h.Length = Chunked
 	case length >= 0:
 		h.Length = length
--- a/connection/http1/head_test.go
+++ b/connection/http1/head_test.go
@@ -27,6 +27,8 @@
 		"two lengths":        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\n",
 		"list of lengths":    "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1, 1\r\n\r\n",
 		"signed length":      "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: +1\r\n\r\n",
+		"empty coding":       "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding:\r\n\r\n",
+		"empty, then coding": "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding:\r\nTransfer-Encoding: chunked\r\n\r\n",
 		"other coding":       "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
 		"bare line feed":     "GET / HTTP/1.1\nHost: a\n\n",
 		"mixed line feed":    "GET / HTTP/1.1\r\nHost: a\nX: y\r\n\r\n",
