Refuse bytes after a chunk at once

The reader of chunks waited for the end of a line where a chunk's CRLF was due, so that the fault of a response was found late.

Before: http1.TestBytesThatAreNoChunkAreRefusedAtOnce ended at its timeout panic: test timed out after 8s It passes now.

--- a/connection/http1/chunks.go
+++ b/connection/http1/chunks.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// chunkOverheadBytes is what a chunk may add to its data at the least, and
-	// maxExcessBytes bounds what all chunks of a body add beyond it and twice their data.
+	// chunkOverheadBytes, with twice its data, is how long the line of a chunk may be at no charge.
+	// maxExcessBytes bounds what the lines of a body have beyond that.
 	chunkOverheadBytes = 16
 	maxExcessBytes     = 16 << 10
 )
@@ -22,7 +22,7 @@
 	src    *bufio.Reader
 	left   int64 // bytes of the chunk that were not read
 	inside bool  // a chunk was begun, and the CRLF after its data was not read
-	excess int64
+	excess int64 // bytes of lines beyond chunkOverheadBytes and twice the data
 	err    error
 }
 
@@ -59,11 +59,13 @@
 // nextChunk reads the line of the next chunk. It returns io.EOF for the last one.
 func (r *chunkReader) nextChunk() error {
 	if r.inside {
-		if line, err := r.line(); err != nil {
-			return err
-		} else if len(line) > 0 {
-			return errors.Wrap(ErrMalformed, "data beyond the size of its chunk")
+		const end = "\r\n"
+		if err := expectPrefix(r.src, end); err == io.EOF {
+			return io.ErrUnexpectedEOF
+		} else if err != nil {
+			return errors.Wrap(err, "after the data of a chunk")
 		}
+		_, _ = r.src.Discard(len(end)) // of buffered bytes only
 		r.inside = false
 	}
 	line, err := r.line()
--- a/connection/http1/chunks_test.go
+++ b/connection/http1/chunks_test.go
@@ -32,3 +32,15 @@
 		_ = other.Close()
 	}
 }
+
+// A body whose chunk is followed by other bytes is refused before their line ends.
+func TestBytesThatAreNoChunkAreRefusedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	for _, begin := range []string{"4\r\nfourx", "4\r\nfour\rx"} {
+		r, w := io.Pipe()
+		go func() { _, _ = io.WriteString(w, begin) }() // and nothing else
+		_, err := NewBody(bufio.NewReader(r), Chunked).ReadAll(100)
+		c.Assert(err, qt.ErrorIs, ErrMalformed)
+		c.Assert(r.Close(), qt.IsNil)
+	}
+}
--- a/connection/http1/head.go
+++ b/connection/http1/head.go
@@ -117,7 +117,7 @@
 			return err
 		}
 		if b[i] != prefix[i] {
-			return errors.Wrap(ErrMalformed, "invalid status line")
+			return errors.Wrapf(ErrMalformed, "expected %q", prefix)
 		}
 	}
 	return nil
