Send a request again to the only endpoint of its service

Reads and resumable streams got 502 when their connection broke without a response, although the endpoint accepted connections and the route allowed a second attempt: there was no other endpoint.

Cause: a further attempt goes to an endpoint that the request has not tried. Only streams with an event went to the same one again.

Requests that may run once ran once before and now.

Why it works: the endpoint to which the connection broke is taken if there is no other one and it accepts another connection, which tells it from one that crashed. Attempts and the retry budget bound it.

--- a/connection/forward/origin.go
+++ b/connection/forward/origin.go
@@ -41,12 +41,12 @@
 // mayGoOnAt reports whether a service may have the next attempt of the request.
 func (j *job) mayGoOnAt(service string) bool { return j.origin == nil || j.origin.Service == service }
 
-// acquireNext chooses the endpoint of the next attempt. A stream that may go on nowhere else goes on at
-// the endpoint to which its connection broke, if that was found to accept another one.
+// acquireNext chooses the endpoint of the next attempt. A request for which there is no other endpoint goes to
+// the one to which its connection broke, if that was found to accept another one.
 func (j *job) acquireNext() (*balance.Grant, *balance.Refusal) {
 	g, refusal := j.acquire()
 	failed := j.rec.FailedAttempts
-	if refusal == nil || refusal.Code != outcome.NoEndpoint || j.origin == nil || j.unreached > 0 || len(failed) == 0 {
+	if refusal == nil || refusal.Code != outcome.NoEndpoint || j.unreached > 0 || len(failed) == 0 {
 		return g, refusal
 	}
 	last := failed[len(failed)-1]
