--- a/connection/forward/relay.go
+++ b/connection/forward/relay.go
@@ -195,10 +195,11 @@
 		return err
 	}
 	a.firstAt = time.Now()
-	a.head, a.response, a.body = head, j.s.Codec.DecodeResponse(head), http1.NewBody(a.conn.R, head.Length)
-	if a.response.RequestID != j.req.ID {
-		return errors.New("router's response to another request")
+	response := j.s.Codec.DecodeResponse(head)
+	if response.RequestID != j.req.ID {
+		return errors.New("router's response to another request") // its own is still due on the connection
 	}
+	a.head, a.response, a.body = head, response, http1.NewBody(a.conn.R, head.Length)
 	return nil
 }
 
@@ -215,7 +216,7 @@
 // elsewhere reports whether another router may do better after a refusal.
 func elsewhere(code outcome.Code) bool {
 	switch code {
-	case outcome.Draining, outcome.NoConfig, outcome.NoEndpoint, outcome.UnknownRouter:
+	case outcome.Draining, outcome.NoConfig, outcome.NoEndpoint, outcome.UnknownRouter, outcome.OriginUnknown:
 		return true
 	}
 	return false
--- a/connection/http1/head.go
+++ b/connection/http1/head.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -78,8 +79,8 @@
 }
 
 // ReadResponse reads the head of the response to a request with the given
-// method. Interim responses (1xx other than 101) are skipped. All heads together may
-// have at most limit bytes.
+// method. Interim responses (1xx) are skipped; 101 is malformed, as no request asks for another
+// protocol. All heads together may have at most limit bytes.
 func ReadResponse(r *bufio.Reader, limit int, method string) (*Head, error) {
 	for {
 		if err := expectPrefix(r, "HTTP/1."); err != nil {
@@ -94,7 +95,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if h.Status >= 100 && h.Status < 200 && h.Status != 101 {
+		switch {
+		case h.Status == http.StatusSwitchingProtocols:
+			return nil, errors.Wrap(ErrMalformed, "change to another protocol that was not asked for")
+		case h.Status < http.StatusOK:
 			continue
 		}
 		return h, h.parseFraming(false, method)
@@ -113,7 +117,7 @@
 			return err
 		}
 		if b[i] != prefix[i] {
-			return errors.Wrap(ErrMalformed, "invalid status line")
+			return errors.Wrapf(ErrMalformed, "expected %q", prefix)
 		}
 	}
 	return nil
@@ -218,7 +222,7 @@
 // parseFraming determines how the body is delimited and whether the connection
 // is kept alive.
 func (h *Head) parseFraming(request bool, method string) error {
-	length, coding := int64(-1), ""
+	length, coded := int64(-1), false
 	h.Close = h.MinorVersion == 0
 	for _, f := range h.Fields {
 		switch {
@@ -229,10 +233,10 @@
 			}
 			length = int64(n)
 		case strings.EqualFold(f.Name, "Transfer-Encoding"):
-			if coding != "" {
-				return errors.Wrap(ErrMalformed, "two Transfer-Encoding fields")
+			if coded || !strings.EqualFold(f.Value, "chunked") {
+				return errors.Wrap(ErrMalformed, "Transfer-Encoding other than chunked")
 			}
-			coding = f.Value
+			coded = true
 		case strings.EqualFold(f.Name, "Connection"):
 			for _, option := range strings.Split(f.Value, ",") {
 				switch strings.ToLower(strings.TrimSpace(option)) {
@@ -246,13 +250,13 @@
 			h.KeepAliveTimeout = idleTimeout(f.Value)
 		}
 	}
-	if coding != "" && (!strings.EqualFold(coding, "chunked") || length >= 0 || h.MinorVersion == 0) {
+	if coded && (length >= 0 || h.MinorVersion == 0) {
 		return errors.Wrap(ErrMalformed, "ambiguous framing")
 	}
 	switch {
 	case !request && (h.Status == 204 || h.Status == 304 || method == "HEAD"):
 		h.Length = 0
-	case coding != "":
+	case coded:
 		h.Length = Chunked
 	case length >= 0:
 		h.Length = length
--- a/connection/http1/head_test.go
+++ b/connection/http1/head_test.go
@@ -27,6 +27,8 @@
 		"two lengths":        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\n",
 		"list of lengths":    "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1, 1\r\n\r\n",
 		"signed length":      "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: +1\r\n\r\n",
+		"empty coding":       "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding:\r\n\r\n",
+		"empty, then coding": "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding:\r\nTransfer-Encoding: chunked\r\n\r\n",
 		"other coding":       "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
 		"bare line feed":     "GET / HTTP/1.1\nHost: a\n\n",
 		"mixed line feed":    "GET / HTTP/1.1\r\nHost: a\nX: y\r\n\r\n",
@@ -61,7 +63,7 @@
 	h, err = ReadResponse(reader("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n"), 1<<10, "HEAD")
 	c.Assert(err, qt.IsNil)
 	c.Assert(h.Length, qt.Equals, int64(0))
-	for _, bad := range []string{"hello\r\n\r\n", "HTTP/1.1 20 OK\r\n\r\n", "HTTP/2 200 OK\r\n\r\n", "\x00\x01\r\n\r\n"} {
+	for _, bad := range []string{"hello\r\n\r\n", "HTTP/1.1 20 OK\r\n\r\n", "HTTP/2 200 OK\r\n\r\n", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n", "\x00\x01\r\n\r\n"} {
 		_, err := ReadResponse(reader(bad), 1<<10, "GET")
 		c.Assert(err, qt.ErrorIs, ErrMalformed, qt.Commentf("%q", bad))
 	}
@@ -86,7 +88,7 @@
 	for _, bad := range []struct {
 		text   string
 		length int64
-	}{{"abc", 5}, {"3\r\nabc\r\n", Chunked}, {"3\r\nabc\r\n0\r\n", Chunked}, {"3\r\nabcX2\r\nde\r\n0\r\n\r\n", Chunked}, {"zz\r\n", Chunked}, {"3\nabc\r\n0\r\n\r\n", Chunked}} {
+	}{{"abc", 5}, {"3\r\nabc\r\n", Chunked}, {"3\r\nabc\r\n0\r\n", Chunked}, {"3\r\nabcX2\r\nde\r\n0\r\n\r\n", Chunked}, {"3\r\nabc\n0\r\n\r\n", Chunked}, {"zz\r\n", Chunked}, {"3\nabc\r\n0\r\n\r\n", Chunked}} {
 		_, complete, err := read(bad.text, bad.length)
 		c.Assert(err, qt.Not(qt.IsNil), qt.Commentf("%q", bad.text))
 		c.Assert(complete, qt.IsFalse)
