Take a stream for unknown only by reads that began after its request

What callers would see: a stream that is taken up goes on at another software version (ORDER).

Cause: that no router and no saved record knows a stream, and that the registry has one version only, was concluded from reads of the store that began up to 200 ms before the request came. A router that no longer answers may have begun the stream at a new version meanwhile.

Evidence: TestStreamBegunAfterSharedReadKeepsItsVersion (virtual time) failed in both cases before: got: origins.Origin{Service:"llm", Version:"v1"} want: origins.Origin{Service:"llm", Version:"v2"}

Change: such a conclusion needs reads that began after the request came. A caller has no event of a stream before the stream is saved, so these show it. A read that does show the stream still counts if it is up to 200 ms older, so that a start after a loss of all routers waits no longer.

TestLateReadRefusesNoStream passes as it was.

--- a/process/router/findorigin.go
+++ b/process/router/findorigin.go
@@ -18,7 +18,7 @@
 	// maxReadWait bounds the wait for reads before a stream is refused: as long as the refusal
 	// would send the caller away.
 	maxReadWait = time.Second
-	// sharedReadInterval is the pause between reads, and the age up to which requests share one.
+	// sharedReadInterval is the pause between reads, and the age up to which requests share what one found.
 	sharedReadInterval = 200 * time.Millisecond
 )
 
@@ -38,7 +38,7 @@
 	// What the others have seen may have been restored as well, without a version of before.
 	if own.Origin == nil && (len(own.Seen) > 1 || !own.Complete) && time.Since(r.startedAt) < freshProcessTime {
 		wait, cancel := context.WithTimeout(ctx, maxReadBeforeAsking)
-		if s.await(wait, asked, &s.log, s.loadBegun) {
+		if s.await(wait, asked.Add(-sharedReadInterval), &s.log, s.loadBegun) {
 			own = r.answer(time.Now(), k, services)
 		}
 		cancel()
@@ -60,7 +60,7 @@
 		return o, true
 	}
 	// A router that does not answer, or an earlier process of one that does, may have begun
-	// it, at a version that none of these has seen.
+	// it, at a version that none of these has seen. Only reads from now on show that it did not.
 	wait, cancel := context.WithTimeout(ctx, readWait(ctx))
 	defer cancel()
 	if !s.await(wait, asked, &s.log, s.loadBegun) {
@@ -90,13 +90,12 @@
 	return min(maxReadWait, time.Until(deadline)/2)
 }
 
-// await waits until a read has succeeded that began at most sharedReadInterval before the request
-// asked. It gives up when ctx ends or a read that began since the call has failed; a read goes on
-// without the requests that wait for it.
-func (s *streamOrigins) await(ctx context.Context, asked time.Time, state *storeRead, read func(context.Context) error) bool {
+// await waits until a read has succeeded that began at notBefore or later. It gives up when ctx ends or
+// a read that began since the call has failed; a read goes on without the requests that wait for it.
+func (s *streamOrigins) await(ctx context.Context, notBefore time.Time, state *storeRead, read func(context.Context) error) bool {
 	for called := time.Now(); ; {
 		state.mu.Lock()
-		if !state.succeeded.Before(asked.Add(-sharedReadInterval)) {
+		if !state.succeeded.Before(notBefore) {
 			state.mu.Unlock()
 			return true
 		}
