Let an ejection for a reset end by time only

Change: a reset while connecting ejects as a failed connect does, and a slow response does not end it.

--- a/process/upstream/health.go
+++ b/process/upstream/health.go
@@ -68,7 +68,8 @@
 		h.eject(now, unreachableEjection, false)
 		return
 	case balance.ResetAtOnce: // something listens, so that the process has not ended
-		h.eject(now, unreachableEjection)
+		h.ejectedAsLate = false
+		h.eject(now, unreachableEjection, false)
 		return
 	case balance.Broken:
 		h.consecutiveLate = 0
