Bound the heartbeats that are sent before their time

Cause: each heartbeat of a process that was not known before, and what endpoints announce, made a router send a heartbeat to all others at once, as often as that came. After a loss of power of most of a large fleet all routers do that for all that start.

Change: two heartbeats of a router are at least a tenth of its interval apart; the first early one goes at once, later ones are joined.

Evidence: TestStartOfManyRoutersBringsNoStormOfHeartbeats failed before: "300 routers: 30050 datagrams a second", 1,650 allowed.

--- a/process/peers/exchange.go
+++ b/process/peers/exchange.go
@@ -23,6 +23,8 @@
 	// maxLostHeartbeats is the number of consecutive lost heartbeats after which a router
 	// counts as dead.
 	maxLostHeartbeats = 3
+	// maxEarlyFactor bounds heartbeats that are sent before their time, as a multiple of the usual rate.
+	maxEarlyFactor = 10
 	// finalHeartbeats is how often a stopping router sends its last heartbeat, since
 	// datagrams get lost.
 	finalHeartbeats = 3
@@ -63,13 +65,10 @@
 	}()
 	for ctx.Err() == nil {
 		e.send()
-		t := time.NewTimer(Interval(e.Table.Count(time.Now())))
-		select {
-		case <-ctx.Done():
-		case <-e.Wake:
-		case <-t.C:
-		}
-		t.Stop()
+		interval := Interval(e.Table.Count(time.Now()))
+		gap := interval / maxEarlyFactor
+		wait(ctx, gap, nil)
+		wait(ctx, interval-gap, e.Wake)
 	}
 	for range finalHeartbeats {
 		e.send()
@@ -78,7 +77,18 @@
 	<-done
 }
 
-// SendNow sends a heartbeat before its time.
+// wait returns after d, when ctx ends, or when it receives from wake.
+func wait(ctx context.Context, d time.Duration, wake <-chan struct{}) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-wake:
+	case <-t.C:
+	}
+}
+
+// SendNow sends a heartbeat before its time: at once, or as soon as maxEarlyFactor allows.
 func (e *Exchange) SendNow() {
 	select {
 	case e.Wake <- struct{}{}:
