--- a/connection/forward/attempt.go
+++ b/connection/forward/attempt.go
@@ -124,8 +124,9 @@
 	return a.conn.WriteAll(head, j.x.Body)
 }
 
-// firstByteFactor bounds the silence before and within the response to a request that may be
-// retried, if it is no stream, as a multiple of its objective. After it another endpoint is tried. It is not 1, because a second endpoint processes the prompt again.
+// firstByteFactor bounds the silence up to the end of the head of the response to a request that may be
+// retried, and within its body if it is no stream, as a multiple of its objective. After it another
+// endpoint is tried. It is not 1, because a second endpoint processes the prompt again.
 const firstByteFactor = 2
 
 // errSlowFirstByte ends an attempt in favour of another router.
