Log what a stopping router expected of a late request

What was missing: the line of a stream that a stop cut did not say whether the router had expected it to be complete, nor whether its endpoint had become slow, so that the hypotheses of the incident look the same: expected wrongly, silent or taken over, ended sooner than reckoned.

Change: a late request's line has left_ms and bound_ms, what the router compared; an attempt without an answer has events and event_ms, the mean time between them. stoatctl explain says both. mayComplete takes the record of the request in place of its route; its test asks the same.

Measured: TestExplanationOfALateStreamThatWasCut fails without the texts.

--- a/connection/forward/attempt.go
+++ b/connection/forward/attempt.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -304,11 +305,21 @@
 	return 0
 }
 
+// eventMS returns the mean time between the events of a stream in milliseconds, to a tenth, or 0 if it had fewer than two.
+func (a *attempt) eventMS() float64 {
+	if a.events < 2 {
+		return 0
+	}
+	mean := a.lastAt.Sub(a.begunAt) / time.Duration(a.events-1)
+	return math.Round(10*mean.Seconds()*1000) / 10
+}
+
 // recordFailure adds a failed attempt to the record.
 func (j *job) recordFailure(a *attempt) {
 	f := FailedAttempt{Endpoint: a.grant.ID, Failure: a.failure, Run: a.run, AfterMS: time.Since(j.rec.Arrived).Milliseconds(), Crashed: a.crashed}
 	if a.err != nil {
 		f.Error, f.EndedBy, f.SilentMS = a.err.Error(), j.endedBy(), a.silentFor(time.Now()).Milliseconds()
+		f.Events, f.EventMS = a.events, a.eventMS()
 	} else if a.head != nil {
 		f.Status = a.head.Status
 	}
--- a/connection/forward/drain.go
+++ b/connection/forward/drain.go
@@ -90,14 +90,16 @@
 }
 
 // mayComplete reports whether a request that arrived now is complete before the process ends: at its
-// deadline at the latest, and as a rule within the bound that its route and its size give.
-func (s *Server) mayComplete(now time.Time, route string, size pace.Size, deadline time.Time) bool {
+// deadline at the latest, and as a rule within the bound that its route and its size give. It records what
+// it compared.
+func (s *Server) mayComplete(now time.Time, rec *Record, size pace.Size, deadline time.Time) bool {
 	plan := s.drain.plan.Load()
 	if plan == nil || now.Before(plan.acceptAllUntil) || !deadline.After(plan.end) {
 		return true
 	}
-	bound, known := s.paces.Bound(now, route, size)
-	return known && bound <= plan.end.Sub(now)-pace.Silence
+	bound, known := s.paces.Bound(now, rec.Route, size)
+	rec.Left, rec.Bound = plan.end.Sub(now), bound
+	return known && bound <= rec.Left-pace.Silence
 }
 
 // retryAfterDrain returns the Retry-After of a request that a draining router refuses: another router
--- a/connection/forward/drain_test.go
+++ b/connection/forward/drain_test.go
@@ -16,17 +16,17 @@
 	s := &Server{}
 	const route, limit, tokens = "r", 5 * time.Second, 100
 	may := func(ms, tokens int) bool {
-		return s.mayComplete(at(ms), route, pace.Size{Most: tokens}, at(ms).Add(limit))
+		return s.mayComplete(at(ms), &Record{Route: route}, pace.Size{Most: tokens}, at(ms).Add(limit))
 	}
 	c.Assert(may(7000, tokens), qt.IsTrue) // the process is not being stopped
 	s.StartDrain(t0, at(2800), at(7600))
 	c.Assert(may(2700, tokens), qt.IsTrue)
 	c.Assert(may(2800, tokens), qt.IsFalse) // nothing is known but its limit
-	c.Assert(s.mayComplete(at(6000), route, pace.Size{Most: tokens}, at(7600)), qt.IsTrue)
+	c.Assert(s.mayComplete(at(6000), &Record{Route: route}, pace.Size{Most: tokens}, at(7600)), qt.IsTrue)
 	for _, took := range []time.Duration{100, 1000, 200} {
 		s.paces.Record(t0, "few", pace.Run{Took: took * time.Millisecond, Complete: true})
 	}
-	c.Assert(s.mayComplete(at(2800), "few", pace.Size{}, at(8000)), qt.IsFalse) // three that differ are no bound
+	c.Assert(s.mayComplete(at(2800), &Record{Route: "few"}, pace.Size{}, at(8000)), qt.IsFalse) // three that differ are no bound
 	for range 500 {
 		s.paces.Record(t0, route, pace.Run{Size: pace.Size{Most: tokens}, Took: time.Second, Complete: true})
 	}
--- a/connection/forward/record.go
+++ b/connection/forward/record.go
@@ -43,6 +43,8 @@
 	LastEventID         int64         // last event that the caller had when the request arrived; -1 if none
 	Resumed             int           // times that a stream was resumed at another endpoint
 	Draining            time.Duration // from the beginning of the process's drain to the request's arrival; 0 before it
+	Left                time.Duration // of the process when it decided whether a late request is complete in time; 0 if it did not
+	Bound               time.Duration // on the time of the request, which it compared with Left; 0 if none was known
 	Ejected             string        // endpoint that was ejected because of this request
 	Error               string
 }
@@ -57,6 +59,8 @@
 	Crashed  bool            `json:"crashed,omitempty"` // the endpoint was found to be down after it
 	EndedBy  EndedBy         `json:"ended_by,omitempty"`
 	SilentMS int64           `json:"silent_ms,omitempty"` // for which the endpoint had sent nothing when the attempt ended
+	Events   int             `json:"events,omitempty"`    // of its stream, passed on
+	EventMS  float64         `json:"event_ms,omitempty"`  // mean time between them
 	Error    string          `json:"error,omitempty"`
 }
 
--- a/connection/forward/server.go
+++ b/connection/forward/server.go
@@ -139,7 +139,7 @@
 		timeout = min(timeout, route.Timeout)
 	}
 	j.deadline = x.Arrived.Add(timeout)
-	if !s.mayComplete(time.Now(), route.Name, req.size(), j.deadline) {
+	if !s.mayComplete(time.Now(), rec, req.size(), j.deadline) {
 		return nil, outcome.Draining
 	}
 	return j, outcome.OK
--- a/operate/explain/explain.go
+++ b/operate/explain/explain.go
@@ -43,6 +43,9 @@
 	Limit                float64         `json:"limit"` // largest load of an endpoint, this request included
 	Rank                 int             `json:"rank"`
 	Ejected              string          `json:"left_out"`
+	DrainingMS           int64           `json:"draining_ms"`
+	LeftMS               int64           `json:"left_ms"`  // of the process, when it took a late request or refused it
+	BoundMS              int64           `json:"bound_ms"` // on the time of that request; 0 if none was known
 	Failed               []FailedAttempt `json:"failed"`
 	Error                string          `json:"error"`
 
@@ -55,14 +58,16 @@
 
 // FailedAttempt is an attempt that failed or got a server error.
 type FailedAttempt struct {
-	Endpoint string `json:"endpoint"`
-	Failure  string `json:"failure"`
-	Run      string `json:"run"` // whether the endpoint ran it, an outcome.Run
-	Status   int    `json:"status"`
-	AfterMS  int64  `json:"after_ms"`
-	EndedBy  string `json:"ended_by"`  // a forward.EndedBy
-	SilentMS int64  `json:"silent_ms"` // of the endpoint, at the end of the attempt
-	Error    string `json:"error"`
+	Endpoint string  `json:"endpoint"`
+	Failure  string  `json:"failure"`
+	Run      string  `json:"run"` // whether the endpoint ran it, an outcome.Run
+	Status   int     `json:"status"`
+	AfterMS  int64   `json:"after_ms"`
+	EndedBy  string  `json:"ended_by"`  // a forward.EndedBy
+	SilentMS int64   `json:"silent_ms"` // of the endpoint, at the end of the attempt
+	Events   int     `json:"events"`
+	EventMS  float64 `json:"event_ms"` // mean time between events
+	Error    string  `json:"error"`
 }
 
 // Read returns the log lines of r. Text before the first brace of a line, such as a host name added
@@ -113,7 +118,7 @@
 	s := Explanation{Request: request, Cause: cause(l)}
 	s.Steps = append(s.Steps, routerState(lines[:at], l)...)
 	begun := l.Time.Add(-time.Duration(l.TookMS) * time.Millisecond)
-	s.Steps = append(s.Steps, Step{begun, l.Host, fmt.Sprintf("arrived; route %q of configuration %d", l.Route, l.Config)})
+	s.Steps = append(s.Steps, Step{begun, l.Host, describeArrival(l)})
 	for _, f := range l.Failed {
 		s.Steps = append(s.Steps, Step{begun.Add(time.Duration(f.AfterMS) * time.Millisecond), l.Host, describeAttempt(f)})
 	}
@@ -153,6 +158,20 @@
 	return steps
 }
 
+func describeArrival(l Line) string {
+	text := fmt.Sprintf("arrived; route %q of configuration %d", l.Route, l.Config)
+	if l.DrainingMS > 0 {
+		text += fmt.Sprintf(", %d ms after the router's SIGTERM", l.DrainingMS)
+	}
+	switch {
+	case l.BoundMS > 0:
+		text += fmt.Sprintf(", expected to take at most %d ms with %d ms left", l.BoundMS, l.LeftMS)
+	case l.LeftMS > 0:
+		text += fmt.Sprintf(", with %d ms left; how long it takes was not known", l.LeftMS)
+	}
+	return text
+}
+
 func describeState(b Line) string {
 	switch {
 	case b.Message == "request":
@@ -178,6 +197,9 @@
 	if f.EndedBy != "" {
 		text += fmt.Sprintf(", ended by the %s %d ms after the endpoint's last bytes", f.EndedBy, f.SilentMS)
 	}
+	if f.EventMS > 0 {
+		text += fmt.Sprintf(", %d events, one each %.1f ms", f.Events, f.EventMS)
+	}
 	if f.Error != "" {
 		text += ", " + f.Error
 	}
--- a/operate/explain/explain_test.go
+++ b/operate/explain/explain_test.go
@@ -1,6 +1,7 @@
 package explain
 
 import (
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -16,3 +17,19 @@
 	shed := Line{Code: int(outcome.EndpointAtCap), Status: 503, Load: 7, Limit: 10, Rank: 2}
 	c.Assert(cause(shed), qt.Matches, ".*more urgent or shorter.*rank was 2.")
 }
+
+// Guards against a cut stream whose explanation does not tell a wrong expectation from a slow or silent endpoint.
+func TestExplanationOfALateStreamThatWasCut(t *testing.T) {
+	c := qt.New(t)
+	const text = `{"time":"2026-01-02T03:04:05Z","level":"info","msg":"request","host":"h","request":"x","route":"r","config":7,"result":"caller_gone",` +
+		`"code":1013,"took_ms":4400,"events":37,"draining_ms":3210,"left_ms":4390,"bound_ms":2800,` +
+		`"failed":[{"endpoint":"e","failure":"abandoned","run":"unknown","ended_by":"process","silent_ms":12,"events":37,"event_ms":90.5}]}`
+	lines, err := Read(strings.NewReader(text))
+	c.Assert(err, qt.IsNil)
+	got, err := Explain(lines, "x")
+	c.Assert(err, qt.IsNil)
+	c.Assert(got.Steps, qt.HasLen, 3)
+	c.Check(got.Steps[0].Text, qt.Equals,
+		`arrived; route "r" of configuration 7, 3210 ms after the router's SIGTERM, expected to take at most 2800 ms with 4390 ms left`)
+	c.Check(got.Steps[1].Text, qt.Contains, "ended by the process 12 ms after the endpoint's last bytes, 37 events, one each 90.5 ms")
+}
--- a/process/observe/requests.go
+++ b/process/observe/requests.go
@@ -187,6 +187,9 @@
 	if rec.Draining > 0 {
 		kv = append(kv, "draining_ms", rec.Draining.Milliseconds())
 	}
+	if rec.Left > 0 {
+		kv = append(kv, "left_ms", rec.Left.Milliseconds(), "bound_ms", rec.Bound.Milliseconds())
+	}
 	if rec.Ejected != "" {
 		kv = append(kv, "left_out", rec.Ejected)
 	}
