Let streams that have begun go on until shortly before the kill

What callers saw: a stream in progress was cut 7.6 s after the router's SIGTERM, though the kill comes at 8 s.

Cause: one moment ended all requests. 0.4 s before the kill is what a request without a response needs to be answered that it may have run; a stream that has begun needs none of it. The class: one reserve for two purposes.

Change: EndWaiting ends the requests whose response has not begun, 0.4 s before the kill as before; streams go on until 0.15 s before it, and the process exits 0.1 s before it. Late requests still have to be complete 0.4 s before it, so that they have 0.25 s more than they are expected to need. The Retry-After of the refused ones counts from the exit.

--- a/connection/forward/drain.go
+++ b/connection/forward/drain.go
@@ -17,7 +17,7 @@
 	// retryElsewhere is the Retry-After of a draining router while others take requests.
 	retryElsewhere = 50 * time.Millisecond
 	// restartTime is how long the next process of a host needs to take requests, as a rule.
-	restartTime = 500 * time.Millisecond
+	restartTime = 350 * time.Millisecond
 )
 
 // errProcessEnds ends the requests that are in progress when the process ends.
@@ -25,57 +25,89 @@
 
 // drain is the end of a process that is being stopped. Its zero value is that of one that is not.
 type drain struct {
-	plan    atomic.Pointer[drainPlan]
-	ending  context.Context
-	endAll  context.CancelCauseFunc
-	prepare sync.Once
+	plan               atomic.Pointer[DrainPlan]
+	waiting            context.Context // of the requests whose response has not begun
+	all                context.Context
+	endWaiting, endAll context.CancelFunc
+	prepare            sync.Once
 }
 
-type drainPlan struct {
-	began          time.Time
-	acceptAllUntil time.Time
-	end            time.Time
+// DrainPlan is when a process that is being stopped ends what.
+type DrainPlan struct {
+	Began          time.Time
+	AcceptAllUntil time.Time // later requests are refused unless they are complete by End
+	End            time.Time // of the requests whose response has not begun
+	Exit           time.Time // of the process
 }
 
+// responseState tells whether the response of a request has begun.
+type responseState = int32
+
+const (
+	responseWaiting responseState = iota
+	responseBegun                 // it goes on until the process exits
+	responseDenied                // the process ended the request before
+)
+
 // since returns the time from the beginning of the drain to t, or 0 if t is before it.
 func (d *drain) since(t time.Time) time.Duration {
 	if plan := d.plan.Load(); plan != nil {
-		return max(0, t.Sub(plan.began))
+		return max(0, t.Sub(plan.Began))
 	}
 	return 0
 }
 
 func (d *drain) init() {
-	d.prepare.Do(func() { d.ending, d.endAll = context.WithCancelCause(context.Background()) })
+	d.prepare.Do(func() {
+		d.waiting, d.endWaiting = context.WithCancel(context.Background())
+		d.all, d.endAll = context.WithCancel(context.Background())
+	})
 }
 
-// StartDrain begins a drain at began: from acceptAllUntil on, the server refuses requests that may not be
-// complete by end.
-func (s *Server) StartDrain(began, acceptAllUntil, end time.Time) {
-	s.drain.plan.Store(&drainPlan{began: began, acceptAllUntil: acceptAllUntil, end: end})
+// StartDrain begins a drain.
+func (s *Server) StartDrain(plan DrainPlan) { s.drain.plan.Store(&plan) }
+
+// EndWaiting ends the requests in progress whose response has not begun. They get one that does not
+// promise that they have not run.
+func (s *Server) EndWaiting() {
+	s.drain.init()
+	s.drain.endWaiting()
 }
 
-// EndRequests ends the requests in progress. Those whose response has not begun get one that
-// does not promise that they have not run.
+// EndRequests ends all requests in progress.
 func (s *Server) EndRequests() {
-	s.drain.init()
-	s.drain.endAll(errProcessEnds)
+	s.EndWaiting()
+	s.drain.endAll()
 }
 
-// requestContext returns the context of a request: it ends with the deadline, when the caller
-// leaves, and with EndRequests.
-func (s *Server) requestContext(caller context.Context, deadline time.Time) (context.Context, func()) {
+// requestContext returns the context of a job: it ends with the deadline, when the caller leaves, with
+// EndWaiting unless the response has begun, and with EndRequests.
+func (s *Server) requestContext(caller context.Context, j *job) (context.Context, func()) {
 	s.drain.init()
 	ctx, cancelCause := context.WithCancelCause(caller)
-	stop := context.AfterFunc(s.drain.ending, func() { cancelCause(errProcessEnds) })
-	ctx, cancel := context.WithDeadline(ctx, deadline)
+	stopWaiting := context.AfterFunc(s.drain.waiting, func() {
+		if j.response.CompareAndSwap(responseWaiting, responseDenied) {
+			cancelCause(errProcessEnds)
+		}
+	})
+	stop := context.AfterFunc(s.drain.all, func() { cancelCause(errProcessEnds) })
+	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	return ctx, func() {
+		stopWaiting()
 		stop()
 		cancel()
 		cancelCause(nil)
 	}
 }
 
+// beginResponse returns an error if the process ends the request before its response.
+func (j *job) beginResponse() error {
+	if !j.response.CompareAndSwap(responseWaiting, responseBegun) {
+		return errProcessEnds
+	}
+	return nil
+}
+
 // endedBy returns what has ended the request, or "".
 func (j *job) endedBy() EndedBy {
 	switch cause := context.Cause(j.requestCtx); {
@@ -94,11 +126,11 @@
 // it compared.
 func (s *Server) mayComplete(now time.Time, rec *Record, size pace.Size, deadline time.Time) bool {
 	plan := s.drain.plan.Load()
-	if plan == nil || now.Before(plan.acceptAllUntil) || !deadline.After(plan.end) {
+	if plan == nil || now.Before(plan.AcceptAllUntil) || !deadline.After(plan.End) {
 		return true
 	}
 	bound, known := s.paces.Bound(now, rec.Route, size)
-	rec.Left, rec.Bound = plan.end.Sub(now), bound
+	rec.Left, rec.Bound = plan.End.Sub(now), bound
 	return known && bound <= rec.Left-pace.Silence
 }
 
@@ -109,7 +141,7 @@
 	if plan == nil || s.OthersReady() {
 		return retryElsewhere
 	}
-	return max(retryElsewhere, plan.end.Add(restartTime).Sub(now))
+	return max(retryElsewhere, plan.Exit.Add(restartTime).Sub(now))
 }
 
 // recordPace records how long a request took that an endpoint ran, unless a part of its stream had run before.
--- a/connection/forward/drain_test.go
+++ b/connection/forward/drain_test.go
@@ -19,7 +19,7 @@
 		return s.mayComplete(at(ms), &Record{Route: route}, pace.Size{Most: tokens}, at(ms).Add(limit))
 	}
 	c.Assert(may(7000, tokens), qt.IsTrue) // the process is not being stopped
-	s.StartDrain(t0, at(2800), at(7600))
+	s.StartDrain(DrainPlan{Began: t0, AcceptAllUntil: at(2800), End: at(7600), Exit: at(7900)})
 	c.Assert(may(2700, tokens), qt.IsTrue)
 	c.Assert(may(2800, tokens), qt.IsFalse) // nothing is known but its limit
 	c.Assert(s.mayComplete(at(6000), &Record{Route: route}, pace.Size{Most: tokens}, at(7600)), qt.IsTrue)
--- a/connection/forward/server.go
+++ b/connection/forward/server.go
@@ -91,7 +91,7 @@
 		j.pace = s.paces.Begin(rec.Arrived, rec.Route, req.size())
 		defer s.paces.End(j.pace)
 	}
-	ctx, cancel := s.requestContext(ctx, j.deadline)
+	ctx, cancel := s.requestContext(ctx, j)
 	defer cancel()
 	j.requestCtx, j.ctx = ctx, ctx
 	defer func() { s.buffered.Release(j.buffered) }()
@@ -174,6 +174,7 @@
 	priority   int
 	deadline   time.Time
 	pace       *pace.Running // nil if a part of its stream had run before
+	response   atomic.Int32  // a responseState
 
 	buffered     int64             // bytes reserved for responses
 	runs         int               // endpoints that may have run it
--- a/connection/forward/stream.go
+++ b/connection/forward/stream.go
@@ -120,6 +120,9 @@
 			j.recordOrigin(a)
 		}
 		if !j.rec.HeadSent {
+			if err := j.beginResponse(); err != nil {
+				return err
+			}
 			j.writeHead(a.head.Status, j.streamFields(a))
 		}
 		if err := j.x.Write(data); err != nil {
--- a/process/router/shutdown.go
+++ b/process/router/shutdown.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/stoatmount/stoatmount/connection/forward"
 )
 
 const (
@@ -13,12 +15,14 @@
 	// closeBeforeGraceEnd is the time before the end of the grace period at which idle
 	// connections are closed and no new ones are accepted.
 	closeBeforeGraceEnd = 1200 * time.Millisecond
+	// answerBeforeGraceEnd is the time before the end of the grace period at which requests whose response
+	// has not begun are answered that they may have run. Requests that are taken late are complete by then.
+	answerBeforeGraceEnd = 400 * time.Millisecond
+	// endBeforeGraceEnd is the time before the end of the grace period at which streams end.
+	endBeforeGraceEnd = 150 * time.Millisecond
 	// exitBeforeGraceEnd is the time before the end of the grace period at which the
 	// process exits.
-	exitBeforeGraceEnd = 250 * time.Millisecond
-	// answerTime is the time before the process exits at which requests whose response has not
-	// begun are answered that they may have run.
-	answerTime = 150 * time.Millisecond
+	exitBeforeGraceEnd = 100 * time.Millisecond
 	// acceptAllFor is how long a draining router accepts every request, at most half of the grace
 	// period: callers may have its address that long, less the time that a signal and a request
 	// may take to arrive. Later ones must be complete before the process ends.
@@ -50,8 +54,9 @@
 	began, grace := time.Now(), r.bounds.Load().Grace
 	r.front.StartDrain()
 	r.relayed.StartDrain()
-	end := began.Add(grace - exitBeforeGraceEnd)
-	r.requests.StartDrain(began, began.Add(min(acceptAllFor, grace/2)), end.Add(-answerTime))
+	plan := forward.DrainPlan{Began: began, AcceptAllUntil: began.Add(min(acceptAllFor, grace/2)),
+		End: began.Add(grace - answerBeforeGraceEnd), Exit: began.Add(grace - exitBeforeGraceEnd)}
+	r.requests.StartDrain(plan)
 	r.draining.Store(true)
 	open, busy := r.connectionCounts()
 	r.log.Info("leaving", "open", open, "busy", busy, "grace_ms", grace.Milliseconds())
@@ -76,12 +81,14 @@
 	}
 	r.front.CloseIdle()
 	r.relayed.CloseIdle()
-	r.awaitClosed(end.Add(-answerTime))
+	r.awaitClosed(plan.End)
+	r.requests.EndWaiting()
+	r.awaitClosed(began.Add(grace - endBeforeGraceEnd))
 	if _, busy := r.connectionCounts(); busy > 0 {
 		r.log.Info("ending the requests in progress", "busy", busy, "after_ms", time.Since(began).Milliseconds())
 	}
 	r.requests.EndRequests()
-	r.awaitClosed(end)
+	r.awaitClosed(plan.Exit)
 	open, busy = r.connectionCounts()
 	r.log.Info("ended", "open", open, "busy", busy, "took_ms", time.Since(began).Milliseconds())
 	r.Close()
