Bound late requests by how fast endpoints are now

Cause: the bound came from runs that had ended before. What the streams in progress show of the endpoints at that moment was not looked at, so that a change of pace counted only once runs had ended that had it. The class: a decision from the past while the present is at hand.

Change: process/pace keeps when the events of each run came. The time between the last events of the streams of a service that are in progress, or ended within the last second, is compared with that of earlier ones of their routes, or else of the service; the upper quartile of both. The expected time grows by that factor. The longest pause of each is left out, as it may be a silence, for which there is a reserve; reads that bring several events count as several.

--- a/connection/forward/drain.go
+++ b/connection/forward/drain.go
@@ -124,12 +124,12 @@
 // mayComplete reports whether a request that arrived now is complete before the process ends: at its
 // deadline at the latest, and as a rule within the bound that its route and its size give. It records what
 // it compared.
-func (s *Server) mayComplete(now time.Time, rec *Record, size pace.Size, deadline time.Time) bool {
+func (s *Server) mayComplete(now time.Time, service string, rec *Record, size pace.Size, deadline time.Time) bool {
 	plan := s.drain.plan.Load()
 	if plan == nil || now.Before(plan.AcceptAllUntil) || !deadline.After(plan.End) {
 		return true
 	}
-	bound, known := s.paces.Bound(now, rec.Route, size)
+	bound, known := s.paces.Bound(now, rec.Route, service, size)
 	rec.Left, rec.Bound = plan.End.Sub(now), bound
 	return known && bound <= rec.Left-pace.Silence
 }
--- a/connection/forward/server.go
+++ b/connection/forward/server.go
@@ -88,8 +88,8 @@
 		return
 	}
 	if req.LastEventID < 0 {
-		j.pace = s.paces.Begin(rec.Arrived, rec.Route, req.size())
-		defer s.paces.End(j.pace)
+		j.pace = s.paces.Begin(rec.Arrived, rec.Route, j.service(), req.size())
+		defer func() { s.paces.End(time.Now(), j.pace) }()
 	}
 	ctx, cancel := s.requestContext(ctx, j)
 	defer cancel()
@@ -139,7 +139,7 @@
 		timeout = min(timeout, route.Timeout)
 	}
 	j.deadline = x.Arrived.Add(timeout)
-	if !s.mayComplete(time.Now(), rec, req.size(), j.deadline) {
+	if !s.mayComplete(time.Now(), j.service(), rec, req.size(), j.deadline) {
 		return nil, outcome.Draining
 	}
 	return j, outcome.OK
--- a/connection/forward/stream.go
+++ b/connection/forward/stream.go
@@ -112,7 +112,7 @@
 			return err
 		}
 		a.lastAt = time.Now()
-		j.pace.Progress(a.lastAt)
+		j.pace.Progress(a.lastAt, j.rec.Events)
 		if a.begunAt.IsZero() {
 			a.begunAt = a.lastAt
 		}
--- a/process/pace/doc.go
+++ b/process/pace/doc.go
@@ -10,6 +10,8 @@
 // Requests of which less is known say nothing of those of which more is known, and the reverse.
 // Those that have ended are the shorter ones; one in progress that has taken longer than their bound
 // shows that they tell none.
+// Endpoints may be slower now than they were for the runs that have ended: the events of the streams in progress
+// show by how much, and the expected time grows with it.
 //
-// It does no I/O and reads no clock. Lock order: Table.mu is a leaf.
+// It does no I/O and reads no clock. Lock order: Table.mu, then that of a run's speed.
 package pace
--- a/process/pace/fit.go
+++ b/process/pace/fit.go
@@ -34,6 +34,7 @@
 	worst           float64 // largest residual
 	margin          float64 // between the expected y at meanX and its quantile, of many points
 	prompt          int     // tokens of the largest prompt of a complete run
+	slower          float64 // added to the expected y, as runs are slower now
 }
 
 // fitLine fits a line to points. It returns false if there are none.
@@ -73,7 +74,7 @@
 // upper returns the quantile for the next y at x.
 func (l *line) upper(x float64) float64 {
 	distance := x - l.meanX
-	return l.at(x) + max(l.margin*math.Sqrt(1+1/l.n+distance*distance/l.spread), l.worst)
+	return l.at(x) + max(l.slower+l.margin*math.Sqrt(1+1/l.n+distance*distance/l.spread), l.worst)
 }
 
 // larger returns by how much a prompt of some tokens is larger than all that were seen, at least 1. A run
--- a/process/pace/pace.go
+++ b/process/pace/pace.go
@@ -4,7 +4,6 @@
 	"math"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -78,23 +77,38 @@
 // concurrent use.
 type Table struct {
 	mu                sync.Mutex
-	current, previous map[kind][]point
+	current, previous history
 	since             time.Time // start of current
 	running           map[*Running]struct{}
+	recent            []*Running // that have ended, in order
+}
+
+// history is the runs of a window that have ended.
+type history struct {
+	points    map[kind][]point
+	intervals map[source][]float64 // logarithms of the intervals of events
+}
+
+// source is where streams come from: a service, and a route to it or "" for all of its routes.
+type source struct{ service, route string }
+
+func newHistory() history {
+	return history{points: make(map[kind][]point), intervals: make(map[source][]float64)}
 }
 
 // Running is a run in progress.
 type Running struct {
-	began    time.Time
-	route    string
-	size     Size
-	progress atomic.Int64 // ns from began to the last part of the response
+	began          time.Time
+	route, service string
+	size           Size
+	speed          speed
+	ended          time.Time // guarded by Table.mu
 }
 
-// Progress records that a part of the response came at now. It does nothing if r is nil.
-func (r *Running) Progress(now time.Time) {
+// Progress records that the response had some events at now. It does nothing if r is nil.
+func (r *Running) Progress(now time.Time, events int) {
 	if r != nil {
-		r.progress.Store(int64(now.Sub(r.began)))
+		r.speed.add(mark{now.Sub(r.began), events})
 	}
 }
 
@@ -104,9 +118,9 @@
 	basis basis
 }
 
-// Begin adds a run in progress that began at began. It counts until End.
-func (t *Table) Begin(began time.Time, route string, size Size) *Running {
-	r := &Running{began: began, route: route, size: size}
+// Begin adds a run of a service in progress that began at began. It counts until End.
+func (t *Table) Begin(began time.Time, route, service string, size Size) *Running {
+	r := &Running{began: began, route: route, service: service, size: size}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.running == nil {
@@ -116,11 +130,30 @@
 	return r
 }
 
-// End removes a run in progress. It does not record its time.
-func (t *Table) End(r *Running) {
+// End removes a run in progress. It records how fast its events came, but not its time.
+func (t *Table) End(now time.Time, r *Running) {
+	interval, ok := r.speed.whole()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.running, r)
+	if !ok {
+		return
+	}
+	t.rotate(now)
+	r.ended = now
+	old, _ := slices.BinarySearchFunc(t.recent, now.Add(-recentTime), func(r *Running, at time.Time) int { return r.ended.Compare(at) })
+	t.recent = appendBounded(slices.Delete(t.recent, 0, old), r)
+	for _, from := range r.sources() {
+		t.current.intervals[from] = appendBounded(t.current.intervals[from], math.Log(interval))
+	}
+}
+
+// appendBounded appends a value to a list of at most maxRuns, in place of the first one if it is full.
+func appendBounded[T any](list []T, value T) []T {
+	if len(list) >= maxRuns {
+		list = list[1:]
+	}
+	return append(list, value)
 }
 
 // Record adds a run that has ended.
@@ -131,32 +164,35 @@
 	t.rotate(now)
 	for _, b := range r.Size.bases() {
 		k := kind{route, b}
-		points := t.current[k]
-		if len(points) >= maxRuns {
-			points = points[1:]
+		t.current.points[k] = appendBounded(t.current.points[k], point{x: r.Size.log(b), y: y, prompt: r.Size.Prompt, complete: r.Complete})
+	}
+}
+
+// Bound returns the time that the next request of the route takes at most, but for one in a thousand, at the
+// speed at which its service is now. It returns false if no run of the route is known of which as much was
+// known, or if one in progress takes longer than those runs tell, so that how long it takes is not known.
+func (t *Table) Bound(now time.Time, route, service string, size Size) (time.Duration, bool) {
+	l, b, ok := t.fit(now, route, service, size)
+	if !ok {
+		return 0, false
+	}
+	for _, p := range t.inProgress(now, kind{route, b}) {
+		if p.y > l.upper(p.x)+math.Log(l.larger(p.prompt)) {
+			return 0, false
 		}
-		t.current[k] = append(points, point{x: r.Size.log(b), y: y, prompt: r.Size.Prompt, complete: r.Complete})
 	}
+	return duration(math.Exp(l.upper(size.log(b))) * l.larger(size.Prompt)), true
 }
 
-// Bound returns the time that the next request of the route takes at most, but for one in a thousand. It
-// returns false if no run of the route is known of which as much was known, or if one in progress takes
-// longer than those runs tell, so that how long it takes is not known.
-func (t *Table) Bound(now time.Time, route string, size Size) (time.Duration, bool) {
+// fit fits a line to the runs of a route of which as much was known, and returns what that was.
+func (t *Table) fit(now time.Time, route, service string, size Size) (line, basis, bool) {
 	for _, b := range size.bases() {
-		k := kind{route, b}
-		l, ok := fit(t.recent(now, k))
-		if !ok {
-			continue
-		}
-		for _, p := range t.inProgress(now, k) {
-			if p.y > l.upper(p.x)+math.Log(l.larger(p.prompt)) {
-				return 0, false
-			}
+		if l, ok := fit(t.ended(now, kind{route, b})); ok {
+			l.slower = t.slowdown(now, service)
+			return l, b, true
 		}
-		return duration(math.Exp(l.upper(size.log(b))) * l.larger(size.Prompt)), true
 	}
-	return 0, false
+	return line{}, unsized, false
 }
 
 // inProgress returns the runs of a kind that are in progress, with the times that they take at least. Of an
@@ -167,7 +203,7 @@
 	var points []point
 	for r := range t.running {
 		if r.route == k.route && slices.Contains(r.size.bases(), k.basis) {
-			took := max(time.Duration(r.progress.Load()), now.Sub(r.began)-Silence, 1)
+			took := max(r.speed.progress(), now.Sub(r.began)-Silence, 1)
 			points = append(points, point{x: r.size.log(k.basis), y: math.Log(float64(took)), prompt: r.size.Prompt})
 		}
 	}
@@ -182,12 +218,12 @@
 	return maxBound // also for what is not a number
 }
 
-// recent returns the runs of a kind.
-func (t *Table) recent(now time.Time, k kind) []point {
+// ended returns the runs of a kind that have ended.
+func (t *Table) ended(now time.Time, k kind) []point {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.rotate(now)
-	return append(append([]point(nil), t.previous[k]...), t.current[k]...)
+	return append(slices.Clone(t.previous.points[k]), t.current.points[k]...)
 }
 
 // rotate forgets old runs. The caller holds t.mu.
@@ -198,7 +234,7 @@
 	}
 	t.previous = t.current
 	if age >= 2*window {
-		t.previous = nil
+		t.previous = history{}
 	}
-	t.current, t.since = make(map[kind][]point), now
+	t.current, t.since = newHistory(), now
 }
--- a/process/pace/pace_test.go
+++ b/process/pace/pace_test.go
@@ -9,7 +9,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-const route = "r"
+const route, service = "r", "s"
 
 var t0 = time.Unix(1_700_000_000, 0)
 
@@ -35,7 +35,7 @@
 				for range n {
 					table.Record(t0, route, Run{Took: next(), Complete: true})
 				}
-				if bound, known := table.Bound(t0, route, Size{}); !known || next() > bound {
+				if bound, known := table.Bound(t0, route, service, Size{}); !known || next() > bound {
 					longer++
 				}
 			}
@@ -69,7 +69,7 @@
 					table.Record(t0, route, stream(r, estimated))
 				}
 				next := stream(r, estimated)
-				bound, known := table.Bound(t0, route, next.Size)
+				bound, known := table.Bound(t0, route, service, next.Size)
 				if known && bound <= left {
 					taken++
 				}
@@ -95,7 +95,7 @@
 		for range n {
 			table.Record(t0, route, Run{Took: 100 * time.Millisecond, Complete: true})
 		}
-		bound, known := table.Bound(t0, route, Size{})
+		bound, known := table.Bound(t0, route, service, Size{})
 		c.Check(known && bound < most, qt.IsTrue, qt.Commentf("%v after %d runs", bound, n))
 	}
 }
@@ -114,17 +114,17 @@
 	const took = 670 * time.Millisecond
 	var table Table
 	add(&table, 100, short, took, true)
-	bound, known := table.Bound(t0, route, short)
+	bound, known := table.Bound(t0, route, service, short)
 	c.Check(known && bound > took && bound < 900*time.Millisecond, qt.IsTrue, qt.Commentf("%v", bound))
 	for _, large := range []Size{{Most: 200}, {Expected: 200, Most: 200}, {Expected: 10, Most: 200}, {Most: 1 << 62}} {
-		bound, known := table.Bound(t0, route, large)
+		bound, known := table.Bound(t0, route, service, large)
 		c.Check(!known || bound > 6*time.Second, qt.IsTrue, qt.Commentf("%+v: %v", large, bound))
 	}
 	for _, unlike := range []Size{{}, {Expected: 20}} {
-		_, known := table.Bound(t0, route, unlike)
+		_, known := table.Bound(t0, route, service, unlike)
 		c.Check(known, qt.IsFalse, qt.Commentf("%+v", unlike))
 	}
-	_, known = table.Bound(t0, "another", short)
+	_, known = table.Bound(t0, "another", service, short)
 	c.Check(known, qt.IsFalse)
 }
 
@@ -147,7 +147,7 @@
 					if !longFirst {
 						add(&table, n, longRuns, longTime, complete)
 					}
-					bound, known := table.Bound(t0, route, size)
+					bound, known := table.Bound(t0, route, service, size)
 					qt.New(t).Check(known && bound >= longTime, qt.IsTrue, qt.Commentf("%d of %v, complete %t, %+v: bound %v", n, longTime, complete, size, bound))
 				}
 			}
@@ -164,7 +164,7 @@
 	add(&table, 100, Size{Most: 20, Prompt: seen}, took, true)
 	add(&table, 1, Size{Most: 20, Prompt: 100 * seen}, took, false)
 	bound := func(prompt int) time.Duration {
-		d, known := table.Bound(t0, route, Size{Most: 20, Prompt: prompt})
+		d, known := table.Bound(t0, route, service, Size{Most: 20, Prompt: prompt})
 		c.Assert(known, qt.IsTrue)
 		return d
 	}
@@ -176,7 +176,7 @@
 	c.Check(bound(1<<62), qt.Equals, maxBound)
 	var promptless Table
 	add(&promptless, 100, Size{Most: 20}, took, true)
-	d, known := promptless.Bound(t0, route, Size{Most: 20, Prompt: seen})
+	d, known := promptless.Bound(t0, route, service, Size{Most: 20, Prompt: seen})
 	c.Check(known && d > time.Minute, qt.IsTrue, qt.Commentf("%v", d))
 }
 
@@ -189,22 +189,22 @@
 	add(&table, 100, size, took, true)
 	for _, like := range []Size{size, {Most: size.Most}} {
 		for age, want := range map[time.Duration][2]bool{took: {true, true}, beyond: {true, false}, beyond + Silence: {false, false}} {
-			r := table.Begin(t0.Add(-age), route, size)
-			_, known := table.Bound(t0, route, like)
+			r := table.Begin(t0.Add(-age), route, service, size)
+			_, known := table.Bound(t0, route, service, like)
 			c.Check(known, qt.Equals, want[0], qt.Commentf("%+v, in progress for %v", like, age))
-			r.Progress(t0)
-			_, known = table.Bound(t0, route, like)
+			r.Progress(t0, 1)
+			_, known = table.Bound(t0, route, service, like)
 			c.Check(known, qt.Equals, want[1], qt.Commentf("%+v, in progress for %v, with a part of the response", like, age))
-			table.End(r)
+			table.End(t0, r)
 		}
 	}
 	larger := size
 	larger.Prompt = 1000
 	for place, like := range map[string]Size{"another": size, route: larger} { // whose times say nothing of this kind
-		r := table.Begin(t0.Add(-10*beyond), place, like)
-		_, known := table.Bound(t0, route, size)
+		r := table.Begin(t0.Add(-10*beyond), place, service, like)
+		_, known := table.Bound(t0, route, service, size)
 		c.Check(known, qt.IsTrue)
-		table.End(r)
+		table.End(t0, r)
 	}
 }
 
@@ -214,7 +214,7 @@
 	var table Table
 	add(&table, 500, Size{Expected: 10}, 100*time.Millisecond, true)
 	add(&table, 500, Size{Expected: 11}, time.Hour, true)
-	bound, known := table.Bound(t0, route, Size{Expected: 1 << 62})
+	bound, known := table.Bound(t0, route, service, Size{Expected: 1 << 62})
 	c.Assert(known, qt.IsTrue)
 	c.Assert(bound, qt.Equals, maxBound)
 }
@@ -225,13 +225,13 @@
 	var table, fresh Table
 	table.Record(t0, route, Run{Took: 3 * time.Second, Complete: true})
 	table.Record(t0.Add(window), route, second)
-	both, known := table.Bound(t0.Add(2*window-1), route, Size{})
+	both, known := table.Bound(t0.Add(2*window-1), route, service, Size{})
 	c.Assert(known, qt.IsTrue)
 	c.Assert(both >= 3*time.Second, qt.IsTrue)
 	fresh.Record(t0, route, second)
-	want, _ := fresh.Bound(t0, route, Size{})
-	later, _ := table.Bound(t0.Add(2*window), route, Size{})
+	want, _ := fresh.Bound(t0, route, service, Size{})
+	later, _ := table.Bound(t0.Add(2*window), route, service, Size{})
 	c.Assert(later, qt.Equals, want)
-	_, known = table.Bound(t0.Add(4*window), route, Size{})
+	_, known = table.Bound(t0.Add(4*window), route, service, Size{})
 	c.Assert(known, qt.IsFalse)
 }
