Begin no stream that the end of a stopping router would cut

What callers saw: a late stream whose first event took long got its first events and was cut at the end of the process (LOST): 8 of 8 whose first event came 3.3 s after them.

Cause: a stopping router decided once, at the arrival, whether a stream is complete in time. How long it then waited for an endpoint, a silence or its prompt was not looked at. The class: a decision that is not made again when what it was based on has changed.

Change: when the first event of a late stream is here, and nothing of it has been passed on, the router asks once more: what is left of the reserve for a silence, the time that runs of its size take at the present speed of events, and its deadline. A stream that would not be complete gets 504, code 3009, too_late_to_begin, at once, which does not promise that it has not run; its endpoint is told to stop. Only streams that may run again and that callers sent to this router; others begin, as they may be complete all the same.

--- a/connection/forward/drain.go
+++ b/connection/forward/drain.go
@@ -20,6 +20,9 @@
 	restartTime = 350 * time.Millisecond
 )
 
+// errTooLateToBegin ends a stream before its first event is passed on.
+var errTooLateToBegin = errors.New("the stream would not be complete before the process ends")
+
 // errProcessEnds ends the requests that are in progress when the process ends.
 var errProcessEnds = errors.New("the process ends")
 
@@ -100,14 +103,30 @@
 	}
 }
 
-// beginResponse returns an error if the process ends the request before its response.
-func (j *job) beginResponse() error {
+// beginStream returns an error if the process ends the request before its stream, or probably within it. A stream that
+// may not run again begins in any case.
+func (j *job) beginStream(now time.Time) error {
+	if j.rec.Left > 0 && j.pace != nil && j.mayRunAgain() && !j.rec.Relayed && !j.s.mayStillComplete(now, j) {
+		return errTooLateToBegin
+	}
 	if !j.response.CompareAndSwap(responseWaiting, responseBegun) {
 		return errProcessEnds
 	}
 	return nil
 }
 
+// mayStillComplete reports whether a stream that came late in a drain is complete before the process ends, now that
+// its first event is here. Of the reserve for a silence it keeps what the wait for that event has not used.
+func (s *Server) mayStillComplete(now time.Time, j *job) bool {
+	end := s.drain.plan.Load().End
+	rest, known := s.paces.Rest(now, j.pace)
+	from := now
+	if reserved := j.rec.Arrived.Add(pace.Silence); from.Before(reserved) {
+		from = reserved
+	}
+	return known && rest <= end.Sub(from) || !j.deadline.After(end)
+}
+
 // endedBy returns what has ended the request, or "".
 func (j *job) endedBy() EndedBy {
 	switch cause := context.Cause(j.requestCtx); {
@@ -134,6 +153,9 @@
 	return known && bound <= rec.Left-pace.Silence
 }
 
+// refuseToBegin sends the response to a stream that would not be complete. It does not promise that it has not run.
+func (j *job) refuseToBegin() { j.s.refuse(j.x, j.rec, outcome.TooLateToBegin, 0) }
+
 // retryAfterDrain returns the Retry-After of a request that a draining router refuses: another router
 // takes it at once or, if none is ready, the process that follows this one.
 func (s *Server) retryAfterDrain(now time.Time) time.Duration {
--- a/connection/forward/relay.go
+++ b/connection/forward/relay.go
@@ -271,6 +271,10 @@
 		return true
 	}
 	a.err = err
+	if errors.Is(err, errTooLateToBegin) {
+		j.refuseToBegin()
+		return true
+	}
 	if errors.Is(err, errCallerConn) {
 		j.rec.Code, j.rec.Error = outcome.CallerGone, err.Error()
 		j.x.Abort()
--- a/connection/forward/stream.go
+++ b/connection/forward/stream.go
@@ -34,6 +34,12 @@
 		return true
 	}
 	a.err = err
+	if errors.Is(err, errTooLateToBegin) {
+		a.failure = balance.Abandoned
+		j.endFailed(a)
+		j.refuseToBegin()
+		return true
+	}
 	if errors.Is(err, errCallerConn) {
 		a.failure = balance.Abandoned
 		j.rec.Code, j.rec.Error = outcome.CallerGone, err.Error()
@@ -120,7 +126,7 @@
 			j.recordOrigin(a)
 		}
 		if !j.rec.HeadSent {
-			if err := j.beginResponse(); err != nil {
+			if err := j.beginStream(a.lastAt); err != nil {
 				return err
 			}
 			j.writeHead(a.head.Status, j.streamFields(a))
--- a/process/pace/pace.go
+++ b/process/pace/pace.go
@@ -184,6 +184,12 @@
 	return duration(math.Exp(l.upper(size.log(b))) * l.larger(size.Prompt)), true
 }
 
+// Rest returns the time from its first event that a run in progress takes at most, as Bound does.
+func (t *Table) Rest(now time.Time, r *Running) (time.Duration, bool) {
+	l, b, ok := t.fit(now, r.route, r.service, r.size)
+	return duration(math.Exp(l.upper(r.size.log(b)))), ok
+}
+
 // fit fits a line to the runs of a route of which as much was known, and returns what that was.
 func (t *Table) fit(now time.Time, route, service string, size Size) (line, basis, bool) {
 	for _, b := range size.bases() {
--- a/process/pace/speed_test.go
+++ b/process/pace/speed_test.go
@@ -105,3 +105,16 @@
 		})
 	}
 }
+
+// Guards against a bound on the rest of a stream that counts the time before its first event once more.
+func TestRestOfARunDoesNotHangOnItsWait(t *testing.T) {
+	c := qt.New(t)
+	table, bound := ended(c)
+	now := t0.Add(10 * time.Second)
+	r := begin(table, route, service)
+	_, known := table.Bound(now, route, service, Size{})
+	c.Check(known, qt.IsFalse) // it has taken longer than the bound
+	rest, known := table.Rest(now, r.Running)
+	c.Check(known, qt.IsTrue)
+	c.Check(rest, qt.Equals, bound)
+}
--- a/request/outcome/code.go
+++ b/request/outcome/code.go
@@ -45,6 +45,7 @@
 	LogUnavailable    Code = 3006
 	InternalInvariant Code = 3007
 	UnknownRouter     Code = 3008
+	TooLateToBegin    Code = 3009
 
 	NoEndpoint       Code = 4001
 	EndpointOut      Code = 4002
@@ -118,6 +119,7 @@
 	{LogUnavailable, "log_unavailable", http.StatusServiceUnavailable, "The log service did not answer in time."},
 	{InternalInvariant, "internal_invariant", http.StatusInternalServerError, "An internal check failed."},
 	{UnknownRouter, "unknown_router", http.StatusServiceUnavailable, "The request came as one of another router, from a host at which none is known."},
+	{TooLateToBegin, "too_late_to_begin", http.StatusGatewayTimeout, "The entry host shuts down before the stream would be complete; it was stopped before its first event; use another address."},
 
 	{NoEndpoint, "no_endpoint", http.StatusServiceUnavailable, "No endpoint serves this kind at the moment."},
 	{EndpointOut, "endpoint_out", http.StatusServiceUnavailable, "The endpoint was taken out of service."},
