Refuse fewer late streams that would be complete

Causes: the check at the first event asked for the same certainty as at the arrival, with a reserve for one more silence, though there a refusal costs a prompt that has been processed. The slowdown multiplied all of the time, also that before the first event. It compared few last events with the mean of whole runs, whose upper quartile is lower.

Change: a late stream begins unless it would be cut more often than one time in ten, and may go on until streams end. Earlier runs count with the time that their events would take now. The speed of the last events is compared with that of the last events of earlier runs.

--- a/connection/forward/drain.go
+++ b/connection/forward/drain.go
@@ -40,6 +40,7 @@
 	Began          time.Time
 	AcceptAllUntil time.Time // later requests are refused unless they are complete by End
 	End            time.Time // of the requests whose response has not begun
+	StreamsEnd     time.Time
 	Exit           time.Time // of the process
 }
 
@@ -103,8 +104,8 @@
 	}
 }
 
-// beginStream returns an error if the process ends the request before its stream, or probably within it. A stream that
-// may not run again begins in any case.
+// beginStream returns an error if the process ends the request before its stream, or would probably cut a late one. A
+// stream that may not run again begins in any case.
 func (j *job) beginStream(now time.Time) error {
 	if j.rec.Left > 0 && j.pace != nil && j.mayRunAgain() && !j.rec.Relayed && !j.s.mayStillComplete(now, j) {
 		return errTooLateToBegin
@@ -115,16 +116,12 @@
 	return nil
 }
 
-// mayStillComplete reports whether a stream that came late in a drain is complete before the process ends, now that
-// its first event is here. Of the reserve for a silence it keeps what the wait for that event has not used.
+// mayStillComplete reports whether a stream that came late in a drain is probably complete before the process ends, now
+// that its first event is here.
 func (s *Server) mayStillComplete(now time.Time, j *job) bool {
-	end := s.drain.plan.Load().End
+	end := s.drain.plan.Load().StreamsEnd
 	rest, known := s.paces.Rest(now, j.pace)
-	from := now
-	if reserved := j.rec.Arrived.Add(pace.Silence); from.Before(reserved) {
-		from = reserved
-	}
-	return known && rest <= end.Sub(from) || !j.deadline.After(end)
+	return known && rest <= end.Sub(now) || !j.deadline.After(end)
 }
 
 // endedBy returns what has ended the request, or "".
@@ -171,5 +168,5 @@
 	if rec.Runs == 0 || rec.LastEventID >= 0 {
 		return
 	}
-	s.paces.Record(now, rec.Route, pace.Run{Size: size, Took: rec.Duration, Complete: rec.Code == outcome.OK && rec.Status < http.StatusMultipleChoices})
+	s.paces.Record(now, rec.Route, pace.Run{Size: size, Took: rec.Duration, First: rec.firstEvent(), Complete: rec.Code == outcome.OK && rec.Status < http.StatusMultipleChoices})
 }
--- a/connection/forward/record.go
+++ b/connection/forward/record.go
@@ -49,6 +49,14 @@
 	Error               string
 }
 
+// firstEvent returns the time until the first event of a stream, or 0 if it had none.
+func (r *Record) firstEvent() time.Duration {
+	if r.Events == 0 {
+		return 0
+	}
+	return r.FirstByte
+}
+
 // FailedAttempt is an attempt that failed or got a server error.
 type FailedAttempt struct {
 	Endpoint string          `json:"endpoint"`
--- a/process/pace/doc.go
+++ b/process/pace/doc.go
@@ -11,7 +11,7 @@
 // Those that have ended are the shorter ones; one in progress that has taken longer than their bound
 // shows that they tell none.
 // Endpoints may be slower now than they were for the runs that have ended: the events of the streams in progress
-// show by how much, and the expected time grows with it.
+// show by how much. Earlier runs count with the time that their events would take now.
 //
 // It does no I/O and reads no clock. Lock order: Table.mu, then that of a run's speed.
 package pace
--- a/process/pace/fit.go
+++ b/process/pace/fit.go
@@ -9,6 +9,8 @@
 const (
 	// quantile is the share of requests that take no longer than their bound.
 	quantile = 0.999
+	// likelyQuantile is the share of runs that are expected to take no longer once they have begun.
+	likelyQuantile = 0.9
 	// priorDeviation and priorDegrees are the standard deviation of the logarithm of a time and its degrees
 	// of freedom that are assumed beside the requests seen.
 	priorDeviation = 0.4
@@ -21,10 +23,17 @@
 // point is a run: the logarithms of its size in tokens and of its time in nanoseconds.
 type point struct {
 	x, y     float64
-	prompt   int // tokens
+	events   float64 // time from the first event to the end, as a share of its time
+	prompt   int     // tokens
 	complete bool
 }
 
+// slowed returns what the run would have been with the time of its events multiplied by slowdown.
+func (p point) slowed(slowdown float64) point {
+	p.y += math.Log1p(p.events * (slowdown - 1))
+	return p
+}
+
 // line is a linear regression of y on x.
 type line struct {
 	n, meanX, meanY float64
@@ -33,8 +42,8 @@
 	residuals       float64 // sum of squares
 	worst           float64 // largest residual
 	margin          float64 // between the expected y at meanX and its quantile, of many points
+	likely          float64 // the same for likelyQuantile
 	prompt          int     // tokens of the largest prompt of a complete run
-	slower          float64 // added to the expected y, as runs are slower now
 }
 
 // fitLine fits a line to points. It returns false if there are none.
@@ -64,7 +73,8 @@
 	}
 	degrees := priorDegrees + l.n - 1
 	variance := (priorDegrees*priorDeviation*priorDeviation + l.residuals) / degrees
-	l.margin = distuv.StudentsT{Mu: 0, Sigma: 1, Nu: degrees}.Quantile(quantile) * math.Sqrt(variance)
+	deviations := distuv.StudentsT{Mu: 0, Sigma: math.Sqrt(variance), Nu: degrees}
+	l.margin, l.likely = deviations.Quantile(quantile), deviations.Quantile(likelyQuantile)
 	return l, true
 }
 
@@ -73,8 +83,16 @@
 
 // upper returns the quantile for the next y at x.
 func (l *line) upper(x float64) float64 {
+	return l.at(x) + max(l.margin*l.widening(x), l.worst)
+}
+
+// probable returns the likelyQuantile for the next y at x.
+func (l *line) probable(x float64) float64 { return l.at(x) + l.likely*l.widening(x) }
+
+// widening returns the factor of a margin that stands for few points, and for an x unlike theirs.
+func (l *line) widening(x float64) float64 {
 	distance := x - l.meanX
-	return l.at(x) + max(l.slower+l.margin*math.Sqrt(1+1/l.n+distance*distance/l.spread), l.worst)
+	return math.Sqrt(1 + 1/l.n + distance*distance/l.spread)
 }
 
 // larger returns by how much a prompt of some tokens is larger than all that were seen, at least 1. A run
@@ -83,10 +101,13 @@
 	return max(1, float64(tokens)/float64(max(1, l.prompt)))
 }
 
-// fit fits a line to the complete runs, and to those of the others that were longer than it tells.
-func fit(points []point) (line, bool) {
+// fit fits a line to the complete runs, and to those of the others that were longer than it tells, as they would be
+// with a slowdown.
+func fit(points []point, slowdown float64) (line, bool) {
 	complete := make([]point, 0, len(points))
-	for _, p := range points {
+	for i, p := range points {
+		p = p.slowed(slowdown)
+		points[i] = p
 		if p.complete {
 			complete = append(complete, p)
 		}
--- a/process/pace/pace.go
+++ b/process/pace/pace.go
@@ -70,7 +70,8 @@
 type Run struct {
 	Size     Size
 	Took     time.Duration
-	Complete bool // the response was; others only show how long a run takes at least
+	First    time.Duration // until the first event of a stream; 0 if it is none
+	Complete bool          // the response was; others only show how long a run takes at least
 }
 
 // Table holds the times of the recent runs of each route. Its zero value is ready; it is safe for
@@ -130,9 +131,9 @@
 	return r
 }
 
-// End removes a run in progress. It records how fast its events came, but not its time.
+// End removes a run in progress. It records how fast its last events came, but not its time.
 func (t *Table) End(now time.Time, r *Running) {
-	interval, ok := r.speed.whole()
+	interval, ok := r.speed.interval()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.running, r)
@@ -158,13 +159,16 @@
 
 // Record adds a run that has ended.
 func (t *Table) Record(now time.Time, route string, r Run) {
-	y := math.Log(float64(max(r.Took, time.Microsecond)))
+	y, events := math.Log(float64(max(r.Took, time.Microsecond))), 0.0
+	if r.First > 0 && r.First < r.Took {
+		events = 1 - float64(r.First)/float64(r.Took)
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.rotate(now)
 	for _, b := range r.Size.bases() {
 		k := kind{route, b}
-		t.current.points[k] = appendBounded(t.current.points[k], point{x: r.Size.log(b), y: y, prompt: r.Size.Prompt, complete: r.Complete})
+		t.current.points[k] = appendBounded(t.current.points[k], point{x: r.Size.log(b), y: y, events: events, prompt: r.Size.Prompt, complete: r.Complete})
 	}
 }
 
@@ -184,17 +188,20 @@
 	return duration(math.Exp(l.upper(size.log(b))) * l.larger(size.Prompt)), true
 }
 
-// Rest returns the time from its first event that a run in progress takes at most, as Bound does.
+// Rest returns the time from its first event that a run in progress takes at most, but for one in ten, at the speed
+// at which its service is now. It returns false if no run of its route is known of which as much was known.
 func (t *Table) Rest(now time.Time, r *Running) (time.Duration, bool) {
 	l, b, ok := t.fit(now, r.route, r.service, r.size)
-	return duration(math.Exp(l.upper(r.size.log(b)))), ok
+	if !ok {
+		return 0, false
+	}
+	return duration(math.Exp(l.probable(r.size.log(b)))), true
 }
 
 // fit fits a line to the runs of a route of which as much was known, and returns what that was.
 func (t *Table) fit(now time.Time, route, service string, size Size) (line, basis, bool) {
 	for _, b := range size.bases() {
-		if l, ok := fit(t.ended(now, kind{route, b})); ok {
-			l.slower = t.slowdown(now, service)
+		if l, ok := fit(t.ended(now, kind{route, b}), t.slowdown(now, service)); ok {
 			return l, b, true
 		}
 	}
--- a/process/pace/speed.go
+++ b/process/pace/speed.go
@@ -30,33 +30,16 @@
 
 func (m mark) since(earlier mark) pause { return pause{m.at - earlier.at, m.events - earlier.events} }
 
-// interval returns the mean time between events in ns over a time, without its longest pause, which may be a
-// silence. It returns false if there are too few events.
-func (whole pause) interval(longest pause) (float64, bool) {
-	events := whole.events - longest.events
-	if events < minEvents {
-		return 0, false
-	}
-	return max(1, float64(whole.took-longest.took)/float64(events)), true
-}
-
 // speed is how fast the events of a response come.
 type speed struct {
-	mu      sync.Mutex
-	first   mark
-	longest pause
-	recent  []mark // the last ones in order, at most recentParts
+	mu     sync.Mutex
+	recent []mark // the last ones in order, at most recentParts
 }
 
 // add records that events of a response have come.
 func (s *speed) add(m mark) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.recent) == 0 {
-		s.first = m
-	} else if p := m.since(s.recent[len(s.recent)-1]); p.took > s.longest.took {
-		s.longest = p
-	}
 	if len(s.recent) == recentParts {
 		s.recent = append(s.recent[:0], s.recent[1:]...)
 	}
@@ -73,30 +56,24 @@
 	return s.recent[len(s.recent)-1].at
 }
 
-// whole returns the interval of events since the first one.
-func (s *speed) whole() (float64, bool) {
+// interval returns the mean time between the last events in ns, without the longest pause, which may be a silence. It
+// returns false if there are too few events.
+func (s *speed) interval() (float64, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.recent) == 0 {
-		return 0, false
-	}
-	return s.recent[len(s.recent)-1].since(s.first).interval(s.longest)
-}
-
-// now returns the interval of the last events.
-func (s *speed) now() (float64, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var longest pause
+	var whole, longest pause
 	for i := 1; i < len(s.recent); i++ {
-		if p := s.recent[i].since(s.recent[i-1]); p.took > longest.took {
+		p := s.recent[i].since(s.recent[i-1])
+		whole = pause{whole.took + p.took, whole.events + p.events}
+		if p.took > longest.took {
 			longest = p
 		}
 	}
-	if len(s.recent) == 0 {
+	events := whole.events - longest.events
+	if events < minEvents {
 		return 0, false
 	}
-	return s.recent[len(s.recent)-1].since(s.recent[0]).interval(longest)
+	return max(1, float64(whole.took-longest.took)/float64(events)), true
 }
 
 // upperQuartile returns the upper quartile of values, which it sorts.
@@ -108,8 +85,8 @@
 // sources returns the streams with which a run is compared, the most telling first.
 func (r *Running) sources() [2]source { return [...]source{{r.service, r.route}, {service: r.service}} }
 
-// slowdown returns the logarithm of the factor by which the streams of a service that are in progress are slower
-// than those of the same routes were, or else of the same service; at least 0. One in four is at least so slow.
+// slowdown returns the factor by which the events of the streams of a service that are in progress are slower than those
+// of the same routes were, or else of the same service; at least 1. One stream in four is at least so slow.
 func (t *Table) slowdown(now time.Time, service string) float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -117,7 +94,7 @@
 	known := make(map[source]float64)
 	var slower []float64
 	add := func(r *Running) {
-		interval, ok := r.speed.now()
+		interval, ok := r.speed.interval()
 		if !ok || r.service != service {
 			return
 		}
@@ -134,9 +111,9 @@
 		}
 	}
 	if len(slower) == 0 {
-		return 0
+		return 1
 	}
-	return max(0, upperQuartile(slower))
+	return max(1, math.Exp(upperQuartile(slower)))
 }
 
 // intervalBefore returns the logarithm of the interval of events that streams like a run had, and keeps it in
--- a/process/router/shutdown.go
+++ b/process/router/shutdown.go
@@ -55,7 +55,7 @@
 	r.front.StartDrain()
 	r.relayed.StartDrain()
 	plan := forward.DrainPlan{Began: began, AcceptAllUntil: began.Add(min(acceptAllFor, grace/2)),
-		End: began.Add(grace - answerBeforeGraceEnd), Exit: began.Add(grace - exitBeforeGraceEnd)}
+		End: began.Add(grace - answerBeforeGraceEnd), StreamsEnd: began.Add(grace - endBeforeGraceEnd), Exit: began.Add(grace - exitBeforeGraceEnd)}
 	r.requests.StartDrain(plan)
 	r.draining.Store(true)
 	open, busy := r.connectionCounts()
@@ -83,7 +83,7 @@
 	r.relayed.CloseIdle()
 	r.awaitClosed(plan.End)
 	r.requests.EndWaiting()
-	r.awaitClosed(began.Add(grace - endBeforeGraceEnd))
+	r.awaitClosed(plan.StreamsEnd)
 	if _, busy := r.connectionCounts(); busy > 0 {
 		r.log.Info("ending the requests in progress", "busy", busy, "after_ms", time.Since(began).Milliseconds())
 	}
