--- a/connection/forward/attempt.go
+++ b/connection/forward/attempt.go
@@ -89,7 +89,7 @@
 	if j.silent != nil {
 		defer time.AfterFunc(overlapTime, j.silent.close).Stop()
 	}
-	if g.ID != j.only { // which has run it before
+	if g.ID != j.only { // an only endpoint has run it before
 		j.runs++
 	}
 	j.rec.Runs = j.runs
--- a/connection/forward/drain.go
+++ b/connection/forward/drain.go
@@ -16,7 +16,7 @@
 const (
 	// retryElsewhere is the Retry-After of a draining router while others take requests.
 	retryElsewhere = 50 * time.Millisecond
-	// restartTime is how long the next process of a host needs to take requests, as a rule.
+	// restartTime is how long after the exit of a process the next one of its host takes requests, as a rule.
 	restartTime = 350 * time.Millisecond
 )
 
@@ -28,11 +28,12 @@
 
 // drain is the end of a process that is being stopped. Its zero value is that of one that is not.
 type drain struct {
-	plan               atomic.Pointer[DrainPlan]
-	waiting            context.Context // of the requests whose response has not begun
-	all                context.Context
-	endWaiting, endAll context.CancelFunc
-	prepare            sync.Once
+	plan       atomic.Pointer[DrainPlan]
+	waiting    context.Context // its end ends the requests whose response has not begun
+	endWaiting context.CancelFunc
+	all        context.Context // its end ends all requests
+	endAll     context.CancelFunc
+	prepare    sync.Once
 }
 
 // DrainPlan is when a process that is being stopped ends what.
@@ -40,7 +41,7 @@
 	Began          time.Time
 	AcceptAllUntil time.Time // later requests are refused unless they are complete by End
 	End            time.Time // of the requests whose response has not begun
-	StreamsEnd     time.Time
+	StreamsEnd     time.Time // of the streams that have begun
 	Exit           time.Time // of the process
 }
 
@@ -49,8 +50,8 @@
 
 const (
 	responseWaiting responseState = iota
-	responseBegun                 // it goes on until the process exits
-	responseDenied                // the process ended the request before
+	responseBegun                 // it goes on until streams end
+	responseDenied                // EndWaiting came before it
 )
 
 // since returns the time from the beginning of the drain to t, or 0 if t is before it.
--- a/process/pace/fit.go
+++ b/process/pace/fit.go
@@ -86,8 +86,8 @@
 	return l.at(x) + max(l.margin*l.widening(x), l.worst)
 }
 
-// probable returns the likelyQuantile for the next y at x.
-func (l *line) probable(x float64) float64 { return l.at(x) + l.likely*l.widening(x) }
+// likelyUpper returns the likelyQuantile for the next y at x.
+func (l *line) likelyUpper(x float64) float64 { return l.at(x) + l.likely*l.widening(x) }
 
 // widening returns the factor of a margin that stands for few points, and for an x unlike theirs.
 func (l *line) widening(x float64) float64 {
--- a/process/pace/pace.go
+++ b/process/pace/pace.go
@@ -195,7 +195,7 @@
 	if !ok {
 		return 0, false
 	}
-	return duration(math.Exp(l.probable(r.size.log(b)))), true
+	return duration(math.Exp(l.likelyUpper(r.size.log(b)))), true
 }
 
 // fit fits a line to the runs of a route of which as much was known, and returns what that was.
