--- a/process/pace/pace.go
+++ b/process/pace/pace.go
@@ -81,7 +81,7 @@
 	current, previous history
 	since             time.Time // start of current
 	running           map[*Running]struct{}
-	recent            []*Running // that have ended, in order
+	justEnded         []*Running // in the order of their ends
 }
 
 // history is the runs of a window that have ended.
@@ -142,8 +142,8 @@
 	}
 	t.rotate(now)
 	r.ended = now
-	old, _ := slices.BinarySearchFunc(t.recent, now.Add(-recentTime), func(r *Running, at time.Time) int { return r.ended.Compare(at) })
-	t.recent = appendBounded(slices.Delete(t.recent, 0, old), r)
+	old, _ := slices.BinarySearchFunc(t.justEnded, now.Add(-recentTime), func(r *Running, at time.Time) int { return r.ended.Compare(at) })
+	t.justEnded = appendBounded(slices.Delete(t.justEnded, 0, old), r)
 	for _, from := range r.sources() {
 		t.current.intervals[from] = appendBounded(t.current.intervals[from], math.Log(interval))
 	}
--- a/process/pace/speed.go
+++ b/process/pace/speed.go
@@ -105,7 +105,7 @@
 	for r := range t.running {
 		add(r)
 	}
-	for _, r := range t.recent {
+	for _, r := range t.justEnded {
 		if now.Sub(r.ended) <= recentTime {
 			add(r)
 		}
