Ask that late streams which fit are begun (test)

TestLateStreamBeginsIfItProbablyFits plays the decision at the first event without a clock: nine forms, which streams begin and which do not.

--- a/connection/forward/drain_test.go
+++ b/connection/forward/drain_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/stoatmount/stoatmount/process/pace"
+	"github.com/stoatmount/stoatmount/version/routing"
 )
 
 func TestRequestsThatAreNotCompleteInTimeAreRefused(t *testing.T) {
@@ -39,3 +40,40 @@
 	c.Assert(may(2800, 4*tokens), qt.IsFalse)
 	c.Assert(may(2800, 2*tokens), qt.IsTrue)
 }
+
+// Guards against late streams that are begun though they do not fit, and against others that are given up.
+func TestLateStreamBeginsIfItProbablyFits(t *testing.T) {
+	const route, took, streamsEnd = "r", time.Second, 7850
+	t0 := time.Unix(1_700_000_000, 0)
+	at := func(ms int) time.Time { return t0.Add(time.Duration(ms) * time.Millisecond) }
+	resumable := &routing.Route{Name: route, Kind: routing.Stream, Resumable: true}
+	for name, test := range map[string]struct {
+		change func(j *job)
+		first  int // ms after t0 at which the first event is there
+		begins bool
+	}{
+		"fits":                          {nil, streamsEnd - 1200, true},
+		"does not fit":                  {nil, streamsEnd - 990, false},
+		"its deadline is before":        {func(j *job) { j.deadline = at(streamsEnd) }, streamsEnd - 100, true},
+		"came before it was asked":      {func(j *job) { j.rec.Left = 0 }, streamsEnd - 100, true},
+		"may not run again":             {func(j *job) { j.route = &routing.Route{Name: route, Kind: routing.Stream} }, streamsEnd - 100, true},
+		"of another router":             {func(j *job) { j.rec.Relayed = true }, streamsEnd - 100, true},
+		"a part of it had run before":   {func(j *job) { j.pace = nil }, streamsEnd - 100, true},
+		"the process has ended it":      {func(j *job) { j.response.Store(responseDenied) }, streamsEnd - 1200, false},
+		"waited, but what is left fits": {func(j *job) { j.pace = j.s.paces.Begin(at(0), route, "s", pace.Size{}) }, streamsEnd - 1200, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &Server{}
+			s.StartDrain(DrainPlan{Began: t0, AcceptAllUntil: at(2800), End: at(7600), StreamsEnd: at(streamsEnd), Exit: at(7900)})
+			for range 500 {
+				s.paces.Record(t0, route, pace.Run{Took: took, Complete: true})
+			}
+			j := &job{s: s, route: resumable, rec: &Record{Left: time.Second}, deadline: at(20_000)}
+			j.pace = s.paces.Begin(at(5000), route, "s", pace.Size{})
+			if test.change != nil {
+				test.change(j)
+			}
+			qt.New(t).Check(j.beginStream(at(test.first)) == nil, qt.Equals, test.begins)
+		})
+	}
+}
