Give each run of the trial's test addresses of its own (test)

The product had no part in it.

Change: the host's loopback address comes from the process id. The checks are the same.

--- a/lab/trial/trial_test.go
+++ b/lab/trial/trial_test.go
@@ -24,9 +24,9 @@
 // the questionnaire, and callers are served and counted.
 func TestPushedConfigurationServesCallers(t *testing.T) {
 	c := qt.New(t)
-	address := func(port uint16) netip.AddrPort {
-		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 99, 0, 1}), port)
-	}
+	pid := os.Getpid() // runs of the test beside one another have addresses of their own
+	host := netip.AddrFrom4([4]byte{127, 99 + byte(pid>>16), byte(pid >> 8), byte(pid)})
+	address := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(host, port) }
 	s := settings.Default()
 	s.Host = settings.Host{Name: "entry-1", Zone: "a", Region: "r"}
 	s.Listen = settings.Listen{Caller: address(18080), Peer: address(18081), Operator: address(18082)}
