Take back the return to a silent endpoint

The silent endpoint had crashed; the one that took over sent no event; the first was asked again, was not reached, and another router ran the stream a third time. The stream was whole, but the bound on runs did not hold.

--- a/connection/forward/attempt.go
+++ b/connection/forward/attempt.go
@@ -89,9 +89,7 @@
 	if j.silent != nil {
 		defer time.AfterFunc(overlapTime, j.silent.close).Stop()
 	}
-	if g.ID != j.only { // an only endpoint has run it before
-		j.runs++
-	}
+	j.runs++
 	j.rec.Runs = j.runs
 	a.run = outcome.RunUnknown
 	if a.err = j.send(a); a.err == nil || !a.sentAt.IsZero() {
@@ -109,9 +107,7 @@
 		return a
 	}
 	if a.response.NotRun {
-		if g.ID != j.only {
-			j.runs--
-		}
+		j.runs--
 		j.rec.Runs = j.runs
 		a.run, a.failure = outcome.RunNot, balance.Shed
 		if a.head.Status == http.StatusMisdirectedRequest {
--- a/connection/forward/server.go
+++ b/connection/forward/server.go
@@ -181,8 +181,6 @@
 	maxRuns      int               // bound on runs
 	refusals     int               // by endpoints, which did not run it
 	tried        []string          // endpoints to exclude from the next attempt
-	only         string            // endpoint of all further attempts; "" is any
-	leftSilent   string            // endpoint whose attempt was closed for its successor, and may be asked again; "" is none
 	ids          numbering         // of the events that the caller has
 	unnumbered   bool              // the last event that the caller has has no id
 	lastEventID  int64             // last event that the caller has; -1 if none
@@ -282,7 +280,7 @@
 
 // balanceRequest describes the endpoint of a service that the request needs.
 func (j *job) balanceRequest(service string) balance.Request {
-	req := balance.Request{Service: service, Exclude: j.tried, Only: j.only, Class: j.route.Name, Workspace: j.workspace, Objective: j.route.Objective,
+	req := balance.Request{Service: service, Exclude: j.tried, Class: j.route.Name, Workspace: j.workspace, Objective: j.route.Objective,
 		PriorityRank: j.table.Rank(service, j.priority) + j.table.Rank(service, j.route.Priority)}
 	req.Key, req.HasKey = promptKey(j.req.Parts)
 	if j.origin != nil {
@@ -337,7 +335,6 @@
 			return outcome.OK // it reached no endpoint
 		}
 		j.refusals++
-		j.returnToSilent()
 		if j.refusals >= maxRefusals {
 			return outcome.EndpointRefused
 		}
@@ -346,7 +343,7 @@
 		if !j.mayRunAgain() {
 			return outcome.EndpointFailed
 		}
-		if !j.returnToSilent() && j.runs >= j.maxRuns {
+		if j.runs >= j.maxRuns {
 			return outcome.EndpointFailed
 		}
 	}
--- a/connection/forward/takeover.go
+++ b/connection/forward/takeover.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -116,25 +115,10 @@
 		return nil
 	}
 	<-woke
-	j.successor, j.mayHaveRun, j.leftSilent = b, true, a.grant.ID
+	j.successor, j.mayHaveRun = b, true
 	return errTakenOver
 }
 
-// returnToSilent lets the endpoint be asked again whose silent attempt was closed for a successor that then failed:
-// silence alone is no failure. It reports whether there is one. If no further endpoint may run the request,
-// it is the only one for all that follows.
-func (j *job) returnToSilent() bool {
-	if j.leftSilent == "" {
-		return false
-	}
-	j.tried = slices.DeleteFunc(j.tried, func(id string) bool { return id == j.leftSilent })
-	if j.runs >= j.maxRuns {
-		j.only = j.leftSilent
-	}
-	j.leftSilent = ""
-	return true
-}
-
 // freeSlot ends the grant of a silent attempt, whose connection is closed while its successor goes on.
 func (j *job) freeSlot(a *attempt) {
 	if j.requestCtx.Err() != nil {
--- a/process/upstream/acquire.go
+++ b/process/upstream/acquire.go
@@ -87,8 +87,7 @@
 
 // inService reports whether an endpoint takes requests like req, whatever its load.
 func (t *Table) inService(ep *endpoint, req balance.Request) bool {
-	return !t.isDraining(ep) && !t.zonesOutOfService[ep.Zone] && ep.hasVersion(req.Version) &&
-		!contains(req.Exclude, ep.ID) && (req.Only == "" || req.Only == ep.ID)
+	return !t.isDraining(ep) && !t.zonesOutOfService[ep.Zone] && ep.hasVersion(req.Version) && !contains(req.Exclude, ep.ID)
 }
 
 // hasVersion reports whether the endpoint may get a request that needs a version; nil
--- a/request/balance/grant.go
+++ b/request/balance/grant.go
@@ -12,7 +12,6 @@
 	Key     uint64 // hash of the prompt's shared parts
 	HasKey  bool
 	Exclude []string // endpoints that the request has tried
-	Only    string   // the endpoint that it must be; "" is any
 	// Version is the software version that the endpoint must have, for a stream that goes
 	// on; nil for other requests.
 	Version *string
