--- /dev/null
+++ b/process/router/loadskew_test.go
@@ -0,0 +1,89 @@
+package router
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var (
+	skewSeed    = flag.Uint64("skewseed", 1, "seed of the plays of load skew")
+	skewRouters = flag.Int("skewrouters", 0, "play all forms of load skew with this number of routers only")
+	skewWithout = flag.String("skewwithout", "", `trouble that the form "incident" leaves out: crashes, hot parts, restarts or scale-out`)
+)
+
+const playSecond = time.Second
+
+// skewForms are fleets before 160 engines, by what befalls them.
+var skewForms = map[string]func(p *skewPlay){
+	"calm":           func(*skewPlay) {},
+	"hot part":       func(p *skewPlay) { p.addHotPart(0.13, 3*playSecond, 9*playSecond) },
+	"scale-out":      func(p *skewPlay) { p.added, p.addedFrom, p.addedTo = 32, 3*playSecond, 7*playSecond },
+	"doubled":        func(p *skewPlay) { p.endpoints, p.added, p.addedFrom, p.addedTo = 80, 80, 3*playSecond, 3*playSecond },
+	"zone evacuated": func(p *skewPlay) { p.outOfService, p.outFrom, p.outTo = 1, 3*playSecond, 9*playSecond },
+	"few parts": func(p *skewPlay) {
+		for i := range p.classes {
+			p.classes[i].keys, p.classes[i].firstKey = 40, 0.23
+		}
+	},
+	"without parts": func(p *skewPlay) {
+		for i := range p.classes {
+			p.classes[i].keys = 0
+		}
+	},
+	"incident": playIncident,
+}
+
+// playIncident repeats the troubles of the large deployment's day scale-1 up to its 21st second.
+func playIncident(p *skewPlay) {
+	const ms = time.Millisecond
+	p.length = 21 * playSecond
+	for i := range p.classes {
+		p.classes[i].perSecond *= 1.1
+	}
+	if *skewWithout != "hot parts" {
+		p.addHotPart(0.13, 7680*ms, 13680*ms)
+		p.hot = append(p.hot, hotPart{class: 0, share: 0.32, from: 7580 * ms, to: 11680 * ms})
+	}
+	if *skewWithout != "crashes" {
+		p.crashed, p.crashAt, p.returnAt = 40, 6680*ms, 8680*ms
+	}
+	if *skewWithout != "restarts" {
+		p.restarted, p.restartAt = p.routers*18/100, 11180*ms
+	}
+	if *skewWithout != "scale-out" {
+		p.added, p.addedFrom, p.addedTo = 32, 14700*ms, 19700*ms
+	}
+}
+
+// Guards against routers that choose by the same old counts and move together.
+func TestFleetDoesNotOverloadSingleEndpoints(t *testing.T) {
+	for name, form := range skewForms {
+		for _, routers := range skewSizes(name) {
+			t.Run(fmt.Sprintf("%s, %d routers", name, routers), func(t *testing.T) {
+				t.Parallel()
+				p := skewPlay{routers: routers, endpoints: 160, classes: standardClasses(), length: 12 * playSecond}
+				form(&p)
+				r := p.run(*skewSeed)
+				t.Log(t.Name(), r)
+				c := qt.New(t)
+				c.Check(r.worst <= skewRuleShare, qt.IsTrue, qt.Commentf("%.3f of the requests from %v on", r.worst, r.worstAt))
+				c.Check(r.refused, qt.Equals, 0)
+			})
+		}
+	}
+}
+
+// skewSizes returns the numbers of routers with which a form is played.
+func skewSizes(form string) []int {
+	switch {
+	case *skewRouters > 0:
+		return []int{*skewRouters}
+	case form == "few parts" || form == "without parts":
+		return []int{7, 45, 46, 100, 295}
+	}
+	return []int{7, 295}
+}
