Log the load that an endpoint reports beside the one it was chosen by

That was found only by adding up the logs of all 295 routers, as a request's line has what its router believed and not what the endpoint said. The line has both now (running, reported), and stoatctl explain names both for a late request.

--- a/connection/forward/record.go
+++ b/connection/forward/record.go
@@ -32,6 +32,7 @@
 	EndpointVersions    []string            // their software versions
 	Connections         []Connection        // to them, in order; zero for one that was not reached
 	LastGrant           balance.Grant       // of the last attempt
+	ReportedLoad        int                 // requests that its endpoint ran and queued with the response, this one included; 0 if it did not say
 	Refusal             *balance.Refusal    // why no endpoint was chosen; nil if one was
 	FailedAttempts      []FailedAttempt
 	Relayed             bool          // another router passed it on
--- a/connection/forward/response.go
+++ b/connection/forward/response.go
@@ -52,7 +52,8 @@
 			a.head, a.response, a.body = head, response, body
 			j.recordAnnouncement(a)
 			if response.HasLoad {
-				j.s.Endpoints.RecordLoad(a.firstAt, a.grant, response.Load.Running+response.Load.Waiting)
+				j.rec.ReportedLoad = response.Load.Running + response.Load.Waiting
+				j.s.Endpoints.RecordLoad(a.firstAt, a.grant, j.rec.ReportedLoad)
 			}
 			return j.checkHead(a)
 		}
--- a/operate/explain/explain.go
+++ b/operate/explain/explain.go
@@ -35,6 +35,7 @@
 	FirstByteObjectiveMS int64           `json:"objective_ms"`
 	Endpoints            []string        `json:"endpoints"`
 	Running              int             `json:"running"`
+	Reported             int             `json:"reported"`
 	EntryAgeMS           int64           `json:"entry_age_ms"`
 	Cold                 bool            `json:"cold"`
 	Events               int             `json:"events"`
@@ -287,6 +288,10 @@
 	case l.Cold:
 		return "Late at an endpoint in a cold start."
 	default:
-		return fmt.Sprintf("Late at an endpoint that ran %d other requests when it was chosen.", l.Running)
+		text := fmt.Sprintf("Late at an endpoint that ran %d other requests when it was chosen, as far as known", l.Running)
+		if l.Reported > 0 {
+			text += fmt.Sprintf("; with its response it had %d", l.Reported)
+		}
+		return text + "."
 	}
 }
--- a/operate/explain/explain_test.go
+++ b/operate/explain/explain_test.go
@@ -18,6 +18,13 @@
 	c.Assert(cause(shed), qt.Matches, ".*more urgent or shorter.*rank was 2.")
 }
 
+// Guards against an explanation that takes a router's belief about an endpoint's load for the load itself.
+func TestCauseOfALateRequestNamesTheLoadThatItsEndpointReported(t *testing.T) {
+	c := qt.New(t)
+	late := Line{Code: int(outcome.OK), Status: 200, Running: 2, Reported: 21}
+	c.Check(latenessCause(late), qt.Equals, "Late at an endpoint that ran 2 other requests when it was chosen, as far as known; with its response it had 21.")
+}
+
 // Guards against two attempts on one connection that look like attempts on two.
 func TestExplanationOfARequestThatWasSentTwiceOnOneConnection(t *testing.T) {
 	c := qt.New(t)
--- a/process/observe/requests.go
+++ b/process/observe/requests.go
@@ -151,6 +151,9 @@
 	}
 	if len(rec.Endpoints) > 0 {
 		kv = append(kv, "endpoints", rec.Endpoints, "versions", rec.EndpointVersions, "running", rec.LastGrant.Running, "entry_age_ms", rec.LastGrant.Age.Milliseconds())
+		if rec.ReportedLoad > 0 {
+			kv = append(kv, "reported", rec.ReportedLoad)
+		}
 		if rec.LastGrant.Cold {
 			kv = append(kv, "cold", true)
 		}
