Refuse only the excess where counts are old

Callers of a large fleet at about the capacity of its endpoints were refused, or sent to the few endpoints that nobody took for full: whether an endpoint is full was read from counts that are up to 2 s old, so that all routers took it for full, or for free, together.

An endpoint over its limit by old counts turns away the excess only. One random number decides for all endpoints of a request, so that where all are full the excess is refused, and not nothing.

--- a/process/router/loadskew_test.go
+++ b/process/router/loadskew_test.go
@@ -1,3 +1,5 @@
+//go:build !race
+
 package router
 
 import (
@@ -82,6 +84,27 @@
 	}
 }
 
+// Guards against a large fleet that refuses, by old counts, what its endpoints have room for.
+func TestLargeFleetServesAtCapacity(t *testing.T) {
+	const endpoints = 40
+	plain := playClass{name: "plain", perSecond: 8000, work: 70 * time.Millisecond, objective: 400 * time.Millisecond} // 0.9 of the slots
+	for name, classes := range map[string][]playClass{"plain": {plain}, "prompts": standardClasses()} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			served := make(map[int]float64) // in time, by number of routers
+			for _, routers := range []int{7, 295} {
+				p := skewPlay{routers: routers, endpoints: endpoints, classes: classes, length: 12 * playSecond}
+				r := p.run(*skewSeed)
+				t.Log(t.Name(), routers, r)
+				served[routers] = float64(r.inTime) / float64(r.requests)
+				c.Check(float64(r.refusedIdle) <= 0.01*float64(r.requests), qt.IsTrue, qt.Commentf("%d of %d requests refused beside free slots", r.refusedIdle, r.requests))
+			}
+			c.Check(served[295] >= 0.9*served[7], qt.IsTrue, qt.Commentf("served in time by number of routers: %v", served))
+		})
+	}
+}
+
 func checkSkew(t *testing.T, routers int, form func(p *skewPlay)) {
 	p := skewPlay{routers: routers, endpoints: 160, classes: standardClasses(), length: 12 * playSecond}
 	form(&p)
--- a/process/upstream/load.go
+++ b/process/upstream/load.go
@@ -46,9 +46,11 @@
 	}
 	wait := loadshed.MaxWait(req.Objective, req.HasKey)
 	slots, busy := 0, mean > 0
+	stale, draw := t.staleness(req.Service), t.draw() // one draw, so that of the requests to a service that is full the excess is refused
 	for i := range list {
 		c := &list[i]
 		c.Limit = loadshed.Limit(wait, c.Slots, mean)
+		c.Full = c.Limit > 0 && !balance.Admits(c.Running+1, c.Limit, stale, draw)
 		if c.RateLimited {
 			continue
 		}
--- a/request/balance/balance.go
+++ b/request/balance/balance.go
@@ -14,6 +14,7 @@
 	Running     float64       // requests of all routers that run or wait there, as far as known
 	Slots       int           // requests that it runs at once
 	Limit       float64       // largest number of running and waiting requests, this one included; 0 is no limit
+	Full        bool          // it may not get the request because of Limit
 	Latency     time.Duration // smoothed time to first byte; 0 is unknown
 	RateLimited bool          // it takes a limited number of requests a second
 	Local       bool          // in the router's availability zone
@@ -21,9 +22,6 @@
 	KeyCached   bool          // it had the last requests with the key and so caches what they share
 }
 
-// full reports whether one more request would exceed the limit.
-func (c *Candidate) full() bool { return c.Limit > 0 && c.Running+1 > c.Limit }
-
 // RendezvousWeight returns the rendezvous weight of an endpoint for a key, mixed
 // by the finalizer of MurmurHash3. The highest weight comes first.
 func RendezvousWeight(key uint64, id string) uint64 {
@@ -43,7 +41,7 @@
 	limit := bound.limit(list, maxRunning)
 	holders := newPicker(bound.Stale, draw)
 	for i := range list {
-		if c := &list[i]; c.KeyCached && !c.Slow && !c.full() {
+		if c := &list[i]; c.KeyCached && !c.Slow && !c.Full {
 			holders.offer(i, c.Running+1)
 		}
 	}
@@ -68,7 +66,7 @@
 	first := make([]ranked, 0, min(needed, len(list))+1)
 	for i := range list {
 		c := &list[i]
-		if c.KeyCached || c.Slow || c.full() || !bound.admits(c, limit, draw) {
+		if c.KeyCached || c.Slow || c.Full || !bound.admits(c, limit, draw) {
 			continue
 		}
 		r := ranked{i, RendezvousWeight(key, c.ID)}
@@ -97,7 +95,7 @@
 	sound, slow := newPicker(stale, draw), newPicker(stale, draw)
 	for i := range list {
 		switch c := &list[i]; {
-		case c.full():
+		case c.Full:
 		case c.Slow:
 			slow.offer(i, c.Running+1)
 		default:
@@ -128,7 +126,7 @@
 func ShortestExpectedTime(list []Candidate, stale float64, draw func() float64) int {
 	p := newPicker(stale/timeExponent, draw)
 	for i := range list {
-		if !list[i].full() {
+		if !list[i].Full {
 			p.offer(i, float64(expectedTime(&list[i])))
 		}
 	}
--- a/request/balance/bound.go
+++ b/request/balance/bound.go
@@ -29,11 +29,16 @@
 	return limit
 }
 
-// admits reports whether one more request may go to a candidate. Over the limit none may if the counts
-// are exact. If they are old, only the excess is turned away, as the other routers do the same.
+// admits reports whether one more request may go to a candidate.
 func (b Bound) admits(c *Candidate, limit float64, draw func() float64) bool {
-	over := (c.Running + 1) / limit
-	return over <= 1 || b.Stale > 0 && draw() < math.Pow(over, -1/b.Stale)
+	return c.Running+1 <= limit || Admits(c.Running+1, limit, b.Stale, draw())
+}
+
+// Admits reports whether a request may go to an endpoint that has load requests with it. Over the limit
+// none may if the counts are exact. If they are old, only the excess is turned away, as the other routers do
+// the same. draw is a random number in [0,1).
+func Admits(load, limit, stale, draw float64) bool {
+	return load <= limit || stale > 0 && draw < math.Pow(limit/load, 1/stale)
 }
 
 func mean(list []Candidate) float64 {
--- a/test.sh
+++ b/test.sh
@@ -21,6 +21,10 @@
 
 # The first word of each entry that starts with "Test" is a test's name.
 red=$({ grep -oE '^Test[A-Za-z0-9_]+' KNOWN-RED.txt 2>/dev/null || true; } | sort -u | paste -sd'|' -)
+
+# Plays of hundreds of routers in simulated time. They have one goroutine each and are left out with the race detector.
+go test -timeout 4m ${red:+-skip "^($red)\$"} ./process/router
+
 if [ -n "$red" ]; then
   go test -race -tags process -timeout 9m -skip "^($red)\$" ./...
   echo "Known red, not part of the verdict:"
