Judge the play of load skew only once its routers are in touch (test)

The rule counts requests of routers that have run for the contact time. Windows begin 5 s after the start now, and what befalls the fleet does too. Also: an absurd load that another router tells cannot overflow the number of endpoints that take a key's excess.

--- a/process/router/loadskew_play_test.go
+++ b/process/router/loadskew_play_test.go
@@ -31,7 +31,7 @@
 	playSkew           = 0.3 // of the keys' popularity, exponent of Zipf's law
 	skewRuleWindow     = 5 * time.Second
 	skewRuleStep       = 250 * time.Millisecond
-	skewRuleCalm       = 5 * time.Second // without trouble before a window, the platform's contact time
+	skewRuleCalm       = 5 * time.Second // the platform's contact time: without trouble, or since a start, before a window
 	skewRuleLeast      = 20
 	skewRuleFactor     = 2.0
 	skewRuleExtra      = 3.0
@@ -487,7 +487,7 @@
 
 func (s *playState) result() skewResult {
 	out := s.skewResult
-	for from := time.Duration(0); from+skewRuleWindow <= s.length; from += skewRuleStep {
+	for from := skewRuleCalm; from+skewRuleWindow <= s.length; from += skewRuleStep { // the routers are in touch from then on
 		if s.crashed > 0 && from < s.returnAt+skewRuleCalm && from+skewRuleWindow > s.crashAt {
 			continue // the rule holds in calm windows, without trouble at endpoints
 		}
--- a/process/router/loadskew_test.go
+++ b/process/router/loadskew_test.go
@@ -22,9 +22,9 @@
 // skewForms are fleets before 160 engines, by what befalls them.
 var skewForms = map[string]func(p *skewPlay){
 	"calm":           func(*skewPlay) {},
-	"hot part":       func(p *skewPlay) { p.addHotPart(0.13, 3*playSecond, 9*playSecond) },
-	"scale-out":      func(p *skewPlay) { p.added, p.addedFrom, p.addedTo = 32, 3*playSecond, 7*playSecond },
-	"zone evacuated": func(p *skewPlay) { p.outOfService, p.outFrom, p.outTo = 1, 3*playSecond, 9*playSecond },
+	"hot part":       func(p *skewPlay) { p.addHotPart(0.13, 5*playSecond, 11*playSecond) },
+	"scale-out":      func(p *skewPlay) { p.added, p.addedFrom, p.addedTo = 32, 5*playSecond, 9*playSecond },
+	"zone evacuated": func(p *skewPlay) { p.outOfService, p.outFrom, p.outTo = 1, 5*playSecond, 11*playSecond },
 	"few parts": func(p *skewPlay) {
 		for i := range p.classes {
 			p.classes[i].keys, p.classes[i].firstKey = 40, 0.23
@@ -78,7 +78,7 @@
 		t.Run(fmt.Sprintf("%d routers", routers), func(t *testing.T) {
 			t.Parallel()
 			checkSkew(t, routers, func(p *skewPlay) {
-				p.endpoints, p.added, p.addedFrom, p.addedTo = 80, 80, 3*playSecond, 3*playSecond
+				p.endpoints, p.added, p.addedFrom, p.addedTo = 80, 80, 5*playSecond, 5*playSecond
 			})
 		})
 	}
@@ -106,7 +106,7 @@
 }
 
 func checkSkew(t *testing.T, routers int, form func(p *skewPlay)) {
-	p := skewPlay{routers: routers, endpoints: 160, classes: standardClasses(), length: 12 * playSecond}
+	p := skewPlay{routers: routers, endpoints: 160, classes: standardClasses(), length: 14 * playSecond}
 	form(&p)
 	r := p.run(*skewSeed)
 	t.Log(t.Name(), r)
--- a/process/upstream/table_test.go
+++ b/process/upstream/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -320,6 +321,9 @@
 	c.Assert(h.ID, qt.Equals, g.ID, qt.Commentf("the report is outdated"))
 	theirs.MergeLoadReports(later, []LoadReport{{Incarnation{g.ID, 2}, 40, 0}, {Incarnation{"other", 1}, 40, 0}, {Incarnation{g.ID, 1}, 40, -1}})
 	c.Assert(theirs.byID[g.ID].report.at, qt.Equals, t0, qt.Commentf("of another process, or not from the past"))
+	theirs.MergeLoadReports(later, []LoadReport{{Incarnation{g.ID, 1}, math.MaxInt, 0}, {Incarnation{g.ID, 1}, 40, math.MaxInt64}})
+	h, _ = theirs.Acquire(later, want)
+	c.Assert(h.ID, qt.Not(qt.Equals), g.ID, qt.Commentf("an absurd load"))
 }
 
 // Callers of a service whose endpoints are all gone get retry times at which these
--- a/request/balance/balance.go
+++ b/request/balance/balance.go
@@ -62,7 +62,7 @@
 // rendezvous weight on as few as take the excess requests without exceeding the limit.
 func newHolder(key uint64, list []Candidate, bound Bound, limit, excess float64, draw func() float64) int {
 	room := max(1, limit-mean(list))
-	needed := 1 + int(excess/room)
+	needed := 1 + int(min(excess/room, float64(len(list))))
 	first := make([]ranked, 0, min(needed, len(list))+1)
 	for i := range list {
 		c := &list[i]
