React more strongly to counts that are younger than requests

Cause: at 7 routers 0.4 to 0.5 of the counted requests have ended; the power -1/staleness lets an endpoint over the bound keep much of its load. The bound on the strength of a reaction comes from its delay in service times: one is needed only at old counts.

--- a/process/router/loadskew_play_test.go
+++ b/process/router/loadskew_play_test.go
@@ -3,6 +3,7 @@
 package router
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math"
@@ -20,7 +21,7 @@
 const (
 	playStep           = time.Millisecond
 	playService        = "llm"
-	playSlots          = 16  // of an engine
+	playSlots          = 16  // of an engine, unless a play says otherwise
 	playTokensPerMS    = 140 // that an engine reads
 	playFirstByte      = 55 * time.Millisecond
 	playClump          = 3 // requests that arrive at once
@@ -65,6 +66,8 @@
 // and of peers, heartbeats at their interval, engines with slots that keep the prompt parts they have read.
 type skewPlay struct {
 	routers, endpoints int
+	slots              int // of an engine; 0 is playSlots
+	zones              int // 0 is playZones
 	classes            []playClass
 	hot                []hotPart
 	added              int // endpoints, one after the other from addedFrom to addedTo
@@ -94,6 +97,7 @@
 
 // skewResult is what a play showed.
 type skewResult struct {
+	overall                   float64 // share of the requests that reached an endpoint over the limit
 	worst                     float64 // largest share in a window of requests that reached an endpoint over the limit
 	worstAt                   time.Duration
 	shares                    []float64 // of the windows that begin with a second
@@ -167,6 +171,7 @@
 }
 
 func (p skewPlay) run(seed uint64) skewResult {
+	p.slots, p.zones = cmp.Or(p.slots, playSlots), cmp.Or(p.zones, playZones)
 	s := &playState{skewPlay: p, rng: rand.New(rand.NewPCG(seed, 49)), base: time.Unix(1_700_000_000, 0), engines: make(map[string]*playEndpoint),
 		events: make(map[time.Duration][]*playRun), delivered: make(map[time.Duration][]peers.Heartbeat), everRead: make(map[uint64]bool)}
 	for _, c := range p.classes {
@@ -211,7 +216,7 @@
 
 // start begins a process of router i that knows the endpoints and the names of the others.
 func (s *playState) start(i int) {
-	settings := Settings{Name: fmt.Sprintf("r%d", i), Zone: fmt.Sprint("z", i%playZones), Front: "127.0.0.1:1", Ready: "127.0.0.1:2",
+	settings := Settings{Name: fmt.Sprintf("r%d", i), Zone: fmt.Sprint("z", i%s.zones), Front: "127.0.0.1:1", Ready: "127.0.0.1:2",
 		Directory: "127.0.0.1:3", Store: "127.0.0.1:4", Bounds: Bounds{Contact: 5 * time.Second, ColdOver: 1.5, ColdSlack: 5}}
 	r, err := New(settings, codecAdapter{}, nil, logr.Discard())
 	if err != nil {
@@ -236,7 +241,7 @@
 func (s *playState) addEndpoint(coldFor time.Duration) {
 	n := len(s.order)
 	ep := &playEndpoint{parts: make(map[uint64]bool), runs: make(map[*playRun]bool), entry: upstream.Entry{ID: fmt.Sprintf("i-%d", n), Service: playService,
-		Addr: fmt.Sprintf("10.0.%d.%d:80", n/200, n%200), Zone: fmt.Sprint("z", n%playZones), Slots: playSlots, Started: 1, ColdFor: coldFor}}
+		Addr: fmt.Sprintf("10.0.%d.%d:80", n/200, n%200), Zone: fmt.Sprint("z", n%s.zones), Slots: s.slots, Started: 1, ColdFor: coldFor}}
 	s.order = append(s.order, ep)
 	s.engines[ep.entry.ID] = ep
 	for _, router := range s.fleet {
@@ -401,7 +406,7 @@
 	}
 	s.held++
 	ep.runs[run] = true
-	if ep.running < playSlots {
+	if ep.running < s.slots {
 		s.begin(run)
 	} else {
 		ep.queue = append(ep.queue, run)
@@ -424,7 +429,7 @@
 	for _, ep := range s.engines {
 		running += ep.running
 	}
-	return float64(running) <= 0.75*float64(playSlots*len(s.engines))
+	return float64(running) <= 0.75*float64(s.slots*len(s.engines))
 }
 
 // read returns the time that the endpoint takes to read what it has not cached of a prompt part.
@@ -487,6 +492,11 @@
 
 func (s *playState) result() skewResult {
 	out := s.skewResult
+	for _, a := range s.arrivals {
+		if a.over {
+			out.overall += 1 / float64(len(s.arrivals))
+		}
+	}
 	for from := skewRuleCalm; from+skewRuleWindow <= s.length; from += skewRuleStep { // the routers are in touch from then on
 		if s.crashed > 0 && from < s.returnAt+skewRuleCalm && from+skewRuleWindow > s.crashAt {
 			continue // the rule holds in calm windows, without trouble at endpoints
--- a/request/balance/balance.go
+++ b/request/balance/balance.go
@@ -39,7 +39,7 @@
 // weight. maxRunning is as in Bound.limit. draw returns random numbers in [0,1).
 func Affinity(key uint64, list []Candidate, bound Bound, maxRunning float64, draw func() float64) int {
 	limit := bound.limit(list, maxRunning)
-	holders := newPicker(bound.Stale, draw)
+	holders := newPicker(evenness(bound.Stale), draw)
 	for i := range list {
 		if c := &list[i]; c.KeyCached && !c.Slow && !c.Full {
 			holders.offer(i, c.Running+1)
@@ -76,7 +76,7 @@
 			first = first[:min(needed, len(first))]
 		}
 	}
-	p := newPicker(bound.Stale, draw)
+	p := newPicker(evenness(bound.Stale), draw)
 	for _, r := range first {
 		p.offer(r.index, list[r.index].Running+1)
 	}
@@ -92,7 +92,8 @@
 // leastLoaded returns the index of a candidate with few requests, or -1 if all are full. A slow one is
 // taken only if no other is left.
 func leastLoaded(list []Candidate, stale float64, draw func() float64) int {
-	sound, slow := newPicker(stale, draw), newPicker(stale, draw)
+	even := evenness(stale)
+	sound, slow := newPicker(even, draw), newPicker(even, draw)
 	for i := range list {
 		switch c := &list[i]; {
 		case c.Full:
@@ -124,7 +125,7 @@
 // ShortestExpectedTime returns the index of a candidate that is expected to respond soon, or -1 if
 // all are full. stale is as in Bound.
 func ShortestExpectedTime(list []Candidate, stale float64, draw func() float64) int {
-	p := newPicker(stale/timeExponent, draw)
+	p := newPicker(evenness(stale)/timeExponent, draw)
 	for i := range list {
 		if !list[i].Full {
 			p.offer(i, float64(expectedTime(&list[i])))
--- a/request/balance/bound.go
+++ b/request/balance/bound.go
@@ -38,7 +38,7 @@
 // none may if the counts are exact. If they are old, only the excess is turned away, as the other routers do
 // the same. draw is a random number in [0,1).
 func Admits(load, limit, stale, draw float64) bool {
-	return load <= limit || stale > 0 && draw < math.Pow(limit/load, 1/stale)
+	return load <= limit || stale > 0 && draw < math.Pow(limit/load, 1/evenness(stale))
 }
 
 func mean(list []Candidate) float64 {
