--- a/process/router/loadskew_play_test.go
+++ b/process/router/loadskew_play_test.go
@@ -158,7 +158,6 @@
 	delivered map[time.Duration][]peers.Heartbeat
 	popular   [][]float64
 	everRead  map[uint64]bool
-	inService int
 	held      int // requests at all endpoints
 	arrivals  []playArrival
 	localHits int
--- a/request/balance/balance_test.go
+++ b/request/balance/balance_test.go
@@ -197,7 +197,7 @@
 	for _, test := range []struct{ running, stale, least, most float64 }{
 		{4, 1, 1, 1}, {4, 0, 1, 1}, // within the bound
 		{11, 1, 0.45, 0.55}, {59, 1, 0.08, 0.12}, // 6 of 12, of 60
-		{11, 0.5, 0.05, 0.075}, {11, 0, 0, 0},
+		{11, 0.8, 0.23, 0.29}, {11, 0.5, 0, 0.01}, {11, 0, 0, 0},
 	} {
 		got := share(test.running, test.stale)
 		c.Check(got >= test.least && got <= test.most, qt.IsTrue, qt.Commentf("%v requests, staleness %v: %v", test.running, test.stale, got))
--- a/request/balance/picker.go
+++ b/request/balance/picker.go
@@ -6,7 +6,7 @@
 // the lowest cost decides, 1 if the probabilities are proportional to 1/cost. A reaction to counts that
 // come late must be weak, or the load swings: at old counts it moves no more load than an
 // endpoint has too much, which is stable whatever their age. At younger counts it may be several times as strong.
-func evenness(stale float64) float64 { return stale * stale }
+func evenness(stale float64) float64 { return stale * stale * stale }
 
 // picker chooses one of the candidates that it is offered, with probabilities that are proportional
 // to the cost to the power of -1/evenness.
