--- a/process/upstream/acquire.go
+++ b/process/upstream/acquire.go
@@ -30,7 +30,6 @@
 		holders = len(t.holders.of(now, req.Key))
 		chosen, fetch = t.placeKey(now, req, endpoints, list)
 	} else {
-		//		t.expectLoads(now, req.Service, endpoints, list)
 		chosen = balance.ShortestExpectedTime(list, t.staleness(req.Service), t.draw)
 	}
 	if chosen < 0 {
--- a/process/upstream/load.go
+++ b/process/upstream/load.go
@@ -46,7 +46,8 @@
 	}
 	wait := loadshed.MaxWait(req.Objective, req.HasKey)
 	slots, busy := 0, mean > 0
-	stale, draw := t.staleness(req.Service), t.draw() // one draw, so that of the requests to a service that is full the excess is refused
+	stale := t.staleness(req.Service)
+	draw := t.draw() // one for all endpoints, so that the excess is refused where all are full
 	for i := range list {
 		c := &list[i]
 		c.Limit = loadshed.Limit(wait, c.Slots, mean)
--- a/process/upstream/reports.go
+++ b/process/upstream/reports.go
@@ -6,8 +6,8 @@
 	"github.com/stoatmount/stoatmount/request/balance"
 )
 
-// overloadFactor is the multiple of the largest number of requests that an endpoint may run from which
-// the other routers are told at once.
+// overloadFactor is the multiple of the number of requests that an endpoint may run, beyond which the
+// other routers are told at once.
 const overloadFactor = 1.25
 
 // LoadReport is what an endpoint said of its load to a router.
