Smooth counts over the heartbeat interval again

Cause: smoothed counts over no longer than requests last. For calls of 15 ms, told every 2 s, each count then is a single glance at each router; at times all five endpoints looked busy, and the demand of one router, a few requests, decided what was shed. Over the interval the counts are no older to any effect, as nothing of them still runs either way, and steady.

--- a/process/router/loadskew_play_test.go
+++ b/process/router/loadskew_play_test.go
@@ -398,7 +398,7 @@
 	if ep.entry.Zone == router.r.s.Zone {
 		s.localHits++
 	}
-	run := &playRun{router: router, grant: grant, ep: ep, begun: s.at, first: playFirstByte, objective: class.objective}
+	run := &playRun{router: router, grant: grant, ep: ep, begun: s.at, first: min(playFirstByte, class.work/2), objective: class.objective}
 	run.work = time.Duration(float64(class.work) * math.Exp(playWorkSpread*s.rng.NormFloat64()-playWorkSpread*playWorkSpread/2))
 	if req.HasKey {
 		run.first += s.read(ep, grant, req.Key, class.tokens)
--- a/process/router/loadskew_test.go
+++ b/process/router/loadskew_test.go
@@ -35,6 +35,10 @@
 			p.classes[i].keys = 0
 		}
 	},
+	"short calls": func(p *skewPlay) {
+		p.endpoints, p.slots = 5, 6
+		p.classes = []playClass{{name: "call", perSecond: 1600, work: 15 * time.Millisecond, objective: 120 * time.Millisecond}}
+	},
 	"incident": playIncident,
 }
 
--- a/process/upstream/acquire.go
+++ b/process/upstream/acquire.go
@@ -41,7 +41,7 @@
 		ep.recordSent(now)
 	}
 	running := int(ep.load(now))
-	ep.updateSmoothed(now, t.smoothingWindow(ep.Service))
+	ep.updateSmoothed(now, t.heartbeatInterval)
 	ep.running++
 	return &balance.Grant{ID: ep.ID, Started: ep.Started, Addr: ep.Addr, Zone: ep.Zone, Service: ep.Service, Version: ep.Version,
 		FetchFrom: fetch, KeyCached: list[chosen].KeyCached, Holders: holders, Running: running, Cold: cold, Age: now.Sub(ep.readAt), ChosenAt: now, Class: req.Class}, nil
@@ -268,7 +268,7 @@
 	if ep == nil {
 		return false
 	}
-	ep.updateSmoothed(now, t.smoothingWindow(ep.Service))
+	ep.updateSmoothed(now, t.heartbeatInterval)
 	ep.running = max(0, ep.running-1)
 	if ep.Started != g.Started {
 		return false
--- a/process/upstream/table.go
+++ b/process/upstream/table.go
@@ -67,7 +67,7 @@
 	removeAt        time.Time // when sweep drops it; zero while its entry exists
 	running         int       // own requests
 	peerRunning     float64   // requests of the other routers, by their heartbeats
-	smoothedRunning float64   // own requests, smoothed over smoothingWindow
+	smoothedRunning float64   // own requests, smoothed over a heartbeat interval
 	smoothedAt      time.Time
 	report          loadReport
 	respondedAt     time.Time   // last time that it reported its load to this router
@@ -289,8 +289,9 @@
 	return list
 }
 
-// Running returns this router's requests by endpoint, smoothed over smoothingWindow: the
-// number at one instant says little about the next.
+// Running returns this router's requests by endpoint, smoothed over a heartbeat
+// interval: where that is longer than most requests, the number at one instant says
+// little about the next.
 func (t *Table) Running(now time.Time) map[string]float64 {
 	const (
 		least = 0.05 // below it an endpoint counts as idle
@@ -300,7 +301,7 @@
 	defer t.mu.Unlock()
 	counts := make(map[string]float64)
 	for id, ep := range t.byID {
-		ep.updateSmoothed(now, t.smoothingWindow(ep.Service))
+		ep.updateSmoothed(now, t.heartbeatInterval)
 		if ep.smoothedRunning > least {
 			counts[id] = math.Round(ep.smoothedRunning/step) * step
 		}
