--- a/process/router/loadskew_play_test.go
+++ b/process/router/loadskew_play_test.go
@@ -48,9 +48,9 @@
 	perSecond float64
 	work      time.Duration // mean time in a slot, the prompt being cached
 	objective time.Duration
-	tokens    int // of the prompt part that its key stands for
-	keys      int // 0: requests without a key
-	firstKey  float64
+	tokens    int     // of the prompt part that its key stands for
+	keys      int     // 0: requests without a key
+	firstKey  float64 // share of the requests with the first key; 0: by Zipf's law
 }
 
 // standardClasses are the model requests of a day at a large site.
@@ -81,7 +81,7 @@
 	length             time.Duration
 }
 
-// hotPart is a prompt part of which many requests hold for a time.
+// hotPart is the prompt part of many requests for a time.
 type hotPart struct {
 	class    int
 	share    float64 // of the requests of the class
@@ -97,7 +97,6 @@
 
 // skewResult is what a play showed.
 type skewResult struct {
-	overall                   float64 // share of the requests that reached an endpoint over the limit
 	worst                     float64 // largest share in a window of requests that reached an endpoint over the limit
 	worstAt                   time.Duration
 	shares                    []float64 // of the windows that begin with a second
@@ -114,6 +113,7 @@
 		r.worst, r.worstAt, r.shares, r.requests, r.refused, r.refusedIdle, r.inTime, float64(r.cached)/float64(max(1, r.requests)), r.readAgain/1000, r.moved/1000, r.heartbeatBytes, r.local)
 }
 
+// playRun is a request at an endpoint.
 type playRun struct {
 	router    *playRouter
 	grant     *balance.Grant
@@ -121,10 +121,11 @@
 	begun     time.Duration
 	work      time.Duration
 	first     time.Duration
-	ended     bool
+	responded bool
 	objective time.Duration
 }
 
+// playEndpoint is an engine with the state that only the play knows.
 type playEndpoint struct {
 	entry   upstream.Entry
 	running int
@@ -134,6 +135,7 @@
 	crashed bool
 }
 
+// playRouter is a process of a router.
 type playRouter struct {
 	r              *Router
 	number         int64
@@ -146,6 +148,7 @@
 	heartbeatBytes int
 }
 
+// playState is a play in progress.
 type playState struct {
 	skewPlay
 	rng       *rand.Rand
@@ -164,6 +167,7 @@
 	skewResult
 }
 
+// playArrival is a request that was sent to an endpoint, and whether this was over the limit.
 type playArrival struct {
 	at   time.Duration
 	over bool
@@ -466,8 +470,8 @@
 	if run.ep.crashed {
 		return
 	}
-	if !run.ended {
-		run.ended, run.first = true, s.at-run.begun
+	if !run.responded {
+		run.responded, run.first = true, s.at-run.begun
 		if run.first <= run.objective {
 			s.inTime++
 		}
@@ -491,11 +495,6 @@
 
 func (s *playState) result() skewResult {
 	out := s.skewResult
-	for _, a := range s.arrivals {
-		if a.over {
-			out.overall += 1 / float64(len(s.arrivals))
-		}
-	}
 	for from := skewRuleCalm; from+skewRuleWindow <= s.length; from += skewRuleStep { // the routers are in touch from then on
 		if s.crashed > 0 && from < s.returnAt+skewRuleCalm && from+skewRuleWindow > s.crashAt {
 			continue // the rule holds in calm windows, without trouble at endpoints
