Give a router of the tests three different ports

Cause: the test took three free ports one after the other and closed each before the next, so that the system may give out the same port again. All three are held now until the last is known. The check is the same.

--- a/test/process/router_test.go
+++ b/test/process/router_test.go
@@ -69,13 +69,17 @@
 	return netip.AddrFrom4(ip).String()
 }
 
-// freePort returns a free port of an IP address.
-func freePort(c *qt.C, ip string) netip.AddrPort {
-	listener, err := net.Listen("tcp", ip+":0")
-	c.Assert(err, qt.IsNil)
-	address := listener.Addr().(*net.TCPAddr).AddrPort()
-	c.Assert(listener.Close(), qt.IsNil)
-	return address
+// freePorts returns n free ports of an IP address. All are held until the last is known, so that
+// they differ.
+func freePorts(c *qt.C, ip string, n int) []netip.AddrPort {
+	addresses := make([]netip.AddrPort, n)
+	for i := range addresses {
+		listener, err := net.Listen("tcp", ip+":0")
+		c.Assert(err, qt.IsNil)
+		defer func() { c.Check(listener.Close(), qt.IsNil) }()
+		addresses[i] = listener.Addr().(*net.TCPAddr).AddrPort()
+	}
+	return addresses
 }
 
 // newRouter prepares a router with its own settings file.
@@ -83,7 +87,8 @@
 	s := settings.Default()
 	ip := loopback()
 	s.Host = settings.Host{Name: name, Zone: zone, Region: "r1"}
-	s.Listen = settings.Listen{Caller: freePort(c, ip), Peer: freePort(c, ip), Operator: freePort(c, ip)}
+	ports := freePorts(c, ip, 3)
+	s.Listen = settings.Listen{Caller: ports[0], Peer: ports[1], Operator: ports[2]}
 	s.Platform = platform
 	s.Access = settings.Access{OpenOnLoopback: true, PlaceKeyFile: placeKey(c)}
 	s.Limits.Drain = config.Duration(30 * time.Second)
