--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -117,24 +117,33 @@
 // connect resolves addresses in a router's directory and connects to one. It returns the
 // index of the router.
 func (c *callers) connect(rng *rand.Rand) (net.Conn, int) {
-	client := http.Client{Timeout: time.Second}
-	resp, err := client.Get("http://" + c.env.routers[rng.IntN(len(c.env.routers))].directoryAddr + "/stoatmount/resolve?name=" + host)
+	addrs := c.env.resolve(rng)
+	if len(addrs) == 0 {
+		return nil, 0
+	}
+	addr := addrs[rng.IntN(len(addrs))]
+	conn, err := net.DialTimeout("tcp", addr, time.Second)
 	if err != nil {
 		return nil, 0
 	}
+	return conn, slices.IndexFunc(c.env.routers, func(r *router) bool { return r.frontAddr == addr })
+}
+
+// resolve returns the addresses in a router's directory, or nil if it does not respond.
+func (env *environment) resolve(rng *rand.Rand) []string {
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Get("http://" + env.routers[rng.IntN(len(env.routers))].directoryAddr + "/stoatmount/resolve?name=" + host)
+	if err != nil {
+		return nil
+	}
 	defer func() { _ = resp.Body.Close() }()
 	var resolved struct {
 		Addrs []string `json:"addrs"`
 	}
-	if json.NewDecoder(resp.Body).Decode(&resolved) != nil || len(resolved.Addrs) == 0 {
-		return nil, 0
-	}
-	addr := resolved.Addrs[rng.IntN(len(resolved.Addrs))]
-	conn, err := net.DialTimeout("tcp", addr, time.Second)
-	if err != nil {
-		return nil, 0
+	if json.NewDecoder(resp.Body).Decode(&resolved) != nil {
+		return nil
 	}
-	return conn, slices.IndexFunc(c.env.routers, func(r *router) bool { return r.frontAddr == addr })
+	return resolved.Addrs
 }
 
 // checkStream checks the events of a stream and goes on with it if it broke.
--- a/test/soak/environment_test.go
+++ b/test/soak/environment_test.go
@@ -21,11 +21,11 @@
 )
 
 const (
-	graceSeconds = 3
-	contact      = 3 * time.Second
-	host         = "soak.example"
-	workspace    = "w"
-	key          = "key-that-stays" // accepted in every version, unlike the second key of configure
+	usualGrace = 3 // seconds
+	contact    = 3 * time.Second
+	host       = "soak.example"
+	workspace  = "w"
+	key        = "key-that-stays" // accepted in every version, unlike the second key of configure
 )
 
 // router is one process of the program.
@@ -96,6 +96,8 @@
 	software  int                            // newest software version of the service llm
 	// retrySlack is the number of retries that routers may make beyond those that their requests allow.
 	retrySlack int
+	grace      int   // of the routers, in seconds
+	routes     []any // of the configuration; nil are the usual ones
 
 	mu          sync.Mutex
 	version     int64
@@ -125,7 +127,7 @@
 		t.Fatal(err)
 	}
 	env := &environment{t: t, rng: rand.New(rand.NewPCG(seed, 1)), binary: binary, store: store, proxies: make(map[string]*platformtest.Proxy),
-		crashForm: crashForm(seed % uint64(crashForms)), software: 2, retrySlack: 54, gone: make(map[string]bool), states: make(map[string]string),
+		crashForm: crashForm(seed % uint64(crashForms)), software: 2, retrySlack: 54, grace: usualGrace, gone: make(map[string]bool), states: make(map[string]string),
 		limits: make(map[string]string), limitTimes: make(map[string]time.Time)}
 	for i := range 6 {
 		env.addEndpoint(fmt.Sprintf("i-app-%d", i), "app", fmt.Sprintf("z%d", i%2), "v1")
@@ -184,10 +186,14 @@
 		return map[string]any{"name": name, "host": host, "path_prefix": "/" + name + "/", "kind": kind, "service": service,
 			"timeout_ms": 4000, "latency_goal_ms": 200, "gap_aim_ms": 200, "max_attempts": attempts, "resumable": resumable, "priority": 1}
 	}
+	routes := env.routes
+	if routes == nil {
+		routes = []any{route("book", "non_idempotent", "app", 1, false), route("look", "idempotent", "app", 2, false),
+			route("draft", "stream", "llm", 2, true), route("polish", "stream", "llm", 1, false)}
+	}
 	data, err := json.Marshal(map[string]any{
-		"version": version,
-		"routes": []any{route("book", "non_idempotent", "app", 1, false), route("look", "idempotent", "app", 2, false),
-			route("draft", "stream", "llm", 2, true), route("polish", "stream", "llm", 1, false)},
+		"version":  version,
+		"routes":   routes,
 		"services": []any{map[string]any{"name": "app", "max_conns": 100}, map[string]any{"name": "llm", "max_conns": 360}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants":  []any{map[string]any{"name": workspace, "api_keys": []string{key, fmt.Sprintf("key-%d", version)}}},
@@ -232,7 +238,7 @@
 ttl_max_s = 5
 [platform]
 addr = %q
-`, name, len(env.routers)%2, peerPort, peerPort+1, r.frontAddr, r.readyAddr, r.directoryAddr, contact.Milliseconds(), graceSeconds, env.retrySlack, p.Addr)
+`, name, len(env.routers)%2, peerPort, peerPort+1, r.frontAddr, r.readyAddr, r.directoryAddr, contact.Milliseconds(), env.grace, env.retrySlack, p.Addr)
 	if err := os.WriteFile(r.settings, []byte(text), 0o600); err != nil {
 		env.t.Fatal(err)
 	}
@@ -293,7 +299,7 @@
 	r.signal(s)
 	select {
 	case <-ended:
-	case <-time.After((graceSeconds + 1) * time.Second):
+	case <-time.After(time.Duration(env.grace+1) * time.Second):
 		env.t.Errorf("%s still runs after its grace period", r.name)
 		r.signal(syscall.SIGKILL)
 		<-ended
--- /dev/null
+++ b/test/soak/stops_test.go
@@ -0,0 +1,250 @@
+//go:build process
+
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stoatmount/stoatmount/platform/platformtest"
+)
+
+const (
+	stopGrace   = 8 * time.Second
+	stopRouters = 7
+	stopCallers = 84
+	// eventTime and firstEventTime are those of an endpoint that is neither silent nor slow.
+	eventTime      = 30 * time.Millisecond
+	firstEventTime = 150 * time.Millisecond
+)
+
+// kindOfStop is a kind of request of the plays, with the limits of its route.
+type kindOfStop struct {
+	name, route, service  string
+	attempts              int
+	resumable             bool
+	limit, objective, gap time.Duration
+	events, spread        float64 // logarithmic mean and deviation of the length of a stream; 0 is none
+	body, weight          int
+}
+
+var kindsOfStop = []kindOfStop{
+	{"draft", "stream", "llm", 2, true, 12 * time.Second, 800 * time.Millisecond, 400 * time.Millisecond, 50, 0.44, 12000, 17},
+	{"summary", "stream", "llm", 1, false, 10 * time.Second, time.Second, 400 * time.Millisecond, 33, 0.69, 830, 25},
+	{"lookup", "stream", "llm", 2, true, 3 * time.Second, 1500 * time.Millisecond, 400 * time.Millisecond, 3, 0.5, 2400, 33},
+	{"book", "non_idempotent", "app", 1, false, time.Second, 100 * time.Millisecond, 0, 0, 0, 600, 19},
+	{"read", "idempotent", "app", 2, false, time.Second, 100 * time.Millisecond, 0, 0, 0, 10, 8},
+}
+
+func (k *kindOfStop) routeConfig() any {
+	return map[string]any{"name": k.name, "host": host, "path_prefix": "/" + k.name + "/", "kind": k.route, "service": k.service, "timeout_ms": k.limit.Milliseconds(),
+		"latency_goal_ms": k.objective.Milliseconds(), "gap_aim_ms": k.gap.Milliseconds(), "max_attempts": k.attempts, "resumable": k.resumable, "priority": 1}
+}
+
+// stopPlay is a fleet with planned stops beside endpoints that fall silent.
+type stopPlay struct {
+	*environment
+	rng        *rand.Rand
+	slowed     bool // routers run for a part of the time
+	successors int  // what endpoints do that take a request over, an index of successors
+	links      []*link
+	fronts     map[string]*link // by the address that routers name
+	done       chan struct{}
+
+	mu       sync.Mutex
+	asked    map[string]int       // endpoints, by request
+	stops    map[string]time.Time // of the routers, by address
+	attempts []stopAttempt
+}
+
+// successors are what an endpoint does with a request that another one has run.
+var successors = []struct {
+	name   string
+	change func(b *platformtest.Behaviour, l *link)
+}{
+	{"sound", func(*platformtest.Behaviour, *link) {}},
+	{"refuse late", func(b *platformtest.Behaviour, _ *link) { b.Shed, b.Work = true, 500*time.Millisecond }},
+	{"refuse", func(b *platformtest.Behaviour, _ *link) { b.Shed = true }},
+	{"close late", func(b *platformtest.Behaviour, _ *link) { b.Work, b.ResetAfterRun = 500*time.Millisecond, true }},
+	{"fail late", func(b *platformtest.Behaviour, _ *link) { b.Work, b.Events, b.Status = 500*time.Millisecond, 0, 500 }},
+	{"pause", func(_ *platformtest.Behaviour, l *link) { l.pause(2200 * time.Millisecond) }},
+	{"break off", func(b *platformtest.Behaviour, _ *link) { b.Work, b.ResetAt = 10*time.Millisecond, b.Events }},
+}
+
+// formsOfStop are the orders in which routers are stopped.
+var formsOfStop = []struct {
+	name string
+	stop func(p *stopPlay)
+}{
+	{"single", func(p *stopPlay) { p.stop(p.routers[0]) }},
+	{"rolling", func(p *stopPlay) {
+		for _, r := range p.routers {
+			go p.stop(r)
+			time.Sleep(1300 * time.Millisecond)
+		}
+	}},
+	{"three", func(p *stopPlay) { p.stopAll(p.routers[:3]) }},
+	{"all", func(p *stopPlay) { p.stopAll(p.routers) }},
+	{"two, beside configurations", func(p *stopPlay) {
+		for i := range 8 {
+			time.AfterFunc(time.Duration(i)*900*time.Millisecond, p.configure)
+			time.AfterFunc(time.Duration(i)*1100*time.Millisecond, func() { p.routers[i%stopRouters].signal(syscall.SIGHUP) })
+		}
+		p.stopAll(p.routers[:2])
+	}},
+}
+
+// Guards against streams and other requests that a planned stop, or the silence of a sound endpoint beside one, leaves without
+// a whole answer.
+func TestPlannedStopsLoseNoRequest(t *testing.T) {
+	binary := buildRouter(t, "../..")
+	for i := range *seeds {
+		s := *seed + uint64(i)
+		t.Run(fmt.Sprint(s), func(t *testing.T) { playStops(t, binary, s) })
+	}
+}
+
+func playStops(t *testing.T, binary string, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 57))
+	p := &stopPlay{environment: newEnvironment(t, binary, seed, 0), rng: rng, slowed: seed%2 == 0, successors: int(seed) % len(successors),
+		fronts: make(map[string]*link), done: make(chan struct{}), asked: make(map[string]int), stops: make(map[string]time.Time)}
+	defer p.close()
+	delay := []time.Duration{1500 * time.Microsecond, 10 * time.Millisecond}[rng.IntN(2)]
+	p.grace, p.routes = int(stopGrace/time.Second), nil
+	for i := range kindsOfStop {
+		p.routes = append(p.routes, kindsOfStop[i].routeConfig())
+	}
+	p.configure()
+	for _, e := range p.endpoints {
+		e.Version = "v1"
+		l := newLink(t, e.Addr, delay)
+		p.proxies[e.ID].Addr = l.addr
+		p.putEntry(e, "ready")
+		e.SetBehaviour(p.behaviour(l))
+		if e.Service == "llm" {
+			p.links = append(p.links, l)
+		}
+	}
+	for i := range stopRouters {
+		p.addRouter(fmt.Sprintf("front-%d", i))
+		r := p.routers[i]
+		p.fronts[r.frontAddr] = newLink(t, r.frontAddr, 2*delay)
+	}
+	p.await("all routers are ready", p.allReady)
+	time.Sleep(contact)
+	form := formsOfStop[rng.IntN(len(formsOfStop))]
+	t.Logf("%s, successors %s, links of %v, routers slowed: %t", form.name, successors[p.successors].name, delay, p.slowed)
+	var group sync.WaitGroup
+	for i := range stopCallers {
+		group.Go(func() { p.call(i, rand.New(rand.NewPCG(seed, uint64(i)))) })
+	}
+	var background sync.WaitGroup
+	if p.slowed {
+		background.Go(p.slowRouters)
+	}
+	time.Sleep(2 * time.Second)
+	background.Go(p.pauseEndpoints)
+	time.Sleep(time.Second)
+	form.stop(p)
+	time.Sleep(time.Second)
+	close(p.done)
+	group.Wait()
+	background.Wait()
+	p.check()
+	if t.Failed() {
+		p.keepLogs(seed)
+	}
+}
+
+// behaviour is that of a sound endpoint, unless it takes a request over.
+func (p *stopPlay) behaviour(l *link) func(*http.Request, int) platformtest.Behaviour {
+	return func(r *http.Request, _ int) platformtest.Behaviour {
+		id := r.Header.Get("X-Request-Id")
+		p.mu.Lock()
+		before := p.asked[id]
+		p.asked[id]++
+		p.mu.Unlock()
+		b := platformtest.Behaviour{Work: 15 * time.Millisecond}
+		if n, err := strconv.Atoi(r.URL.Query().Get("events")); err == nil && n > 0 {
+			b.Events, b.Pause, b.Work = n, eventTime, firstEventTime
+		}
+		if before > 0 {
+			successors[p.successors].change(&b, l)
+		}
+		return b
+	}
+}
+
+// pauseEndpoints lets endpoints fall silent, one after the other or some at once, until the play is over.
+func (p *stopPlay) pauseEndpoints() {
+	for i := p.rng.IntN(len(p.links)); ; {
+		for range []int{1, 1, 1, 2, 3}[p.rng.IntN(5)] {
+			i = (i + 1) % len(p.links)
+			d := time.Duration(1200+p.rng.IntN(1200)) * time.Millisecond
+			p.links[i].pause(d)
+			p.endpointOf(p.links[i]).FallSilent(d)
+		}
+		select {
+		case <-p.done:
+			return
+		case <-time.After(time.Duration(700+p.rng.IntN(1300)) * time.Millisecond):
+		}
+	}
+}
+
+func (p *stopPlay) endpointOf(l *link) *platformtest.Endpoint {
+	for _, e := range p.endpoints {
+		if p.proxies[e.ID].Addr == l.addr {
+			return e
+		}
+	}
+	return nil
+}
+
+// slowRouters lets the routers run for a part of the time.
+func (p *stopPlay) slowRouters() {
+	const run, period = 8 * time.Millisecond, 20 * time.Millisecond
+	for {
+		p.signalAll(syscall.SIGSTOP)
+		time.Sleep(period - run)
+		p.signalAll(syscall.SIGCONT)
+		select {
+		case <-p.done:
+			return
+		case <-time.After(run):
+		}
+	}
+}
+
+func (p *stopPlay) signalAll(s syscall.Signal) {
+	for _, r := range p.routers {
+		r.signal(s)
+	}
+}
+
+func (p *stopPlay) stopAll(routers []*router) {
+	var group sync.WaitGroup
+	for _, r := range routers {
+		group.Go(func() { p.stop(r) })
+	}
+	group.Wait()
+}
+
+// stop stops a router, which reads the signal late at times, and starts it again.
+func (p *stopPlay) stop(r *router) {
+	p.mu.Lock()
+	p.stops[r.frontAddr] = time.Now()
+	late := p.rng.IntN(3) == 0
+	p.mu.Unlock()
+	if late && !p.slowed {
+		r.signal(syscall.SIGSTOP)
+		time.AfterFunc(300*time.Millisecond, func() { r.signal(syscall.SIGCONT) })
+	}
+	p.restart(r, syscall.SIGTERM)
+}
