Decide in one place which endpoint goes on with a silent request

Cause: what callers saw is a resumable stream that ends with a closed connection though its endpoint is sound. After a silence of 1.6 s another endpoint was asked, and the silent attempt was closed 0.2 s later whatever the successor had shown. One that then refused, failed or closed left no attempt. Any byte of the silent endpoint, a copy of an earlier refusal too, threw the successor's answer away. The SIGTERM has no part in it: the rule counts around planned work only. Change: a takeover holds both attempts. The job's goroutine reads on from the first, so that what it brings is parsed, and the successor has a goroutine of its own. The first ends only when the successor has brought a whole body or an event that goes on, or when its host is known to be out of reach. The successor ends when the first goes on, or after 0.32 s beside it on a stream, so that two endpoints never count as working on one. A refusal leads to the next endpoint. Requests log their takeovers. ReadAhead is gone; its tests now guard Wake.

--- a/connection/forward/attempt.go
+++ b/connection/forward/attempt.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"math"
 	"net"
 	"net/http"
@@ -31,9 +32,12 @@
 type attempt struct {
 	grant        *balance.Grant
 	permit       *Permit // for the grant; nil if it needed none
+	ctx          context.Context
+	cancel       func()    // ends ctx; nil if that is the request's
+	takes        *takeover // of which it is the successor; nil if it is none
+	usable       func(c *http1.Conn) bool
 	conn         *http1.Conn
 	stopWatch    func() bool // stops watching the context
-	cancel       func()      // ends the attempt's own context; nil if it has none
 	sentAt       time.Time
 	firstAt      time.Time // first byte of the response
 	begunAt      time.Time // first event of a stream
@@ -48,6 +52,16 @@
 	noReuse      bool // the connection carried a response that may be to another request, or an unread rest
 	hadResponse  bool // the connection carried a response before the one that is awaited
 
+	// What collect adds to the record of the request.
+	index      int   // of its connection there
+	dials      int   // connections opened
+	mismatched int   // responses on the connection that were to other requests, or may have been
+	reserved   int64 // bytes of its body
+
+	data     []byte // of a body that is no stream
+	dataErr  error  // of reading it
+	dataRead bool
+
 	relayed  bool        // to another router, not to an endpoint
 	reached  bool        // a connection was established
 	run      outcome.Run // whether the request ran, as far as is known
@@ -71,34 +85,66 @@
 // sendAttempt sends the request to the granted endpoint and reads the head of
 // the response. A failure is recorded in the attempt.
 func (j *job) sendAttempt(g *balance.Grant) *attempt {
-	a := &attempt{grant: g, permit: j.permit, run: outcome.RunNot}
+	a := j.newAttempt(j.requestCtx, g)
+	j.exchange(a)
+	j.collect(a)
+	return a
+}
+
+// newAttempt adds an attempt to the record. It counts as a run until collect.
+func (j *job) newAttempt(ctx context.Context, g *balance.Grant) *attempt {
+	a := &attempt{grant: g, permit: j.permit, ctx: ctx, usable: j.usable(), run: outcome.RunNot, index: len(j.rec.Connections)}
 	j.permit = nil
 	j.rec.Endpoints = append(j.rec.Endpoints, g.ID)
 	j.rec.EndpointVersions = append(j.rec.EndpointVersions, g.Version)
+	j.rec.Connections = append(j.rec.Connections, Connection{})
 	j.rec.LastGrant = *g
 	j.tried = append(j.tried, g.ID)
-	a.err = j.connect(a)
-	j.recordConnection(a)
-	if a.err != nil {
+	j.runs++
+	j.rec.Runs = j.runs
+	return a
+}
+
+// collect adds what an exchange showed to the request and its record.
+func (j *job) collect(a *attempt) {
+	if a.conn != nil {
+		j.rec.Connections[a.index] = Connection{Local: a.conn.LocalAddr(), Remote: a.conn.RemoteAddr()}
+	}
+	j.rec.Dials += a.dials
+	j.rec.MismatchedResponses += a.mismatched
+	a.dials, a.mismatched = 0, 0
+	if a.run == outcome.RunNot {
+		j.runs--
+		j.rec.Runs = j.runs
+	}
+	if a.head != nil && a.response.HasLoad {
+		j.rec.ReportedLoad = a.response.Load.Running + a.response.Load.Waiting
+	}
+	if a.head != nil {
+		j.recordPace(a)
+	}
+}
+
+// exchange sends the request to the endpoint of an attempt and reads the head of the response. It changes the attempt only.
+func (j *job) exchange(a *attempt) {
+	if a.err = j.connect(a); a.err != nil {
 		a.failure = balance.NotReached
 		if resetAtOnce(a.err) {
 			a.failure = balance.ResetAtOnce
 		}
-		if j.ctx.Err() != nil {
+		if a.ctx.Err() != nil {
 			a.failure = balance.Abandoned
 		} else {
-			j.s.Links.Failed(time.Now(), g)
+			j.s.Links.Failed(time.Now(), a.grant)
 		}
-		return a
+		return
 	}
 	a.reached = true
-	if j.silent != nil {
-		j.silent.beginOverlap()
+	if a.takes != nil {
+		a.takes.beginOverlap()
 	}
-	j.runs++
-	j.rec.Runs = j.runs
 	a.run = outcome.RunUnknown
-	if a.err = j.send(a); a.err == nil || !a.sentAt.IsZero() {
+	if a.err = j.send(a); a.err == nil || !a.sentAt.IsZero() && !a.endedForAnother(a.err) {
 		a.err = j.readHead(a) // also after a failed write: the endpoint may have responded already
 	}
 	if a.err != nil {
@@ -106,21 +152,23 @@
 		switch {
 		case !a.firstAt.IsZero() || a.failure == balance.Abandoned:
 		case a.failure == balance.TimedOut:
-			j.s.Links.Late(time.Now(), g)
+			j.s.Links.Late(time.Now(), a.grant)
 		default:
-			j.s.Links.Failed(time.Now(), g)
+			j.s.Links.Failed(time.Now(), a.grant)
 		}
-		return a
+		return
 	}
 	if a.response.NotRun {
-		j.runs--
-		j.rec.Runs = j.runs
 		a.run, a.failure = outcome.RunNot, balance.Shed
 		if a.head.Status == http.StatusMisdirectedRequest {
 			a.failure = balance.NotReached // the address now belongs to another endpoint
 		}
 	}
-	return a
+}
+
+// endedForAnother reports whether an error says that the request goes on with the successor of an attempt.
+func (a *attempt) endedForAnother(err error) bool {
+	return errors.Is(err, errTakenOver) || errors.Is(err, errOutOfReach)
 }
 
 func (j *job) send(a *attempt) error {
@@ -128,6 +176,9 @@
 		FetchFrom: a.grant.FetchFrom, Priority: j.priority}
 	head := j.s.Codec.EncodeRequest(j.x.Head, s, int64(len(j.x.Body)))
 	a.sentAt = time.Now()
+	if _, err := j.watchSilences(a); err != nil {
+		return err
+	}
 	return a.conn.WriteAll(head, j.x.Body)
 }
 
@@ -139,29 +190,48 @@
 // errSlowFirstByte ends an attempt in favour of another router.
 var errSlowFirstByte = errors.New("no first byte in time; trying another router")
 
-// readBody reads the body of a response that is no stream. A silence within it is handled as one before it.
+// readBody reads the body of a response that is no stream, unless that was done. A silence within it is handled as one before it.
 func (j *job) readBody(a *attempt) ([]byte, error) {
-	if _, err := j.watchReads(a); err != nil {
-		return nil, err
+	if a.dataRead {
+		return a.data, a.dataErr
+	}
+	a.dataRead = true
+	if _, a.dataErr = j.watchSilences(a); a.dataErr != nil {
+		return nil, a.dataErr
 	}
-	data, reserved, err := a.body.ReadReserved(maxBufferedBytes, maxBufferedTotal, &j.s.buffered)
-	j.buffered += reserved
-	if err == nil && j.endedByCrash(a) {
-		err = errEndedByCrash
+	a.data, a.reserved, a.dataErr = a.body.ReadReserved(maxBufferedBytes, maxBufferedTotal, &j.s.buffered)
+	if a.dataErr == nil && j.endedByCrash(a) {
+		a.dataErr = errEndedByCrash
 	}
-	return data, err
+	return a.data, a.dataErr
 }
 
-// watchReads makes reads of the response try another endpoint after a silence of firstByteFactor objectives, if the
+// watchSilences makes another endpoint be tried after a silence of firstByteFactor objectives, if the
 // request may be retried elsewhere and its deadline is at least two such waits away. It reports whether it does.
-func (j *job) watchReads(a *attempt) (bool, error) {
-	silence := firstByteFactor * j.route.Objective
-	if !j.mayRetryElsewhere(a.grant.Service) || time.Until(j.deadline) < 2*silence {
+func (j *job) watchSilences(a *attempt) (bool, error) {
+	silence, left := firstByteFactor*j.route.Objective, time.Until(j.deadline)
+	switch {
+	case a.inTakeover(), j.takeover != nil: // which wakes it
+		return true, j.watchSilence(a, max(silence, left/2))
+	case !j.mayRetryElsewhere(a.grant.Service) || left < 2*silence:
 		return false, nil
 	}
-	return true, a.conn.OnSilence(j.ctx, silence, func() error { return j.onSilence(a) })
+	return true, j.watchSilence(a, silence)
 }
 
+// watchSilence makes a silence of an attempt, and the end of its successor, call onSilence.
+func (j *job) watchSilence(a *attempt, d time.Duration) error {
+	return a.conn.OnSilence(a.ctx, d, func(woken bool) error {
+		if a.inTakeover() {
+			return nil
+		}
+		return j.onSilence(a, woken)
+	})
+}
+
+// inTakeover reports whether the attempt is a successor beside another one, which goes on to use the job.
+func (a *attempt) inTakeover() bool { return a.takes != nil && !a.takes.alone.Load() }
+
 // mayRetryElsewhere reports whether the request may also run at another
 // endpoint of the service.
 func (j *job) mayRetryElsewhere(service string) bool {
@@ -173,11 +243,11 @@
 // whose context ended within its objective says nothing about the endpoint.
 func (j *job) classify(a *attempt, err error) balance.Failure {
 	switch {
-	case j.callerGone(), j.endedBy() == EndedByProcess, j.ctx.Err() != nil && time.Since(a.sentAt) < j.route.Objective:
+	case j.callerGone(), j.endedBy() == EndedByProcess, a.ctx.Err() != nil && time.Since(a.sentAt) < j.route.Objective:
 		return balance.Abandoned
-	case j.ctx.Err() != nil && j.requestCtx.Err() == nil: // the silent attempt before it goes on
+	case a.ctx.Err() != nil && j.requestCtx.Err() == nil: // its takeover ended it
 		return balance.Abandoned
-	case j.ctx.Err() != nil, errors.Is(err, errSlowFirstByte), errors.Is(err, errTakenOver):
+	case a.ctx.Err() != nil, errors.Is(err, errSlowFirstByte), a.endedForAnother(err):
 		return balance.TimedOut
 	}
 	var t net.Error
@@ -207,6 +277,9 @@
 		return false // the caller already has a part of another endpoint's response
 	}
 	data, err := j.readBody(a)
+	if err == nil && !isServerError(a.head.Status) {
+		err = j.settle(a)
+	}
 	if err != nil {
 		a.err, a.failure = errors.Wrap(err, "response truncated"), j.classify(a, err)
 		j.endFailed(a)
@@ -217,7 +290,7 @@
 		a.failure = balance.ServerError
 		j.endFailed(a)
 		j.lastResponse = buffered
-		return !j.mayRetryServerError() && j.respond(buffered)
+		return j.takeover == nil && !j.mayRetryServerError() && j.respond(buffered)
 	}
 	j.release(a)
 	j.recordCompletion(a)
@@ -254,6 +327,10 @@
 		return
 	}
 	a.released = true
+	if t := j.takeover; t != nil && t.first == a {
+		t.endFirst()
+	}
+	j.buffered += a.reserved
 	j.endGrant(a, a.failure)
 	if a.ejected {
 		j.rec.Ejected = a.grant.ID
@@ -315,15 +392,6 @@
 	j.recordFailure(a)
 }
 
-// recordConnection adds the connection of an attempt to the record.
-func (j *job) recordConnection(a *attempt) {
-	var c Connection
-	if a.conn != nil {
-		c = Connection{Local: a.conn.LocalAddr(), Remote: a.conn.RemoteAddr()}
-	}
-	j.rec.Connections = append(j.rec.Connections, c)
-}
-
 // silentFor returns for how long the endpoint has sent nothing of its response.
 func (a *attempt) silentFor(now time.Time) time.Duration {
 	for _, last := range []time.Time{a.lastAt, a.firstAt, a.sentAt} {
--- a/connection/forward/connect.go
+++ b/connection/forward/connect.go
@@ -24,10 +24,11 @@
 	return onlyAckTimeout
 }
 
-// mayUse reports whether no response to the request can have come on a connection before. Until the request ends,
-// that is known of all its connections.
-func (j *job) mayUse(c *http1.Conn) bool {
-	return !slices.Contains(j.answeredOn, c) && !c.HasAnswered(j.requestHash())
+// usable returns the function that reports whether no response to the request can have come on a connection before. Until
+// the request ends, that is known of all its connections.
+func (j *job) usable() func(c *http1.Conn) bool {
+	request, answeredOn := j.requestHash(), j.answeredOn
+	return func(c *http1.Conn) bool { return !slices.Contains(answeredOn, c) && !c.HasAnswered(request) }
 }
 
 // recordAnswered records that the request got a response on a connection and may be sent again.
@@ -42,14 +43,14 @@
 	if a.relayed {
 		pool = j.s.RelayPool
 	}
-	a.conn = pool.Get(a.grant.Addr, time.Now(), j.mayUse)
+	a.conn = pool.Get(a.grant.Addr, time.Now(), a.usable)
 	if a.conn == nil {
-		c, err := pool.Dial(j.ctx, a.grant.Addr, connectTimeout)
+		c, err := pool.Dial(a.ctx, a.grant.Addr, connectTimeout)
 		if err != nil {
 			return err
 		}
 		a.conn = c
-		j.rec.Dials++
+		a.dials++
 		if !a.relayed {
 			j.s.Links.Connected(time.Now(), a.grant)
 		}
@@ -57,7 +58,7 @@
 	a.hadResponse = a.conn.Received()
 	a.conn.SetAckTimeout(j.ackTimeout())
 	conn := a.conn
-	a.stopWatch = context.AfterFunc(j.ctx, func() {
+	a.stopWatch = context.AfterFunc(a.ctx, func() {
 		_ = conn.SetDeadline(time.Unix(1, 0)) // wakes a read or write in progress
 	})
 	return nil
--- a/connection/forward/connect_test.go
+++ b/connection/forward/connect_test.go
@@ -18,6 +18,6 @@
 		conn.RecordAnswered(request)
 	}
 	c.Assert(conn.HasAnswered(j.requestHash()), qt.IsFalse)
-	c.Assert(j.mayUse(conn), qt.IsFalse)
-	c.Assert(j.mayUse(other), qt.IsTrue)
+	c.Assert(j.usable()(conn), qt.IsFalse)
+	c.Assert(j.usable()(other), qt.IsTrue)
 }
--- a/connection/forward/crash.go
+++ b/connection/forward/crash.go
@@ -80,8 +80,8 @@
 		return
 	}
 	f, sent, run := j.fingerprint(), j.sent, j.runOf(a)
-	if j.ctx.Err() == nil {
-		a.crashed = j.checkCrash(j.ctx, a, f, sent, run)
+	if j.requestCtx.Err() == nil {
+		a.crashed = j.checkCrash(j.requestCtx, a, f, sent, run)
 		return
 	}
 	if !j.s.beginCrashCheck() {
@@ -102,11 +102,11 @@
 // maxSilence bounds the wait for the first byte after which an endpoint is probed.
 const maxSilence = 1500 * time.Millisecond
 
-// watchSilence probes the endpoint if the response does not begin in time, as a crash may
+// probeWhenSilent probes the endpoint if the response does not begin in time, as a crash may
 // leave the connection open. It only records the crash: an endpoint that accepts no
 // connections may still respond, and a run that completes clears the body. The returned
 // function ends the watch.
-func (j *job) watchSilence(a *attempt) (stop func() bool) {
+func (j *job) probeWhenSilent(a *attempt) (stop func() bool) {
 	if j.route.Objective <= 0 {
 		return func() bool { return true }
 	}
@@ -130,7 +130,7 @@
 // connection, ended because its endpoint crashed. An endpoint that cannot be reached
 // for other reasons had closed the connection in order.
 func (j *job) endedByCrash(a *attempt) bool {
-	return a.head.Length == http1.UntilClose && errors.Is(j.connectAgain(j.ctx, a), syscall.ECONNREFUSED)
+	return a.head.Length == http1.UntilClose && errors.Is(j.connectAgain(a.ctx, a), syscall.ECONNREFUSED)
 }
 
 // checkCrash records a crash, and returns true, if no connection to the endpoint can be
--- a/connection/forward/origin.go
+++ b/connection/forward/origin.go
@@ -19,7 +19,7 @@
 		return outcome.OK // the caller has no event
 	}
 	names := j.route.Services(0)
-	o, ok := j.s.Origins.Find(j.ctx, origins.KeyOf(j.req.Resumes), names)
+	o, ok := j.s.Origins.Find(j.requestCtx, origins.KeyOf(j.req.Resumes), names)
 	if !ok {
 		return outcome.OriginUnknown
 	}
@@ -34,7 +34,7 @@
 	}
 	j.origin = &origins.Origin{Service: a.grant.Service, Version: a.grant.Version}
 	if j.route.Resumable {
-		j.s.Origins.Begin(j.ctx, origins.KeyOf(j.req.ID), *j.origin)
+		j.s.Origins.Begin(j.requestCtx, origins.KeyOf(j.req.ID), *j.origin)
 	}
 }
 
--- a/connection/forward/permits.go
+++ b/connection/forward/permits.go
@@ -95,11 +95,11 @@
 	}
 	now := time.Now()
 	remaining := min(objective-now.Sub(j.x.Arrived), j.deadline.Sub(now))
-	p, refusal, used := j.s.Permits.Acquire(j.ctx, PermitRequest{Request: req, ID: j.req.ID, Remaining: max(0, remaining), Left: max(0, j.deadline.Sub(now))})
+	p, refusal, used := j.s.Permits.Acquire(j.requestCtx, PermitRequest{Request: req, ID: j.req.ID, Remaining: max(0, remaining), Left: max(0, j.deadline.Sub(now))})
 	if p.Result != "" {
 		j.rec.Permit = p
 	}
-	if !used || refusal != nil && (j.mayHaveRun || j.rec.HeadSent) && j.ctx.Err() == nil {
+	if !used || refusal != nil && (j.mayHaveRun || j.rec.HeadSent) && j.requestCtx.Err() == nil {
 		return p, nil
 	}
 	return p, refusal
--- a/connection/forward/record.go
+++ b/connection/forward/record.go
@@ -38,6 +38,7 @@
 	Refusal             *balance.Refusal    // why no endpoint was chosen; nil if one was
 	Permit              Permit              // that was asked for last; zero if none was
 	FailedAttempts      []FailedAttempt
+	Takeovers           []Takeover    // in order; by endpoints that were asked beside a silent one
 	Relayed             bool          // another router passed it on
 	Relays              []string      // addresses of the routers to which this one passed it on
 	Runs                int           // endpoints that may have run it, so far
@@ -98,3 +99,24 @@
 	EndedByCaller   EndedBy = "caller"  // it closed its connection
 	EndedByProcess  EndedBy = "process" // it ends
 )
+
+// Takeover is a time in which a request was at two endpoints, as the first had fallen silent.
+type Takeover struct {
+	First     string         `json:"first"`
+	Successor string         `json:"successor"`
+	AfterMS   int64          `json:"after_ms"` // from the request's arrival, its beginning
+	UntilMS   int64          `json:"until_ms"` // the same, its end
+	Result    TakeoverResult `json:"result"`
+}
+
+// TakeoverResult is how a takeover ended.
+type TakeoverResult string
+
+// The results.
+const (
+	TakeoverDone      TakeoverResult = "taken_over" // the successor brought what the request goes on with
+	TakeoverNotNeeded TakeoverResult = "not_needed" // the first did, or the request ended
+	TakeoverTooSlow   TakeoverResult = "too_slow"   // the successor brought nothing within the overlap, and was ended
+	TakeoverFailed    TakeoverResult = "failed"     // the successor refused or failed
+	TakeoverAlone     TakeoverResult = "alone"      // the first ended, and the successor went on without having brought anything
+)
--- a/connection/forward/relay.go
+++ b/connection/forward/relay.go
@@ -126,9 +126,10 @@
 	defer j.s.Links.ReleaseRelay(addr)
 	j.relays = append(j.relays, addr)
 	j.rec.Relays = append(j.rec.Relays, addr)
-	a := &attempt{grant: &balance.Grant{Service: j.relayedService(), Addr: addr}, run: outcome.RunNot, relayed: true}
+	a := &attempt{grant: &balance.Grant{Service: j.relayedService(), Addr: addr}, ctx: j.requestCtx, usable: j.usable(), run: outcome.RunNot, relayed: true}
 	final = j.sendRelay(a)
 	j.closeRelay(a)
+	j.rec.Dials += a.dials
 	return true, final
 }
 
@@ -182,7 +183,7 @@
 // repeated does not wait longer than it does for an endpoint.
 func (j *job) readRelayHead(a *attempt) error {
 	if wait := firstByteFactor*j.route.Objective + connectTimeout; j.repeatable() && j.route.Objective > 0 && time.Until(j.deadline) > 2*wait {
-		if err := a.conn.OnSilence(j.ctx, wait, func() error { return j.onSilentRelay(a) }); err != nil {
+		if err := a.conn.OnSilence(a.ctx, wait, func(bool) error { return j.onSilentRelay(a) }); err != nil {
 			return err
 		}
 	}
@@ -190,7 +191,7 @@
 	if err != nil {
 		return err
 	}
-	if err := a.conn.OnSilence(j.ctx, 0, nil); err != nil {
+	if err := a.conn.OnSilence(a.ctx, 0, nil); err != nil {
 		return err
 	}
 	a.firstAt = time.Now()
@@ -286,7 +287,7 @@
 func (j *job) relayFailed(a *attempt) (final bool) {
 	j.rec.FailedAttempts = append(j.rec.FailedAttempts, FailedAttempt{Endpoint: a.grant.Addr, Failure: balance.Broken, Run: a.run,
 		AfterMS: time.Since(j.rec.Arrived).Milliseconds(), EndedBy: j.endedBy(), SilentMS: a.silentFor(time.Now()).Milliseconds(), Error: a.err.Error()})
-	if j.ctx.Err() != nil {
+	if j.requestCtx.Err() != nil {
 		j.fail(outcome.DeadlinePassed, 0)
 		return true
 	}
--- a/connection/forward/relay_test.go
+++ b/connection/forward/relay_test.go
@@ -50,8 +50,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	c.Cleanup(cancel)
 	j := &job{s: &Server{RelayPool: http1.NewPool(time.Second), Codec: relayCodec{}}, x: &frontend.Exchange{Head: &http1.Head{Method: "GET"}}, req: Request{ID: "own"},
-		ctx: ctx, requestCtx: ctx, deadline: time.Now().Add(5 * time.Second), route: &routing.Route{Kind: routing.NonIdempotent}, rec: &Record{}}
-	return j, &attempt{grant: &balance.Grant{Addr: l.Addr().String()}, relayed: true}
+		requestCtx: ctx, deadline: time.Now().Add(5 * time.Second), route: &routing.Route{Kind: routing.NonIdempotent}, rec: &Record{}}
+	return j, &attempt{grant: &balance.Grant{Addr: l.Addr().String()}, ctx: ctx, relayed: true}
 }
 
 // Guards against a connection that is used again while its response is due: the next request would get that one.
--- a/connection/forward/response.go
+++ b/connection/forward/response.go
@@ -20,11 +20,11 @@
 
 // readHead reads the head of the response to this request.
 func (j *job) readHead(a *attempt) error {
-	defer j.watchSilence(a)()
+	defer j.probeWhenSilent(a)()
 	defer j.watchOverdue(a)()
 	watched := false
 	for mismatched := 0; ; mismatched++ {
-		again, err := j.watchReads(a)
+		again, err := j.watchSilences(a)
 		if err != nil {
 			return err
 		}
@@ -45,7 +45,7 @@
 		body := http1.NewBody(a.conn.R, head.Length)
 		if a.isOwnResponse(response.RequestID, j.req.ID) {
 			if watched {
-				if err := a.conn.OnSilence(j.ctx, 0, nil); err != nil {
+				if err := a.conn.OnSilence(a.ctx, 0, nil); err != nil {
 					return err
 				}
 			}
@@ -55,17 +55,13 @@
 				j.s.Endpoints.RecordFirstByte(a.firstAt, a.grant, a.firstAt.Sub(a.sentAt))
 			}
 			j.recordAnnouncement(a)
-			j.recordPace(a)
-			if response.HasLoad {
-				j.rec.ReportedLoad = response.Load.Running + response.Load.Waiting
-				if j.s.Endpoints.RecordLoad(a.firstAt, a.grant, j.rec.ReportedLoad) && j.s.OnOverload != nil {
-					j.s.OnOverload()
-				}
+			if response.HasLoad && j.s.Endpoints.RecordLoad(a.firstAt, a.grant, response.Load.Running+response.Load.Waiting) && j.s.OnOverload != nil {
+				j.s.OnOverload()
 			}
 			return j.checkHead(a)
 		}
 		a.noReuse, a.hadResponse = true, true
-		j.rec.MismatchedResponses++
+		a.mismatched++
 		if mismatched >= maxMismatched || head.Close {
 			return errors.New("response to another request")
 		}
@@ -73,9 +69,11 @@
 			return errors.Wrap(err, "response to another request")
 		}
 		if response.RequestID == "" {
-			if err := j.tryElsewhere(a); err != nil {
+			began, err := j.tryElsewhere(a)
+			if err != nil {
 				return err
 			}
+			watched = watched || began
 		}
 	}
 }
@@ -101,15 +99,16 @@
 }
 
 // tryElsewhere sends a request that may be repeated to another endpoint after a response that can be a refusal
-// of this request or a copy of an earlier response. The endpoint's own response is taken if it comes first.
-func (j *job) tryElsewhere(a *attempt) error {
-	if !j.mayRetryServerError() || j.overlaps() || a.conn.R.Buffered() > 0 {
-		return nil
+// of this request or a copy of an earlier response, and reports whether it did. The endpoint's own response is taken if it comes first.
+func (j *job) tryElsewhere(a *attempt) (bool, error) {
+	if a.inTakeover() || !j.mayRetryServerError() || j.takeover != nil || a.conn.R.Buffered() > 0 {
+		return false, nil
 	}
-	if err := a.conn.OnSilence(j.ctx, 0, nil); err != nil {
-		return err
+	if err := j.watchSilence(a, time.Until(j.deadline)); err != nil {
+		return false, err
 	}
-	return j.takeOver(a)
+	j.beginTakeover(a)
+	return true, nil
 }
 
 // checkHead rejects a success that the endpoint did not sign for this request, one that is
--- a/connection/forward/sequence.go
+++ b/connection/forward/sequence.go
@@ -61,10 +61,12 @@
 // where an endpoint goes on with the stream of another one, it must begin with the next id.
 func (j *job) acceptEvent(a *attempt, event []byte) error {
 	b := parseBlock(event)
-	if !b.text { // keeps the connection alive
-		return nil
+	if b.text {
+		if err := j.checkEvent(a, b); err != nil {
+			return err
+		}
 	}
-	if err := j.checkEvent(a, b); err != nil {
+	if err := j.settle(a); err != nil || !b.text { // without text it keeps the connection alive
 		return err
 	}
 	a.events++
--- a/connection/forward/server.go
+++ b/connection/forward/server.go
@@ -95,7 +95,7 @@
 	}
 	ctx, cancel := s.requestContext(ctx, j)
 	defer cancel()
-	j.requestCtx, j.ctx = ctx, ctx
+	j.requestCtx = ctx
 	defer func() { s.buffered.Release(j.buffered) }()
 	j.run()
 }
@@ -166,7 +166,6 @@
 type job struct {
 	s          *Server
 	requestCtx context.Context
-	ctx        context.Context // of the attempt in progress
 	x          *frontend.Exchange
 	req        Request
 	route      *routing.Route
@@ -192,8 +191,7 @@
 	unreached    int               // endpoints to which no connection could be opened
 	answeredOn   []*http1.Conn     // connections on which it got a response after which it may be sent again
 	relays       []string          // addresses of the routers to which it was relayed
-	silent       *silentAttempt    // to which the attempt in progress is the successor; nil if there is none
-	successor    *attempt          // took over from the attempt before; nil if there is none
+	takeover     *takeover         // in progress; nil if there is none
 
 	permit *Permit         // of the endpoint chosen last; nil if it needed none
 	origin *origins.Origin // of the stream's events; nil before the first
@@ -241,9 +239,8 @@
 		}
 		a := j.sendAttempt(g)
 		final := j.finish(a)
-		for !final && j.successor != nil {
-			a, j.successor = j.successor, nil
-			final = j.finish(a)
+		for next := j.nextSuccessorOf(final); next != nil; next = j.nextSuccessorOf(final) {
+			a, final = next, j.finish(next)
 		}
 		if final {
 			return
@@ -336,7 +333,7 @@
 // checkRetry returns outcome.OK if the request may be retried at another
 // endpoint after a failed attempt, and otherwise why not.
 func (j *job) checkRetry(a *attempt) outcome.Code {
-	if j.ctx.Err() != nil {
+	if j.requestCtx.Err() != nil {
 		return outcome.DeadlinePassed
 	}
 	switch a.run {
@@ -379,7 +376,7 @@
 		j.respond(j.lastResponse)
 		return
 	}
-	if j.ctx.Err() != nil {
+	if j.requestCtx.Err() != nil {
 		code = outcome.DeadlinePassed
 	} else if j.mayHaveRun {
 		code = outcome.EndpointFailed
--- a/connection/forward/stream.go
+++ b/connection/forward/stream.go
@@ -25,7 +25,7 @@
 		err = errEndedByCrash
 	}
 	if err == io.EOF {
-		err = j.confirmEnd(a)
+		err = j.settleEnd(a)
 	}
 	if err == nil {
 		j.release(a)
@@ -66,6 +66,21 @@
 // one sent no event.
 const endsToConfirm = 2
 
+// settleEnd handles that a stream has ended in order. An end that needs the word of another endpoint ends no successor.
+func (j *job) settleEnd(a *attempt) error {
+	if t := j.takeover; t != nil && a.events == 0 && !j.hasAllEvents() {
+		t.await()
+	} else if err := j.settle(a); err != nil {
+		return err
+	}
+	err := j.confirmEnd(a)
+	if err == nil && j.takeover != nil {
+		j.takeover.decide(TakeoverNotNeeded)
+		j.endSuccessor()
+	}
+	return err
+}
+
 // confirmEnd returns nil if the caller may take the stream for complete at the end of an
 // attempt's response. Of a response without events the router cannot tell whether nothing was left to
 // send or its endpoint failed.
@@ -116,7 +131,7 @@
 	if !j.route.Resumable || a.relayed { // the other router looks after a relayed stream
 		return nil
 	}
-	return a.conn.OnSilence(j.ctx, streamIdleTimeout(j.route.GapObjective), func() error { return j.onSilence(a) })
+	return j.watchSilence(a, streamIdleTimeout(j.route.GapObjective))
 }
 
 func (j *job) copyEvents(a *attempt) error {
--- a/connection/forward/takeover.go
+++ b/connection/forward/takeover.go
@@ -2,66 +2,81 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
-	"github.com/stoatmount/stoatmount/connection/http1"
 	"github.com/stoatmount/stoatmount/request/balance"
 	"github.com/stoatmount/stoatmount/request/outcome"
+	"github.com/stoatmount/stoatmount/version/routing"
 )
 
-// overlapTime is how long a silent attempt is kept beside its successor. It is long enough for the
-// successor to be refused, and below the 400 ms after which both count as at work.
-const overlapTime = 200 * time.Millisecond
-
-// errTakenOver ends an attempt whose request another endpoint has taken over.
-var errTakenOver = errors.New("no response in time; another endpoint has taken over")
-
-// silentAttempt is an attempt whose endpoint is silent, while its successor begins.
-type silentAttempt struct {
-	conn     *http1.Conn
-	freeSlot func() // called when conn is closed, also from another goroutine
-	state    atomic.Int32
-	overlap  *time.Timer // closes it; nil before its successor is sent
-}
-
-// States of a silentAttempt.
 const (
-	silentOpen   = iota // its endpoint may still go on
-	silentWoke          // its endpoint goes on
-	silentClosed        // the successor has the request
+	// maxOverlap bounds the time in which two endpoints work on one stream. Both count as at work after 400 ms, and a
+	// process that gets a part of a processor acts late.
+	maxOverlap = 320 * time.Millisecond
+	// hostSilence is how long the host of a silent endpoint acknowledges nothing before it counts as out of reach.
+	hostSilence = 1500 * time.Millisecond
 )
 
-// close closes the attempt unless its endpoint goes on.
-func (s *silentAttempt) close() {
-	if s.state.CompareAndSwap(silentOpen, silentClosed) {
-		s.freeSlot()
-		_ = s.conn.Close() // cancels the request at the endpoint
-	}
-}
+var (
+	// errTakenOver ends an attempt whose request another endpoint has taken over.
+	errTakenOver = errors.New("no response in time; another endpoint has taken over")
+	// errOutOfReach ends an attempt while its successor is in progress.
+	errOutOfReach = errors.New("no response in time; the endpoint's host acknowledges nothing")
+)
 
-// beginOverlap closes the attempt after overlapTime, unless endOverlap is called before.
-func (s *silentAttempt) beginOverlap() { s.overlap = time.AfterFunc(overlapTime, s.close) }
+// takeover is a request at two endpoints: the first is silent, and a successor was asked. It is the only place that
+// ends one of the two for the other. The first ends only when the successor has brought a response, or an
+// event, that the request goes on with, or when its host is known to be out of reach; the successor ends when the first
+// goes on, and at the end of the overlap.
+//
+// The job's goroutine goes on reading from the first, and a goroutine of the takeover sends to the successor. That one
+// only reads the job, which the job's goroutine does not change before settle or nextSuccessor has joined it.
+type takeover struct {
+	j                *job
+	first, successor *attempt
+	result           atomic.Pointer[TakeoverResult] // nil while undecided
+	outOfReach       atomic.Bool                    // the first's host is
+	answered         atomic.Bool                    // the successor has a response, or has ended without one
+	alone            atomic.Bool                    // the job's goroutine awaits done, and the successor's may use the job
+	done             chan struct{}                  // closed when the successor's goroutine has ended
 
-func (s *silentAttempt) endOverlap() {
-	if s.overlap != nil {
-		s.overlap.Stop()
-	}
+	mu         sync.Mutex
+	firstEnded bool        // and its connection may serve another request
+	overlap    *time.Timer // nil before the successor is connected
 }
 
-// goOn keeps the attempt, and reports whether it is still open.
-func (s *silentAttempt) goOn() bool {
-	s.state.CompareAndSwap(silentOpen, silentWoke)
-	return s.state.Load() == silentWoke
+// decide sets the result unless it is set, and reports whether it did.
+func (t *takeover) decide(r TakeoverResult) bool { return t.result.CompareAndSwap(nil, &r) }
+
+// has reports whether the result is r.
+func (t *takeover) has(r TakeoverResult) bool {
+	got := t.result.Load()
+	return got != nil && *got == r
 }
 
-// onSilence handles that the endpoint of an attempt has sent nothing for a while. The attempt ends only once
-// another endpoint has taken the request over, or another router may reach one: silence alone
-// is no failure.
-func (j *job) onSilence(a *attempt) error {
-	if !j.mayRetryElsewhere(a.grant.Service) || j.overlaps() {
+// onSilence handles that the endpoint of an attempt has sent or taken nothing for a while, or that its successor is
+// done. Silence alone is no failure, so that the attempt goes on unless it returns an error.
+func (j *job) onSilence(a *attempt, woken bool) error {
+	if t := j.takeover; t != nil {
+		switch {
+		case t.outOfReach.Load():
+			return errOutOfReach
+		case !t.answered.Load():
+			return nil
+		}
+		<-t.done
+		if t.has(TakeoverDone) {
+			return errTakenOver
+		}
+		j.endSuccessor()
+	} else if woken {
+		return nil // by a takeover that was settled meanwhile
+	}
+	if !j.mayRetryElsewhere(a.grant.Service) || j.refusals >= maxRefusals {
 		return nil
 	}
 	if !j.rec.HeadSent && j.hasRelay() && j.viaRelay() {
@@ -71,12 +86,10 @@
 		a.retryAllowed = true
 		return errSlowFirstByte
 	}
-	return j.takeOver(a)
+	j.beginTakeover(a)
+	return nil
 }
 
-// overlaps reports whether the attempt in progress is the successor of one that may still go on.
-func (j *job) overlaps() bool { return j.silent != nil && j.silent.state.Load() == silentOpen }
-
 // hasRelay reports whether there is another router that reaches the service.
 func (j *job) hasRelay() bool {
 	addr, ok := j.s.Links.AcquireRelay(time.Now(), j.relayedService(), j.relays)
@@ -86,84 +99,83 @@
 	return ok
 }
 
-// takeOver sends the request of a silent attempt to another endpoint. It returns errTakenOver, with the
-// new attempt in j.successor, or nil if the silent one goes on.
-func (j *job) takeOver(a *attempt) error {
+// beginTakeover sends the request of an attempt to another endpoint as well, if there is one and the budget allows it.
+func (j *job) beginTakeover(a *attempt) {
 	if code, _ := j.checkQuarantine(); code != outcome.OK {
-		return nil
+		return
 	}
 	if !j.s.RetryBudget.Allow(time.Now(), a.grant.Service) {
-		return nil
+		return
 	}
 	g, refusal := j.acquire()
 	if refusal != nil {
-		return nil
+		return
 	}
-	s := &silentAttempt{conn: a.conn, freeSlot: func() { j.freeSlot(a) }}
 	ctx, cancel := context.WithCancel(j.requestCtx)
-	woke := a.conn.ReadAhead(func(err error) {
-		if err == nil && s.state.CompareAndSwap(silentOpen, silentWoke) {
-			cancel()
-		}
-	})
-	j.ctx, j.silent = ctx, s
-	b := j.sendAttempt(g)
-	b.cancel = cancel
-	j.awaitEvent(b)
-	s.endOverlap()
-	j.ctx, j.silent = j.requestCtx, nil
-	for errors.Is(b.err, errTakenOver) { // another one has taken over from it
-		j.endFailed(b)
-		b, j.successor = j.successor, nil
-	}
-	if j.takesOver(b) {
-		s.close()
-	}
-	if s.goOn() {
-		j.endUnused(b)
-		j.rec.LastGrant = *a.grant
-		<-woke // or until the connection fails or the request ends
-		return nil
-	}
-	<-woke
-	j.successor, j.mayHaveRun = b, true
-	return errTakenOver
+	b := j.newAttempt(ctx, g)
+	t := &takeover{j: j, first: a, successor: b, done: make(chan struct{})}
+	b.cancel, b.takes, j.takeover = cancel, t, t
+	j.rec.Takeovers = append(j.rec.Takeovers, Takeover{First: a.grant.ID, Successor: g.ID, AfterMS: time.Since(j.rec.Arrived).Milliseconds()})
+	go t.run()
 }
 
-// awaitEvent reads the stream of a successor up to its first event while the silent attempt is kept, if no further
-// endpoint may run the request: a stream that then brings no event would end the caller's.
-func (j *job) awaitEvent(b *attempt) {
-	if b.err != nil || b.response.NotRun || !j.rec.HeadSent || !isEventStream(b.head) || j.mayRetryElsewhere(b.grant.Service) {
-		return
-	}
-	err := j.openStream(b)
-	for err == nil && j.overlaps() && b.stream.first() == nil && !b.stream.ended {
-		err = b.stream.fill()
+// run sends the request to the successor and reads its response until it is better than to wait for the first, or failed.
+func (t *takeover) run() {
+	defer close(t.done)
+	t.j.exchange(t.successor)
+	if t.j.isAnswer(t.successor) {
+		t.decide(TakeoverDone)
 	}
-	if err != nil {
-		b.err, b.failure = err, j.classify(b, err)
+	t.answered.Store(true)
+	t.wakeFirst()
+}
+
+// wakeFirst makes the job's goroutine call onSilence, unless the first has ended.
+func (t *takeover) wakeFirst() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.firstEnded {
+		t.first.conn.Wake()
 	}
 }
 
-// freeSlot ends the grant of a silent attempt, whose connection is closed while its successor goes on.
-func (j *job) freeSlot(a *attempt) {
-	if j.requestCtx.Err() != nil {
-		j.endGrant(a, balance.Abandoned)
-		return
+// endFirst is called when the first attempt ends, or the takeover is over.
+func (t *takeover) endFirst() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.firstEnded = true
+	if t.overlap != nil {
+		t.overlap.Stop()
 	}
-	j.endGrant(a, balance.TimedOut)
 }
 
-// takesOver reports whether the response of an attempt is better than waiting on. A stream of which the
-// caller has a part can only go on with another stream.
-func (j *job) takesOver(b *attempt) bool {
-	if b.err != nil || b.response.NotRun || j.rec.HeadSent && !isEventStream(b.head) {
+// isAnswer reads the response of a successor as far as the request goes on with it, and reports whether it does. A
+// stream of which the caller has a part can only go on with another stream.
+func (j *job) isAnswer(b *attempt) bool {
+	switch {
+	case b.err != nil, b.response.NotRun:
+		return false
+	case isEventStream(b.head):
+		b.err = j.awaitEvent(b)
+	case j.rec.HeadSent, isServerError(b.head.Status):
 		return false
+	default:
+		_, b.err = j.readBody(b)
 	}
-	if b.stream != nil {
-		return j.goesOnWith(b)
+	if b.err != nil {
+		b.failure = j.classify(b, b.err)
+		return false
+	}
+	return b.stream == nil || j.goesOnWith(b)
+}
+
+// awaitEvent reads a stream up to its first event or its end.
+func (j *job) awaitEvent(b *attempt) error {
+	err := j.openStream(b)
+	for err == nil && b.stream.first() == nil && !b.stream.ended {
+		err = b.stream.fill()
 	}
-	return !isServerError(b.head.Status)
+	return err
 }
 
 // goesOnWith reports whether the caller's stream goes on, or ends, with what is read of an attempt's.
@@ -174,8 +186,64 @@
 	return b.stream.ended && (j.hasAllEvents() || j.ends+1 >= endsToConfirm)
 }
 
-// endUnused ends an attempt whose response, if there is one, is not passed on.
-func (j *job) endUnused(b *attempt) {
+// beginOverlap bounds the time for which both endpoints work on a stream. Other requests may stay at both.
+func (t *takeover) beginOverlap() {
+	if t.j.route.Kind != routing.Stream {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.firstEnded {
+		t.overlap = time.AfterFunc(maxOverlap, t.endOverlap)
+	}
+}
+
+// endOverlap ends the successor, which has shown nothing yet, unless the first endpoint is out of reach.
+func (t *takeover) endOverlap() {
+	t.mu.Lock()
+	ended, out := t.firstEnded, t.first.conn.HostSilentFor(hostSilence) || t.j.s.Endpoints.DownSince(t.first.sentAt, t.first.grant)
+	t.mu.Unlock()
+	switch {
+	case ended:
+	case out:
+		t.outOfReach.Store(true)
+		t.wakeFirst()
+	case t.decide(TakeoverTooSlow):
+		t.successor.cancel()
+	}
+}
+
+// await waits until the successor has a response or has failed. The first has ended, or waits for the successor's word.
+func (t *takeover) await() {
+	t.endFirst()
+	t.alone.Store(true)
+	<-t.done
+}
+
+// settle is called when an attempt has brought something that the request goes on with. It ends the successor, or returns
+// errTakenOver if that one was first.
+func (j *job) settle(a *attempt) error {
+	t := j.takeover
+	if t == nil || t.first != a {
+		return nil
+	}
+	if t.decide(TakeoverNotNeeded) {
+		t.successor.cancel()
+	}
+	<-t.done
+	if t.has(TakeoverDone) {
+		return errTakenOver
+	}
+	j.endSuccessor()
+	return nil
+}
+
+// endSuccessor ends a successor that is done and of no use.
+func (j *job) endSuccessor() {
+	t, b := j.takeover, j.takeover.successor
+	j.takeover = nil
+	t.endFirst()
+	j.collect(b)
 	if b.err == nil {
 		j.drain(b)
 		switch {
@@ -186,6 +254,44 @@
 			b.failure = balance.Abandoned
 		}
 	}
+	if b.run == outcome.RunNot && b.reached {
+		j.refusals++
+	}
 	j.mayHaveRun = j.mayHaveRun || b.run != outcome.RunNot
+	t.decide(TakeoverFailed)
+	j.recordTakeover(t)
 	j.endFailed(b)
+	j.rec.LastGrant = *t.first.grant
+}
+
+// nextSuccessor returns the attempt that goes on after the last one has ended, or nil.
+func (j *job) nextSuccessor() *attempt {
+	t := j.takeover
+	if t == nil {
+		return nil
+	}
+	j.takeover = nil
+	t.decide(TakeoverAlone) // unless the successor ended it
+	t.await()
+	j.recordTakeover(t)
+	j.mayHaveRun = j.mayHaveRun || t.first.run != outcome.RunNot
+	j.collect(t.successor)
+	return t.successor
+}
+
+// nextSuccessorOf returns nextSuccessor unless the request has its final response, which a successor is not needed for.
+func (j *job) nextSuccessorOf(final bool) *attempt {
+	if t := j.takeover; final && t != nil {
+		t.decide(TakeoverNotNeeded)
+		t.successor.cancel()
+		<-t.done
+		j.endSuccessor()
+	}
+	return j.nextSuccessor()
+}
+
+// recordTakeover adds the end of the last takeover to the record.
+func (j *job) recordTakeover(t *takeover) {
+	r := &j.rec.Takeovers[len(j.rec.Takeovers)-1]
+	r.Result, r.UntilMS = *t.result.Load(), time.Since(j.rec.Arrived).Milliseconds()
 }
--- a/connection/http1/cut_test.go
+++ b/connection/http1/cut_test.go
@@ -143,7 +143,7 @@
 					_, _ = conn.Write(make([]byte, v.bytes)) // the response says more than its error
 				}
 				if v.silence > 0 {
-					c.Assert(conn.OnSilence(context.Background(), v.silence, func() error { return nil }), qt.IsNil)
+					c.Assert(conn.OnSilence(context.Background(), v.silence, func(bool) error { return nil }), qt.IsNil)
 				}
 				h, err := ReadResponse(r, 1<<10, http.MethodPost)
 				c.Assert(err, qt.IsNil)
--- a/connection/http1/pool.go
+++ b/connection/http1/pool.go
@@ -6,6 +6,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -41,10 +42,9 @@
 	failure    failure
 
 	silence   time.Duration // after which onSilence is called; 0 is never
-	onSilence func() error
-	ctx       context.Context // whose end ends reads
-	ahead     []byte          // read by ReadAhead and not returned by R yet
-	aheadErr  error           // that ended ReadAhead
+	onSilence func(woken bool) error
+	woken     atomic.Bool     // see Wake
+	ctx       context.Context // whose end ends reads and writes
 }
 
 // Write implements io.Writer.
@@ -56,10 +56,32 @@
 
 // WriteAll writes the parts of a message.
 func (c *Conn) WriteAll(parts ...[]byte) error {
-	buffers := net.Buffers(parts)
-	_, err := buffers.WriteTo(c.Conn)
-	c.failure.note(err)
-	return err
+	buffers := net.Buffers(parts) // WriteTo takes what it has written out of them
+	for {
+		n, err := c.watch(c.SetWriteDeadline, func() (int, error) {
+			n, err := buffers.WriteTo(c.Conn)
+			c.failure.note(err)
+			return int(n), err
+		})
+		if n == 0 || !isDeadline(err) {
+			return err
+		}
+	}
+}
+
+// control calls get with the descriptor of a TCP connection, and reports whether it succeeded.
+func (c *Conn) control(get func(fd int) error) bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var got error
+	err = raw.Control(func(fd uintptr) { got = get(int(fd)) })
+	return err == nil && got == nil
 }
 
 // read reads from the connection.
@@ -176,7 +198,8 @@
 		keep = idle - idleTimeoutMargin
 	}
 	c.silence, c.onSilence, c.ctx = 0, nil, nil
-	if keep <= 0 || c.R.Buffered() > 0 || len(c.ahead) > 0 || c.SetDeadline(time.Time{}) != nil {
+	c.woken.Store(false)
+	if keep <= 0 || c.R.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
 		_ = c.Close()
 		return
 	}
@@ -236,20 +259,15 @@
 	if c.R.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
+	if _, ok := c.Conn.(syscall.Conn); !ok {
 		return true
 	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
 	var peek error
-	err = raw.Control(func(fd uintptr) {
+	return c.control(func(fd int) error {
 		var b [1]byte
-		_, _, peek = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	})
-	return err == nil && (peek == unix.EAGAIN || peek == unix.EWOULDBLOCK)
+		_, _, peek = unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		return nil
+	}) && (peek == unix.EAGAIN || peek == unix.EWOULDBLOCK)
 }
 
 // SetUserTimeout closes a TCP connection when sent bytes stay unacknowledged
--- a/connection/http1/pool_test.go
+++ b/connection/http1/pool_test.go
@@ -145,9 +145,12 @@
 			_, err := conn.R.Peek(1)
 			return err
 		},
-		"read ahead": func(conn *Conn) error {
-			err := conn.OnSilence(context.Background(), 0, nil)
-			<-conn.ReadAhead(func(error) {})
+		"read after a silence": func(conn *Conn) error {
+			conn.Wake()
+			if err := conn.OnSilence(context.Background(), time.Minute, func(bool) error { return nil }); err != nil {
+				return err
+			}
+			_, err := conn.R.Peek(1)
 			return err
 		},
 	} {
--- a/connection/http1/silence_test.go
+++ b/connection/http1/silence_test.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -32,18 +33,20 @@
 	_, err := io.WriteString(far, "10\r")
 	c.Assert(err, qt.IsNil)
 	silences := 0
-	c.Assert(near.OnSilence(context.Background(), 20*time.Millisecond, func() error {
+	near.Wake()
+	c.Assert(near.OnSilence(context.Background(), 20*time.Millisecond, func(woken bool) error {
 		silences++
-		done := near.ReadAhead(func(err error) { c.Check(err, qt.IsNil) })
+		if woken {
+			return nil
+		}
 		_, err := io.WriteString(far, rest[0])
 		rest = rest[1:]
-		<-done
 		return err
 	}), qt.IsNil)
 	data, err := NewBody(near.R, Chunked).ReadAll(1 << 10)
 	c.Assert(err, qt.IsNil)
 	c.Assert(string(data), qt.Equals, "0123456789abcdef")
-	c.Assert(silences, qt.Equals, 3)
+	c.Assert(silences, qt.Equals, 4)
 }
 
 // An error ends the read, as the end of the request does, and that of a connection that failed is not lost.
@@ -51,22 +54,58 @@
 	c := qt.New(t)
 	near, far := connected(c)
 	given := errors.New("given up")
-	c.Assert(near.OnSilence(context.Background(), time.Millisecond, func() error { return given }), qt.IsNil)
+	c.Assert(near.OnSilence(context.Background(), time.Millisecond, func(bool) error { return given }), qt.IsNil)
 	_, err := near.R.ReadByte()
 	c.Assert(errors.Is(err, given), qt.IsTrue)
 
 	ctx, cancel := context.WithCancel(context.Background())
-	c.Assert(near.OnSilence(ctx, time.Millisecond, func() error { cancel(); return nil }), qt.IsNil)
+	c.Assert(near.OnSilence(ctx, time.Millisecond, func(bool) error { cancel(); return nil }), qt.IsNil)
 	_, err = near.R.ReadByte()
 	c.Assert(errors.Is(err, context.Canceled), qt.IsTrue)
 
 	c.Assert(near.OnSilence(context.Background(), 0, nil), qt.IsNil)
 	c.Assert(far.(*net.TCPConn).SetLinger(0), qt.IsNil)
 	c.Assert(far.Close(), qt.IsNil)
-	<-near.ReadAhead(func(err error) { c.Check(err, qt.Not(qt.IsNil)) })
-	for range 2 {
+	for range 3 {
 		_, err = NewBody(near.R, UntilClose).Read(make([]byte, 1))
 		c.Assert(err, qt.Not(qt.IsNil))
 		c.Assert(err, qt.Not(qt.Equals), io.EOF)
 	}
 }
+
+// Guards against a writer whose bytes the other end does not take, and who is not told of it, and against bytes that are lost or written twice then.
+func TestWriteGoesOnAfterSilence(t *testing.T) {
+	c := qt.New(t)
+	near, far := connected(c)
+	sent := make([]byte, 16<<20) // more than the buffers of both ends hold
+	for i := range sent {
+		sent[i] = byte(i >> 8)
+	}
+	got := make(chan []byte)
+	silences := 0
+	c.Assert(near.OnSilence(context.Background(), 20*time.Millisecond, func(bool) error {
+		if silences++; silences == 2 {
+			go func() {
+				data, _ := io.ReadAll(far) // compared below
+				got <- data
+			}()
+		}
+		return nil
+	}), qt.IsNil)
+	c.Assert(near.WriteAll(sent[:100], sent[100:]), qt.IsNil)
+	c.Assert(near.Close(), qt.IsNil)
+	c.Assert(bytes.Equal(<-got, sent), qt.IsTrue)
+	c.Assert(silences >= 2, qt.IsTrue)
+}
+
+// Guards against a silent host that is taken for a silent process, and the reverse.
+func TestHostOfASilentProcessIsInReach(t *testing.T) {
+	c := qt.New(t)
+	near, far := connected(c)
+	c.Assert(near.WriteAll([]byte("a request")), qt.IsNil)
+	time.Sleep(100 * time.Millisecond)
+	c.Assert(near.HostSilentFor(50*time.Millisecond), qt.IsFalse) // far has not read, its host has
+	c.Assert(far.Close(), qt.IsNil)
+	c.Assert(near.Close(), qt.IsNil)
+	c.Assert(near.HostSilentFor(0), qt.IsFalse)
+}
--- a/process/observe/requests.go
+++ b/process/observe/requests.go
@@ -207,6 +207,9 @@
 	if rec.Left > 0 {
 		kv = append(kv, "left_ms", rec.Left.Milliseconds(), "bound_ms", rec.Bound.Milliseconds())
 	}
+	if len(rec.Takeovers) > 0 {
+		kv = append(kv, "takeovers", rec.Takeovers)
+	}
 	if rec.Ejected != "" {
 		kv = append(kv, "left_out", rec.Ejected)
 	}
