Give all requests the same time for a host that acknowledges nothing

Cause: a connection failed after 2 s in which nothing was acknowledged if the request might run again, after 4 s otherwise, in the belief that a sound process which is silent still acknowledges. Streams that may be resumed with bodies of 12 KB are what the users lost. Change: 4 s for all. Whether another endpoint is asked meanwhile does not depend on it any more.

--- a/connection/forward/connect.go
+++ b/connection/forward/connect.go
@@ -8,21 +8,9 @@
 	"github.com/stoatmount/stoatmount/connection/http1"
 )
 
-const (
-	// repeatableAckTimeout is the silence after which an endpoint is given up for a request that
-	// may go on elsewhere.
-	repeatableAckTimeout = 2 * time.Second
-	// onlyAckTimeout is the same for other requests: a sound endpoint may fall silent for a while.
-	onlyAckTimeout = 4 * time.Second
-)
-
-// ackTimeout returns the silence after which the endpoint of an attempt is given up.
-func (j *job) ackTimeout() time.Duration {
-	if j.route.Retryable() {
-		return repeatableAckTimeout
-	}
-	return onlyAckTimeout
-}
+// ackTimeout is how long the host of an endpoint may acknowledge nothing, or take nothing, until the connection has failed. A
+// sound endpoint that is silent takes nothing once its receive window is full.
+const ackTimeout = 4 * time.Second
 
 // usable returns the function that reports whether no response to the request can have come on a connection before. Until
 // the request ends, that is known of all its connections.
@@ -56,7 +44,7 @@
 		}
 	}
 	a.hadResponse = a.conn.Received()
-	a.conn.SetAckTimeout(j.ackTimeout())
+	a.conn.SetAckTimeout(ackTimeout)
 	conn := a.conn
 	a.stopWatch = context.AfterFunc(a.ctx, func() {
 		_ = conn.SetDeadline(time.Unix(1, 0)) // wakes a read or write in progress
