Give a host the longer time only while an endpoint may not have taken the body

Change: a request that may go on elsewhere has 2 s again, but 4 s until its response begins if its body may fill the endpoint's receive window.

--- a/connection/forward/connect.go
+++ b/connection/forward/connect.go
@@ -8,9 +8,24 @@
 	"github.com/stoatmount/stoatmount/connection/http1"
 )
 
-// ackTimeout is how long the host of an endpoint may acknowledge nothing, or take nothing, until the connection has failed. A
-// sound endpoint that is silent takes nothing once its receive window is full.
-const ackTimeout = 4 * time.Second
+const (
+	// repeatableAckTimeout is how long the host of an endpoint may acknowledge nothing until the connection has failed, for a
+	// request that may go on elsewhere.
+	repeatableAckTimeout = 2 * time.Second
+	// longAckTimeout is the same for other requests, and while an endpoint may not have taken all of a body: a sound one
+	// takes nothing while it is silent, which counts as if its host were.
+	longAckTimeout = 4 * time.Second
+	// leastWindow is what the receive window of an endpoint holds at least.
+	leastWindow = 4 << 10
+)
+
+// ackTimeout returns the silence after which the host of an endpoint is given up. taken tells that the endpoint has the whole request.
+func (j *job) ackTimeout(taken bool) time.Duration {
+	if j.route.Retryable() && (taken || len(j.x.Body) <= leastWindow) {
+		return repeatableAckTimeout
+	}
+	return longAckTimeout
+}
 
 // usable returns the function that reports whether no response to the request can have come on a connection before. Until
 // the request ends, that is known of all its connections.
@@ -44,7 +59,7 @@
 		}
 	}
 	a.hadResponse = a.conn.Received()
-	a.conn.SetAckTimeout(ackTimeout)
+	a.conn.SetAckTimeout(j.ackTimeout(false))
 	conn := a.conn
 	a.stopWatch = context.AfterFunc(a.ctx, func() {
 		_ = conn.SetDeadline(time.Unix(1, 0)) // wakes a read or write in progress
--- a/connection/forward/response.go
+++ b/connection/forward/response.go
@@ -51,6 +51,7 @@
 			}
 			a.noReuse = a.noReuse || response.RequestID == "" // a copy of it could not be told from the next one
 			a.head, a.response, a.body = head, response, body
+			a.conn.SetAckTimeout(j.ackTimeout(true))
 			if !response.NotRun && !isServerError(head.Status) && a.firstByteCounted.CompareAndSwap(false, true) {
 				j.s.Endpoints.RecordFirstByte(a.firstAt, a.grant, a.firstAt.Sub(a.sentAt))
 			}
--- a/test/faults/responses_test.go
+++ b/test/faults/responses_test.go
@@ -46,6 +46,29 @@
 	}
 }
 
+// Guards against streams that a silence of their endpoint ends, as the others refuse.
+func TestSilentStreamIsWholeThoughTheOtherEndpointsRefuse(t *testing.T) {
+	c := qt.New(t)
+	f := start(c, smallConfig(3, 1), 1)
+	router := f.CallerAddresses()[0]
+	faults := f.Site.Endpoint("e1").Faults()
+	for i := 0; faults.Triggered(fault.Silence) == 0; i++ {
+		c.Assert(i < 100, qt.IsTrue, qt.Commentf("the fault did not trigger"))
+		text := fmt.Sprintf("adapt scene %d", i)
+		if i == 1 { // the model is known to run by then
+			c.Assert(faults.On(fault.Fault{Name: fault.Silence, Count: 1}), qt.IsNil)
+			for _, name := range []string{"e0", "e2"} {
+				c.Assert(f.Site.Endpoint(name).Faults().On(fault.Fault{Name: fault.Refuse}), qt.IsNil)
+			}
+		}
+		r := chat(c, router, text, 40, true)
+		c.Assert(r.bodyErr, qt.IsNil)
+		c.Assert(r.status, qt.Equals, http.StatusOK, qt.Commentf("%+v", r))
+		c.Check(r.text, qt.Contains, engine.ExpectedResponse(messages(text), 40))
+	}
+	checkGuarantees(c, f)
+}
+
 func TestBookingRunsAtMostOnceWhenItsEndpointFails(t *testing.T) {
 	for _, name := range append([]fault.Name{fault.NoAnswer}, hiddenByRetry...) {
 		t.Run(string(name), func(t *testing.T) {
