Move the handling of silences to a file of its own

Change: watching and handling silences are in silence.go; no logic changes. Measured: the tests of the package pass.

--- a/connection/forward/attempt.go
+++ b/connection/forward/attempt.go
@@ -34,7 +34,7 @@
 	permit       *Permit // for the grant; nil if it needed none
 	ctx          context.Context
 	cancel       func()    // ends ctx; nil if that is the request's
-	takes        *takeover // of which it is the successor; nil if it is none
+	successorIn  *takeover // of which it is the successor; nil if it is none
 	usable       func(c *http1.Conn) bool
 	conn         *http1.Conn
 	stopWatch    func() bool // stops watching the context
@@ -140,8 +140,8 @@
 		return
 	}
 	a.reached = true
-	if a.takes != nil {
-		a.takes.beginOverlap()
+	if a.successorIn != nil {
+		a.successorIn.beginOverlap()
 	}
 	a.run = outcome.RunUnknown
 	if a.err = j.send(a); a.err == nil || !a.sentAt.IsZero() && !a.endedForAnother(a.err) {
@@ -182,11 +182,6 @@
 	return a.conn.WriteAll(head, j.x.Body)
 }
 
-// firstByteFactor bounds the silence up to the end of the head of the response to a request that may be
-// retried, and within its body if it is no stream, as a multiple of its objective. After it another
-// endpoint is tried. It is not 1, because a second endpoint processes the prompt again.
-const firstByteFactor = 2
-
 // errSlowFirstByte ends an attempt in favour of another router.
 var errSlowFirstByte = errors.New("no first byte in time; trying another router")
 
@@ -206,39 +201,6 @@
 	return a.data, a.dataErr
 }
 
-// watchSilences makes another endpoint be tried after a silence of firstByteFactor objectives, if the
-// request may be retried elsewhere and its deadline is at least two such waits away. It reports whether it does.
-func (j *job) watchSilences(a *attempt) (bool, error) {
-	silence, left := firstByteFactor*j.route.Objective, time.Until(j.deadline)
-	switch {
-	case a.inTakeover(), j.takeover != nil: // which wakes it
-		return true, j.watchSilence(a, max(silence, left/2))
-	case !j.mayRetryElsewhere(a.grant.Service) || left < 2*silence:
-		return false, nil
-	}
-	return true, j.watchSilence(a, silence)
-}
-
-// watchSilence makes a silence of an attempt, and the end of its successor, call onSilence.
-func (j *job) watchSilence(a *attempt, d time.Duration) error {
-	return a.conn.OnSilence(a.ctx, d, func(woken bool) error {
-		if a.inTakeover() {
-			return nil
-		}
-		return j.onSilence(a, woken)
-	})
-}
-
-// inTakeover reports whether the attempt is a successor beside another one, which goes on to use the job.
-func (a *attempt) inTakeover() bool { return a.takes != nil && !a.takes.alone.Load() }
-
-// mayRetryElsewhere reports whether the request may also run at another
-// endpoint of the service.
-func (j *job) mayRetryElsewhere(service string) bool {
-	return j.mayRunAgain() && j.route.Objective > 0 && j.runs < j.maxRuns &&
-		j.s.Endpoints.CountHealthy(time.Now(), j.balanceRequest(service)) > 0
-}
-
 // classify returns the failure that an error means for the endpoint. A request
 // whose context ended within its objective says nothing about the endpoint.
 func (j *job) classify(a *attempt, err error) balance.Failure {
--- a/connection/forward/takeover.go
+++ b/connection/forward/takeover.go
@@ -58,47 +58,6 @@
 	return got != nil && *got == r
 }
 
-// onSilence handles that the endpoint of an attempt has sent or taken nothing for a while, or that its successor is
-// done. Silence alone is no failure, so that the attempt goes on unless it returns an error.
-func (j *job) onSilence(a *attempt, woken bool) error {
-	if t := j.takeover; t != nil {
-		switch {
-		case t.outOfReach.Load():
-			return errOutOfReach
-		case !t.answered.Load():
-			return nil
-		}
-		<-t.done
-		if t.has(TakeoverDone) {
-			return errTakenOver
-		}
-		j.endSuccessor()
-	} else if woken {
-		return nil // by a takeover that was settled meanwhile
-	}
-	if !j.mayRetryElsewhere(a.grant.Service) || j.refusals >= maxRefusals {
-		return nil
-	}
-	if !j.rec.HeadSent && j.hasRelay() && j.viaRelay() {
-		if !j.s.RetryBudget.Allow(time.Now(), a.grant.Service) {
-			return nil
-		}
-		a.retryAllowed = true
-		return errSlowFirstByte
-	}
-	j.beginTakeover(a)
-	return nil
-}
-
-// hasRelay reports whether there is another router that reaches the service.
-func (j *job) hasRelay() bool {
-	addr, ok := j.s.Links.AcquireRelay(time.Now(), j.relayedService(), j.relays)
-	if ok {
-		j.s.Links.ReleaseRelay(addr)
-	}
-	return ok
-}
-
 // beginTakeover sends the request of an attempt to another endpoint as well, if there is one and the budget allows it.
 func (j *job) beginTakeover(a *attempt) {
 	if code, _ := j.checkQuarantine(); code != outcome.OK {
@@ -114,7 +73,7 @@
 	ctx, cancel := context.WithCancel(j.requestCtx)
 	b := j.newAttempt(ctx, g)
 	t := &takeover{j: j, first: a, successor: b, done: make(chan struct{})}
-	b.cancel, b.takes, j.takeover = cancel, t, t
+	b.cancel, b.successorIn, j.takeover = cancel, t, t
 	j.rec.Takeovers = append(j.rec.Takeovers, Takeover{First: a.grant.ID, Successor: g.ID, AfterMS: time.Since(j.rec.Arrived).Milliseconds()})
 	go t.run()
 }
--- a/connection/http1/silence_test.go
+++ b/connection/http1/silence_test.go
@@ -98,7 +98,7 @@
 	c.Assert(silences >= 2, qt.IsTrue)
 }
 
-// Guards against a silent host that is taken for a silent process, and the reverse.
+// Guards against an endpoint that is given up as out of reach though only its process is silent.
 func TestHostOfASilentProcessIsInReach(t *testing.T) {
 	c := qt.New(t)
 	near, far := connected(c)
