Give the parts of the plays of planned stops their own random numbers, and wait for all restarts

Cause: endpoints' silences and routers' stops drew from one generator in two goroutines, and a play could end while the last router of a rolling stop was being started. Change: one generator each; a rolling stop waits for its routers. Names follow what they hold.

--- a/test/soak/stopcallers_test.go
+++ b/test/soak/stopcallers_test.go
@@ -83,22 +83,22 @@
 }
 
 // draw chooses a kind of request by its weight.
-func draw(rng *rand.Rand) *kindOfStop {
+func draw(rng *rand.Rand) *requestKind {
 	sum := 0
-	for _, k := range kindsOfStop {
+	for _, k := range requestKinds {
 		sum += k.weight
 	}
 	n := rng.IntN(sum)
-	for i := range kindsOfStop {
-		if n -= kindsOfStop[i].weight; n < 0 {
-			return &kindsOfStop[i]
+	for i := range requestKinds {
+		if n -= requestKinds[i].weight; n < 0 {
+			return &requestKinds[i]
 		}
 	}
 	return nil
 }
 
 // exchange sends a request and reads its response.
-func (p *stopPlay) exchange(conn net.Conn, in *bufio.Reader, k *kindOfStop, id string, rng *rand.Rand) (a stopAttempt, keep bool) {
+func (p *stopPlay) exchange(conn net.Conn, in *bufio.Reader, k *requestKind, id string, rng *rand.Rand) (a stopAttempt, keep bool) {
 	events := 0
 	if k.events > 0 {
 		const most = 120
@@ -178,7 +178,7 @@
 	}
 	type count struct{ sent, served, refused, failed, left, again, cut, broken, lost int }
 	counts := make(map[string]*count)
-	for _, k := range kindsOfStop {
+	for _, k := range requestKinds {
 		counts[k.name] = &count{}
 	}
 	overlaps := 0
@@ -220,7 +220,7 @@
 			p.t.Errorf("LOST: %s: %v; ran %d times", what, a.err, len(ran))
 		}
 	}
-	for _, k := range kindsOfStop {
+	for _, k := range requestKinds {
 		p.t.Logf("%s: %+v", k.name, *counts[k.name])
 	}
 	if overlaps > 0 && !p.slowed {
--- a/test/soak/stops_test.go
+++ b/test/soak/stops_test.go
@@ -29,8 +29,8 @@
 	firstEventTime = 150 * time.Millisecond
 )
 
-// kindOfStop is a kind of request of the plays, with the limits of its route.
-type kindOfStop struct {
+// requestKind is a kind of request of the plays, with the limits of its route.
+type requestKind struct {
 	name, route, service  string
 	attempts              int
 	resumable             bool
@@ -39,7 +39,7 @@
 	body, weight          int
 }
 
-var kindsOfStop = []kindOfStop{
+var requestKinds = []requestKind{
 	{"draft", "stream", "llm", 2, true, 12 * time.Second, 800 * time.Millisecond, 400 * time.Millisecond, 50, 0.44, 12000, 17},
 	{"summary", "stream", "llm", 1, false, 10 * time.Second, time.Second, 400 * time.Millisecond, 33, 0.69, 830, 25},
 	{"lookup", "stream", "llm", 2, true, 3 * time.Second, 1500 * time.Millisecond, 400 * time.Millisecond, 3, 0.5, 2400, 33},
@@ -47,7 +47,7 @@
 	{"read", "idempotent", "app", 2, false, time.Second, 100 * time.Millisecond, 0, 0, 0, 10, 8},
 }
 
-func (k *kindOfStop) routeConfig() any {
+func (k *requestKind) routeConfig() any {
 	return map[string]any{"name": k.name, "host": host, "path_prefix": "/" + k.name + "/", "kind": k.route, "service": k.service, "timeout_ms": k.limit.Milliseconds(),
 		"latency_goal_ms": k.objective.Milliseconds(), "gap_aim_ms": k.gap.Milliseconds(), "max_attempts": k.attempts, "resumable": k.resumable, "priority": 1}
 }
@@ -55,7 +55,7 @@
 // stopPlay is a fleet with planned stops beside endpoints that fall silent.
 type stopPlay struct {
 	*environment
-	rng        *rand.Rand
+	rng        *rand.Rand    // guarded by mu once routers are being stopped
 	late       time.Duration // bound on silences once routers are being stopped for lateAfter
 	slowed     bool          // routers run for a part of the time
 	successors int           // what endpoints do that take a request over, an index of successors
@@ -86,17 +86,19 @@
 // breakOff is the index of the successor that brings events and does not go on.
 const breakOff = 6
 
-// formsOfStop are the orders in which routers are stopped.
-var formsOfStop = []struct {
+// stopOrders are the orders in which routers are stopped.
+var stopOrders = []struct {
 	name string
 	stop func(p *stopPlay)
 }{
 	{"single", func(p *stopPlay) { p.stop(p.routers[0]) }},
 	{"rolling", func(p *stopPlay) {
+		var group sync.WaitGroup
 		for _, r := range p.routers {
-			go p.stop(r)
+			group.Go(func() { p.stop(r) })
 			time.Sleep(1300 * time.Millisecond)
 		}
+		group.Wait()
 	}},
 	{"three", func(p *stopPlay) { p.stopAll(p.routers[:3]) }},
 	{"all", func(p *stopPlay) { p.stopAll(p.routers) }},
@@ -134,8 +136,8 @@
 	defer p.close()
 	delay := []time.Duration{1500 * time.Microsecond, 10 * time.Millisecond}[rng.IntN(2)]
 	p.grace, p.routes = int(stopGrace/time.Second), nil
-	for i := range kindsOfStop {
-		p.routes = append(p.routes, kindsOfStop[i].routeConfig())
+	for i := range requestKinds {
+		p.routes = append(p.routes, requestKinds[i].routeConfig())
 	}
 	p.configure()
 	for _, e := range p.endpoints {
@@ -155,7 +157,7 @@
 	}
 	p.await("all routers are ready", p.allReady)
 	time.Sleep(contact)
-	form := formsOfStop[rng.IntN(len(formsOfStop))]
+	form := stopOrders[rng.IntN(len(stopOrders))]
 	t.Logf("%s, successors %s, links of %v, routers slowed: %t", form.name, successors[p.successors].name, delay, p.slowed)
 	var group sync.WaitGroup
 	for i := range stopCallers {
@@ -166,7 +168,7 @@
 		background.Go(p.slowRouters)
 	}
 	time.Sleep(2 * time.Second)
-	background.Go(p.pauseEndpoints)
+	background.Go(func() { p.pauseEndpoints(rand.New(rand.NewPCG(seed, 58))) })
 	time.Sleep(time.Second)
 	form.stop(p)
 	time.Sleep(time.Second)
@@ -199,11 +201,11 @@
 }
 
 // pauseEndpoints lets endpoints fall silent, one after the other or some at once, until the play is over.
-func (p *stopPlay) pauseEndpoints() {
-	for i := p.rng.IntN(len(p.links)); ; {
-		for range []int{1, 1, 1, 2, 3}[p.rng.IntN(5)] {
+func (p *stopPlay) pauseEndpoints(rng *rand.Rand) {
+	for i := rng.IntN(len(p.links)); ; {
+		for range []int{1, 1, 1, 2, 3}[rng.IntN(5)] {
 			i = (i + 1) % len(p.links)
-			d := leastSilence + time.Duration(p.rng.Int64N(int64(longestSilence-leastSilence)))
+			d := leastSilence + time.Duration(rng.Int64N(int64(longestSilence-leastSilence)))
 			if p.stoppedFor() > lateAfter {
 				d = min(d, p.late)
 			}
@@ -213,7 +215,7 @@
 		select {
 		case <-p.done:
 			return
-		case <-time.After(time.Duration(700+p.rng.IntN(1300)) * time.Millisecond):
+		case <-time.After(time.Duration(700+rng.IntN(1300)) * time.Millisecond):
 		}
 	}
 }
