--- a/test.sh
+++ b/test.sh
@@ -28,7 +28,7 @@
 if [ -n "$red" ]; then
   go test -race -tags process -timeout 9m -skip "^($red)\$" ./...
   echo "Known red, not part of the verdict:"
-  go test -tags process -timeout 3m -run "^($red)\$" ./... 2>&1 | grep -v 'no test' | tail -n 60 | sed 's|^|red: |' || true
+  go test -tags process -timeout 5m -run "^($red)\$" ./... 2>&1 | grep -v 'no test' | tail -n 60 | sed 's|^|red: |' || true
 else
   go test -race -tags process -timeout 9m ./...
 fi
