--- a/review/fleet/fleet.go
+++ b/review/fleet/fleet.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -262,3 +264,43 @@
 		}
 	}
 }
+
+// Owns reports whether the present process of the router opened a connection that another process of this host accepted.
+func (r *Router) Owns(accepted net.Conn) bool {
+	inode := inodeOf(accepted.RemoteAddr().(*net.TCPAddr), accepted.LocalAddr().(*net.TCPAddr))
+	if inode == "" {
+		return false // closed meanwhile
+	}
+	r.mu.Lock()
+	folder := fmt.Sprintf("/proc/%d/fd", r.cmd.Process.Pid)
+	r.mu.Unlock()
+	files, err := os.ReadDir(folder)
+	if err != nil {
+		return false // the process has ended
+	}
+	for _, file := range files {
+		if target, err := os.Readlink(filepath.Join(folder, file.Name())); err == nil && target == "socket:["+inode+"]" {
+			return true
+		}
+	}
+	return false
+}
+
+// inodeOf returns the inode of the IPv4 socket with these addresses, "" if there is none.
+func inodeOf(local, remote *net.TCPAddr) string {
+	data, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		return ""
+	}
+	at := func(a *net.TCPAddr) string {
+		ip := a.IP.To4()
+		return fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], a.Port)
+	}
+	const localField, remoteField, inodeField = 1, 2, 9
+	for line := range strings.Lines(string(data)) {
+		if f := strings.Fields(line); len(f) > inodeField && f[localField] == at(local) && f[remoteField] == at(remote) {
+			return f[inodeField]
+		}
+	}
+	return ""
+}
