--- a/review/fleet/fleet.go
+++ b/review/fleet/fleet.go
@@ -108,6 +108,9 @@
 // Close ends everything that the deployment started.
 func (f *Fleet) Close() {
 	for _, r := range f.Routers {
+		if r.cmd == nil {
+			continue // it could not be started
+		}
 		r.Signal(syscall.SIGCONT)
 		r.Signal(syscall.SIGKILL)
 		<-r.ended
@@ -226,13 +229,6 @@
 	_ = r.cmd.Process.Signal(s) // fails only if the process has ended
 }
 
-// Ended returns a channel that is closed when the present process has ended.
-func (r *Router) Ended() <-chan struct{} {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.ended
-}
-
 // AwaitReady waits until all routers are ready.
 func (f *Fleet) AwaitReady(most time.Duration) error {
 	client := http.Client{Timeout: time.Second}
