--- a/process/feed/feed.go
+++ b/process/feed/feed.go
@@ -59,6 +59,8 @@
 	// Rewound means that the snapshot is the first of a new era: it may lack records that
 	// were applied before, and hold older ones of their keys.
 	Rewound bool `json:"-"`
+	// Relayed means that another process read the batch.
+	Relayed bool `json:"-"`
 }
 
 // Config is how a topic is read.
@@ -214,6 +216,11 @@
 	if b.Era < f.era || !f.loaded || b.Snapshot || b.From > f.next || b.Next <= f.next {
 		return
 	}
+	b.Relayed = true
+	if b.Gap {
+		f.log.Info("records of a reader that had lost the store", "from", b.From, "next", b.Next, "known", f.next,
+			"last_own_read_ms", time.Since(f.lastReadAt).Milliseconds(), "reachable", !f.unreachable)
+	}
 	f.accept(b, false)
 }
 
@@ -277,6 +284,7 @@
 	if wait > 0 && f.cfg.LongPollTimeout > 0 {
 		timeout = f.cfg.LongPollTimeout
 	}
+	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, wait+timeout)
 	defer cancel()
 	if wait > 0 {
@@ -316,7 +324,7 @@
 	}
 	f.mu.Unlock()
 	if err != nil {
-		return err
+		return errors.Wrapf(err, "read took %d ms of %d", time.Since(began).Milliseconds(), (wait + timeout).Milliseconds())
 	}
 	if newEra && f.cfg.OnEra != nil {
 		f.cfg.OnEra(b.Era)
--- a/process/router/follow.go
+++ b/process/router/follow.go
@@ -309,7 +309,7 @@
 	}
 	for _, event := range apply() {
 		r.log.Info("endpoint "+event.Action, "endpoint", event.ID, "service", event.Service, "zone", event.Zone,
-			"cold_ms", event.ColdFor.Milliseconds(), "after_gap", b.Gap)
+			"cold_ms", event.ColdFor.Milliseconds(), "after_gap", b.Gap, "relayed", b.Relayed)
 	}
 	r.origins.Observe(time.Now(), r.endpoints.Versions())
 	r.permits.endpointsChanged(time.Now())
