feed: a follower that waited while the log was away has a gap

Cause: one follower of a process finds out that the log is unreachable, the others wait for it. One that was not reading just then never failed, so that its first read had no mark of a gap: the expired entries were removed as certain, by the other routers too.

Change: Reachability counts the losses, and a read has a gap if there was one since the follower's last successful read.

--- a/process/feed/feed.go
+++ b/process/feed/feed.go
@@ -116,6 +116,7 @@
 	loaded         bool               // the newest records were read
 	lastReadAt     time.Time          // last successful read
 	unreachable    bool               // the last read failed
+	lossesSeen     int                // losses of the log, by whichever follower, up to the last successful read
 	behindSince    time.Time          // since when another process has newer records; zero if none
 	cancelLongPoll context.CancelFunc // ends the current long poll; nil without one
 }
@@ -275,7 +276,8 @@
 // readOnce makes one read. After a failed read, or to catch up, it does not long-poll.
 func (f *Follower) readOnce(ctx context.Context) error {
 	f.mu.Lock()
-	from, loaded, gap := f.next, f.loaded, f.unreachable
+	losses := f.reachability.lossCount()
+	from, loaded, gap := f.next, f.loaded, f.unreachable || losses != f.lossesSeen
 	wait := f.cfg.LongPoll()
 	if !loaded || gap || !f.behindSince.IsZero() || f.cfg.IsReader != nil && !f.cfg.IsReader() {
 		wait = 0
@@ -319,6 +321,7 @@
 		err = errors.Errorf("response of era %d after era %d", b.Era, f.era)
 	case err == nil:
 		f.accept(b, true)
+		f.lossesSeen = losses
 	case wait > 0 && (!f.behindSince.IsZero() || !f.loaded) && errors.Is(err, context.Canceled):
 		err = errNewerRecords
 	}
--- a/process/feed/feed_test.go
+++ b/process/feed/feed_test.go
@@ -206,6 +206,40 @@
 	c.Assert(v.gaps > 0, qt.IsTrue)
 }
 
+// Guards against entries that expired with the log and are taken for removed, by a follower that
+// made no read itself while another one found the log unreachable.
+func TestFollowerThatWaitedForTheLogHasAGap(t *testing.T) {
+	c := qt.New(t)
+	l, v := newLog(), &view{}
+	l.put("a", "1")
+	reachability := NewReachability()
+	pausing := make(chan struct{}, 1)
+	run(c, New(Config{Name: "x", LongPoll: constant(20 * time.Millisecond), Timeout: time.Second, MinInterval: func() time.Duration {
+		select {
+		case pausing <- struct{}{}:
+		default:
+		}
+		return 100 * time.Millisecond
+	}}, reachability, l, logr.Discard(), v.apply))
+	eventually(c, func() bool { return v.get("a") == "1" })
+	<-pausing
+	<-pausing
+	reachability.setUnreachable(true)
+	time.Sleep(300 * time.Millisecond) // until it waits
+	l.put("a", "")
+	reachability.setUnreachable(false)
+	eventually(c, func() bool { return v.get("a") == "" })
+	v.mu.Lock()
+	gaps := v.gaps
+	v.mu.Unlock()
+	c.Assert(gaps > 0, qt.IsTrue)
+	l.put("a", "2")
+	eventually(c, func() bool { return v.get("a") == "2" })
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	c.Assert(v.gaps, qt.Equals, gaps)
+}
+
 // After the history expired, the newest records replace everything; a key does not
 // go back to an older record, and missing keys were removed.
 func TestExpiredHistoryAndStaleReads(t *testing.T) {
--- a/process/feed/reachability.go
+++ b/process/feed/reachability.go
@@ -12,6 +12,7 @@
 type Reachability struct {
 	mu          sync.Mutex
 	unreachable bool
+	losses      int           // how often the log was lost
 	changed     chan struct{} // closed at the next change
 }
 
@@ -25,10 +26,20 @@
 		return
 	}
 	r.unreachable = unreachable
+	if unreachable {
+		r.losses++
+	}
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
 
+// lossCount returns how often the log was lost.
+func (r *Reachability) lossCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.losses
+}
+
 func (r *Reachability) state() (unreachable bool, changed <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
