feed: readers without a gap confirm what another one relays after its own

Cause: a batch has the mark of a gap when its reader lost the store or stood still. All routers took that for the state of the store and kept endpoints whose entries were removed for 2.2 s more. The other readers got the records in that batch before they read them, so that none of them told the removal as certain. A reader that stood still, besides, took its late deadline for a loss of the store, told so, and made all routers read it.

Change: the mark stays, since routers that do not read know of an outage by nothing else. A router that reads for others remembers relayed removals that are marked. If its next read follows the one before without a failed read, a standstill or a loss of the store between them, these removals are certain, and it tells the others at once; a router that has just ceased to read does so too. A read that fails long after its deadline, and a pause that overran by over a second, show a standstill: the next batch has a gap, no loss is told.

--- a/process/feed/feed.go
+++ b/process/feed/feed.go
@@ -54,8 +54,10 @@
 	Next     int64    `json:"next"` // offset to read on from
 	Records  []Record `json:"records"`
 	Snapshot bool     `json:"whole,omitempty"` // Records holds all keys; others were removed
-	Gap      bool     `json:"gap,omitempty"`   // the log was unreachable before
-	Era      int64    `json:"era,omitempty"`   // of the log
+	// Gap means that the process that read cannot tell whether the log was away since its last read: it
+	// did not reach the log, or stood still.
+	Gap bool  `json:"gap,omitempty"`
+	Era int64 `json:"era,omitempty"` // of the log
 	// Rewound means that the snapshot is the first of a new era: it may lack records that
 	// were applied before, and hold older ones of their keys.
 	Rewound bool `json:"-"`
@@ -84,6 +86,9 @@
 	OnEra func(era int64)
 	// OnLost is called when the log was found to be unreachable. May be nil.
 	OnLost func()
+	// OnConfirmed is called after removals were applied that had been relayed after a gap of their
+	// reader and that this process has read without one. May be nil.
+	OnConfirmed func()
 	// Publish sends a batch that was read to other processes. May be nil.
 	Publish func(Batch)
 }
@@ -119,6 +124,7 @@
 	lossesSeen     int                // losses of the log, by whichever follower, up to the last successful read
 	behindSince    time.Time          // since when another process has newer records; zero if none
 	cancelLongPoll context.CancelFunc // ends the current long poll; nil without one
+	continuity     continuity
 }
 
 // New returns a follower that passes each batch to apply. Followers of one log
@@ -146,9 +152,11 @@
 			pause = minRetryPause
 			f.readSucceeded()
 			if f.cfg.MinInterval != nil {
-				sleep(ctx, f.cfg.MinInterval())
+				interval, began := f.cfg.MinInterval(), time.Now()
+				sleep(ctx, interval)
+				f.checkPause(began, interval)
 			}
-		case errors.Is(err, errNewerRecords), errors.Is(err, errNewEra): // read again at once, without a long poll
+		case errors.Is(err, errNewerRecords), errors.Is(err, errNewEra), errors.Is(err, errStoodStill): // read again at once, without a long poll
 		case errors.Is(err, ErrExpired):
 			f.log.Info("records expired; reading the newest of each key", "from", f.Next())
 			f.mu.Lock()
@@ -165,7 +173,7 @@
 // waitUntilDue reports whether to read the log now. In a process that does not read
 // for others it first blocks for a while or until another process has newer records.
 func (f *Follower) waitUntilDue(ctx context.Context) bool {
-	if f.cfg.IsReader == nil || f.cfg.IsReader() || f.mustRead(time.Now()) {
+	if f.isReader() || f.mustRead(time.Now()) {
 		return true
 	}
 	select {
@@ -180,7 +188,7 @@
 func (f *Follower) mustRead(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return !f.loaded || f.unreachable || !f.behindSince.IsZero() && now.Sub(f.behindSince) >= relayTimeout
+	return !f.loaded || f.unreachable || len(f.continuity.doubtful) > 0 || !f.behindSince.IsZero() && now.Sub(f.behindSince) >= relayTimeout
 }
 
 // Next returns the offset to read on from.
@@ -222,7 +230,10 @@
 		f.log.Info("records of a reader that had lost the store", "from", b.From, "next", b.Next, "known", f.next,
 			"last_own_read_ms", time.Since(f.lastReadAt).Milliseconds(), "reachable", !f.unreachable)
 	}
-	f.accept(b, false)
+	f.accept(b)
+	if b.Gap {
+		f.doubt(b)
+	}
 }
 
 // reload makes Run read the newest record of each key at once.
@@ -277,9 +288,9 @@
 func (f *Follower) readOnce(ctx context.Context) error {
 	f.mu.Lock()
 	losses := f.reachability.lossCount()
-	from, loaded, gap := f.next, f.loaded, f.unreachable || losses != f.lossesSeen
+	from, loaded, gap := f.next, f.loaded, f.hasGap(losses)
 	wait := f.cfg.LongPoll()
-	if !loaded || gap || !f.behindSince.IsZero() || f.cfg.IsReader != nil && !f.cfg.IsReader() {
+	if gap || f.isBehind() || !f.isReader() {
 		wait = 0
 	}
 	timeout := f.cfg.Timeout
@@ -296,6 +307,7 @@
 	b := Batch{From: from, Snapshot: !loaded, Gap: gap}
 	var page Page
 	var err error
+	var confirmed bool
 	if loaded {
 		if !f.cfg.ProbesReachability {
 			readCtx, stop := f.reachability.untilChange(ctx)
@@ -312,6 +324,7 @@
 		b.Era = f.era
 	}
 	f.cancelLongPoll = nil
+	late := elapsed(began) - wait - timeout
 	newEra := f.everLoaded && b.Era > f.era
 	switch {
 	case err == nil && newEra && !b.Snapshot:
@@ -320,12 +333,21 @@
 	case err == nil && b.Era < f.era:
 		err = errors.Errorf("response of era %d after era %d", b.Era, f.era)
 	case err == nil:
-		f.accept(b, true)
+		b.Gap = b.Gap || late > maxUnobserved
+		confirmed = f.acceptOwn(b, began)
 		f.lossesSeen = losses
-	case wait > 0 && (!f.behindSince.IsZero() || !f.loaded) && errors.Is(err, context.Canceled):
+	case wait > 0 && f.isBehind() && errors.Is(err, context.Canceled):
+		f.continuity.readUntil = time.Now()
 		err = errNewerRecords
+	case late > maxTimerDelay && errors.Is(err, context.DeadlineExceeded):
+		f.continuity.stoodStill = true
+		f.log.Info("stood still during a read", "late_ms", late.Milliseconds(), "next", f.next)
+		err = errStoodStill
 	}
 	f.mu.Unlock()
+	if confirmed && f.cfg.OnConfirmed != nil {
+		f.cfg.OnConfirmed()
+	}
 	if err != nil {
 		return errors.Wrapf(err, "read took %d ms of %d", time.Since(began).Milliseconds(), (wait + timeout).Milliseconds())
 	}
@@ -338,12 +360,27 @@
 	return nil
 }
 
-// accept passes on the records that are newer than those seen before. own means that
-// this process read them.
-func (f *Follower) accept(b Batch, own bool) {
-	if own {
-		f.lastReadAt, f.loaded = time.Now(), true
-	}
+// isBehind reports whether a long poll in progress is to be replaced by a read.
+func (f *Follower) isBehind() bool {
+	return !f.loaded || !f.behindSince.IsZero() || len(f.continuity.doubtful) > 0
+}
+
+// acceptOwn is accept for a batch that this process read from the given time on. It reports whether the batch
+// confirms removals of before.
+func (f *Follower) acceptOwn(b Batch, began time.Time) bool {
+	f.lastReadAt, f.loaded = time.Now(), true
+	f.accept(b)
+	confirmed := f.observe(b, began)
+	if len(confirmed) == 0 {
+		return false
+	}
+	f.log.Info("removals confirmed", "count", len(confirmed), "next", b.Next)
+	f.apply(Batch{From: b.From, Next: b.Next, Records: confirmed, Era: b.Era})
+	return true
+}
+
+// accept passes on the records that are newer than those seen before.
+func (f *Follower) accept(b Batch) {
 	if f.everLoaded && b.Era > f.era {
 		f.rewind(&b)
 	}
--- a/process/feed/feed_test.go
+++ b/process/feed/feed_test.go
@@ -167,10 +167,10 @@
 	var got []Record
 	f := New(Config{Name: "x"}, NewReachability(), nil, logr.Discard(), func(b Batch) { got = append(got, b.Records...) })
 	value := []byte("1")
-	f.accept(Batch{Snapshot: true, Next: 9, Records: []Record{{"a", value, 7}, {"b", value, 2}, {"c", value, 5}}}, true)
+	f.acceptOwn(Batch{Snapshot: true, Next: 9, Records: []Record{{"a", value, 7}, {"b", value, 2}, {"c", value, 5}}}, time.Now())
 	c.Assert(got, qt.DeepEquals, []Record{{"b", value, 2}, {"c", value, 5}, {"a", value, 7}})
 	got = nil
-	f.accept(Batch{Snapshot: true, Next: 12, Records: []Record{{"a", value, 11}, {"c", value, 10}}}, true)
+	f.acceptOwn(Batch{Snapshot: true, Next: 12, Records: []Record{{"a", value, 11}, {"c", value, 10}}}, time.Now())
 	c.Assert(got, qt.DeepEquals, []Record{{"c", value, 10}, {"a", value, 11}, {"b", nil, 12}})
 }
 
@@ -246,11 +246,11 @@
 	c := qt.New(t)
 	v := &view{}
 	f := New(Config{Name: "x", Timeout: time.Second, ProbesReachability: true}, NewReachability(), nil, logr.Discard(), v.apply)
-	f.accept(Batch{Snapshot: true, Next: 10, Records: []Record{{Key: "a", Value: []byte("new"), Offset: 9}, {Key: "b", Value: []byte("x"), Offset: 3}}}, true)
-	f.accept(Batch{Snapshot: true, Next: 6, Records: []Record{{Key: "a", Value: []byte("old"), Offset: 4}, {Key: "b", Value: []byte("x"), Offset: 3}}}, true)
+	f.acceptOwn(Batch{Snapshot: true, Next: 10, Records: []Record{{Key: "a", Value: []byte("new"), Offset: 9}, {Key: "b", Value: []byte("x"), Offset: 3}}}, time.Now())
+	f.acceptOwn(Batch{Snapshot: true, Next: 6, Records: []Record{{Key: "a", Value: []byte("old"), Offset: 4}, {Key: "b", Value: []byte("x"), Offset: 3}}}, time.Now())
 	c.Assert(v.get("a"), qt.Equals, "new")
 	c.Assert(f.Next(), qt.Equals, int64(10))
-	f.accept(Batch{Snapshot: true, Next: 12, Records: []Record{{Key: "a", Value: []byte("new"), Offset: 9}}}, true)
+	f.acceptOwn(Batch{Snapshot: true, Next: 12, Records: []Record{{Key: "a", Value: []byte("new"), Offset: 9}}}, time.Now())
 	c.Assert(v.get("b"), qt.Equals, "")
 
 	l, w := newLog(), &view{}
--- a/process/router/follow.go
+++ b/process/router/follow.go
@@ -36,6 +36,8 @@
 	// rewindGrace is how long a zone stays out of service whose mark is missing in an older
 	// copy of the store; operators write again what was lost.
 	rewindGrace = 5 * time.Second
+	// removalReportTime is how long a router tells of removals that it confirmed and then no longer reads.
+	removalReportTime = 2 * time.Second
 	// callerAttempts is how many attempts of a caller one stream may take, each bounded
 	// by the timeout of its route.
 	callerAttempts = 2
@@ -61,7 +63,18 @@
 		r.followers[t] = feed.New(cfg, reachability, r.adapter.Topic(t), r.log, apply)
 	}
 	follower(Operators, feed.Config{Name: "operators", LongPoll: r.storeLongPoll, ProbesReachability: true}, r.applyOperators)
-	follower(Endpoints, feed.Config{Name: "endpoints", LongPoll: r.storeLongPoll, MinInterval: r.endpointReadInterval}, r.applyEndpoints)
+	follower(Endpoints, feed.Config{Name: "endpoints", LongPoll: r.storeLongPoll, MinInterval: r.endpointReadInterval, OnConfirmed: r.onRemovalsConfirmed}, r.applyEndpoints)
+}
+
+// onRemovalsConfirmed tells the other routers at once that endpoints which they keep after a gap have left.
+func (r *Router) onRemovalsConfirmed() {
+	r.removalsConfirmedAt.Store(time.Now().UnixNano())
+	r.sendNow()
+}
+
+// reportsRemovals reports whether the heartbeats of this router tell which entries the store removed.
+func (r *Router) reportsRemovals(now time.Time) bool {
+	return r.isStoreReader() || now.Sub(time.Unix(0, r.removalsConfirmedAt.Load())) < removalReportTime
 }
 
 func (r *Router) storeLongPoll() time.Duration { return r.bounds.Load().storeLongPoll() }
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -98,11 +98,12 @@
 	startedAt   time.Time
 	peerUpdates peerUpdates
 
-	endpointsRead  atomic.Bool   // the endpoints' topic was read at least once
-	registered     atomic.Bool   // the others' registrations were read after the own one was written
-	hintsTried     atomic.Bool   // the hints were loaded, or loading failed
-	leavingChanged chan struct{} // signals a new announcement to save; buffers one
-	draining       atomic.Bool
+	endpointsRead       atomic.Bool   // the endpoints' topic was read at least once
+	removalsConfirmedAt atomic.Int64  // Unix ns; 0 is never
+	registered          atomic.Bool   // the others' registrations were read after the own one was written
+	hintsTried          atomic.Bool   // the hints were loaded, or loading failed
+	leavingChanged      chan struct{} // signals a new announcement to save; buffers one
+	draining            atomic.Bool
 
 	zonesMu   sync.Mutex // guards zones and zoneHolds; only permitTable.mu, upstream.Table.mu and the logger's locks are taken under it
 	zones     map[string]bool
@@ -311,7 +312,7 @@
 	h.Begun = r.origins.TakeBegun()
 	h.SavesStreams = true
 	h.Leaving = r.endpoints.NewlyLeaving(time.Now())
-	if r.isStoreReader() {
+	if r.reportsRemovals(time.Now()) {
 		h.Removals = r.endpoints.NewRemovals(time.Now())
 	}
 	h.Rollouts = r.rollouts.table.Reports(time.Now())
