feed: confirm removals only by long polls that end by themselves

Callers of a store that was away for less than a long poll could lose endpoints whose entries had expired with it.

Cause: a relayed removal ended the long poll of the reader that was to confirm it. Its next read began when the store was back, and could not tell whether the store had answered meanwhile; a poll given up for ReadNow counted likewise.

Change: a relayed removal lets the long poll go on. It ends at once if the log was there, as the record is new to it, and fails if it was not. Only successful reads continue each other.

--- a/process/feed/continuity.go
+++ b/process/feed/continuity.go
@@ -24,7 +24,7 @@
 	stoodStill bool      // this process did not run for a while since its last successful read
 	asReader   bool      // the last successful read was made for others too
 	from       int64     // end of the topic at the last successful read
-	readUntil  time.Time // end of the last read that did not fail
+	readUntil  time.Time // end of the last successful read
 	// doubtful holds removals at or after from that a reader relayed which may have missed an outage.
 	doubtful []Record
 }
@@ -64,7 +64,8 @@
 }
 
 // doubt records the removals of a batch that another process read after a gap, so that the next read of
-// this process tells whether they are certain. Only processes that read the log for others can tell.
+// this process tells whether they are certain. Only processes that read the log for others can tell. A long
+// poll in progress goes on: it ends at once if the log was there all the time, and fails if it was not.
 func (f *Follower) doubt(b Batch) {
 	if !f.continuity.asReader || f.hasGap(f.reachability.lossCount()) {
 		return
@@ -75,7 +76,7 @@
 		}
 	}
 	if len(f.continuity.doubtful) > 0 {
-		f.catchUp()
+		f.wake()
 	}
 }
 
--- a/process/feed/continuity_test.go
+++ b/process/feed/continuity_test.go
@@ -115,6 +115,28 @@
 	}
 }
 
+// Guards against removals that are confirmed by a read which began after the log was back, while the long poll before
+// it had been given up and could not tell.
+func TestLongPollThatWasGivenUpConfirmsNothing(t *testing.T) {
+	c := qt.New(t)
+	l, v := newLog(), &certainty{}
+	l.put("a", "1")
+	f := New(Config{Name: "x", LongPoll: constant(time.Hour), Timeout: time.Second, ProbesReachability: true,
+		OnConfirmed: func() { v.confirmed.Add(1) }}, NewReachability(), l, logr.Discard(), v.apply)
+	run(c, f)
+	eventually(c, func() bool { return v.get("a") == "1" })
+	l.mu.Lock()
+	l.records = append(l.records, Record{Key: "a", Offset: 1}) // the long poll is not woken
+	l.mu.Unlock()
+	time.Sleep(f.maxPause() + 50*time.Millisecond)
+	f.Offer(Batch{From: 1, Next: 2, Gap: true, Records: []Record{{Key: "a", Offset: 1}}})
+	f.ReadNow(time.Now())
+	l.put("b", "1")
+	eventually(c, func() bool { return v.get("b") == "1" })
+	c.Assert(v.isCertain("a"), qt.IsFalse)
+	c.Assert(v.confirmed.Load(), qt.Equals, int64(0))
+}
+
 // Guards against a standstill of this process that is told to the others as a loss of the log, and against records
 // that are taken for followed although the log may have been away meanwhile.
 func TestStandstillIsNoLossOfTheLog(t *testing.T) {
--- a/process/feed/feed.go
+++ b/process/feed/feed.go
@@ -278,6 +278,11 @@
 	if f.cancelLongPoll != nil {
 		f.cancelLongPoll()
 	}
+	f.wake()
+}
+
+// wake makes Run check at once whether to read, if it waits for that.
+func (f *Follower) wake() {
 	select {
 	case f.newerRecords <- struct{}{}:
 	default:
@@ -336,8 +341,7 @@
 		b.Gap = b.Gap || late > maxUnobserved
 		confirmed = f.acceptOwn(b, began)
 		f.lossesSeen = losses
-	case wait > 0 && f.isBehind() && errors.Is(err, context.Canceled):
-		f.continuity.readUntil = time.Now()
+	case wait > 0 && (!f.behindSince.IsZero() || !f.loaded) && errors.Is(err, context.Canceled):
 		err = errNewerRecords
 	case late > maxTimerDelay && errors.Is(err, context.DeadlineExceeded):
 		f.continuity.stoodStill = true
@@ -360,7 +364,7 @@
 	return nil
 }
 
-// isBehind reports whether a long poll in progress is to be replaced by a read.
+// isBehind reports whether the next read is to end at once.
 func (f *Follower) isBehind() bool {
 	return !f.loaded || !f.behindSince.IsZero() || len(f.continuity.doubtful) > 0
 }
