feed: a second late deadline in a row counts as a loss of the log

Nobody was seen to suffer: found when reading the change.

Cause: a read that fails long after its deadline was put down to a standstill of this process, however often. A host that is always late would never tell that it lost the store, and the others would go on to wait for what it reads.

Measured: TestSecondStandstillInARowIsALoss fails before and passes now.

--- a/process/feed/continuity.go
+++ b/process/feed/continuity.go
@@ -14,8 +14,8 @@
 	maxUnobserved = time.Second
 )
 
-// errStoodStill is the result of a read that failed because this process did not run. It says
-// nothing about the log.
+// errStoodStill is the result of a read that failed because this process did not run. It says nothing about
+// the log, but a second one in a row counts as a loss: a process that is always late must not hide one.
 var errStoodStill = errors.New("this process stood still during the read")
 
 // continuity tells which records were made while this process followed the log by its own reads. A
--- a/process/feed/continuity_test.go
+++ b/process/feed/continuity_test.go
@@ -165,3 +165,26 @@
 		c.Assert(lost.Load(), qt.Equals, int64(0))
 	}
 }
+
+// Guards against a process whose deadlines are always noticed late and that never tells that it lost the log.
+func TestSecondStandstillInARowIsALoss(t *testing.T) {
+	c := qt.New(t)
+	l, v := newLog(), &view{}
+	l.put("a", "1")
+	lost := make(chan struct{}, 10)
+	f := New(Config{Name: "x", LongPoll: constant(20 * time.Millisecond), Timeout: 50 * time.Millisecond, ProbesReachability: true,
+		OnLost: func() { lost <- struct{}{} }}, NewReachability(), l, logr.Discard(), v.apply)
+	run(c, f)
+	eventually(c, func() bool { return v.get("a") == "1" })
+	l.set(func(ctx context.Context) error {
+		<-ctx.Done()
+		time.Sleep(2 * maxTimerDelay)
+		return ctx.Err()
+	})
+	select {
+	case <-lost:
+	case <-time.After(10 * time.Second):
+		c.Fatal("no loss was told")
+	}
+	c.Assert(f.Reachable(), qt.IsFalse)
+}
--- a/process/feed/feed.go
+++ b/process/feed/feed.go
@@ -329,7 +329,7 @@
 		b.Era = f.era
 	}
 	f.cancelLongPoll = nil
-	late := elapsed(began) - wait - timeout
+	late := elapsed(began) - wait - timeout // over the time that the read may take
 	newEra := f.everLoaded && b.Era > f.era
 	switch {
 	case err == nil && newEra && !b.Snapshot:
@@ -343,7 +343,7 @@
 		f.lossesSeen = losses
 	case wait > 0 && (!f.behindSince.IsZero() || !f.loaded) && errors.Is(err, context.Canceled):
 		err = errNewerRecords
-	case late > maxTimerDelay && errors.Is(err, context.DeadlineExceeded):
+	case late > maxTimerDelay && !f.continuity.stoodStill && errors.Is(err, context.DeadlineExceeded):
 		f.continuity.stoodStill = true
 		f.log.Info("stood still during a read", "late_ms", late.Milliseconds(), "next", f.next)
 		err = errStoodStill
