Log how late a signal may be read, how long a request took to arrive, and whether others were ready

Requests that arrive in a drain have reading_ms and others_ready. draining_ms counts until the whole request was read, as the decision does. Nothing is decided by these.

Measured: go test ./process/cli ./process/observe ./connection/frontend ./connection/forward passes.

--- a/connection/forward/record.go
+++ b/connection/forward/record.go
@@ -49,7 +49,9 @@
 	Resumes             string        // id of the caller's attempt that began the stream; "" if this one did
 	LastEventID         int64         // last event that the caller had when the request arrived; -1 if none
 	Resumed             int           // times that a stream was resumed at another endpoint
-	Draining            time.Duration // from the beginning of the process's drain to the request's arrival; 0 before it
+	Draining            time.Duration // from the beginning of the process's drain until the whole request was read; 0 before it
+	Reading             time.Duration // from the first byte of a request that arrived in the drain to its last
+	OthersReady         bool          // another router took requests when this one arrived in the drain
 	Left                time.Duration // of the process when it decided whether a late request is complete in time; 0 if it did not
 	Bound               time.Duration // on the time of the request, which it compared with Left; 0 if none was known
 	Ejected             string        // endpoint that was ejected because of this request
--- a/connection/forward/server.go
+++ b/connection/forward/server.go
@@ -76,7 +76,9 @@
 		return
 	}
 	rec.ID, rec.Resumes, rec.LastEventID = req.ID, req.Resumes, req.LastEventID
-	rec.Draining = s.drain.since(rec.Arrived)
+	if rec.Draining = s.drain.since(x.Read); rec.Draining > 0 {
+		rec.Reading, rec.OthersReady = x.Read.Sub(x.Arrived), s.OthersReady()
+	}
 	j, code := s.admit(x, rec, req)
 	if code != outcome.OK {
 		after := time.Duration(0)
--- a/connection/frontend/conn.go
+++ b/connection/frontend/conn.go
@@ -131,7 +131,7 @@
 		c.reject(err)
 		return false
 	}
-	x := &Exchange{Head: head, Body: body, Arrived: arrived, conn: c, close: head.Close}
+	x := &Exchange{Head: head, Body: body, Arrived: arrived, Read: time.Now(), conn: c, close: head.Close}
 	ctx, cancel := context.WithCancel(context.Background())
 	watcher := c.watch(cancel)
 	c.s.Handler.Serve(ctx, x)
--- a/connection/frontend/exchange.go
+++ b/connection/frontend/exchange.go
@@ -13,6 +13,7 @@
 	Head    *http1.Head
 	Body    []byte
 	Arrived time.Time // when its first byte was read
+	Read    time.Time // when all of it was
 
 	conn     *conn
 	close    bool // the connection is closed after the response
--- a/process/cli/platform.go
+++ b/process/cli/platform.go
@@ -59,7 +59,7 @@
 	term := newTermination()
 	go watchSettings(log, a.Settings, signals, term, r.Reload) // to the end of the process
 	<-term.begun
-	r.Shutdown()
+	r.Shutdown(term.late)
 	return exitOK
 }
 
@@ -72,14 +72,22 @@
 func watchSettings(log logr.Logger, path string, signals <-chan os.Signal, term *termination, reload func(router.Settings) error) {
 	tick := time.NewTicker(settingsPollInterval)
 	defer tick.Stop()
+	check := time.NewTicker(signalCheckInterval)
+	defer check.Stop()
 	known, _ := os.ReadFile(path) // LoadSettings has just read it without an error
+	checks := newSignalChecks(time.Now())
 	for {
 		force := false
 		select {
 		case sig := <-signals:
-			if force = term.handle(log, sig); !force {
+			if force = term.handle(log, sig, checks.late(time.Now())); !force {
 				continue
 			}
+		case <-check.C:
+			if len(signals) == 0 {
+				checks.none(time.Now())
+			}
+			continue
 		case <-tick.C:
 		}
 		known = reloadIfChanged(log, path, known, force, reload)
--- a/process/observe/requests.go
+++ b/process/observe/requests.go
@@ -202,7 +202,7 @@
 		kv = append(kv, "resumed", rec.Resumed)
 	}
 	if rec.Draining > 0 {
-		kv = append(kv, "draining_ms", rec.Draining.Milliseconds())
+		kv = append(kv, "draining_ms", rec.Draining.Milliseconds(), "reading_ms", rec.Reading.Milliseconds(), "others_ready", rec.OthersReady)
 	}
 	if rec.Left > 0 {
 		kv = append(kv, "left_ms", rec.Left.Milliseconds(), "bound_ms", rec.Bound.Milliseconds())
