--- a/process/cli/platform.go
+++ b/process/cli/platform.go
@@ -72,7 +72,7 @@
 func watchSettings(log logr.Logger, path string, signals <-chan os.Signal, term *termination, reload func(router.Settings) error) {
 	tick := time.NewTicker(settingsPollInterval)
 	defer tick.Stop()
-	check := time.NewTicker(signalCheckInterval)
+	check := time.NewTimer(signalCheckInterval) // no ticker: its next tick may follow a late one at once
 	defer check.Stop()
 	known, _ := os.ReadFile(path) // LoadSettings has just read it without an error
 	checks := newSignalChecks(time.Now())
@@ -87,6 +87,7 @@
 			if len(signals) == 0 {
 				checks.none(time.Now())
 			}
+			check.Reset(signalCheckInterval)
 			continue
 		case <-tick.C:
 		}
--- a/test/soak/stopcallers_test.go
+++ b/test/soak/stopcallers_test.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 
@@ -32,7 +33,8 @@
 	id, kind, router string
 	sent, ended      time.Time
 	status           int
-	whole, left      bool // left: by the caller, or at its limit
+	retryAfter       float64 // seconds
+	whole, left      bool    // left: by the caller, or at its limit
 	wrong            string
 	err              error
 }
@@ -70,7 +72,8 @@
 		if conn == nil {
 			continue
 		}
-		a, keep := p.exchange(conn, in, draw(rng), fmt.Sprintf("s%d-%d", number, n), rng)
+		k := draw(rng)
+		a, keep := p.exchange(conn, in, k, fmt.Sprintf("s%d-%d", number, n), k.drawEvents(rng), rng)
 		a.router = router
 		p.mu.Lock()
 		p.attempts = append(p.attempts, a)
@@ -97,13 +100,16 @@
 	return nil
 }
 
-// exchange sends a request and reads its response.
-func (p *stopPlay) exchange(conn net.Conn, in *bufio.Reader, k *requestKind, id string, rng *rand.Rand) (a stopAttempt, keep bool) {
-	events := 0
-	if k.events > 0 {
-		const most = 120
-		events = 1 + min(most, int(k.events*math.Exp(k.spread*rng.NormFloat64())))
+// drawEvents chooses the length of a stream of a kind.
+func (k *requestKind) drawEvents(rng *rand.Rand) int {
+	if k.events == 0 {
+		return 0
 	}
+	return min(k.most, 1+int(k.events*math.Exp(k.spread*rng.NormFloat64())))
+}
+
+// exchange sends a request for a stream of some events, or for none, and reads its response.
+func (p *stopPlay) exchange(conn net.Conn, in *bufio.Reader, k *requestKind, id string, events int, rng *rand.Rand) (a stopAttempt, keep bool) {
 	more, body := "", strings.Repeat("x", k.body)
 	framed := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
 	if rng.IntN(2) == 0 {
@@ -131,6 +137,7 @@
 	var data []byte
 	if err == nil {
 		a.status = resp.StatusCode
+		a.retryAfter, _ = strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
 		buf := make([]byte, 1<<10)
 		for n := 0; err == nil; {
 			patience()
--- a/test/soak/stops_test.go
+++ b/test/soak/stops_test.go
@@ -35,16 +35,17 @@
 	attempts              int
 	resumable             bool
 	limit, objective, gap time.Duration
-	events, spread        float64 // logarithmic mean and deviation of the length of a stream; 0 is none
+	events, spread        float64 // median and logarithmic deviation of the length of a stream; 0 is none
+	most                  int     // events
 	body, weight          int
 }
 
 var requestKinds = []requestKind{
-	{"draft", "stream", "llm", 2, true, 12 * time.Second, 800 * time.Millisecond, 400 * time.Millisecond, 50, 0.44, 12000, 17},
-	{"summary", "stream", "llm", 1, false, 10 * time.Second, time.Second, 400 * time.Millisecond, 33, 0.69, 830, 25},
-	{"lookup", "stream", "llm", 2, true, 3 * time.Second, 1500 * time.Millisecond, 400 * time.Millisecond, 3, 0.5, 2400, 33},
-	{"book", "non_idempotent", "app", 1, false, time.Second, 100 * time.Millisecond, 0, 0, 0, 600, 19},
-	{"read", "idempotent", "app", 2, false, time.Second, 100 * time.Millisecond, 0, 0, 0, 10, 8},
+	{"draft", "stream", "llm", 2, true, 12 * time.Second, 800 * time.Millisecond, 400 * time.Millisecond, 50, 0.44, 160, 12000, 17},
+	{"summary", "stream", "llm", 1, false, 10 * time.Second, time.Second, 400 * time.Millisecond, 33, 0.69, 136, 830, 25},
+	{"lookup", "stream", "llm", 2, true, 3 * time.Second, 1500 * time.Millisecond, 400 * time.Millisecond, 3, 0.5, 13, 2400, 33},
+	{"book", "non_idempotent", "app", 1, false, time.Second, 100 * time.Millisecond, 0, 0, 0, 0, 600, 19},
+	{"read", "idempotent", "app", 2, false, time.Second, 100 * time.Millisecond, 0, 0, 0, 0, 10, 8},
 }
 
 func (k *requestKind) routeConfig() any {
@@ -165,7 +166,7 @@
 	}
 	var background sync.WaitGroup
 	if p.slowed {
-		background.Go(p.slowRouters)
+		background.Go(func() { p.slice(8*time.Millisecond, 20*time.Millisecond, p.done) })
 	}
 	time.Sleep(2 * time.Second)
 	background.Go(func() { p.pauseEndpoints(rand.New(rand.NewPCG(seed, 58))) })
@@ -190,7 +191,7 @@
 		p.asked[id]++
 		p.mu.Unlock()
 		b := platformtest.Behaviour{Work: 15 * time.Millisecond}
-		if n, err := strconv.Atoi(r.URL.Query().Get("events")); err == nil && n > 0 {
+		if n := eventsOf(r); n > 0 {
 			b.Events, b.Pause, b.Work = n, eventTime, firstEventTime
 		}
 		if before > 0 {
@@ -200,6 +201,12 @@
 	}
 }
 
+// eventsOf returns the length of the stream that a request asks for.
+func eventsOf(r *http.Request) int {
+	n, _ := strconv.Atoi(r.URL.Query().Get("events")) // 0 if it names none
+	return n
+}
+
 // pauseEndpoints lets endpoints fall silent, one after the other or some at once, until the play is over.
 func (p *stopPlay) pauseEndpoints(rng *rand.Rand) {
 	for i := rng.IntN(len(p.links)); ; {
@@ -240,15 +247,14 @@
 	return nil
 }
 
-// slowRouters lets the routers run for a part of the time.
-func (p *stopPlay) slowRouters() {
-	const run, period = 8 * time.Millisecond, 20 * time.Millisecond
+// slice lets the routers run for a part of each period until done is closed.
+func (p *stopPlay) slice(run, period time.Duration, done <-chan struct{}) {
 	for {
 		p.signalAll(syscall.SIGSTOP)
 		time.Sleep(period - run)
 		p.signalAll(syscall.SIGCONT)
 		select {
-		case <-p.done:
+		case <-done:
 			return
 		case <-time.After(run):
 		}
