Count the grace period from when the SIGTERM may have been sent

Cause: all times of a stop counted from when the SIGTERM was read. A process that reads it late (it stood still, or had no processor) took requests by a later edge than its callers have, and planned to end after it is killed: 8.15 s after a SIGTERM read 0.3 s late, where the kill comes after 8 s.

Change: a stop begins at the last check before that found no signal waiting.

--- a/process/router/shutdown.go
+++ b/process/router/shutdown.go
@@ -52,7 +52,7 @@
 // when no connection is open or the grace period is nearly over. late is how much earlier the process
 // may have been told to stop.
 func (r *Router) Shutdown(late time.Duration) {
-	began, grace := time.Now(), r.bounds.Load().Grace
+	began, grace := time.Now().Add(-late), r.bounds.Load().Grace
 	r.front.StartDrain()
 	r.relayed.StartDrain()
 	plan := forward.DrainPlan{Began: began, AcceptAllUntil: began.Add(min(acceptAllFor, grace/2)),
