Take requests in a stop by what serves their callers

Callers saw the longest streams end without a whole answer after five seconds.

Cause: a stopping router took every request for 2.8 s, as the platform excuses the cut of what is sent in the first 3 s. A draft of 160 events at 33 ms takes 5.5 s; sent 2.4 s after the SIGTERM or later it cannot be complete, excused or not. The 0.2 s between the two edges were all that a late signal and a slow request had.

Change: there is no time in which all is taken. A request is taken if its limit, or its bound and the time of a silence, end before the process does. If all other routers take requests, a refusal costs its caller 50 ms. While callers may have the address of another router that has left, and so may be refused twice, the bound alone decides. If no other router is ready, a request is also taken if this process has more time for it than its successor; such a stream is begun whatever its first event tells. Routers count the others that are not ready and were heard within the lifetime of addresses (peers.CountUnready).

--- a/connection/forward/drain.go
+++ b/connection/forward/drain.go
@@ -38,11 +38,22 @@
 
 // DrainPlan is when a process that is being stopped ends what.
 type DrainPlan struct {
-	Began          time.Time
-	AcceptAllUntil time.Time // later requests are refused unless they are complete by End
-	End            time.Time // of the requests whose response has not begun
-	StreamsEnd     time.Time // of the streams that have begun
-	Exit           time.Time // of the process
+	Began           time.Time // no later than the process was told to stop
+	AddressesExpire time.Time // until then callers may have the addresses of routers that have left
+	End             time.Time // of the requests whose response has not begun
+	StreamsEnd      time.Time // of the streams that have begun
+	Exit            time.Time // of the process
+}
+
+// hasMoreTime reports whether the process has more time for a request than the one that follows it.
+func (p *DrainPlan) hasMoreTime(now, deadline time.Time) bool {
+	return p.End.Sub(now) >= deadline.Sub(p.Exit.Add(restartTime))
+}
+
+// Others counts the other routers.
+type Others struct {
+	Ready   int // they take requests
+	Unready int // they do not, but callers may have their addresses
 }
 
 // responseState tells whether the response of a request has begun.
@@ -108,7 +119,7 @@
 // beginStream returns an error if the process ends the request before its stream, or would probably cut a late one. A
 // stream that may not run again begins in any case.
 func (j *job) beginStream(now time.Time) error {
-	if j.rec.Left > 0 && j.pace != nil && j.mayRunAgain() && !j.rec.Relayed && !j.s.mayStillComplete(now, j) {
+	if j.rec.Left > 0 && !j.rec.LastResort && j.pace != nil && j.mayRunAgain() && !j.rec.Relayed && !j.s.mayStillComplete(now, j) {
 		return errTooLateToBegin
 	}
 	if !j.response.CompareAndSwap(responseWaiting, responseBegun) {
@@ -138,17 +149,28 @@
 	return EndedByCaller
 }
 
-// mayComplete reports whether a request that arrived now is complete before the process ends: at its
-// deadline at the latest, and as a rule within the bound that its route and its size give. It records what
-// it compared.
-func (s *Server) mayComplete(now time.Time, service string, rec *Record, size pace.Size, deadline time.Time) bool {
+// takes reports whether the process takes a request that arrived now: if it is complete before the process ends, at its
+// deadline at the latest, or within the bound that its route and its size give. A caller that is refused goes to another
+// router, but while it may choose one that is being stopped as well, its request is also taken if it fits without a silence, or as
+// a last resort if no router has more time for it. takes records what it compared.
+func (s *Server) takes(now time.Time, service string, rec *Record, size pace.Size, deadline time.Time) bool {
 	plan := s.drain.plan.Load()
-	if plan == nil || now.Before(plan.AcceptAllUntil) || !deadline.After(plan.End) {
+	if plan == nil || !deadline.After(plan.End) {
 		return true
 	}
 	bound, known := s.paces.Bound(now, rec.Route, service, size)
 	rec.Left, rec.Bound = plan.End.Sub(now), bound
-	return known && bound <= rec.Left-pace.Silence
+	if known && bound <= rec.Left-pace.Silence {
+		return true
+	}
+	if rec.Others.Ready > 0 && rec.Others.Unready == 0 || !now.Before(plan.AddressesExpire) {
+		return false
+	}
+	if known && bound <= rec.Left {
+		return true
+	}
+	rec.LastResort = rec.Others.Ready == 0 && plan.hasMoreTime(now, deadline)
+	return rec.LastResort
 }
 
 // refuseToBegin sends the response to a stream that would not be complete. It does not promise that it has not run.
@@ -158,7 +180,7 @@
 // takes it at once or, if none is ready, the process that follows this one.
 func (s *Server) retryAfterDrain(now time.Time) time.Duration {
 	plan := s.drain.plan.Load()
-	if plan == nil || s.OthersReady() {
+	if plan == nil || s.Others().Ready > 0 {
 		return retryElsewhere
 	}
 	return max(retryElsewhere, plan.Exit.Add(restartTime).Sub(now))
--- a/connection/forward/record.go
+++ b/connection/forward/record.go
@@ -51,9 +51,10 @@
 	Resumed             int           // times that a stream was resumed at another endpoint
 	Draining            time.Duration // from the beginning of the process's drain until the whole request was read; 0 before it
 	Reading             time.Duration // from the first byte of a request that arrived in the drain to its last
-	OthersReady         bool          // another router took requests when this one arrived in the drain
+	Others              Others        // when the request arrived in the drain
 	Left                time.Duration // of the process when it decided whether a late request is complete in time; 0 if it did not
 	Bound               time.Duration // on the time of the request, which it compared with Left; 0 if none was known
+	LastResort          bool          // it was taken though it may not be complete, as no router had more time for it
 	Ejected             string        // endpoint that was ejected because of this request
 	Error               string
 }
--- a/connection/forward/server.go
+++ b/connection/forward/server.go
@@ -38,7 +38,7 @@
 	OnRejection func(g *balance.Grant)                         // called when a brittle endpoint rejects a request
 	OnOverload  func()                                         // called when an endpoint reports an overload of which the routers did not know
 	RouterCount func() int                                     // routers that share the connections of an endpoint
-	OthersReady func() bool                                    // whether another router takes requests
+	Others      func() Others
 
 	drain       drain
 	paces       pace.Table
@@ -77,7 +77,7 @@
 	}
 	rec.ID, rec.Resumes, rec.LastEventID = req.ID, req.Resumes, req.LastEventID
 	if rec.Draining = s.drain.since(x.Read); rec.Draining > 0 {
-		rec.Reading, rec.OthersReady = x.Read.Sub(x.Arrived), s.OthersReady()
+		rec.Reading, rec.Others = x.Read.Sub(x.Arrived), s.Others()
 	}
 	j, code := s.admit(x, rec, req)
 	if code != outcome.OK {
@@ -143,7 +143,7 @@
 		timeout = min(timeout, route.Timeout)
 	}
 	j.deadline = x.Arrived.Add(timeout)
-	if !s.mayComplete(time.Now(), j.service(), rec, req.size(), j.deadline) {
+	if !s.takes(time.Now(), j.service(), rec, req.size(), j.deadline) {
 		return nil, outcome.Draining
 	}
 	return j, outcome.OK
--- a/process/peers/table.go
+++ b/process/peers/table.go
@@ -261,6 +261,20 @@
 	return n
 }
 
+// CountUnready returns the number of other routers that do not take requests though callers may have their
+// addresses, which they keep for some time.
+func (t *Table) CountUnready(now time.Time, kept time.Duration) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, p := range t.peers {
+		if !t.isReady(p, now) && now.Sub(p.lastHeartbeatAt) < kept {
+			n++
+		}
+	}
+	return n
+}
+
 func (t *Table) isReady(p *peer, now time.Time) bool {
 	return p.heartbeat.Ready && now.Sub(p.lastHeartbeatAt) < t.deadAfter
 }
--- a/process/router/router.go
+++ b/process/router/router.go
@@ -149,7 +149,7 @@
 	r.permits, r.observer = newPermitTable(r), observer
 	handler := &forward.Server{Links: r.links, Permits: r.permits, Codec: adapter.Codec(), Table: r.table, Endpoints: r.endpoints, Pool: r.pool, RelayPool: r.relayPool,
 		RetryBudget: sharedRetries{r.retryBudget, r.members}, Quarantine: r.quarantine, Origins: r.streams, Observer: observer, OnLeaving: r.onLeaving, OnAnnounced: r.onAnnounced, OnRejection: func(*balance.Grant) { r.sendNow() }, OnOverload: r.sendNow, RouterCount: r.members,
-		OthersReady: func() bool { return r.peers.CountReady(time.Now()) > 0 }}
+		Others: r.others}
 	r.requests = handler
 	r.front = &frontend.Server{Handler: handler, Limits: r.limits, Log: log,
 		MaxConnections: int(callerDescriptorShare * float64(s.Descriptors))}
--- a/process/router/shutdown.go
+++ b/process/router/shutdown.go
@@ -23,14 +23,16 @@
 	// exitBeforeGraceEnd is the time before the end of the grace period at which the
 	// process exits.
 	exitBeforeGraceEnd = 100 * time.Millisecond
-	// acceptAllFor is how long a draining router accepts every request, at most half of the grace
-	// period: callers may have its address that long, less the time that a signal and a request
-	// may take to arrive. Later ones must be complete before the process ends.
-	acceptAllFor = maxTTLMultiple*addressTTL - 200*time.Millisecond
 	// drainPoll is the pause between checks for open connections.
 	drainPoll = 50 * time.Millisecond
 )
 
+// others returns how many other routers take requests, and how many do not of which callers may have the addresses.
+func (r *Router) others() forward.Others {
+	now := time.Now()
+	return forward.Others{Ready: r.peers.CountReady(now), Unready: r.peers.CountUnready(now, maxTTLMultiple*addressTTL)}
+}
+
 // addresses returns the addresses of the routers that take requests, in all zones.
 func (r *Router) addresses(AddressQuery) ([]string, time.Duration) {
 	var list []string
@@ -55,7 +57,8 @@
 	began, grace := time.Now().Add(-late), r.bounds.Load().Grace
 	r.front.StartDrain()
 	r.relayed.StartDrain()
-	plan := forward.DrainPlan{Began: began, AcceptAllUntil: began.Add(min(acceptAllFor, grace/2)),
+	addressesExpire := began.Add(maxTTLMultiple * addressTTL)
+	plan := forward.DrainPlan{Began: began, AddressesExpire: addressesExpire,
 		End: began.Add(grace - answerBeforeGraceEnd), StreamsEnd: began.Add(grace - endBeforeGraceEnd), Exit: began.Add(grace - exitBeforeGraceEnd)}
 	r.requests.StartDrain(plan)
 	r.draining.Store(true)
@@ -67,11 +70,11 @@
 	if err := r.writeRecord(context.Background(), nil); err != nil {
 		r.log.Info("removing own record failed", "error", err.Error())
 	}
-	addressesExpired := began.Add(maxTTLMultiple*addressTTL + time.Second)
+	lastArrival := addressesExpire.Add(time.Second)
 	stopAccepting := began.Add(grace - closeBeforeGraceEnd)
 	for time.Now().Before(stopAccepting) {
 		open, _ := r.connectionCounts()
-		if open == 0 && time.Now().After(addressesExpired) {
+		if open == 0 && time.Now().After(lastArrival) {
 			break
 		}
 		time.Sleep(drainPoll)
