pace: bound a stream by the most output that its request allows

Callers whose streams would have been complete were refused, or refused by one stopping router after the other while several stopped at once.

Cause: the bound on a stream came from the times of earlier runs alone. Lengths are spread widely, so that it was 6 to 15 s for streams that cannot take more than 5.5 s: X-Token-Count names the most tokens that a request may have. It was used as a size to compare with, not as the limit that it is.

Change: where callers estimate their output, the tokens of an event are learned from that (estimates are right at the median; two standard errors are taken off), and no bound is above the time of all the output that is allowed, at the intervals of nine in ten streams and the slowdown of now. The time that is left from the first event on is bounded the same way.

--- a/connection/forward/drain.go
+++ b/connection/forward/drain.go
@@ -187,9 +187,9 @@
 }
 
 // recordPace records how long a request took that an endpoint ran, unless a part of its stream had run before.
-func (s *Server) recordPace(now time.Time, rec *Record, size pace.Size) {
+func (s *Server) recordPace(now time.Time, rec *Record, service string, size pace.Size) {
 	if rec.Runs == 0 || rec.LastEventID >= 0 {
 		return
 	}
-	s.paces.Record(now, rec.Route, pace.Run{Size: size, Took: rec.Duration, First: rec.firstEvent(), Complete: rec.Code == outcome.OK && rec.Status < http.StatusMultipleChoices})
+	s.paces.Record(now, rec.Route, pace.Run{Size: size, Took: rec.Duration, First: rec.firstEvent(), Events: rec.Events, Service: service, Complete: rec.Code == outcome.OK && rec.Status < http.StatusMultipleChoices})
 }
--- a/connection/forward/server.go
+++ b/connection/forward/server.go
@@ -64,10 +64,11 @@
 func (s *Server) serve(ctx context.Context, x *frontend.Exchange, relayed bool) {
 	rec := &Record{Arrived: x.Arrived, Method: x.Head.Method, Target: x.Head.Target, LastEventID: -1, Relayed: relayed}
 	var req Request
+	service := ""
 	defer func() {
 		now := time.Now()
 		rec.Duration = now.Sub(rec.Arrived)
-		s.recordPace(now, rec, req.size())
+		s.recordPace(now, rec, service, req.size())
 		s.Observer.Request(rec)
 	}()
 	var err error
@@ -91,8 +92,9 @@
 		s.refuse(x, rec, code, after)
 		return
 	}
+	service = j.service()
 	if req.LastEventID < 0 {
-		j.pace = s.paces.Begin(rec.Arrived, rec.Route, j.service(), req.size())
+		j.pace = s.paces.Begin(rec.Arrived, rec.Route, service, req.size())
 		defer func() { s.paces.End(time.Now(), j.pace) }()
 	}
 	ctx, cancel := s.requestContext(ctx, j)
--- a/process/pace/doc.go
+++ b/process/pace/doc.go
@@ -7,6 +7,8 @@
 // function of the logarithm of the size, with normally distributed deviations; fewer requests seen, and
 // sizes unlike those seen, give a wider bound. The largest deviation that was seen is always within it.
 // A prompt that is larger than all that were seen widens it in proportion.
+// No stream takes longer than with all the output that its request allows, at the speed of its service: the tokens of an event are
+// learned from the estimates, which are right at the median.
 // Requests of which less is known say nothing of those of which more is known, and the reverse.
 // Those that have ended are the shorter ones; one in progress that has taken longer than their bound
 // shows that they tell none.
--- a/process/pace/fit.go
+++ b/process/pace/fit.go
@@ -97,9 +97,9 @@
 
 // larger returns by how much a prompt of some tokens is larger than all that were seen, at least 1. A run
 // takes at most that much longer.
-func (l *line) larger(tokens int) float64 {
-	return max(1, float64(tokens)/float64(max(1, l.prompt)))
-}
+func (l *line) larger(tokens int) float64 { return larger(tokens, l.prompt) }
+
+func larger(tokens, seen int) float64 { return max(1, float64(tokens)/float64(max(1, seen))) }
 
 // fit fits a line to the complete runs, and to those of the others that were longer than it tells, as they would be
 // with a slowdown.
--- a/process/pace/pace.go
+++ b/process/pace/pace.go
@@ -71,7 +71,9 @@
 	Size     Size
 	Took     time.Duration
 	First    time.Duration // until the first event of a stream; 0 if it is none
-	Complete bool          // the response was; others only show how long a run takes at least
+	Events   int           // of a stream
+	Service  string
+	Complete bool // the response was; others only show how long a run takes at least
 }
 
 // Table holds the times of the recent runs of each route. Its zero value is ready; it is safe for
@@ -88,13 +90,14 @@
 type history struct {
 	points    map[kind][]point
 	intervals map[source][]float64 // logarithms of the intervals of events
+	ratios    map[string][]float64 // logarithms of the tokens of an event, by service
 }
 
 // source is where streams come from: a service, and a route to it or "" for all of its routes.
 type source struct{ service, route string }
 
 func newHistory() history {
-	return history{points: make(map[kind][]point), intervals: make(map[source][]float64)}
+	return history{points: make(map[kind][]point), intervals: make(map[source][]float64), ratios: make(map[string][]float64)}
 }
 
 // Running is a run in progress.
@@ -166,6 +169,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.rotate(now)
+	if ratio, ok := r.ratio(); ok {
+		t.current.ratios[r.Service] = appendBounded(t.current.ratios[r.Service], ratio)
+	}
 	for _, b := range r.Size.bases() {
 		k := kind{route, b}
 		t.current.points[k] = appendBounded(t.current.points[k], point{x: r.Size.log(b), y: y, events: events, prompt: r.Size.Prompt, complete: r.Complete})
@@ -173,9 +179,19 @@
 }
 
 // Bound returns the time that the next request of the route takes at most, but for one in a thousand, at the
-// speed at which its service is now. It returns false if no run of the route is known of which as much was
-// known, or if one in progress takes longer than those runs tell, so that how long it takes is not known.
+// speed at which its service is now; for a stream no more than with all the output that it may have. It returns false if no
+// run of the route is known of which as much was known, or if one in progress takes longer than those runs tell, so that how
+// long it takes is not known.
 func (t *Table) Bound(now time.Time, route, service string, size Size) (time.Duration, bool) {
+	bound, known := t.fittedBound(now, route, service, size)
+	if longest, _, ok := t.longest(now, route, service, size); ok && (!known || longest < bound) {
+		return longest, true
+	}
+	return bound, known
+}
+
+// fittedBound is the bound that the times of earlier runs give.
+func (t *Table) fittedBound(now time.Time, route, service string, size Size) (time.Duration, bool) {
 	l, b, ok := t.fit(now, route, service, size)
 	if !ok {
 		return 0, false
@@ -191,11 +207,14 @@
 // Rest returns the time from its first event that a run in progress takes at most, but for one in ten, at the speed
 // at which its service is now. It returns false if no run of its route is known of which as much was known.
 func (t *Table) Rest(now time.Time, r *Running) (time.Duration, bool) {
-	l, b, ok := t.fit(now, r.route, r.service, r.size)
-	if !ok {
-		return 0, false
+	rest, known := maxBound, false
+	if l, b, ok := t.fit(now, r.route, r.service, r.size); ok {
+		rest, known = duration(math.Exp(l.likelyUpper(r.size.log(b)))), true
+	}
+	if _, longest, ok := t.longest(now, r.route, r.service, r.size); ok {
+		rest, known = min(rest, longest), true
 	}
-	return duration(math.Exp(l.likelyUpper(r.size.log(b)))), true
+	return rest, known
 }
 
 // fit fits a line to the runs of a route of which as much was known, and returns what that was.
--- a/process/pace/speed.go
+++ b/process/pace/speed.go
@@ -76,12 +76,15 @@
 	return max(1, float64(whole.took-longest.took)/float64(events)), true
 }
 
-// upperQuartile returns the upper quartile of values, which it sorts.
-func upperQuartile(values []float64) float64 {
+// quantileOf returns the value that a share of the values does not exceed. It sorts them.
+func quantileOf(values []float64, share float64) float64 {
 	slices.Sort(values)
-	return values[(3*len(values)+3)/4-1]
+	return values[max(1, int(math.Ceil(share*float64(len(values)))))-1]
 }
 
+// upperQuartile returns the upper quartile of values, which it sorts.
+func upperQuartile(values []float64) float64 { return quantileOf(values, 0.75) }
+
 // sources returns the streams with which a run is compared, the most telling first.
 func (r *Running) sources() [2]source { return [...]source{{r.service, r.route}, {service: r.service}} }
 
