cli: read signals apart from the settings

Callers would have all their requests cut by the kill at the end of the grace period. Found when listing the delays that it assumes; no caller has reported it.

Cause: one goroutine read signals and the settings file. While the file cannot be read (a file system that hangs) or a reload waits, a SIGTERM is not read. Nor was it before the start of the process was over, so that its time was not known either.

--- a/process/cli/cli.go
+++ b/process/cli/cli.go
@@ -101,17 +101,24 @@
 // serve runs the process until a termination signal. A second one ends requests in progress. SIGHUP
 // changes nothing, as settings are read at the start only.
 func serve(s settings.Settings, grace time.Duration, signals <-chan os.Signal, log logr.Logger) int {
+	reader := newSignalReader(time.Now())
 	process, err := node.New(node.Options{Settings: s, Clock: clockwork.NewRealClock(), Log: log, Seed: rand.Uint64()})
 	if err != nil {
 		log.Error(err, "could not start")
 		return exitFailed
 	}
+	go reader.run(log, signals) // to the end of the process
+	go func() {
+		for range reader.hangups {
+			log.Info("signal without effect; restart the process to apply changed settings", "signal", syscall.SIGHUP.String())
+		}
+	}()
 	process.Start()
-	awaitTermination(signals, log)
-	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	<-reader.terminated
+	ctx, cancel := context.WithDeadline(context.Background(), reader.sent.Add(grace))
 	defer cancel()
 	go func() {
-		awaitTermination(signals, log)
+		<-reader.terminatedAgain
 		cancel()
 	}()
 	process.Shutdown(ctx)
@@ -120,13 +127,3 @@
 	}
 	return exitOK
 }
-
-// awaitTermination blocks until a termination signal.
-func awaitTermination(signals <-chan os.Signal, log logr.Logger) {
-	for sig := range signals {
-		if sig != syscall.SIGHUP {
-			return
-		}
-		log.Info("signal without effect; restart the process to apply changed settings", "signal", sig.String())
-	}
-}
--- a/process/cli/platform.go
+++ b/process/cli/platform.go
@@ -30,6 +30,7 @@
 
 // servePlatform runs the process with the platform's file. Logs go to stdout.
 func servePlatform(a platformArguments, signals <-chan os.Signal, stdout, stderr io.Writer) int {
+	reader := newSignalReader(time.Now())
 	s, err := platform.LoadSettings(a.Settings)
 	if err != nil {
 		return fail(stderr, exitFailed, err)
@@ -44,6 +45,7 @@
 	logWriter := logging.NewAsyncWriter(stdout)
 	defer logWriter.Close(logFlushTimeout)
 	log := logging.New(logWriter, a.Level).WithValues("host", s.Name)
+	go reader.run(log, signals) // to the end of the process
 	calls := observe.NewStoreCalls(expvar.Publish)
 	requests := observe.NewRequests(log, expvar.Publish)
 	expvar.Publish("log_lines_unread", expvar.Func(func() any { return logWriter.Dropped() }))
@@ -56,10 +58,9 @@
 		log.Error(err, "could not start")
 		return exitFailed
 	}
-	term := newTermination()
-	go watchSettings(log, a.Settings, signals, term, r.Reload) // to the end of the process
-	<-term.begun
-	r.Shutdown(term.late)
+	go watchSettings(log, a.Settings, reader.hangups, r.Reload) // to the end of the process
+	<-reader.terminated
+	r.Shutdown(reader.sent)
 	return exitOK
 }
 
@@ -68,27 +69,16 @@
 const settingsPollInterval = 2 * time.Second
 
 // watchSettings reloads the settings at path on SIGHUP or when the content of the file has
-// changed, also while the process is being stopped, and tells term of the other signals.
-func watchSettings(log logr.Logger, path string, signals <-chan os.Signal, term *termination, reload func(router.Settings) error) {
+// changed, also while the process is being stopped.
+func watchSettings(log logr.Logger, path string, hangups <-chan struct{}, reload func(router.Settings) error) {
 	tick := time.NewTicker(settingsPollInterval)
 	defer tick.Stop()
-	check := time.NewTimer(signalCheckInterval) // no ticker: its next tick may follow a late one at once
-	defer check.Stop()
 	known, _ := os.ReadFile(path) // LoadSettings has just read it without an error
-	checks := newSignalChecks(time.Now())
 	for {
 		force := false
 		select {
-		case sig := <-signals:
-			if force = term.handle(log, sig, checks.late(time.Now())); !force {
-				continue
-			}
-		case <-check.C:
-			if len(signals) == 0 {
-				checks.none(time.Now())
-			}
-			check.Reset(signalCheckInterval)
-			continue
+		case <-hangups:
+			force = true
 		case <-tick.C:
 		}
 		known = reloadIfChanged(log, path, known, force, reload)
--- a/process/cli/signals.go
+++ b/process/cli/signals.go
@@ -3,7 +3,6 @@
 import (
 	"os"
 	"os/signal"
-	"sync"
 	"syscall"
 	"time"
 
@@ -13,7 +12,7 @@
 const (
 	// signalBuffer holds the signals that arrive while one is being handled.
 	signalBuffer = 16
-	// signalCheckInterval is the interval at which a process finds that no signal is waiting.
+	// signalCheckInterval is the least time between two checks that no signal is waiting.
 	signalCheckInterval = 50 * time.Millisecond
 )
 
@@ -26,42 +25,61 @@
 	return signals
 }
 
-// signalChecks tell how much earlier than it is read a signal may have been sent.
-type signalChecks struct {
-	// last and previous are when no signal was waiting. One that was sent while the process stood still may
-	// come after the first check that follows, so that only the one before is sure.
-	last, previous time.Time
-}
-
-func newSignalChecks(now time.Time) signalChecks { return signalChecks{now, now} }
+// signalReader reads the signals of a process, and does nothing else, so that it reads each at once.
+type signalReader struct {
+	// terminated is closed at the first termination signal, and terminatedAgain at the second one.
+	terminated, terminatedAgain chan struct{}
+	// sent is no later than the first termination signal was; set before terminated is closed.
+	sent time.Time
+	// hangups holds one element from a SIGHUP until it is received.
+	hangups chan struct{}
 
-// none records that no signal is waiting.
-func (c *signalChecks) none(now time.Time) { c.last, c.previous = now, c.last }
-
-// late returns how much earlier a signal that is read now may have been sent.
-func (c *signalChecks) late(now time.Time) time.Duration { return now.Sub(c.previous) }
+	terminations int
+	// lastCheck and checkBefore are when no signal was waiting. One that was sent while the process stood still may be
+	// delivered after the first check that follows, so that only the one before is sure.
+	lastCheck, checkBefore time.Time
+}
 
-// termination is the first termination signal of a process.
-type termination struct {
-	once sync.Once
-	// begun is closed by it.
-	begun chan struct{}
-	// late is how much earlier it may have been sent; set before begun is closed.
-	late time.Duration
+// newSignalReader returns a reader of a process for which no signal is waiting now.
+func newSignalReader(now time.Time) *signalReader {
+	return &signalReader{terminated: make(chan struct{}), terminatedAgain: make(chan struct{}), hangups: make(chan struct{}, 1), lastCheck: now, checkBefore: now}
 }
 
-func newTermination() *termination { return &termination{begun: make(chan struct{})} }
+// run reads signals until they are closed.
+func (r *signalReader) run(log logr.Logger, signals <-chan os.Signal) {
+	check := time.NewTimer(signalCheckInterval) // no ticker: its next tick may follow a late one at once
+	defer check.Stop()
+	for {
+		select {
+		case sig, ok := <-signals:
+			if !ok {
+				return
+			}
+			log.Info("signal", "signal", sig.String(), "late_ms", time.Since(r.checkBefore).Milliseconds())
+			r.handle(sig)
+		case <-check.C:
+			if len(signals) == 0 {
+				r.lastCheck, r.checkBefore = time.Now(), r.lastCheck
+			}
+			check.Reset(signalCheckInterval)
+		}
+	}
+}
 
-// handle logs a signal that was sent late ago at most, and reports whether the settings are to be reloaded. Termination signals
-// after the first one change nothing: what is in progress goes on until the grace period ends.
-func (t *termination) handle(log logr.Logger, sig os.Signal, late time.Duration) (reload bool) {
-	log.Info("signal", "signal", sig.String(), "late_ms", late.Milliseconds())
+// handle passes a signal on. A SIGHUP that comes before the last one was received counts as the same.
+func (r *signalReader) handle(sig os.Signal) {
 	if sig == syscall.SIGHUP {
-		return true
+		select {
+		case r.hangups <- struct{}{}:
+		default:
+		}
+		return
+	}
+	switch r.terminations++; r.terminations {
+	case 1:
+		r.sent = r.checkBefore
+		close(r.terminated)
+	case 2:
+		close(r.terminatedAgain)
 	}
-	t.once.Do(func() {
-		t.late = late
-		close(t.begun)
-	})
-	return false
 }
--- a/process/router/shutdown.go
+++ b/process/router/shutdown.go
@@ -51,10 +51,9 @@
 
 // Shutdown stops the process without interrupting requests: it withdraws the
 // address at once, serves requests that still arrive and are complete before its end, and returns
-// when no connection is open or the grace period is nearly over. late is how much earlier the process
-// may have been told to stop.
-func (r *Router) Shutdown(late time.Duration) {
-	began, grace := time.Now().Add(-late), r.bounds.Load().Grace
+// when no connection is open or the grace period, which began then or later, is nearly over.
+func (r *Router) Shutdown(began time.Time) {
+	grace := r.bounds.Load().Grace
 	r.front.StartDrain()
 	r.relayed.StartDrain()
 	addressesExpire := began.Add(maxTTLMultiple * addressTTL)
@@ -63,7 +62,7 @@
 	r.requests.StartDrain(plan)
 	r.draining.Store(true)
 	open, busy := r.connectionCounts()
-	r.log.Info("leaving", "open", open, "busy", busy, "grace_ms", grace.Milliseconds(), "late_ms", late.Milliseconds())
+	r.log.Info("leaving", "open", open, "busy", busy, "grace_ms", grace.Milliseconds(), "late_ms", time.Since(began).Milliseconds())
 	if r.exchange != nil {
 		r.exchange.SendNow()
 	}
--- a/test/soak/shutdown_test.go
+++ b/test/soak/shutdown_test.go
@@ -4,14 +4,18 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/stoatmount/stoatmount/platform/platformtest"
 )
 
@@ -89,6 +93,23 @@
 	}
 }
 
+// Guards against a SIGTERM that is not read while the settings are.
+func TestRouterStopsWhileItsSettingsCannotBeRead(t *testing.T) {
+	env := shutdownEnvironment(t, 50*time.Millisecond)
+	r := env.routers[0]
+	if err := errors.Join(os.Remove(r.settings), unix.Mkfifo(r.settings, 0o600)); err != nil { // without a writer, so that a read waits
+		t.Fatal(err)
+	}
+	r.signal(syscall.SIGHUP)
+	time.Sleep(200 * time.Millisecond)
+	r.signal(syscall.SIGTERM)
+	select {
+	case <-r.ended:
+	case <-time.After((usualGrace + 1) * time.Second):
+		t.Errorf("%s still runs after its grace period", r.name)
+	}
+}
+
 // countRuns returns how many requests the endpoints have begun to run.
 func (env *environment) countRuns() int {
 	n := 0
