node: take no request in a stop that another router can complete and this one may not

Change: a request whose deadline is beyond the end of the process is refused as not run with the address of another router, while there is one. Without one it is taken as before.

--- a/process/node/callerapi.go
+++ b/process/node/callerapi.go
@@ -36,6 +36,11 @@
 
 // Serve implements caller.Router.
 func (n *Node) Serve(ctx context.Context, job *serve.Job, sink serve.Sink) *outcome.Refusal {
+	if n.drain.mayCut(job.Deadline) {
+		if elsewhere := n.drainingRefusal(n.clock.Now()); elsewhere.Address != "" {
+			return elsewhere
+		}
+	}
 	n.inProgress.Add(1)
 	n.counters.begin(job.Kind.Name)
 	defer func() {
--- a/process/node/invariant_test.go
+++ b/process/node/invariant_test.go
@@ -23,7 +23,9 @@
 // waitTimeout bounds waits for a condition.
 const waitTimeout = time.Minute
 
-func startFleet(c *qt.C) *fleet.Fleet {
+func startFleet(c *qt.C) *fleet.Fleet { return startRouters(c, 1) }
+
+func startRouters(c *qt.C, routers int) *fleet.Fleet {
 	second := config.Duration(time.Second)
 	cfg := config.Config{
 		Zones:  []config.Zone{{Name: "z", Region: "r"}},
@@ -37,7 +39,7 @@
 		Limits: config.Limits{MeanMultiple: 1.25, LoadLag: second, LedgerWindow: 3600 * second, LedgerShards: 1,
 			CrashLimit: 3, RetryShare: 0.1, AddressTTL: second, WeightLoadsPerMinute: 10},
 	}
-	f, err := fleet.Start(fleet.Options{Config: cfg, Routers: 1, Log: logr.Discard(),
+	f, err := fleet.Start(fleet.Options{Config: cfg, Routers: routers, Log: logr.Discard(),
 		Site: testbed.Options{Engine: engine.Options{TokenTime: 5 * time.Millisecond}}})
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(f.Close)
--- a/process/node/lifecycle.go
+++ b/process/node/lifecycle.go
@@ -13,6 +13,7 @@
 // drainState is the stage of the shutdown of a process.
 type drainState struct {
 	stage atomic.Int32
+	end   atomic.Pointer[time.Time] // of the requests in progress, by the node's clock; nil if there is no bound
 }
 
 // The stages of a shutdown.
@@ -25,6 +26,12 @@
 func (d *drainState) draining() bool { return d.stage.Load() >= stageDraining }
 func (d *drainState) refusing() bool { return d.stage.Load() >= stageRefusing }
 
+// mayCut reports whether the end of the process may come before that of a request.
+func (d *drainState) mayCut(deadline time.Time) bool {
+	end := d.end.Load()
+	return d.draining() && end != nil && deadline.After(*end)
+}
+
 // Start starts the process and returns at once.
 func (n *Node) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -46,9 +53,13 @@
 
 // Shutdown stops the process without interrupting requests: it is removed from
 // address responses, serves until cached addresses have expired, at most for half of the time
-// until the deadline of ctx, then refuses new work and waits for requests in progress. When ctx ends, they are
+// until the deadline of ctx, what is complete by then or what no other router takes, then refuses new work and waits for requests in progress. When ctx ends, they are
 // ended; those whose response has not begun get one that does not promise that they have not run.
 func (n *Node) Shutdown(ctx context.Context) {
+	if end, ok := ctx.Deadline(); ok {
+		end = n.clock.Now().Add(time.Until(end))
+		n.drain.end.Store(&end)
+	}
 	n.drain.stage.Store(stageDraining)
 	n.callerServer.StartDrain()
 	n.members.SetDraining(n.clock.Now(), true)
--- a/process/node/lifecycle_test.go
+++ b/process/node/lifecycle_test.go
@@ -69,3 +69,21 @@
 	c.Check(r.refusal.Run, qt.Equals, outcome.RunNot)
 	c.Check(r.early, qt.IsTrue)
 }
+
+// Guards against requests that a process takes while it is being stopped, though another one could, and ends before they are complete.
+func TestStoppingProcessTakesNoRequestThatItMayHaveToEnd(t *testing.T) {
+	c := qt.New(t)
+	const grace = 4 * time.Second
+	f := startRouters(c, 2)
+	waitFor(c, "a request", func() bool { return askChat(f, "1").status == http.StatusOK })
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	late := make(chan chatResult, 1)
+	time.AfterFunc(grace/8, func() { late <- askChat(f, "9999") })
+	f.Routers[0].Node.Shutdown(ctx)
+	r := <-late
+	c.Assert(r.err, qt.IsNil)
+	c.Check(r.refusal.Code, qt.Equals, outcome.Draining)
+	c.Check(r.refusal.Run, qt.Equals, outcome.RunNot)
+	c.Check(r.refusal.Address, qt.Equals, f.CallerAddresses()[1])
+}
