http1: keep no connection whose last request was not written to its end

Cause: a write that silence ended in the middle of a body was followed by an early response; that cleared the error of the attempt, and the connection was pooled. The pool did not know of the write.

Change: a connection on which a write ended early is closed by Put. This covers every way in which an attempt may get a response after that.

--- a/connection/http1/pool.go
+++ b/connection/http1/pool.go
@@ -37,6 +37,7 @@
 	expires time.Time
 
 	received   bool          // the other end has sent something
+	cut        bool          // a message was not written to its end
 	answered   []uint64      // see RecordAnswered
 	ackTimeout time.Duration // TCP_USER_TIMEOUT in force
 	failure    failure
@@ -64,6 +65,7 @@
 			return int(n), err
 		})
 		if n == 0 || !isDeadline(err) {
+			c.cut = c.cut || err != nil
 			return err
 		}
 	}
@@ -190,8 +192,8 @@
 	return c, nil
 }
 
-// Put keeps a connection whose last response was read to its end, and closes the
-// oldest one beyond maxIdle. idle is the other end's idle timeout, or 0.
+// Put keeps a connection whose last response was read to its end, unless the request was not written to its end: the other end
+// takes what comes next for the rest. It closes the oldest one beyond maxIdle. idle is the other end's idle timeout, or 0.
 func (p *Pool) Put(c *Conn, now time.Time, idle time.Duration, maxIdle int) {
 	keep := defaultIdleTimeout
 	if idle > 0 {
@@ -199,7 +201,7 @@
 	}
 	c.silence, c.onSilence, c.ctx = 0, nil, nil
 	c.woken.Store(false)
-	if keep <= 0 || c.R.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
+	if keep <= 0 || c.cut || c.R.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
 		_ = c.Close()
 		return
 	}
--- a/connection/http1/pool_test.go
+++ b/connection/http1/pool_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -59,6 +60,19 @@
 	c.Assert(p.Get(unsolicited.addr, now, nil), qt.IsNil)
 }
 
+// Guards against a request that the other end takes for the rest of the one before, which was not written to its end.
+func TestPoolKeepsNoConnectionWithHalfARequest(t *testing.T) {
+	c := qt.New(t)
+	p := NewPool(time.Second)
+	conn, _ := connPair(c, p)
+	given := errors.New("given up")
+	c.Assert(conn.OnSilence(context.Background(), 20*time.Millisecond, func(bool) error { return given }), qt.IsNil)
+	c.Assert(errors.Is(conn.WriteAll(make([]byte, 16<<20)), given), qt.IsTrue) // more than the buffers of both ends hold
+	now := time.Now()
+	p.Put(conn, now, 0, 4)
+	c.Assert(p.Get(conn.addr, now, nil), qt.IsNil)
+}
+
 // Guards against a request that gets a connection again on which a copy of its earlier response could be its next one.
 func TestPoolKeepsARequestFromAConnectionThatAnsweredIt(t *testing.T) {
 	c := qt.New(t)
