--- a/connection/forward/server.go
+++ b/connection/forward/server.go
@@ -38,7 +38,7 @@
 	OnRejection func(g *balance.Grant)                         // called when a brittle endpoint rejects a request
 	OnOverload  func()                                         // called when an endpoint reports an overload of which the routers did not know
 	RouterCount func() int                                     // routers that share the connections of an endpoint
-	Others      func() Others
+	Others      func() Others                                  // now
 
 	drain       drain
 	paces       pace.Table
--- a/process/node/lifecycle.go
+++ b/process/node/lifecycle.go
@@ -51,10 +51,11 @@
 	}
 }
 
-// Shutdown stops the process without interrupting requests: it is removed from
-// address responses, serves until cached addresses have expired, at most for half of the time
-// until the deadline of ctx, what is complete by then or what no other router takes, then refuses new work and waits for requests in progress. When ctx ends, they are
-// ended; those whose response has not begun get one that does not promise that they have not run.
+// Shutdown stops the process without interrupting requests: it is removed from address responses and
+// serves until cached addresses have expired, at most for half of the time until the deadline of ctx, what is
+// complete by then or what no other router takes. Then it refuses new work and waits for requests in
+// progress. When ctx ends, they are ended; those whose response has not begun get one that does not promise
+// that they have not run.
 func (n *Node) Shutdown(ctx context.Context) {
 	if end, ok := ctx.Deadline(); ok {
 		end = n.clock.Now().Add(time.Until(end))
--- a/process/pace/fit.go
+++ b/process/pace/fit.go
@@ -99,6 +99,7 @@
 // takes at most that much longer.
 func (l *line) larger(tokens int) float64 { return larger(tokens, l.prompt) }
 
+// larger returns by how much a number of tokens is larger than the largest that was seen, at least 1.
 func larger(tokens, seen int) float64 { return max(1, float64(tokens)/float64(max(1, seen))) }
 
 // fit fits a line to the complete runs, and to those of the others that were longer than it tells, as they would be
--- a/process/pace/pace.go
+++ b/process/pace/pace.go
@@ -72,8 +72,8 @@
 	Took     time.Duration
 	First    time.Duration // until the first event of a stream; 0 if it is none
 	Events   int           // of a stream
-	Service  string
-	Complete bool // the response was; others only show how long a run takes at least
+	Service  string        // that the route names
+	Complete bool          // the response was; others only show how long a run takes at least
 }
 
 // Table holds the times of the recent runs of each route. Its zero value is ready; it is safe for
