Read the time of the stop in the plays only where it is set

Cause: a caller that was refused before the stop could read the time that the play sets meanwhile, a race of the test itself.

Change: only requests that are sent after the stop ask for it.

--- a/test/soak/longest_test.go
+++ b/test/soak/longest_test.go
@@ -160,7 +160,7 @@
 		var a stopAttempt
 		n := 0
 		for _, r := range append([]*router{to}, others...) {
-			if n > 0 && l.isUnnamed(r) {
+			if n > 0 && measured && l.isUnnamed(r) {
 				continue
 			}
 			conn, err := net.DialTimeout("tcp", r.frontAddr, time.Second)
@@ -189,7 +189,7 @@
 // isUnnamed reports whether callers have the addresses of routers that are ready and not that of r.
 func (l *longestPlay) isUnnamed(r *router) bool {
 	stopping := slices.Contains(l.routers[:l.stopping], r)
-	return stopping && l.stopping < stopRouters && !l.stopped.IsZero() && time.Since(l.stopped) > addressTime
+	return stopping && l.stopping < stopRouters && time.Since(l.stopped) > addressTime
 }
 
 func (l *longestPlay) count(k *requestKind, sent time.Time, events int, retry, refused bool) {
