Do not let a stop wait for the store

A stopping router removed its record from the store before it began to wait for its requests, and a store that does not respond held it for up to 1 s. With a grace period below 1.4 s all times that follow were late: the process ended after its grace period, or by the kill.

The removal runs beside the wait, and ends with the process at the latest.

--- a/process/router/shutdown.go
+++ b/process/router/shutdown.go
@@ -66,9 +66,7 @@
 	if r.exchange != nil {
 		r.exchange.SendNow()
 	}
-	if err := r.writeRecord(context.Background(), nil); err != nil {
-		r.log.Info("removing own record failed", "error", err.Error())
-	}
+	r.group.Go(func() { r.removeRecord(plan.Exit) })
 	lastArrival := addressesExpire.Add(time.Second)
 	stopAccepting := began.Add(grace - closeBeforeGraceEnd)
 	for time.Now().Before(stopAccepting) {
@@ -97,6 +95,15 @@
 	r.Close()
 }
 
+// removeRecord removes this router's record, until end at the latest.
+func (r *Router) removeRecord(end time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), end) // not that of the router: Close waits for it
+	defer cancel()
+	if err := r.writeRecord(ctx, nil); err != nil {
+		r.log.Info("removing own record failed", "error", err.Error())
+	}
+}
+
 // awaitClosed waits until no connection is open, or until end.
 func (r *Router) awaitClosed(end time.Time) {
 	for time.Now().Before(end) {
