Require requests of each length and second in the plays of stops

checkServed judged the classes of requests that were sent, so that a play that sent none of a class passed.

It goes through all lengths and seconds now, and a class that it judges may not be empty.

--- a/test/soak/longest_test.go
+++ b/test/soak/longest_test.go
@@ -249,14 +249,21 @@
 	l.t.Logf("%d attempts, %d of slow streams cut", len(l.attempts), slowed)
 }
 
-// checkServed reports requests that were refused though there was time, or though other routers are left.
+// checkServed reports requests that were refused though there was time, or though other routers are left. None of the
+// classes that it judges may be empty.
 func (l *longestPlay) checkServed(othersLeft bool) {
-	for c, sent := range l.sent {
-		fits := c.length == noStream && c.second < 6 || c.length == shortStream && c.second < 5
-		report := l.t.Logf
-		if l.refused[c] > 0 && (fits || c.retry && (othersLeft || c.second == 0)) {
-			report = l.t.Errorf
+	const seconds = 6
+	for _, length := range []string{noStream, shortStream, otherStream, longestStream} {
+		for second := range seconds {
+			for _, retry := range []bool{false, true} {
+				c := requestClass{length, second, retry}
+				fits := length == noStream || length == shortStream && second < 5
+				report := l.t.Logf
+				if (fits || retry && (othersLeft || second == 0)) && (l.refused[c] > 0 || l.sent[c] == 0) {
+					report = l.t.Errorf
+				}
+				report("%+v: %d of %d refused", c, l.refused[c], l.sent[c])
+			}
 		}
-		report("%+v: %d of %d refused", c, l.refused[c], sent)
 	}
 }
