Do not count a stream that stalls before it is cut as slow in the plays of stops

The time of the last event was that of the last read, also of the one that failed. A stream that stalled and was cut then looked like one of a slow endpoint, and checkTaken left it out.

Only reads that return data set the time.

--- a/test/soak/stopcallers_test.go
+++ b/test/soak/stopcallers_test.go
@@ -154,6 +154,9 @@
 			patience()
 			n, err = resp.Body.Read(buf)
 			data = append(data, buf[:n]...)
+			if n == 0 {
+				continue
+			}
 			if a.lastAt = time.Now(); a.firstAt.IsZero() {
 				a.firstAt = a.lastAt
 			}
