pace: keep one place that joins the intervals of both histories

intervals in longest.go did what intervalBefore had inline, and ratios the same again, with a lock each.

Both use intervalsOf, and longest reads intervals and ratios under one lock.

The tests of process/pace pass; no change of behaviour.

--- a/process/pace/longest.go
+++ b/process/pace/longest.go
@@ -62,8 +62,8 @@
 	}
 	basis := kind{route, size.bases()[0]}
 	firsts, prompt := firstEvents(t.ended(now, basis))
-	perEvent, ok := tokensPerEvent(t.ratios(service))
-	intervals := t.intervals(source{service, route})
+	ratios, intervals := t.recent(source{service, route})
+	perEvent, ok := tokensPerEvent(ratios)
 	if !ok || len(intervals) == 0 || len(firsts) == 0 {
 		return 0, 0, false
 	}
@@ -78,16 +78,10 @@
 	return duration(first + others), duration(others), true
 }
 
-// ratios returns the logarithms of the tokens of an event of the service's recent streams.
-func (t *Table) ratios(service string) []float64 {
+// recent returns the logarithms of the tokens of an event of a service's recent streams, and of the intervals of events of
+// those of a route to it.
+func (t *Table) recent(from source) (ratios, intervals []float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return append(slices.Clone(t.previous.ratios[service]), t.current.ratios[service]...)
-}
-
-// intervals returns the logarithms of the intervals of events of recent streams.
-func (t *Table) intervals(from source) []float64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return append(slices.Clone(t.previous.intervals[from]), t.current.intervals[from]...)
+	return slices.Concat(t.previous.ratios[from.service], t.current.ratios[from.service]), t.intervalsOf(from)
 }
--- a/process/pace/speed.go
+++ b/process/pace/speed.go
@@ -126,10 +126,15 @@
 		if before, ok := known[from]; ok {
 			return before, true
 		}
-		if values := append(slices.Clone(t.previous.intervals[from]), t.current.intervals[from]...); len(values) > 0 {
+		if values := t.intervalsOf(from); len(values) > 0 {
 			known[from] = upperQuartile(values)
 			return known[from], true
 		}
 	}
 	return 0, false
 }
+
+// intervalsOf returns the logarithms of the intervals of events of recent streams. The caller holds t.mu.
+func (t *Table) intervalsOf(from source) []float64 {
+	return slices.Concat(t.previous.intervals[from], t.current.intervals[from])
+}
