cli: create the signal reader with the channel of the signals

Both commands created a reader of their own once the arguments were parsed, and took that moment for one at which no signal was waiting. One that came between was reckoned as sent then.

catchSignals returns the reader, which takes the moment before it asks for signals.

Tests of process/cli and process/node pass. A few milliseconds, which no test shows.

--- a/process/cli/cli.go
+++ b/process/cli/cli.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"os"
 	"syscall"
 	"time"
 
@@ -69,7 +68,7 @@
 }
 
 // serveWithSettings runs the process with the file of package settings.
-func serveWithSettings(a serveArguments, signals <-chan os.Signal, stdout, stderr io.Writer) int {
+func serveWithSettings(a serveArguments, signals *signalReader, stdout, stderr io.Writer) int {
 	s, err := settings.Load(a.Settings)
 	if err != nil {
 		return fail(stderr, exitFailed, err)
@@ -100,25 +99,24 @@
 
 // serve runs the process until a termination signal. A second one ends requests in progress. SIGHUP
 // changes nothing, as settings are read at the start only.
-func serve(s settings.Settings, grace time.Duration, signals <-chan os.Signal, log logr.Logger) int {
-	reader := newSignalReader(time.Now())
+func serve(s settings.Settings, grace time.Duration, signals *signalReader, log logr.Logger) int {
 	process, err := node.New(node.Options{Settings: s, Clock: clockwork.NewRealClock(), Log: log, Seed: rand.Uint64()})
 	if err != nil {
 		log.Error(err, "could not start")
 		return exitFailed
 	}
-	go reader.run(log, signals) // to the end of the process
+	go signals.run(log)
 	go func() {
-		for range reader.hangups {
+		for range signals.hangups {
 			log.Info("signal without effect; restart the process to apply changed settings", "signal", syscall.SIGHUP.String())
 		}
 	}()
 	process.Start()
-	<-reader.terminated
-	ctx, cancel := context.WithDeadline(context.Background(), reader.sent.Add(grace))
+	<-signals.terminated
+	ctx, cancel := context.WithDeadline(context.Background(), signals.sent.Add(grace))
 	defer cancel()
 	go func() {
-		<-reader.terminatedAgain
+		<-signals.terminatedAgain
 		cancel()
 	}()
 	process.Shutdown(ctx)
--- a/process/cli/platform.go
+++ b/process/cli/platform.go
@@ -29,8 +29,7 @@
 const logFlushTimeout = 200 * time.Millisecond
 
 // servePlatform runs the process with the platform's file. Logs go to stdout.
-func servePlatform(a platformArguments, signals <-chan os.Signal, stdout, stderr io.Writer) int {
-	reader := newSignalReader(time.Now())
+func servePlatform(a platformArguments, signals *signalReader, stdout, stderr io.Writer) int {
 	s, err := platform.LoadSettings(a.Settings)
 	if err != nil {
 		return fail(stderr, exitFailed, err)
@@ -45,7 +44,7 @@
 	logWriter := logging.NewAsyncWriter(stdout)
 	defer logWriter.Close(logFlushTimeout)
 	log := logging.New(logWriter, a.Level).WithValues("host", s.Name)
-	go reader.run(log, signals) // to the end of the process
+	go signals.run(log)
 	calls := observe.NewStoreCalls(expvar.Publish)
 	requests := observe.NewRequests(log, expvar.Publish)
 	expvar.Publish("log_lines_unread", expvar.Func(func() any { return logWriter.Dropped() }))
@@ -58,9 +57,9 @@
 		log.Error(err, "could not start")
 		return exitFailed
 	}
-	go watchSettings(log, a.Settings, reader.hangups, r.Reload) // to the end of the process
-	<-reader.terminated
-	r.Shutdown(reader.sent)
+	go watchSettings(log, a.Settings, signals.hangups, r.Reload) // to the end of the process
+	<-signals.terminated
+	r.Shutdown(signals.sent)
 	return exitOK
 }
 
--- a/process/cli/signals.go
+++ b/process/cli/signals.go
@@ -16,17 +16,20 @@
 	signalCheckInterval = 50 * time.Millisecond
 )
 
-// catchSignals returns the signals that operators send. From its call until its end the process
+// catchSignals returns a reader of the signals that operators send. From its call until its end the process
 // ends by none of them, nor by a log whose reader is gone.
-func catchSignals() <-chan os.Signal {
+func catchSignals() *signalReader {
 	signal.Ignore(syscall.SIGPIPE)
-	signals := make(chan os.Signal, signalBuffer)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	return signals
+	now := time.Now()
+	r := &signalReader{signals: make(chan os.Signal, signalBuffer), terminated: make(chan struct{}), terminatedAgain: make(chan struct{}),
+		hangups: make(chan struct{}, 1), lastCheck: now, checkBefore: now}
+	signal.Notify(r.signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	return r
 }
 
 // signalReader reads the signals of a process, and does nothing else, so that it reads each at once.
 type signalReader struct {
+	signals chan os.Signal
 	// terminated is closed at the first termination signal, and terminatedAgain at the second one.
 	terminated, terminatedAgain chan struct{}
 	// sent is no later than the first termination signal was; set before terminated is closed.
@@ -40,25 +43,16 @@
 	lastCheck, checkBefore time.Time
 }
 
-// newSignalReader returns a reader of a process for which no signal is waiting now.
-func newSignalReader(now time.Time) *signalReader {
-	return &signalReader{terminated: make(chan struct{}), terminatedAgain: make(chan struct{}), hangups: make(chan struct{}, 1), lastCheck: now, checkBefore: now}
-}
-
-// run reads signals until they are closed.
-func (r *signalReader) run(log logr.Logger, signals <-chan os.Signal) {
+// run reads signals to the end of the process.
+func (r *signalReader) run(log logr.Logger) {
 	check := time.NewTimer(signalCheckInterval) // no ticker: its next tick may follow a late one at once
-	defer check.Stop()
 	for {
 		select {
-		case sig, ok := <-signals:
-			if !ok {
-				return
-			}
+		case sig := <-r.signals:
 			log.Info("signal", "signal", sig.String(), "late_ms", time.Since(r.checkBefore).Milliseconds())
 			r.handle(sig)
 		case <-check.C:
-			if len(signals) == 0 {
+			if len(r.signals) == 0 {
 				r.lastCheck, r.checkBefore = time.Now(), r.lastCheck
 			}
 			check.Reset(signalCheckInterval)
