Count a cut stream as slow only if the machine was in the plays of stops

checkTaken left out cut streams whose events came slowly to their callers. A router that holds them up makes them slow as well, so that what it cut then was left out.

A timer of the events' interval runs beside the play. A cut stream is left out only if its own events and this timer were slow.

--- a/test/soak/longest_test.go
+++ b/test/soak/longest_test.go
@@ -83,6 +83,9 @@
 // longestPause is the time between events, with which the longest streams take 5.4 s.
 const longestPause = 33 * time.Millisecond
 
+// slowestPause is the longest mean time between events that counts as that of a sound endpoint.
+const slowestPause = longestPause * 11 / 10
+
 // callerRetries is how often callers come back after a refusal.
 const callerRetries = 3
 
@@ -108,10 +111,12 @@
 	stopping      int // routers, the first ones
 	stopped       time.Time
 	sent, refused map[requestClass]int // while routers stop
+	ticks         []time.Time          // of a timer of longestPause
 }
 
 func (l *longestPlay) play(late time.Duration, sliced bool) {
 	const before, sending = 6 * time.Second, 6400 * time.Millisecond
+	stopTicks := l.startTicks()
 	began := time.Now()
 	for n := 0; time.Since(began) < before; n++ {
 		k := draw(l.rng)
@@ -146,6 +151,7 @@
 		time.Sleep(15 * time.Millisecond)
 	}
 	l.group.Wait()
+	stopTicks()
 	l.checkTaken()
 	l.checkServed(l.stopping < stopRouters)
 }
@@ -229,17 +235,40 @@
 	l.attempts = append(l.attempts, a)
 }
 
+// startTicks records ticks, which this machine delays as it does the events of endpoints, until the function that it returns is called.
+func (l *longestPlay) startTicks() (stop func()) {
+	done := make(chan struct{})
+	var group sync.WaitGroup
+	group.Go(func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(longestPause):
+				l.ticks = append(l.ticks, time.Now())
+			}
+		}
+	})
+	return func() { close(done); group.Wait() }
+}
+
+// machineWasSlow reports whether the ticks while a request was served were further apart than slowestPause.
+func (l *longestPlay) machineWasSlow(a stopAttempt) bool {
+	first, _ := slices.BinarySearchFunc(l.ticks, a.sent, time.Time.Compare)
+	last, _ := slices.BinarySearchFunc(l.ticks, a.ended, time.Time.Compare)
+	return last-first > 1 && l.ticks[last-1].Sub(l.ticks[first]) > time.Duration(last-first-1)*slowestPause
+}
+
 // checkTaken reports requests that ran and ended without a whole answer before their limit. Streams that this machine
 // made slower than sound endpoints are do not count.
 func (l *longestPlay) checkTaken() {
-	const slowest = longestPause * 11 / 10
 	runs, slowed := l.runs(), 0
 	for _, a := range l.attempts {
 		switch {
 		case a.wrong != "":
 			l.t.Errorf("%s: %s", a.id, a.wrong)
 		case runs[a.id] == 0 || a.left || a.whole && a.status == http.StatusOK:
-		case a.received > 1 && a.lastAt.Sub(a.firstAt) > time.Duration(a.received-1)*slowest:
+		case a.received > 1 && a.lastAt.Sub(a.firstAt) > time.Duration(a.received-1)*slowestPause && l.machineWasSlow(a):
 			slowed++
 		default:
 			l.t.Errorf("LOST: %s %s at %s, sent %.2f s after the SIGTERM, status %d after %.2f s: %v", a.kind, a.id, a.router,
